--- /dev/null
+++ b/eelgrasshall/__init__.py
@@ -0,0 +1,1 @@
+"""Eelgrasshall: a query tier that gives one trustworthy answer per search."""
--- /dev/null
+++ b/eelgrasshall/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool, one module for each command."""
--- /dev/null
+++ b/eelgrasshall/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that a process makes, alone or together with its peers."""
--- /dev/null
+++ b/eelgrasshall/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and codecs, without sockets."""
--- /dev/null
+++ b/eelgrasshall/state/__init__.py
@@ -0,0 +1,1 @@
+"""What a process holds: configuration, directory, tickets, leases."""
--- /dev/null
+++ b/eelgrasshall/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: callers, backend servers, peers and the platform."""
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""The load and measuring tool."""
