Owner side: backend codec, connection pools, queue, executor

Cause: sub-requests need a way from the owner of a service to its backend servers.

One exact queue for each service, hedges, retries, cold start, quarantine and a health watch over each server.

The policies are in place but not all of them are proved yet.

--- /dev/null
+++ b/eelgrasshall/coordination/executor_test.py
@@ -0,0 +1,285 @@
+"""The owner side against scripted backend servers on a hand-moved clock."""
+
+import asyncio
+import contextlib
+import random
+
+from eelgrasshall import clock as clocks
+from eelgrasshall import invariants as invariants_module
+from eelgrasshall.coordination import executor as executors
+from eelgrasshall.coordination import policy as policies
+from eelgrasshall.protocol import backend
+from eelgrasshall.protocol import messages
+from eelgrasshall.state import configuration as configurations
+from eelgrasshall.transport import backends
+
+SNAPSHOT = messages.Snapshot(1, 3)
+
+
+class ScriptedServer:
+    """One backend server as the fake transport sees it."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.latency_s = 0.01
+        self.incarnation = "i1"
+        self.alive = True
+        self.draining = False
+        self.claims_draining = False
+        self.sheds = False
+        self.snapshots = (SNAPSHOT,)
+        self.poison = b""
+        self.cancel_works = True
+        self.lost_idle = 0
+        self.deaths = 0
+        self.started: list[str] = []
+        self.finished: list[str] = []
+        self.most = 0
+        self.beside: dict[str, int] = {}
+        self.running: dict[str, asyncio.Future] = {}
+
+    async def run(self, attempt):
+        if not self.alive:
+            return backends.BackendFailure(
+                backends.FailureKind.REFUSED, "refused"
+            )
+        if self.sheds or self.draining:
+            return self._answer(attempt, 503)._replace(
+                not_run=True, draining=self.draining
+            )
+        if attempt.snapshot and attempt.snapshot not in self.snapshots:
+            return self._answer(attempt, 409)
+        self.started.append(attempt.attempt_id)
+        self.beside[attempt.attempt_id] = len(self.running)
+        ended = asyncio.get_running_loop().create_future()
+        self.running[attempt.attempt_id] = ended
+        self.most = max(self.most, len(self.running))
+        if self.poison and self.poison in attempt.body:
+            self.die()
+        timer = asyncio.create_task(self._clock.sleep(self.latency_s))
+        timer.add_done_callback(lambda _: ended.done() or ended.set_result(200))
+        status = await ended
+        timer.cancel()
+        self.running.pop(attempt.attempt_id, None)
+        if status == 0:
+            return backends.BackendFailure(backends.FailureKind.LOST, "reset")
+        self.finished.append(attempt.attempt_id)
+        return self._answer(attempt, status)
+
+    def die(self) -> None:
+        self.deaths += 1
+        self.alive = False
+        for ended in self.running.values():
+            if not ended.done():
+                ended.set_result(0)
+
+    def restart(self) -> None:
+        self.alive = True
+        self.incarnation += "+"
+
+    def _answer(self, attempt, status):
+        response = backend.BackendResponse(
+            status=status,
+            attempt_id=attempt.attempt_id,
+            incarnation=self.incarnation,
+            available=self.snapshots,
+        )
+        if status != 200:
+            return response
+        return response._replace(
+            part=b"[1]",
+            snapshot=SNAPSHOT,
+            key_range=messages.KeyRange(0, 10),
+        )
+
+
+class FakeTransport:
+    """Stands in for `BackendTransport`."""
+
+    def __init__(self, clock, names):
+        self.servers = {name: ScriptedServer(clock) for name in names}
+        self.dropped_silent: list[str] = []
+
+    def set_servers(self, targets):
+        self.targets = {target.name: target for target in targets}
+
+    async def send(self, server, attempt, *, silence_s):
+        return await self.servers[server].run(attempt)
+
+    async def cancel(self, server, attempt_id):
+        scripted = self.servers[server]
+        if not scripted.alive:
+            return backends.CancelResult.GONE
+        if not scripted.cancel_works:
+            return backends.CancelResult.UNKNOWN
+        ended = scripted.running.get(attempt_id)
+        if ended is not None and not ended.done():
+            ended.set_result(499)
+        return backends.CancelResult.CONFIRMED
+
+    async def read_health(self, server):
+        scripted = self.servers[server]
+        if not scripted.alive:
+            return backends.BackendFailure(
+                backends.FailureKind.REFUSED, "refused"
+            )
+        return backend.Health(
+            ready=True,
+            draining=scripted.claims_draining,
+            snapshots=scripted.snapshots,
+            incarnation=scripted.incarnation,
+        )
+
+    def count_lost(self, server):
+        lost = self.servers[server].lost_idle
+        self.servers[server].lost_idle = 0
+        return lost
+
+    def drop_silent(self, server, sent_s):
+        self.dropped_silent.append(server)
+
+    def count_open(self, server):
+        return len(self.servers[server].running)
+
+    async def close(self):
+        pass
+
+
+def make_configuration(services=1, servers=3, slots=2, zones_out=()):
+    zones = tuple(
+        configurations.Zone(f"z{n}", "r", f"z{n}" not in zones_out)
+        for n in range(servers)
+    )
+    declared = tuple(
+        configurations.Service(
+            f"s{s}",
+            tuple(
+                configurations.BackendServer(
+                    f"s{s}b{n}", f"z{n}", "127.0.0.1", 9000 + n, slots, 45
+                )
+                for n in range(servers)
+            ),
+        )
+        for s in range(services)
+    )
+    kind = configurations.Kind("orders", tuple(s.name for s in declared))
+    return configurations.Configuration(1, "c", zones, declared, (kind,))
+
+
+class Bench:
+    """An executor with its fake surroundings."""
+
+    def __init__(self, configuration=None, policy=None, clean=True):
+        self.configuration = configuration or make_configuration()
+        self.clock = clocks.ManualClock()
+        names = [
+            server.name
+            for service in self.configuration.services
+            for server in service.servers
+        ]
+        self.names = frozenset(s.name for s in self.configuration.services)
+        self.transport = FakeTransport(self.clock, names)
+        self.invariants = invariants_module.Invariants(raising=True)
+        self.published: list[tuple[str, str, bytes]] = []
+        self.executor = executors.ServiceExecutor(
+            clock=self.clock,
+            random=random.Random(1),
+            invariants=self.invariants,
+            backends=self.transport,
+            publish=lambda *fact: self.published.append(fact),
+            policy=policy or policies.Policy(),
+        )
+        self.number = 0
+        if clean:
+            self.adopt(clean=self.names)
+
+    def adopt(self, configuration=None, **options):
+        self.configuration = configuration or self.configuration
+        self.executor.adopt(self.configuration, self.names, **options)
+
+    def server(self, name):
+        return self.transport.servers[name]
+
+    def record(self, name):
+        return self.executor.dump()["servers"][name]
+
+    def make_warm(self):
+        """Takes every server to be warm, and its latency to be known."""
+        for record in self.executor._directory.all():
+            record.cold = False
+            record.incarnation = "i1"
+            record.snapshots = (SNAPSHOT,)
+        for owned in self.executor._owned.values():
+            for _ in range(200):
+                owned.usual.record(0.01)
+
+    def request(self, **changes):
+        self.number += 1
+        base = messages.SubRequest(
+            sub_id=f"r{self.number}",
+            query_id="q",
+            kind="orders",
+            service="s0",
+            body=b"{}",
+            snapshot=None,
+            budget_s=1.0,
+            age_s=0.0,
+            repeatable=True,
+            fingerprint="f",
+        )
+        return base._replace(**changes)
+
+    def start(self, **changes):
+        return asyncio.create_task(
+            self.executor.execute(self.request(**changes))
+        )
+
+    async def finish(self, *tasks, limit_s=3.0):
+        """Moves the clock until all tasks are done."""
+        for _ in range(int(limit_s / 0.005)):
+            if all(task.done() for task in tasks):
+                break
+            await self.clock.advance(0.005)
+        return [task.result() for task in tasks]
+
+    def waiting(self):
+        return self.executor.dump()["services"]["s0"]["waiting"]
+
+
+@contextlib.asynccontextmanager
+async def run_bench(*, warm=True, **options):
+    bench = Bench(**options)
+    if warm:
+        bench.make_warm()
+    try:
+        yield bench
+    finally:
+        await bench.executor.close()
+
+
+def outcomes(results):
+    return [result.outcome.value for result in results]
+
+
+async def test_serves_and_says_where_from():
+    async with run_bench() as bench:
+        (result,) = await bench.finish(bench.start())
+        assert result.outcome is messages.SubOutcome.SERVED
+        assert result.server.startswith("s0b") and result.server_warm
+        assert result.available == (SNAPSHOT,)
+
+
+async def test_slots_are_never_exceeded_and_the_oldest_goes_first():
+    async with run_bench() as bench:
+        tasks = [bench.start(age_s=0.001 * n) for n in range(12)]
+        await bench.clock.advance(0.001)
+        started = [
+            n for s in bench.transport.servers.values() for n in s.started
+        ]
+        assert len(started) == 6 and bench.waiting() == 6
+        await bench.clock.advance(0.011)
+        later = [n for s in bench.transport.servers.values() for n in s.started]
+        assert {"r12.0", "r11.0"} <= set(later)
+        results = await bench.finish(*tasks)
+        assert outcomes(results) == ["served"] * 12
+        assert all(s.most <= 2 for s in bench.transport.servers.values())
--- /dev/null
+++ b/eelgrasshall/coordination/quarantine.py
@@ -0,0 +1,154 @@
+"""Requests that crash the backend servers that run them.
+
+When a backend server dies, every request in flight there is a suspect: it is
+not hedged and runs again only alone, one at a time.  If a server dies under it
+alone, its fingerprint is quarantined on all hosts for minutes; if it is
+served, it was innocent.  The hosts tell each other through facts.
+"""
+
+import asyncio
+from collections.abc import Callable
+import enum
+import json
+
+from loguru import logger
+
+from eelgrasshall import clock as clocks
+from eelgrasshall import errors
+from eelgrasshall.protocol import messages
+
+SUSPECT_S = 300.0
+QUARANTINE_S = 300.0
+SUSPECT_TOPIC = "suspect"
+QUARANTINE_TOPIC = "quarantine"
+
+
+class Verdict(enum.Enum):
+    """What may be done with a request."""
+
+    FREE = "free"
+    ALONE = "alone"
+    REFUSED = "refused"
+
+
+class Quarantine:
+    """Suspected and quarantined fingerprints, as this host knows them.
+
+    Args:
+      clock: Source of time.
+      publish: Tells the other hosts: topic, key, body.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        publish: Callable[[str, str, bytes], None],
+    ):
+        self._clock = clock
+        self._publish = publish
+        self._suspects: dict[str, float] = {}
+        self._quarantined: dict[str, float] = {}
+        self._turns: dict[str, asyncio.Lock] = {}
+
+    def judge(self, fingerprint: str) -> Verdict:
+        """Returns what may be done with a request now."""
+        if not self._suspects and not self._quarantined:
+            return Verdict.FREE
+        self._forget_expired()
+        if fingerprint in self._quarantined:
+            return Verdict.REFUSED
+        if fingerprint in self._suspects:
+            return Verdict.ALONE
+        return Verdict.FREE
+
+    def turn(self, fingerprint: str) -> asyncio.Lock:
+        """Returns the lock that lets a suspect run once at a time."""
+        return self._turns.setdefault(fingerprint, asyncio.Lock())
+
+    def suspect(self, fingerprint: str) -> None:
+        """Notes that a backend server died with a request in flight."""
+        if self.judge(fingerprint) is not Verdict.FREE:
+            return
+        self._suspects[fingerprint] = self._clock.monotonic() + SUSPECT_S
+        self._tell(SUSPECT_TOPIC, fingerprint, SUSPECT_S)
+        logger.warning(f"quarantine: Request {fingerprint} is a suspect.")
+
+    def clear(self, fingerprint: str) -> None:
+        """Notes that a suspect was served, so that it is innocent."""
+        if self._suspects.pop(fingerprint, None) is None:
+            return
+        self._tell(SUSPECT_TOPIC, fingerprint, 0.0)
+        logger.info(f"quarantine: Request {fingerprint} is cleared.")
+
+    def condemn(self, fingerprint: str) -> None:
+        """Notes that a backend server died under a suspect alone."""
+        self._suspects.pop(fingerprint, None)
+        self._quarantined[fingerprint] = self._clock.monotonic() + QUARANTINE_S
+        self._tell(QUARANTINE_TOPIC, fingerprint, QUARANTINE_S)
+        logger.error(f"quarantine: Request {fingerprint} is quarantined.")
+
+    def explain(self, fingerprint: str) -> errors.Problem:
+        """Returns the problem that a quarantined request is refused with."""
+        until_s = self._quarantined.get(fingerprint, 0.0)
+        left_s = max(0.0, until_s - self._clock.monotonic())
+        return errors.Problem(
+            errors.ProblemKind.QUARANTINED,
+            f"requests.{fingerprint}",
+            "Backend servers died while they ran this request.",
+            f"Do not repeat it; it is refused for another {left_s:.0f} s.",
+        )
+
+    def accept(self, fact: messages.GossipFact) -> None:
+        """Takes over what another host found."""
+        left_s = _parse_left(fact.body)
+        if left_s is None:
+            return
+        until_s = self._clock.monotonic() + left_s
+        if fact.topic == QUARANTINE_TOPIC:
+            self._quarantined[fact.key] = until_s
+            self._suspects.pop(fact.key, None)
+        elif left_s > 0:
+            self._suspects[fact.key] = until_s
+        else:
+            self._suspects.pop(fact.key, None)
+
+    def dump(self) -> dict:
+        """Returns what is suspected and quarantined, with seconds left."""
+        now = self._clock.monotonic()
+        return {
+            "suspects": {
+                key: round(until_s - now, 1)
+                for key, until_s in self._suspects.items()
+            },
+            "quarantined": {
+                key: round(until_s - now, 1)
+                for key, until_s in self._quarantined.items()
+            },
+        }
+
+    def _forget_expired(self) -> None:
+        """Drops what has been held against requests for long enough."""
+        now = self._clock.monotonic()
+        for held in (self._suspects, self._quarantined):
+            for key in [k for k, until_s in held.items() if until_s <= now]:
+                del held[key]
+        for key, lock in list(self._turns.items()):
+            if key not in self._suspects and not lock.locked():
+                del self._turns[key]
+
+    def _tell(self, topic: str, fingerprint: str, left_s: float) -> None:
+        """Tells the other hosts for how long something holds."""
+        body = json.dumps({"left_s": left_s}).encode()
+        self._publish(topic, fingerprint, body)
+
+
+def _parse_left(body: bytes) -> float | None:
+    """Reads for how many seconds a fact holds; None if it is malformed."""
+    try:
+        left_s = json.loads(body)["left_s"]
+    except (ValueError, KeyError, TypeError):
+        return None
+    if not isinstance(left_s, int | float):
+        return None
+    return float(min(max(left_s, 0.0), QUARANTINE_S))
--- /dev/null
+++ b/eelgrasshall/coordination/warmup.py
@@ -0,0 +1,72 @@
+"""When a backend server is cold, and how much a cold one gets.
+
+A backend server in cold start falls over under full load, and it gives little
+warning: a restart shows as a lost connection, a new incarnation or a jump in
+latency.  On any such sign it is cold at once.  Then it gets one attempt at a
+time; each few successes that were as quick as the service usually is raise
+the allowance by one, any failure starts over, and once a full set of slots
+has proved itself the server is warm.
+"""
+
+from eelgrasshall.state import directory
+
+# Proven successes for each step of the allowance.
+PROOFS_PER_STEP = 8
+# With no warm server to compare with, a success proves less.
+PROOFS_UNCOMPARED = 24
+# A success proves warmth if it took at most this multiple of the usual time.
+PROVEN_FACTOR = 3.0
+
+BACKOFF_FIRST_S = 0.1
+BACKOFF_LONGEST_S = 2.0
+
+
+def turn_cold(record: directory.ServerRecord) -> bool:
+    """Takes a backend server to be cold; gives whether it was warm before."""
+    was_warm = not record.cold
+    record.cold = True
+    record.allowance = 1
+    record.proofs = 0
+    record.turns += 1
+    record.told_warm_s = None
+    return was_warm
+
+
+def prove(
+    record: directory.ServerRecord, latency_s: float, usual_s: float
+) -> bool:
+    """Counts a success at a cold backend server.
+
+    Args:
+      record: Its books.
+      latency_s: How long the attempt took.
+      usual_s: What a warm server of the service usually takes; 0.0 if
+        that is not known.
+
+    Returns:
+      Whether the backend server has just become warm.
+    """
+    if usual_s and latency_s > PROVEN_FACTOR * usual_s:
+        return False
+    record.proofs += 1
+    if record.proofs < (PROOFS_PER_STEP if usual_s else PROOFS_UNCOMPARED):
+        return False
+    record.proofs = 0
+    if record.allowance < record.server.slots:
+        record.allowance += 1
+        return False
+    record.cold = False
+    return True
+
+
+def back_off(record: directory.ServerRecord, now: float, draw: float) -> None:
+    """Keeps a backend server that refuses from being tried for a while.
+
+    Args:
+      record: Its books.
+      now: Reading of the monotonic clock, in seconds.
+      draw: A random number from 0 to 1 for the jitter.
+    """
+    longest = min(BACKOFF_FIRST_S * 2**record.failures, BACKOFF_LONGEST_S)
+    record.failures = min(record.failures + 1, 16)
+    record.down_until_s = now + longest * (0.5 + draw / 2)
