Owner side: split selection from the queue, inherit warmth, open ahead

A new owner takes over only what was reported warm within ten seconds. Without a warm server to compare with, successes that still get quicker do not count as proof. One connection is opened ahead while all others are in use; a test sees it, and fails without it because the health endpoint is not asked.

--- a/eelgrasshall/coordination/attempts.py
+++ b/eelgrasshall/coordination/attempts.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Coroutine
 from typing import NamedTuple
 
 from eelgrasshall import clock as clocks
@@ -102,6 +103,8 @@
             budget_s=max(0.001, deadline_s - now),
             run_once=not request.repeatable,
         )
+        if not lease.cold:
+            self._transport.prepare(lease.record.name)
         task = self._spawn(self._run(lease, attempt, deadline_s))
         return Run(lease, now, deadline_s, task)
 
@@ -134,6 +137,7 @@
                 lease.record.name,
                 attempt,
                 silence_s=self._find_silence(lease),
+                fresh=lease.alone or attempt.run_once,
             )
         except BaseException:
             self._queue.release(lease)
@@ -203,7 +207,7 @@
         silence_s = max(SILENCE_FACTOR * usual_s, SILENCE_SHORTEST_S)
         return min(silence_s, SILENCE_LONGEST_S)
 
-    def _spawn(self, work) -> asyncio.Task:
+    def _spawn(self, work: Coroutine) -> asyncio.Task:
         """Starts a task that this object keeps until it is done."""
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- a/eelgrasshall/coordination/budget.py
+++ b/eelgrasshall/coordination/budget.py
@@ -34,6 +34,10 @@
         self._tokens -= 1.0
         return True
 
+    def give_back(self) -> None:
+        """Returns the token of an extra request that was never sent."""
+        self._tokens = min(_CAPACITY, self._tokens + 1.0)
+
     def dump(self) -> dict:
         """Returns the budget as plain values."""
         return {
--- a/eelgrasshall/coordination/direct.py
+++ b/eelgrasshall/coordination/direct.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Coroutine
 import random as random_module
 
 from eelgrasshall import clock as clocks
@@ -22,6 +23,13 @@
 SILENCE_S = 0.5
 
 
+def is_told_warm(record: directories.ServerRecord, now: float) -> bool:
+    """Returns whether an owner reported a server warm a moment ago."""
+    if record.told_warm_s is None:
+        return False
+    return now - record.told_warm_s <= TOLD_WARM_S
+
+
 class DirectSender:
     """Sends sub-requests of services that another host owns.
 
@@ -63,11 +71,9 @@
         tried: set[str] = set()
         while (record := self._choose(request, tried)) is not None:
             tried.add(record.name)
-            task = asyncio.get_running_loop().create_task(
+            task = self._spawn(
                 self._send(record, request, len(tried), deadline_s)
             )
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
             outcome = await asyncio.shield(task)
             result = self._judge(request, record, outcome, len(tried))
             if result is not None:
@@ -92,8 +98,7 @@
             if record.in_service
             and not record.held
             and record.name not in tried
-            and record.told_warm_s is not None
-            and now - record.told_warm_s <= TOLD_WARM_S
+            and is_told_warm(record, now)
             and record.may_hold(request.snapshot)
         ]
         return self._random.choice(candidates) if candidates else None
@@ -125,15 +130,38 @@
             budget_s=max(0.001, deadline_s - now),
             run_once=not request.repeatable,
         )
-        try:
-            outcome = await self._transport.send(
-                record.name, attempt, silence_s=SILENCE_S
-            )
-        finally:
-            del record.held[attempt_id]
+        outcome = await self._transport.send(
+            record.name,
+            attempt,
+            silence_s=SILENCE_S,
+            fresh=not request.repeatable,
+        )
         self._learn(record, request, outcome)
+        if isinstance(outcome, backends.BackendFailure) and not outcome.not_run:
+            # It may still run; the backend server drops it at its deadline.
+            self._spawn(self._release_at(record, attempt_id, deadline_s))
+        else:
+            del record.held[attempt_id]
         return outcome
 
+    async def _release_at(
+        self,
+        record: directories.ServerRecord,
+        attempt_id: str,
+        deadline_s: float,
+    ) -> None:
+        """Gives a slot back after the deadline of its attempt."""
+        left_s = deadline_s - self._clock.monotonic()
+        await self._clock.sleep(left_s + backends.RESPONSE_GRACE_S)
+        del record.held[attempt_id]
+
+    def _spawn(self, work: Coroutine) -> asyncio.Task:
+        """Starts a task that this object keeps until it is done."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
     def _learn(
         self,
         record: directories.ServerRecord,
--- a/eelgrasshall/coordination/execution.py
+++ b/eelgrasshall/coordination/execution.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 from typing import NamedTuple
 
 from eelgrasshall import clock as clocks
@@ -17,6 +18,7 @@
 from eelgrasshall.coordination import quarantine as quarantines
 from eelgrasshall.coordination import queue as queues
 from eelgrasshall.coordination import retry
+from eelgrasshall.coordination import selection
 from eelgrasshall.protocol import backend
 from eelgrasshall.protocol import messages
 from eelgrasshall.state import directory as directories
@@ -64,7 +66,9 @@
         self._deadline_s = now + request.budget_s
         self._runs: list[attempts.Run] = []
         self._hedge_tasks: list[asyncio.Task] = []
-        self._hedges = 0
+        self._sent_hedges: set[asyncio.Task | None] = set()
+        self._snapshot_gone = False
+        self._numbers = itertools.count()
         self._waited_s = 0.0
         self._may_have_run = False
         self._excluded: set[str] = set()
@@ -108,7 +112,7 @@
 
     async def _try_beside_others(self) -> messages.SubResult | None:
         """Sends an attempt in the ordinary way and hedges it."""
-        lease = await self._acquire(self._ask(number=len(self._runs)))
+        lease = await self._acquire(self._ask())
         if isinstance(lease, errors.Problem):
             return self._give_up(lease)
         run = self._send(lease)
@@ -123,6 +127,8 @@
                 result = None if reply is None else self._judge(reply)
                 if result is not None:
                     return result
+            if not self._may_hedge():
+                pending -= self._stop_waiting_hedges()
             now = self._clock.monotonic()
             if now >= self._deadline_s:
                 self._may_have_run = True
@@ -136,7 +142,7 @@
 
     async def _try_alone(self) -> messages.SubResult | None:
         """Sends a suspect while nothing else is in flight beside it."""
-        ask = self._ask(number=len(self._runs))._replace(alone=True)
+        ask = self._ask()._replace(alone=True)
         lease = await self._acquire(ask)
         if isinstance(lease, errors.Problem):
             return self._give_up(lease)
@@ -149,7 +155,6 @@
 
     def _start_hedge(self) -> asyncio.Task[attempts.Reply | None]:
         """Starts a hedge beside the attempts in flight."""
-        self._hedges += 1
         task = asyncio.get_running_loop().create_task(self._hedge())
         self._hedge_tasks.append(task)
         return task
@@ -157,15 +162,27 @@
     async def _hedge(self) -> attempts.Reply | None:
         """Sends a hedge on another replica; None if there is no slot."""
         busy = frozenset(run.lease.record.name for run in self._runs)
-        number = len(self._runs)
-        ask = self._ask(number=number)
+        ask = self._ask()
         ask = ask._replace(hedge=True, excluded=ask.excluded | busy)
-        lease = await self._tools.queue.acquire(ask)
-        if isinstance(lease, errors.Problem):
+        lease = None
+        try:
+            lease = await self._tools.queue.acquire(ask)
+        finally:
+            if not isinstance(lease, queues.Lease):
+                self._tools.hedger.budget.give_back()
+        if not isinstance(lease, queues.Lease):
             return None
+        self._sent_hedges.add(asyncio.current_task())
         run = self._send(lease)
         return await asyncio.shield(run.task)
 
+    def _stop_waiting_hedges(self) -> set[asyncio.Task]:
+        """Stops hedges that have no slot yet; gives their tasks."""
+        stopped = {t for t in self._hedge_tasks if t not in self._sent_hedges}
+        for task in stopped:
+            task.cancel()
+        return stopped
+
     def _may_hedge(self) -> bool:
         """Returns whether nothing speaks against a hedge of this request."""
         verdict = self._tools.quarantine.judge(self._request.fingerprint)
@@ -174,24 +191,26 @@
     def _find_hedge_time(self) -> float:
         """Returns when to hedge the attempt just sent; infinite if never."""
         delay_s = self._tools.hedger.find_delay(
-            repeatable=self._request.repeatable, sent=self._hedges
+            repeatable=self._request.repeatable, started=len(self._hedge_tasks)
         )
         if delay_s is None:
             return float("inf")
         return self._clock.monotonic() + delay_s
 
-    async def _acquire(self, ask: queues.Ask) -> queues.Lease | errors.Problem:
+    async def _acquire(
+        self, ask: selection.Ask
+    ) -> queues.Lease | errors.Problem:
         """Waits for a slot and notes how long that took."""
         start_s = self._clock.monotonic()
         lease = await self._tools.queue.acquire(ask)
         self._waited_s += self._clock.monotonic() - start_s
         return lease
 
-    def _ask(self, *, number: int) -> queues.Ask:
+    def _ask(self) -> selection.Ask:
         """Returns what an ordinary attempt asks of the queue."""
         request = self._request
-        return queues.Ask(
-            attempt_id=f"{request.sub_id}.{number}",
+        return selection.Ask(
+            attempt_id=f"{request.sub_id}.{next(self._numbers)}",
             fingerprint=request.fingerprint,
             admitted_s=self._admitted_s,
             deadline_s=self._deadline_s,
@@ -241,11 +260,12 @@
             self._avoided.add(server)
             return None
         if outcome.served:
-            if reply.lease.alone:
-                self._tools.quarantine.clear(self._request.fingerprint)
+            # The server survived it, whether it ran alone or not.
+            self._tools.quarantine.clear(self._request.fingerprint)
             return self._give_part(reply, outcome)
         if outcome.status == backend.SNAPSHOT_GONE:
             self._excluded.add(server)
+            self._snapshot_gone = True
             return None
         self._may_have_run |= not outcome.not_run
         self._avoided.add(server)
@@ -269,6 +289,10 @@
         quarantine = self._tools.quarantine
         if quarantine.judge(fingerprint) is quarantines.Verdict.REFUSED:
             return self._give_up(quarantine.explain(fingerprint))
+        if self._snapshot_gone:
+            # Trying the next replica costs nothing: each one is asked once.
+            self._snapshot_gone = False
+            return None
         objection = retry.find_objection(
             service=self._request.service,
             repeatable=self._request.repeatable,
@@ -281,6 +305,11 @@
 
     def _give_up(self, problem: errors.Problem) -> messages.SubResult:
         """Returns the result of a sub-request that was not served."""
+        self._tools.invariants.check(
+            invariants_module.Promise.NOT_RUN_IS_TRUE,
+            self._may_have_run or all(map(_surely_not_run, self._runs)),
+            self._request.sub_id,
+        )
         if self._may_have_run:
             outcome = messages.SubOutcome.FAILED
         elif problem.kind is errors.ProblemKind.SNAPSHOT_UNAVAILABLE:
@@ -307,5 +336,15 @@
             available=self._tools.directory.snapshots_of(self._request.service),
             queue_wait_s=self._waited_s,
             attempts=len(self._runs),
-            hedges=self._hedges,
+            hedges=len(self._sent_hedges),
         )
+
+
+def _surely_not_run(run: attempts.Run) -> bool:
+    """Returns whether an attempt has ended without having run."""
+    if not run.task.done():
+        return False
+    outcome = run.task.result().outcome
+    if isinstance(outcome, backends.BackendFailure):
+        return outcome.not_run
+    return outcome.not_run or outcome.status == backend.SNAPSHOT_GONE
--- a/eelgrasshall/coordination/executor.py
+++ b/eelgrasshall/coordination/executor.py
@@ -122,6 +122,7 @@
         for name in sorted(owned & names):
             taken = name not in self._owned
             if taken:
+                self._inherit(name)
                 self._owned[name] = self._make_owned(name)
             if (taken or self._lapsed) and name not in clean:
                 start_s = since.get(name, self._clock.monotonic())
@@ -227,6 +228,19 @@
             await owned.tools.runner.close()
         await self._direct.close()
 
+    def _inherit(self, name: str) -> None:
+        """Takes over what is known of the servers of a service.
+
+        Only servers that were reported warm a moment ago are; all others
+        have a history that this host does not know.
+        """
+        now = self._clock.monotonic()
+        for record in self._directory.of_service(name):
+            if direct.is_told_warm(record, now):
+                record.cold = False
+            else:
+                warmup.turn_cold(record)
+
     def _make_owned(self, name: str) -> _Owned:
         """Builds the parts that serve a service."""
         usual = histograms.Histogram()
@@ -238,6 +252,7 @@
             publish=self._publish,
             usual=usual,
             hedger=hedger,
+            directory=self._directory,
         )
 
         def notice_lost(record: directories.ServerRecord) -> None:
@@ -290,6 +305,9 @@
             _explain_lapse(errors.ProblemKind.PEER_UNREACHABLE)
         )
         owned.monitor.cancel()
+        for record in self._directory.of_service(name):
+            if not record.cold:
+                record.told_warm_s = self._clock.monotonic()
         self._retired = [r for r in self._retired if r.tools.runner.is_busy()]
         self._retired.append(owned)
 
--- a/eelgrasshall/coordination/executor_test.py
+++ b/eelgrasshall/coordination/executor_test.py
@@ -103,7 +103,7 @@
     def set_servers(self, targets):
         self.targets = {target.name: target for target in targets}
 
-    async def send(self, server, attempt, *, silence_s):
+    async def send(self, server, attempt, *, silence_s, fresh):
         return await self.servers[server].run(attempt)
 
     async def cancel(self, server, attempt_id):
@@ -130,6 +130,9 @@
             incarnation=scripted.incarnation,
         )
 
+    def prepare(self, server):
+        pass
+
     def count_lost(self, server):
         lost = self.servers[server].lost_idle
         self.servers[server].lost_idle = 0
--- a/eelgrasshall/coordination/hedge.py
+++ b/eelgrasshall/coordination/hedge.py
@@ -46,17 +46,17 @@
         """Notes the latency of an attempt at a warm server."""
         self._recent.append(latency_s)
 
-    def find_delay(self, *, repeatable: bool, sent: int) -> float | None:
+    def find_delay(self, *, repeatable: bool, started: int) -> float | None:
         """Returns after how many seconds to hedge an attempt just sent.
 
         Args:
           repeatable: Whether the request may run more than once.
-          sent: Hedges of this sub-request so far.
+          started: Hedges of this sub-request so far.
 
         Returns:
           The delay, or None if there shall be no hedge.
         """
-        if not (self._policy.hedging and repeatable) or sent >= MAX_HEDGES:
+        if not (self._policy.hedging and repeatable) or started >= MAX_HEDGES:
             return None
         if self._usual.recorded < MIN_RECORDED:
             return None
--- a/eelgrasshall/coordination/observer.py
+++ b/eelgrasshall/coordination/observer.py
@@ -57,6 +57,7 @@
       publish: Tells the other hosts: topic, key, body.
       usual: Latencies of the service's warm servers.
       hedger: Told of the same latencies.
+      directory: Books of the backend servers.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         publish: Callable[[str, str, bytes], None],
         usual: histograms.Histogram,
         hedger: hedges.Hedger,
+        directory: directories.Directory,
     ):
         self._clock = clock
         self._random = random
@@ -75,6 +77,7 @@
         self._publish = publish
         self._usual = usual
         self._hedger = hedger
+        self._directory = directory
         self._recent: dict[str, collections.deque[float]] = {}
 
     def note_response(
@@ -186,9 +189,17 @@
         usual_s = self._usual.percentile(0.5)
         if len(recent) < _RECENT or latency_s <= JUMP_FACTOR * usual_s:
             return
+        if self._hedger.is_slow() and self._has_warm_sibling(record):
+            # All of the service is slow, which says nothing about this one.
+            return
         if statistics.median(recent) > JUMP_FACTOR * usual_s:
             self.turn_cold(record, "its latency jumped")
 
+    def _has_warm_sibling(self, record: directories.ServerRecord) -> bool:
+        """Returns whether another server of the service is warm."""
+        siblings = self._directory.of_service(record.service)
+        return any(r is not record and not r.cold for r in siblings)
+
     @_on(backends.FailureKind.REFUSED)
     def _note_refused(self, lease: queues.Lease) -> None:
         """Learns from a connection that could not be opened."""
--- a/eelgrasshall/coordination/quarantine.py
+++ b/eelgrasshall/coordination/quarantine.py
@@ -101,9 +101,10 @@
 
     def accept(self, fact: messages.GossipFact) -> None:
         """Takes over what another host found."""
-        left_s = _parse_left(fact.body)
-        if left_s is None:
+        until_wall_s = _parse_until(fact.body)
+        if until_wall_s is None:
             return
+        left_s = min(until_wall_s - self._clock.wall(), QUARANTINE_S)
         until_s = self._clock.monotonic() + left_s
         if fact.topic == QUARANTINE_TOPIC:
             self._quarantined[fact.key] = until_s
@@ -139,16 +140,19 @@
 
     def _tell(self, topic: str, fingerprint: str, left_s: float) -> None:
         """Tells the other hosts for how long something holds."""
-        body = json.dumps({"left_s": left_s}).encode()
+        until_wall_s = self._clock.wall() + left_s
+        body = json.dumps({"until_s": round(until_wall_s, 3)}).encode()
         self._publish(topic, fingerprint, body)
 
 
-def _parse_left(body: bytes) -> float | None:
-    """Reads for how many seconds a fact holds; None if it is malformed."""
+def _parse_until(body: bytes) -> float | None:
+    """Reads until when a fact holds, in seconds since the Unix epoch.
+
+    Returns:
+      The time, or None if the body is malformed.
+    """
     try:
-        left_s = json.loads(body)["left_s"]
+        until_s = json.loads(body)["until_s"]
     except (ValueError, KeyError, TypeError):
         return None
-    if not isinstance(left_s, int | float):
-        return None
-    return float(min(max(left_s, 0.0), QUARANTINE_S))
+    return until_s if isinstance(until_s, int | float) else None
--- a/eelgrasshall/coordination/warmup.py
+++ b/eelgrasshall/coordination/warmup.py
@@ -8,12 +8,17 @@
 has proved itself the server is warm.
 """
 
+import statistics
+
 from eelgrasshall.state import directory
 
 # Proven successes for each step of the allowance.
 PROOFS_PER_STEP = 8
 # With no warm server to compare with, a success proves less.
 PROOFS_UNCOMPARED = 24
+# Without a comparison, successes that are still getting quicker by this much
+# show that the server is still warming.
+STILL_WARMING_RATIO = 0.7
 # A success proves warmth if it took at most this multiple of the usual time.
 PROVEN_FACTOR = 3.0
 
@@ -27,6 +32,7 @@
     record.cold = True
     record.allowance = 1
     record.proofs = 0
+    record.trials.clear()
     record.turns += 1
     record.told_warm_s = None
     return was_warm
@@ -49,9 +55,15 @@
     if usual_s and latency_s > PROVEN_FACTOR * usual_s:
         return False
     record.proofs += 1
+    if not usual_s:
+        record.trials.append(latency_s)
     if record.proofs < (PROOFS_PER_STEP if usual_s else PROOFS_UNCOMPARED):
         return False
+    still_warming = _is_getting_quicker(record.trials)
     record.proofs = 0
+    record.trials.clear()
+    if still_warming:
+        return False
     if record.allowance < record.server.slots:
         record.allowance += 1
         return False
@@ -70,3 +82,13 @@
     longest = min(BACKOFF_FIRST_S * 2**record.failures, BACKOFF_LONGEST_S)
     record.failures = min(record.failures + 1, 16)
     record.down_until_s = now + longest * (0.5 + draw / 2)
+
+
+def _is_getting_quicker(trials: list[float]) -> bool:
+    """Returns whether the later ones of some latencies are much shorter."""
+    half = len(trials) // 2
+    if half == 0:
+        return False
+    earlier = statistics.median(trials[:half])
+    later = statistics.median(trials[half:])
+    return later < STILL_WARMING_RATIO * earlier
--- a/eelgrasshall/state/directory.py
+++ b/eelgrasshall/state/directory.py
@@ -41,6 +41,7 @@
       cold: Whether it is in cold start or must be taken to be.
       allowance: Attempts that it may run at once while cold.
       proofs: Successes since the allowance last changed.
+      trials: Latencies of those successes that nothing compares with.
       turns: How often it has been taken to be cold anew.
       held: The slots in use, by attempt.
       reserved: Whether it is kept free for a request that must run alone.
@@ -61,6 +62,7 @@
         self.cold = True
         self.allowance = 1
         self.proofs = 0
+        self.trials: list[float] = []
         self.turns = 0
         self.held: dict[str, Held] = {}
         self.reserved = False
--- a/eelgrasshall/transport/backends.py
+++ b/eelgrasshall/transport/backends.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+from collections.abc import Coroutine
 import enum
 from typing import NamedTuple
 
@@ -23,6 +24,8 @@
 # Servers and middleboxes drop connections that stay idle for longer.
 IDLE_LIMIT_S = 4.0
 CONTROL_TIMEOUT_S = 0.25
+# Connections that opening ahead of need leaves for other purposes.
+KEPT_FREE = 3
 # A backend server answers at the deadline; hear it out before giving up.
 RESPONSE_GRACE_S = 0.1
 
@@ -103,6 +106,7 @@
         self.open: set[connections.Connection] = set()
         self.idle: list[connections.Connection] = []
         self.lost = 0
+        self.preparing = False
 
 
 class BackendTransport:
@@ -122,7 +126,7 @@
         self._clock = clock
         self._invariants = invariants
         self._pools: dict[str, _Pool] = {}
-        self._closing: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def set_servers(self, targets: tuple[BackendTarget, ...]) -> None:
         """Replaces the known backend servers and their limits.
@@ -149,21 +153,27 @@
                 self._pools[name] = _Pool(target)
 
     async def send(
-        self, server: str, attempt: backend.Attempt, *, silence_s: float
+        self,
+        server: str,
+        attempt: backend.Attempt,
+        *,
+        silence_s: float,
+        fresh: bool,
     ) -> backend.BackendResponse | BackendFailure:
         """Runs one attempt on a backend server.
 
         Args:
           server: Name of the backend server.
-          attempt: The attempt; one that may not be repeated goes on a fresh
-            connection.
+          attempt: The attempt.
           silence_s: Longest time without progress of the response.
+          fresh: Whether to open a connection for it, because one that was
+            closed a moment ago must not be mistaken for a death.
 
         Returns:
           The response to this very attempt, or why there is none.
         """
         pool = self._pools.get(server)
-        link = None if pool is None else self._take(pool, attempt.run_once)
+        link = None if pool is None else self._take(pool, fresh)
         if pool is None or link is None:
             return BackendFailure(FailureKind.NO_CONNECTION, "limit reached")
         sent_s = self._clock.monotonic()
@@ -192,6 +202,20 @@
         self._put_back(pool, link)
         return response
 
+    def prepare(self, server: str) -> None:
+        """Opens a connection ahead of need if every other one is in use.
+
+        The one that is about to be used counts as in use.  A few connections
+        are left for other purposes.
+        """
+        pool = self._pools.get(server)
+        if pool is None or pool.preparing or len(pool.idle) > 1:
+            return
+        if len(pool.open) + KEPT_FREE >= pool.target.connections:
+            return
+        pool.preparing = True
+        self._spawn(self._prepare(pool))
+
     async def cancel(self, server: str, attempt_id: str) -> CancelResult:
         """Asks a backend server to let an attempt go."""
         headers = {backend.ATTEMPT: attempt_id}
@@ -254,15 +278,30 @@
         for pool in self._pools.values():
             for link in list(pool.open):
                 self._close(pool, link)
-        while self._closing:
-            await asyncio.gather(*self._closing)
+        while self._tasks:
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _prepare(self, pool: _Pool) -> None:
+        """Opens a connection by asking the health endpoint on it."""
+        try:
+            await self._control(
+                pool.target.name, "GET", "/health", {}, fresh=True
+            )
+        finally:
+            pool.preparing = False
 
     async def _control(
-        self, server: str, method: str, path: str, headers: dict[str, str]
+        self,
+        server: str,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        *,
+        fresh: bool = False,
     ) -> tuple[int, bytes] | BackendFailure:
         """Sends a short request about the server or one of its attempts."""
         pool = self._pools.get(server)
-        link = None if pool is None else self._take(pool, False)
+        link = None if pool is None else self._take(pool, fresh)
         if pool is None or link is None:
             return BackendFailure(FailureKind.NO_CONNECTION, "limit reached")
         sent_s = self._clock.monotonic()
@@ -337,14 +376,20 @@
 
     def _close(self, pool: _Pool, link: connections.Connection) -> None:
         """Closes a connection; it counts as open until that is done."""
-        task = asyncio.get_running_loop().create_task(link.close())
-        self._closing.add(task)
-
-        def forget(done: asyncio.Task[None]) -> None:
-            self._closing.discard(done)
-            pool.open.discard(link)
-
-        task.add_done_callback(forget)
+        self._spawn(self._finish_closing(pool, link))
+
+    async def _finish_closing(
+        self, pool: _Pool, link: connections.Connection
+    ) -> None:
+        """Closes a connection and then stops counting it."""
+        await link.close()
+        pool.open.discard(link)
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Starts a task that this object keeps until it is done."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
 
 def _describe_failure(error: Exception) -> BackendFailure:
--- a/eelgrasshall/transport/backends_test.py
+++ b/eelgrasshall/transport/backends_test.py
@@ -18,7 +18,9 @@
     def __init__(self):
         self.runs: list[str] = []
         self.peers: list[tuple] = []
+        self.health_peers: list[tuple] = []
         self.release = asyncio.Event()
+        self.arrived = asyncio.Semaphore(0)
         self.port = 0
         self._runner = None
 
@@ -26,6 +28,7 @@
         app = web.Application()
         app.router.add_post("/search", self._search)
         app.router.add_post("/cancel", self._cancel)
+        app.router.add_get("/health", self._health)
         self._runner = web.AppRunner(app, shutdown_timeout=0.1)
         await self._runner.setup()
         site = web.TCPSite(self._runner, "127.0.0.1", self.port)
@@ -39,6 +42,7 @@
         name = request.headers["X-Attempt"]
         self.runs.append(name)
         self.peers.append(request.transport.get_extra_info("peername"))
+        self.arrived.release()
         if name.startswith("wait") or name.startswith("silent"):
             await self.release.wait()
         if name.startswith("reset"):
@@ -55,12 +59,16 @@
             },
         )
 
+    async def _health(self, request: web.Request) -> web.Response:
+        self.health_peers.append(request.transport.get_extra_info("peername"))
+        return web.json_response({"ready": True})
+
     async def _cancel(self, request: web.Request) -> web.Response:
         return web.Response(status=204)
 
 
-def make_attempt(name: str, **changes) -> backend.Attempt:
-    base = backend.Attempt(
+def make_attempt(name: str) -> backend.Attempt:
+    return backend.Attempt(
         attempt_id=name,
         query_id="q",
         kind="orders",
@@ -69,7 +77,6 @@
         budget_s=5.0,
         run_once=False,
     )
-    return base._replace(**changes)
 
 
 @contextlib.asynccontextmanager
@@ -91,9 +98,10 @@
         await server.stop()
 
 
-async def send(transport, name, silence_s=2.0, **changes):
-    attempt = make_attempt(name, **changes)
-    return await transport.send("b1", attempt, silence_s=silence_s)
+async def send(transport, name, silence_s=2.0, fresh=False):
+    return await transport.send(
+        "b1", make_attempt(name), silence_s=silence_s, fresh=fresh
+    )
 
 
 async def test_answer_carries_part_and_snapshots():
@@ -108,18 +116,33 @@
     async with run_server() as (server, transport):
         await send(transport, "a1")
         await send(transport, "a2")
-        await send(transport, "once", run_once=True)
+        await send(transport, "once", fresh=True)
         assert server.peers[0] == server.peers[1]
         assert server.peers[2] not in server.peers[:2]
 
 
+async def test_connection_is_opened_ahead_and_within_the_limit():
+    async with run_server(limit=5) as (server, transport):
+        transport.prepare("b1")
+        transport.prepare("b1")
+        await asyncio.gather(*transport._tasks)
+        assert transport.count_open("b1") == 1
+        await send(transport, "a1")
+        assert server.peers == server.health_peers
+        transport.set_servers(
+            (backends.BackendTarget("b1", "127.0.0.1", server.port, 3),)
+        )
+        transport.prepare("b1")
+        assert transport.count_open("b1") == 1
+
+
 async def test_limit_holds_and_a_request_over_it_does_not_run():
     async with run_server(limit=2) as (server, transport):
         waiting = [
             asyncio.create_task(send(transport, f"wait{n}")) for n in range(2)
         ]
-        while len(server.runs) < 2:
-            await asyncio.sleep(0.001)
+        await server.arrived.acquire()
+        await server.arrived.acquire()
         failure = await send(transport, "third")
         assert failure.kind is backends.FailureKind.NO_CONNECTION
         assert failure.not_run
@@ -143,8 +166,8 @@
         early = [
             asyncio.create_task(send(transport, f"wait{n}")) for n in range(2)
         ]
-        while len(server.runs) < 2:
-            await asyncio.sleep(0.001)
+        await server.arrived.acquire()
+        await server.arrived.acquire()
         server.release.set()
         await asyncio.gather(*early)
         server.release.clear()
