Relay: sub-requests to the owner of their service, direct when it is silent

Cause: the path needs one owner per service that alone queues for its backend servers, and queries must not wait for membership when that owner is gone.

A request that may not be repeated falls back only if no byte was sent. Ruled out: one shared error for all waits of a peer, since only the batch itself knows that it was not sent.

Conclusion: tests with a small fake stream cover loss, cancel and crossing.

--- /dev/null
+++ b/eelgrasshall/coordination/relay_test.py
@@ -0,0 +1,175 @@
+import asyncio
+
+import pytest
+
+from eelgrasshall import clock as clocks
+from eelgrasshall import errors
+from eelgrasshall import invariants as promises
+from eelgrasshall.coordination import relay
+from eelgrasshall.protocol import messages
+from eelgrasshall.transport import peers
+
+
+class Host:
+    def __init__(self, name: str):
+        self.name = name
+
+
+class FakeOwnership:
+    def __init__(self, owner: str):
+        self.owner = owner
+        self.own: frozenset[str] = frozenset()
+
+    def owner_of(self, service):
+        del service
+        return Host(self.owner)
+
+    def owned(self):
+        return self.own
+
+
+class FakeExecutor:
+    def __init__(self):
+        self.seen: list[messages.SubRequest] = []
+        self.gate: asyncio.Event | None = None
+        self.cancelled = 0
+
+    async def execute(self, request):
+        self.seen.append(request)
+        try:
+            if self.gate is not None:
+                await self.gate.wait()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        return messages.SubResult(
+            request.sub_id, request.service, messages.SubOutcome.SERVED
+        )
+
+
+class FakeStream:
+    def __init__(self):
+        self.requests = []
+        self.results = []
+        self.cancels = []
+
+    def send_request(self, request, on_failure):
+        self.requests.append((request, on_failure))
+
+    def send_result(self, result):
+        self.results.append(result)
+
+    def send_cancel(self, sub_id):
+        self.cancels.append(sub_id)
+
+
+class Bench:
+    def __init__(self):
+        self.ownership = FakeOwnership("b")
+        self.executor = FakeExecutor()
+        self.stream = FakeStream()
+        self.relay = relay.Relay(
+            name="a",
+            clock=clocks.ManualClock(),
+            invariants=promises.Invariants(raising=True),
+            executor=self.executor,
+            ownership=self.ownership,
+            get_stream=lambda name: self.stream,
+        )
+
+    async def ask(self, **changes):
+        task = asyncio.create_task(self.relay.dispatch(make_request(**changes)))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return task
+
+
+def make_request(**changes) -> messages.SubRequest:
+    base = messages.SubRequest(
+        "s1", "q1", "orders", "svc", b"{}", None, 5.0, 0.0, True, "f"
+    )
+    return base._replace(**changes)
+
+
+async def test_result_of_the_owner_is_delivered():
+    bench = Bench()
+    task = await bench.ask()
+    served = messages.SubResult("s1", "svc", messages.SubOutcome.SERVED)
+    bench.relay.accept_results("b", [served])
+    assert await task == served
+    assert bench.executor.seen == []
+
+
+async def test_crossed_result_is_a_breach():
+    bench = Bench()
+    task = await bench.ask()
+    crossed = messages.SubResult("s1", "other", messages.SubOutcome.SERVED)
+    with pytest.raises(promises.BreachError):
+        bench.relay.accept_results("b", [crossed])
+    task.cancel()
+
+
+async def test_silent_owner_frees_everything_relayed_to_it():
+    bench = Bench()
+    first = await bench.ask(sub_id="s1")
+    second = await bench.ask(sub_id="s2")
+    # Only the first batch fails; the second was acknowledged before.
+    bench.stream.requests[0][1](peers.PeerError("silent"))
+    assert (await first).outcome is messages.SubOutcome.SERVED
+    assert (await second).outcome is messages.SubOutcome.SERVED
+    assert [request.direct for request in bench.executor.seen] == [True, True]
+    # A later sub-request does not wait for the silent owner.
+    third = await bench.ask(sub_id="s3")
+    assert (await third).outcome is messages.SubOutcome.SERVED
+    assert len(bench.stream.requests) == 2
+
+
+async def test_request_that_may_not_repeat_fails_after_a_lost_relay():
+    bench = Bench()
+    task = await bench.ask(repeatable=False)
+    bench.stream.requests[0][1](peers.PeerError("silent"))
+    result = await task
+    assert result.outcome is messages.SubOutcome.FAILED
+    assert bench.executor.seen == []
+
+
+async def test_request_that_may_not_repeat_falls_back_if_nothing_was_sent():
+    bench = Bench()
+    task = await bench.ask(repeatable=False)
+    bench.stream.requests[0][1](peers.PeerNotReachedError("refused"))
+    assert (await task).outcome is messages.SubOutcome.SERVED
+    assert bench.executor.seen[0].direct
+
+
+async def test_cancelled_dispatch_cancels_at_the_owner():
+    bench = Bench()
+    task = await bench.ask()
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
+    assert bench.stream.cancels == ["s1"]
+
+
+async def test_owner_side_runs_once_and_cancels():
+    bench = Bench()
+    bench.ownership.own = frozenset({"svc"})
+    bench.executor.gate = asyncio.Event()
+    bench.relay.accept_requests("c", [make_request(), make_request()])
+    await asyncio.sleep(0)
+    assert len(bench.executor.seen) == 1
+    bench.relay.accept_cancels("c", ["s1"])
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert bench.executor.cancelled == 1
+    assert bench.relay.running_for_peers == 0
+
+
+async def test_host_that_does_not_own_the_service_refuses():
+    bench = Bench()
+    bench.relay.accept_requests("c", [make_request()])
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    result = bench.stream.results[0]
+    assert result.outcome is messages.SubOutcome.NOT_RUN
+    assert result.problem.kind is errors.ProblemKind.PEER_UNREACHABLE
+    assert bench.executor.seen == []
--- a/eelgrasshall/transport/peers.py
+++ b/eelgrasshall/transport/peers.py
@@ -21,7 +21,7 @@
 from eelgrasshall.protocol import peers as codec
 
 CONNECT_TIMEOUT_S = 0.25
-ACK_TIMEOUT_S = 0.5
+ACK_TIMEOUT_S = 0.25
 GOSSIP_TIMEOUT_S = 0.4
 FETCH_TIMEOUT_S = 2.0
 MAX_BATCH = 64
