--- /dev/null
+++ b/eelgrasshall/coordination/query_test.py
@@ -0,0 +1,196 @@
+"""Tests of the path of a query, with the sub-requests faked."""
+
+import asyncio
+import json
+import random
+from typing import NamedTuple
+
+import pytest
+
+from eelgrasshall import clock as clock_module
+from eelgrasshall import errors
+from eelgrasshall import invariants as invariants_module
+from eelgrasshall.coordination import admission
+from eelgrasshall.coordination import query
+from eelgrasshall.coordination import tickets
+from eelgrasshall.protocol import caller
+from eelgrasshall.protocol import messages
+from eelgrasshall.state import configuration as configuration_module
+from eelgrasshall.state import snapshots
+
+SEVEN = messages.Snapshot(1, 7)
+NAMES = ("s0", "s1", "s2", "s3")
+QUARTER = messages.KEY_SPACE // 4
+
+
+def make_configuration() -> configuration_module.Configuration:
+    server = configuration_module.BackendServer("b", "z", "127.0.0.1", 1, 1, 1)
+    services = tuple(
+        configuration_module.Service(name, (server._replace(name=f"{name}-b"),))
+        for name in NAMES
+    )
+    kinds = (
+        configuration_module.Kind("wide", NAMES, coverage_floor=0.5),
+        configuration_module.Kind("whole", NAMES, coverage_floor=1.0),
+        configuration_module.Kind("reserve", ("s0",), repeatable=False),
+    )
+    zones = (configuration_module.Zone("z", "r"),)
+    return configuration_module.Configuration(1, "c", zones, services, kinds)
+
+
+class Backends:
+    """Answers sub-requests as the owners would."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.requests = []
+        self.cancelled = []
+        self.delays = {}
+        self.outcomes = {}
+
+    async def dispatch(self, request):
+        self.requests.append(request)
+        try:
+            await self.clock.sleep(self.delays.get(request.service, 0.0))
+        except asyncio.CancelledError:
+            self.cancelled.append(request.service)
+            raise
+        outcome = self.outcomes.get(request.service, messages.SubOutcome.SERVED)
+        if outcome is not messages.SubOutcome.SERVED:
+            problem = errors.Problem(
+                errors.ProblemKind.BACKEND_FAILED, request.service, "No.", "Go."
+            )
+            return messages.SubResult(
+                request.sub_id, request.service, outcome, problem=problem
+            )
+        low = NAMES.index(request.service) * QUARTER
+        return messages.SubResult(
+            request.sub_id,
+            request.service,
+            outcome,
+            part=b'[{"from": "%b"}]' % request.service.encode(),
+            snapshot=SEVEN,
+            key_range=messages.KeyRange(low, low + QUARTER),
+            available=(SEVEN,),
+        )
+
+
+class Parts(NamedTuple):
+    clock: clock_module.ManualClock
+    backends: Backends
+    invariants: invariants_module.Invariants
+    coordinator: query.QueryCoordinator
+
+
+@pytest.fixture
+def parts() -> Parts:
+    clock = clock_module.ManualClock()
+    invariants = invariants_module.Invariants(raising=True)
+    backends = Backends(clock)
+    configuration = make_configuration()
+
+    async def run_at_home(host, incarnation, data, timeout_s):
+        raise AssertionError("Nothing is relayed here.")
+
+    coordinator = query.QueryCoordinator(
+        name="h0",
+        zone="z",
+        clock=clock,
+        random=random.Random(1),
+        invariants=invariants,
+        dispatch=backends.dispatch,
+        get_configuration=lambda: configuration,
+        get_members=lambda: (),
+        admission=admission.Admission(clock=clock, random=random.Random(2)),
+        snapshots=snapshots.SnapshotTable(clock=clock),
+        tickets=tickets.TicketBook(
+            name="h0",
+            incarnation=1,
+            clock=clock,
+            random=random.Random(3),
+            invariants=invariants,
+            run_at_home=run_at_home,
+        ),
+    )
+    return Parts(clock, backends, invariants, coordinator)
+
+
+def ask(kind="wide", **fields) -> caller.QueryRequest:
+    return caller.QueryRequest("id-1", kind, b'{"q":1}', **fields)
+
+
+async def test_complete_answer(parts):
+    outcome = await parts.coordinator.run(ask())
+    document = json.loads(outcome.body)
+    assert outcome.status == 200
+    assert document["request_id"] == "id-1"
+    assert document["complete"] is True
+    assert document["snapshot"] == "1.7"
+    assert [each["service"] for each in document["data"]] == list(NAMES)
+
+
+async def test_partial_answer_comes_before_the_deadline(parts):
+    parts.backends.delays["s2"] = 60.0
+    task = asyncio.create_task(parts.coordinator.run(ask(deadline_ms=200)))
+    await parts.clock.advance(0.195)
+    assert task.done()
+    document = json.loads(task.result().body)
+    assert task.result().status == 200
+    assert document["complete"] is False
+    assert document["coverage"]["key_share"] == 0.75
+    assert document["coverage"]["missing"][0]["service"] == "s2"
+    assert parts.backends.cancelled == ["s2"]
+    assert parts.coordinator.in_flight == 0
+
+
+async def test_below_the_floor_no_data_is_given(parts):
+    parts.backends.outcomes["s1"] = messages.SubOutcome.FAILED
+    outcome = await parts.coordinator.run(ask("whole"))
+    document = json.loads(outcome.body)
+    assert outcome.status == 502
+    assert document["outcome"] == "unknown"
+    assert document["coverage"]["key_share"] == 0.75
+    assert "data" not in document
+
+
+async def test_refusal_when_no_service_ran_it(parts):
+    for name in NAMES:
+        parts.backends.outcomes[name] = messages.SubOutcome.NOT_RUN
+    outcome = await parts.coordinator.run(ask())
+    assert outcome.status == 503
+    assert outcome.verdict is caller.Verdict.NOT_RUN
+    assert dict(outcome.headers)["Retry-After"] == "1"
+
+
+async def test_no_refusal_when_one_service_may_have_run_it(parts):
+    for name in NAMES:
+        parts.backends.outcomes[name] = messages.SubOutcome.NOT_RUN
+    parts.backends.outcomes["s3"] = messages.SubOutcome.FAILED
+    outcome = await parts.coordinator.run(ask())
+    assert outcome.verdict is caller.Verdict.UNKNOWN
+
+
+async def test_caller_gone_cancels_sub_requests(parts):
+    for name in NAMES:
+        parts.backends.delays[name] = 60.0
+    task = asyncio.create_task(parts.coordinator.run(ask()))
+    await parts.clock.advance(0.01)
+    task.cancel()
+    await parts.clock.advance(0.01)
+    assert sorted(parts.backends.cancelled) == list(NAMES)
+    assert parts.coordinator.in_flight == 0
+
+
+@pytest.mark.parametrize(
+    ("request_", "status"),
+    [
+        (ask("nothing"), 422),
+        (ask()._replace(body=b"x" * 70_000), 413),
+        (ask("reserve"), 428),
+    ],
+)
+async def test_refused_input_costs_no_backend_work(parts, request_, status):
+    outcome = await parts.coordinator.run(request_)
+    assert outcome.status == status
+    assert outcome.verdict is caller.Verdict.NOT_RUN
+    assert not parts.backends.requests
