--- /dev/null
+++ b/eelgrasshall/log.py
@@ -0,0 +1,70 @@
+"""Set-up of the logs: short sentences with a fixed prefix for each part.
+
+Parts log through loguru directly.  This module decides where the lines go and
+whether they are plain or JSON, and leads the lines of libraries that use the
+standard `logging` module the same way.
+"""
+
+import json
+import logging
+import sys
+from typing import Any
+
+import loguru
+
+_PLAIN_FORMAT = (
+    "{time:YYYY-MM-DD[T]HH:mm:ss.SSS!UTC}Z {level: <7} {message}\n{exception}"
+)
+
+
+def configure(*, level: str, json_lines: bool, stream: Any = None) -> None:
+    """Sends every log line of the process to one stream.
+
+    Args:
+      level: The least severe level that is logged, such as `INFO`.
+      json_lines: Whether each line is a JSON object.
+      stream: Where lines go; standard error if None.
+    """
+    target = stream if stream is not None else sys.stderr
+    loguru.logger.remove()
+    if json_lines:
+        loguru.logger.add(
+            lambda message: target.write(_format_json(message.record)),
+            level=level,
+            format="{message}",
+        )
+    else:
+        loguru.logger.add(
+            target,
+            level=level,
+            format=lambda _: _PLAIN_FORMAT,
+            colorize=False,
+            backtrace=False,
+            diagnose=False,
+        )
+    logging.basicConfig(handlers=[_Forwarder()], level=level, force=True)
+
+
+def _format_json(record: Any) -> str:
+    """Returns one log record as a line of JSON."""
+    prefix, _, text = record["message"].partition(": ")
+    document = {
+        "time": record["time"].timestamp(),
+        "level": record["level"].name,
+        "part": prefix if text else "",
+        "message": text or prefix,
+    }
+    if record["exception"] is not None:
+        document["exception"] = repr(record["exception"].value)
+    return json.dumps(document, ensure_ascii=False) + "\n"
+
+
+class _Forwarder(logging.Handler):
+    """Leads records of the standard `logging` module into loguru."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Forwards one record with the library's name as its prefix."""
+        prefix = record.name.partition(".")[0]
+        loguru.logger.opt(exception=record.exc_info).log(
+            record.levelname, "{}: {}", prefix, record.getMessage()
+        )
--- /dev/null
+++ b/eelgrasshall/metrics.py
@@ -0,0 +1,258 @@
+"""The metrics of one process, by OpenTelemetry.
+
+`Metrics` owns its meter provider and its Prometheus registry, so that several
+can stand in one process and nothing is kept in module state.  Parts record
+events through its methods; what can be read at any time is registered once as
+a gauge with a callback and costs nothing between scrapes.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import enum
+import resource
+from typing import NamedTuple
+
+from opentelemetry import metrics as otel
+from opentelemetry.exporter import prometheus as otel_prometheus
+from opentelemetry.sdk import metrics as otel_sdk
+from opentelemetry.sdk import resources as otel_resources
+from opentelemetry.sdk.metrics import view as otel_view
+import prometheus_client
+
+LATENCY_BOUNDS_S = (
+    0.005,
+    0.01,
+    0.02,
+    0.03,
+    0.05,
+    0.075,
+    0.1,
+    0.18,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    10.0,
+)
+COVERAGE_BOUNDS = (0.0, 0.5, 0.8, 0.9, 0.95, 0.99, 0.999999)
+KIB = 1024
+
+
+class Gauge(enum.Enum):
+    """What can be read at any time; the value is name and description."""
+
+    SLOTS_IN_USE = (
+        "slots_in_use",
+        "Slots of owned backend servers in use.",
+    )
+    COLD_SERVERS = ("cold_servers", "Owned backend servers that are cold.")
+    QUEUE_LENGTH = ("queue_length", "Sub-requests that wait for a slot.")
+    OWNED_SERVICES = ("owned_services", "Services that this host owns.")
+    QUARANTINED = ("quarantined_requests", "Requests in quarantine.")
+    IN_FLIGHT = ("queries_in_flight", "Queries being answered.")
+    CONFIGURATION_VERSION = (
+        "configuration_version",
+        "Version of the configuration in force.",
+    )
+    MEMBERS = ("members", "Usable entry hosts as seen here.")
+    INVARIANT_CHECKS = ("invariant_checks", "Checks of each promise.")
+    INVARIANT_BREACHES = ("invariant_breaches", "Breaches of each promise.")
+
+
+class Reading(NamedTuple):
+    """One value of a gauge.
+
+    Attributes:
+      value: The value.
+      labels: Its labels.
+    """
+
+    value: float
+    labels: dict[str, str]
+
+
+class Metrics:
+    """Every instrument of one process.
+
+    Args:
+      name: Name of this entry host.
+    """
+
+    def __init__(self, *, name: str):
+        self._registry = prometheus_client.CollectorRegistry()
+        reader = otel_prometheus.PrometheusMetricReader(
+            disable_target_info=True,
+            prefix="eelgrasshall",
+            scope_info_enabled=False,
+            registry=self._registry,
+        )
+        self._provider = otel_sdk.MeterProvider(
+            metric_readers=[reader],
+            resource=otel_resources.Resource({"service.instance.id": name}),
+            exemplar_filter=otel_sdk.AlwaysOffExemplarFilter(),
+            shutdown_on_exit=False,
+            views=_make_views(),
+        )
+        meter = self._provider.get_meter("eelgrasshall")
+        self._meter = meter
+        self._query_latency = meter.create_histogram(
+            "query_latency", "s", "Time from a query to its outcome, by kind."
+        )
+        self._coverage = meter.create_histogram(
+            "coverage", "", "Share of the key space that an answer covers."
+        )
+        self._outcomes = meter.create_counter(
+            "outcomes", "", "Outcomes of queries, by kind."
+        )
+        self._service_latency = meter.create_histogram(
+            "service_latency", "s", "Time of sub-requests, by service."
+        )
+        self._hedges = meter.create_counter("hedges", "", "Hedges sent.")
+        self._retries = meter.create_counter("retries", "", "Retries sent.")
+        self._sheds = meter.create_counter(
+            "sheds", "", "Attempts that a backend server shed."
+        )
+        self._store_calls = meter.create_counter(
+            "store_calls", "", "Calls to the platform, watches included."
+        )
+        self._control_bytes = meter.create_counter(
+            "control_bytes", "By", "Bytes of heartbeats and configuration."
+        )
+        self._observe_process()
+
+    def record_query(
+        self, kind: str, outcome: str, latency_s: float, coverage: float | None
+    ) -> None:
+        """Records the outcome of a query.
+
+        Args:
+          kind: The kind of request.
+          outcome: The outcome's name on the wire.
+          latency_s: Seconds from its arrival to its outcome.
+          coverage: Share of the key space answered, None without an answer.
+        """
+        labels = {"kind": kind}
+        self._query_latency.record(latency_s, labels)
+        self._outcomes.add(1, {"kind": kind, "outcome": outcome})
+        if coverage is not None:
+            self._coverage.record(coverage, labels)
+
+    def record_sub_request(
+        self, service: str, latency_s: float, hedges: int, retries: int
+    ) -> None:
+        """Records a sub-request that came to its end at the owner.
+
+        Args:
+          service: The service.
+          latency_s: Seconds from its arrival at the owner to its result.
+          hedges: Hedges sent for it.
+          retries: Retries sent for it.
+        """
+        labels = {"service": service}
+        self._service_latency.record(latency_s, labels)
+        if hedges:
+            self._hedges.add(hedges, labels)
+        if retries:
+            self._retries.add(retries, labels)
+
+    def count_shed(self, service: str) -> None:
+        """Counts an attempt that a backend server shed."""
+        self._sheds.add(1, {"service": service})
+
+    def count_store_call(self, call: str, outcome: str) -> None:
+        """Counts a call to the platform.
+
+        Args:
+          call: The call's name, such as `read` or `watch`.
+          outcome: How it ended, such as `ok`, `conflict` or `unavailable`.
+        """
+        self._store_calls.add(1, {"call": call, "outcome": outcome})
+
+    def count_control_bytes(self, direction: str, size: int) -> None:
+        """Counts bytes of heartbeats, facts and configuration.
+
+        Args:
+          direction: `sent` or `received`.
+          size: Bytes.
+        """
+        self._control_bytes.add(size, {"direction": direction})
+
+    def observe(
+        self, gauge: Gauge, read: Callable[[], Iterable[Reading]]
+    ) -> None:
+        """Registers how a gauge is read at each scrape.
+
+        Args:
+          gauge: The gauge; each may be registered once.
+          read: Gives its present values.
+        """
+        name, description = gauge.value
+        self._observe(name, "", description, read)
+
+    def render(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def stop(self) -> None:
+        """Releases the meter provider."""
+        self._provider.shutdown()
+
+    def _observe_process(self) -> None:
+        """Registers what the operating system counts for this process."""
+        self._observe(
+            "processor_time",
+            "s",
+            "Processor time of this process since its start.",
+            _read_processor_time,
+        )
+        self._observe(
+            "peak_memory",
+            "By",
+            "Most memory that this process has had resident.",
+            _read_peak_memory,
+        )
+
+    def _observe(
+        self,
+        name: str,
+        unit: str,
+        description: str,
+        read: Callable[[], Iterable[Reading]],
+    ) -> None:
+        """Creates an observable gauge."""
+
+        def give(_: otel.CallbackOptions) -> list[otel.Observation]:
+            return [otel.Observation(r.value, r.labels) for r in read()]
+
+        self._meter.create_observable_gauge(name, [give], unit, description)
+
+
+def _make_views() -> list[otel_view.View]:
+    """Returns the bucket bounds of each histogram."""
+    bounds = {
+        "query_latency": LATENCY_BOUNDS_S,
+        "service_latency": LATENCY_BOUNDS_S,
+        "coverage": COVERAGE_BOUNDS,
+    }
+    return [
+        otel_view.View(
+            instrument_name=name,
+            aggregation=otel_view.ExplicitBucketHistogramAggregation(each),
+        )
+        for name, each in bounds.items()
+    ]
+
+
+def _read_processor_time() -> list[Reading]:
+    """Reads the seconds of processor time, user and system."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return [
+        Reading(usage.ru_utime, {"mode": "user"}),
+        Reading(usage.ru_stime, {"mode": "system"}),
+    ]
+
+
+def _read_peak_memory() -> list[Reading]:
+    """Reads the peak resident memory in bytes."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return [Reading(usage.ru_maxrss * KIB, {})]
--- /dev/null
+++ b/eelgrasshall/metrics_test.py
@@ -0,0 +1,62 @@
+"""Tests of the metrics through what a scrape shows."""
+
+from prometheus_client import parser
+
+from eelgrasshall import metrics
+
+
+def _scrape(instruments):
+    text = instruments.render().decode()
+    return {
+        (sample.name, tuple(sorted(sample.labels.items()))): sample.value
+        for family in parser.text_string_to_metric_families(text)
+        for sample in family.samples
+    }
+
+
+def test_events_are_scraped_with_their_labels():
+    instruments = metrics.Metrics(name="entry-1")
+    instruments.record_query("orders", "complete", 0.04, 1.0)
+    instruments.record_query("orders", "not_run", 0.001, None)
+    instruments.record_sub_request("orders-1", 0.02, hedges=1, retries=0)
+    instruments.count_shed("orders-1")
+    instruments.count_store_call("watch", "ok")
+    instruments.count_control_bytes("sent", 300)
+    samples = _scrape(instruments)
+    service = (("service", "orders-1"),)
+    kind = (("kind", "orders"),)
+    assert samples["eelgrasshall_query_latency_seconds_count", kind] == 2
+    assert samples["eelgrasshall_coverage_count", kind] == 1
+    assert samples["eelgrasshall_hedges_total", service] == 1
+    assert ("eelgrasshall_retries_total", service) not in samples
+    assert samples["eelgrasshall_sheds_total", service] == 1
+    assert (
+        samples[
+            "eelgrasshall_store_calls_total",
+            (("call", "watch"), ("outcome", "ok")),
+        ]
+        == 1
+    )
+
+
+def test_gauges_are_read_at_each_scrape():
+    instruments = metrics.Metrics(name="entry-1")
+    servers = {"a": 1.0}
+    instruments.observe(
+        metrics.Gauge.SLOTS_IN_USE,
+        lambda: [metrics.Reading(v, {"server": k}) for k, v in servers.items()],
+    )
+    name = "eelgrasshall_slots_in_use"
+    assert _scrape(instruments)[name, (("server", "a"),)] == 1.0
+    servers["a"] = 2.0
+    assert _scrape(instruments)[name, (("server", "a"),)] == 2.0
+    del servers["a"]
+    assert (name, (("server", "a"),)) not in _scrape(instruments)
+
+
+def test_two_sets_of_metrics_do_not_mix():
+    one = metrics.Metrics(name="entry-1")
+    two = metrics.Metrics(name="entry-2")
+    one.count_shed("orders-1")
+    assert not any("sheds" in name for name, _ in _scrape(two))
+    assert any("sheds" in name for name, _ in _scrape(one))
