--- /dev/null
+++ b/eelgrasshall/declare_test.py
@@ -0,0 +1,124 @@
+"""Tests of the operators' library: what it builds and what it refuses."""
+
+import pytest
+
+from eelgrasshall import declare
+from eelgrasshall import errors
+
+_ZONES = declare.make_zones("north", ["a", "b"])
+_SHAPE = declare.Shape(replicas=3, slots=2, connections=4)
+
+
+def _locate(server):
+    return f"10.0.0.{server[-1]}", 9000
+
+
+def _declare(**changes):
+    service = declare.make_service(
+        name="orders", zones=_ZONES, shape=_SHAPE, locate=_locate
+    )
+    parts = {
+        "zones": _ZONES,
+        "services": [service],
+        "kinds": [declare.Kind(name="find", services=("orders",))],
+    }
+    return declare.compose(**{**parts, **changes})
+
+
+def _refuse(**changes):
+    with pytest.raises(declare.DeclarationError) as caught:
+        _declare(**changes)
+    problems = caught.value.problems
+    kinds = {problem.kind for problem in problems}
+    assert kinds == {errors.ProblemKind.INVALID_CONFIGURATION}
+    return {problem.where for problem in problems}
+
+
+def test_replicas_go_to_the_zones_in_turn():
+    declared = _declare()
+    servers = declared.services[0].servers
+    assert [(s.name, s.zone) for s in servers] == [
+        ("orders-1", "a"),
+        ("orders-2", "b"),
+        ("orders-3", "a"),
+    ]
+    assert declared.version == 0
+
+
+def test_every_mistake_in_contents_is_reported_at_once():
+    bad = declare.Shape(replicas=2, slots=5, connections=4)
+    services = [
+        declare.make_service(
+            name="orders", zones=_ZONES, shape=bad, locate=_locate
+        ),
+        declare.make_service(
+            name="un used",
+            zones=declare.make_zones("north", ["c"]),
+            shape=_SHAPE._replace(replicas=1),
+            locate=lambda _: ("backend.example", 9000),
+        ),
+    ]
+    kinds = [
+        declare.Kind(name="find", services=("orders", "stock")),
+        declare.Kind(name="take", services=("orders",), coverage_floor=2.0),
+    ]
+    assert _refuse(services=services, kinds=kinds) == {
+        "services.orders.orders-1",
+        "services.orders.orders-2",
+        "services.un used",
+        "services.un used.un used-1",
+        "kinds.find",
+        "kinds.take",
+    }
+
+
+def test_wrong_types_are_refused_with_their_path():
+    kinds = [
+        declare.Kind(name="find", services=("orders",), deadline_ms="100"),
+        declare.Kind(name="take", services=("orders",), repeatable="no"),
+    ]
+    assert _refuse(kinds=kinds) == {
+        "kinds.0.deadline_ms",
+        "kinds.1.repeatable",
+    }
+
+
+def test_value_without_json_form_is_refused():
+    kinds = [declare.Kind(name="find", services=("orders",), weight=object())]
+    assert _refuse(kinds=kinds) == {"declaration"}
+
+
+def test_two_servers_may_not_share_an_address():
+    service = declare.make_service(
+        name="orders",
+        zones=_ZONES,
+        shape=_SHAPE,
+        locate=lambda _: ("10.0.0.1", 9000),
+    )
+    assert _refuse(services=[service]) == {
+        "services.orders.orders-2",
+        "services.orders.orders-3",
+    }
+
+
+def test_zone_is_taken_out_and_brought_back():
+    declared = _declare()
+    out = declare.put_zone(declared, "b", in_service=False)
+    assert out.zones_in_service() == {"a"}
+    assert declare.put_zone(out, "b", in_service=True) == declared
+
+
+def test_last_zone_and_unknown_zone_cannot_be_taken_out():
+    out = declare.put_zone(_declare(), "b", in_service=False)
+    assert declare.put_zone(out, "a", in_service=False).where == "zones"
+    assert declare.put_zone(out, "c", in_service=False).where == "zones.c"
+
+
+def test_main_prints_or_tells_every_problem(capsys):
+    declare.main(_declare)
+    printed = capsys.readouterr().out.encode()
+    assert declare.read(printed) == (_declare(), [])
+    with pytest.raises(SystemExit) as caught:
+        declare.main(lambda: _declare(services=[]))
+    assert caught.value.code == declare.EXIT_INVALID
+    assert "kinds.find" in capsys.readouterr().err
--- a/eelgrasshall/state/configuration.py
+++ b/eelgrasshall/state/configuration.py
@@ -136,14 +136,27 @@
     Returns:
       The configuration and no problems, or None and every problem found.
     """
+    configuration, problems = decode_configuration(data)
+    if configuration is not None:
+        problems = check_configuration(configuration)
+    return (None, problems) if problems else (configuration, [])
+
+
+def decode_configuration(
+    data: bytes,
+) -> tuple[Configuration | None, list[errors.Problem]]:
+    """Reads a configuration and checks its types but not its contents.
+
+    Args:
+      data: The JSON document.
+
+    Returns:
+      The configuration and no problems, or None and every wrong type.
+    """
     try:
-        configuration = _ADAPTER.validate_json(data)
+        return _ADAPTER.validate_json(data, strict=True), []
     except pydantic.ValidationError as error:
         return None, [_from_pydantic(each) for each in error.errors()]
-    problems = check_configuration(configuration)
-    if problems:
-        return None, problems
-    return configuration, []
 
 
 def check_configuration(configuration: Configuration) -> list[errors.Problem]:
