Admin listener: start takes host and port and returns the port

The callers' listener does the same, so the application treats both alike. Two kinds of problem for the command line: nothing was reached, reply lost.

--- a/eelgrasshall/errors.py
+++ b/eelgrasshall/errors.py
@@ -37,6 +37,8 @@
     TICKET_LOST = "ticket_lost"
     PEER_UNREACHABLE = "peer_unreachable"
     CALLER_GONE = "caller_gone"
+    UNREACHABLE = "unreachable"
+    REPLY_LOST = "reply_lost"
 
 
 class Problem(NamedTuple):
--- a/eelgrasshall/transport/admin.py
+++ b/eelgrasshall/transport/admin.py
@@ -12,7 +12,6 @@
 from aiohttp import web
 
 from eelgrasshall import errors
-from eelgrasshall.transport import peers
 
 MAX_CONFIGURATION_BYTES = 1 << 20
 STOP_TIMEOUT_S = 2.0
@@ -57,13 +56,16 @@
     def __init__(self, *, handler: AdminHandler):
         self._handler = handler
         self._runner: web.AppRunner | None = None
-        self.port = 0
 
-    async def start(self, address: peers.Address) -> None:
-        """Opens the listener; `port` then tells the port bound.
+    async def start(self, host: str, port: int) -> int:
+        """Opens the listener.
 
         Args:
-          address: Where to listen; port 0 takes a free one.
+          host: IP address.
+          port: TCP port, or 0 for a free one.
+
+        Returns:
+          The TCP port.
 
         Raises:
           OSError: The address cannot be bound.
@@ -79,9 +81,9 @@
         )
         await runner.setup()
         self._runner = runner
-        site = web.TCPSite(runner, address.host, address.port)
+        site = web.TCPSite(runner, host, port)
         await site.start()
-        self.port = runner.addresses[0][1]
+        return runner.addresses[0][1]
 
     async def stop(self) -> None:
         """Closes the listener."""
--- a/eelgrasshall/transport/admin_test.py
+++ b/eelgrasshall/transport/admin_test.py
@@ -5,7 +5,6 @@
 
 from eelgrasshall import errors
 from eelgrasshall.transport import admin
-from eelgrasshall.transport import peers
 
 
 class _Handler:
@@ -39,8 +38,8 @@
 @pytest.fixture
 async def client(handler):
     server = admin.AdminServer(handler=handler)
-    await server.start(peers.Address("127.0.0.1", 0))
-    url = f"http://127.0.0.1:{server.port}"
+    port = await server.start("127.0.0.1", 0)
+    url = f"http://127.0.0.1:{port}"
     async with aiohttp.ClientSession(url) as session:
         yield session
     await server.stop()
