--- /dev/null
+++ b/eelgrasshall/commands/checking.py
@@ -0,0 +1,40 @@
+"""`eelgrasshall check`: checks a declaration without any daemon."""
+
+from eelgrasshall.commands import base
+from eelgrasshall.commands import exits
+from eelgrasshall.commands import printing
+from eelgrasshall.commands import program
+from eelgrasshall.commands import registry
+
+
+@registry.register
+class CheckCommand(base.Command):
+    """Checks a declaration and names everything that is wrong."""
+
+    name = "check"
+    description = "Check a declaration; needs no daemon."
+    help = """\
+Checks a declaring program or a printed configuration and names every mistake
+with its place and remedy. Exits with 2 if there is one.
+
+  eelgrasshall check examples/tandil.py
+"""
+    arguments = [printing.DECLARATION]
+
+    def handle(self) -> int:
+        """Runs the command."""
+        declared, problems = program.load(self.argument("declaration"))
+        if declared is None:
+            return self.fail(problems)
+        sizes = {
+            "zones": len(declared.zones),
+            "services": len(declared.services),
+            "servers": sum(len(s.servers) for s in declared.services),
+            "kinds": len(declared.kinds),
+        }
+        line = (
+            f"Valid: {sizes['zones']} zones, {sizes['services']} services, "
+            f"{sizes['servers']} backend servers, {sizes['kinds']} kinds."
+        )
+        self.print_result({"valid": True, **sizes}, [line])
+        return int(exits.ExitCode.DONE)
--- /dev/null
+++ b/eelgrasshall/commands/query.py
@@ -0,0 +1,181 @@
+"""`eelgrasshall query`: runs one request as a caller does."""
+
+import json
+import sys
+from typing import Any
+
+from cleo import helpers
+
+from eelgrasshall import errors
+from eelgrasshall.commands import base
+from eelgrasshall.commands import client
+from eelgrasshall.commands import exits
+from eelgrasshall.commands import registry
+
+# Longer than the longest deadline that a kind usually has, in seconds.
+REPLY_TIMEOUT_S = 60.0
+REPLY_MARGIN_S = 5.0
+TICKET_BITS = 64
+
+
+@registry.register
+class QueryCommand(base.Command):
+    """Runs one request and tells its outcome and coverage."""
+
+    name = "query"
+    description = "Run one request and show its outcome and coverage."
+    help = """\
+Runs one request as a caller does. The query is JSON text, or - for standard
+input. With --once the request runs at most once: it carries a ticket, which is
+printed so that the same request can be sent again with --ticket.
+
+Exits with 0 for a complete answer, 8 for a partial one, 2 or 5 if the request
+was not run (5: come back later), and 6 if it may have run.
+
+  eelgrasshall query pedidos '{"quarry": "La Pastora"}'
+  eelgrasshall query reservation '{"crate": 7}' --once
+"""
+    arguments = [
+        helpers.argument("kind", "The kind of request."),
+        helpers.argument(
+            "query", "The query as JSON, or -.", optional=True, default="{}"
+        ),
+    ]
+    options = [
+        base.JSON_OPTION,
+        base.CALLER_OPTION,
+        helpers.option(
+            "deadline-ms", None, "Milliseconds to wait for it.", flag=False
+        ),
+        helpers.option("once", None, "Take a ticket: run it at most once."),
+        helpers.option("ticket", None, "Ticket of an earlier try.", flag=False),
+        helpers.option("key", None, "Idempotency key.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Runs the command."""
+        request = self._make_request()
+        if isinstance(request, errors.Problem):
+            return self.fail([request])
+        ticket = self._choose_ticket()
+        if isinstance(ticket, list):
+            return self.fail(ticket)
+        if ticket:
+            request["ticket"] = ticket
+            self.print_note(f"ticket: {ticket}")
+        start = self.context.clock.monotonic()
+        reply = self.run_async(self._send(request))
+        elapsed_s = self.context.clock.monotonic() - start
+        if isinstance(reply, errors.Problem):
+            return self.fail([reply])
+        document = reply.document
+        if not isinstance(document, dict) or "outcome" not in document:
+            return self.fail(client.read_problems(reply))
+        self.print_note(f"HTTP {reply.status} after {elapsed_s * 1000:.0f} ms")
+        self.print_result(document, _format(document))
+        return int(_choose_code(document))
+
+    def _make_request(self) -> dict[str, Any] | errors.Problem:
+        """Returns the request from arguments and options."""
+        text = self.argument("query")
+        if text == "-":
+            text = sys.stdin.read()
+        try:
+            request = {"kind": self.argument("kind"), "query": json.loads(text)}
+        except ValueError as error:
+            return _malformed("query", f"It is no JSON: {error}.")
+        deadline = self.option("deadline-ms")
+        if deadline is not None:
+            if not deadline.isdecimal():
+                return _malformed("--deadline-ms", "It is no whole number.")
+            request["deadline_ms"] = int(deadline)
+        return request
+
+    def _choose_ticket(self) -> str | list[errors.Problem]:
+        """Returns the ticket to send, empty for none."""
+        if self.option("ticket"):
+            return self.option("ticket")
+        if not self.option("once"):
+            return ""
+        reply = self.run_async(
+            client.read(self.list_callers(), "/v1/addresses")
+        )
+        if isinstance(reply, errors.Problem):
+            return [reply]
+        if reply.status != client.OK or reply.document is None:
+            return client.read_problems(reply)
+        own = self.context.random.getrandbits(TICKET_BITS)
+        return f"{reply.document['ticket_prefix']}{own:016x}"
+
+    async def _send(self, request: dict[str, Any]) -> Any:
+        """Sends the request and returns the reply."""
+        key = self.option("key")
+        timeout_s = REPLY_TIMEOUT_S
+        if "deadline_ms" in request:
+            timeout_s = request["deadline_ms"] / 1000 + REPLY_MARGIN_S
+        return await client.send(
+            self.list_callers(),
+            "/v1/query",
+            body=json.dumps(request).encode(),
+            headers={"Idempotency-Key": key} if key else None,
+            timeout_s=timeout_s,
+        )
+
+
+def _format(document: dict[str, Any]) -> list[str]:
+    """Returns an outcome as lines of text."""
+    if document["outcome"] != "answer":
+        return _format_refusal(document)
+    coverage = document["coverage"]
+    covered = len(coverage["covered"])
+    total = covered + len(coverage["missing"])
+    word = "complete" if document["complete"] else "PARTIAL"
+    lines = [
+        f"{word}: {covered} of {total} services, "
+        f"{coverage['key_share']:.1%} of the keys, "
+        f"snapshot {document['snapshot']}"
+    ]
+    lines += [
+        f"missing {each['service']}: {each['what']}"
+        for each in coverage["missing"]
+    ]
+    for part in document["data"]:
+        lines.append(f"{part['service']}: {json.dumps(part['records'])}")
+    return lines
+
+
+def _format_refusal(document: dict[str, Any]) -> list[str]:
+    """Returns a refusal or failure as lines of text."""
+    words = {"not_run": "not run", "unknown": "may have run"}
+    outcome = document["outcome"]
+    lines = [f"{words.get(outcome, outcome)}:"]
+    for problem in document["problems"]:
+        lines.append(
+            f"  {problem['where']}: {problem['what']} {problem['remedy']}"
+        )
+    if "retry_after_ms" in document:
+        lines.append(f"  Come back after {document['retry_after_ms']} ms.")
+    return lines
+
+
+def _choose_code(document: dict[str, Any]) -> exits.ExitCode:
+    """Returns the exit code for an outcome."""
+    if document["outcome"] == "answer":
+        if document["complete"]:
+            return exits.ExitCode.DONE
+        return exits.ExitCode.PARTIAL
+    if document["outcome"] != "not_run":
+        return exits.ExitCode.UNKNOWN
+    if "retry_after_ms" in document:
+        return exits.ExitCode.UNAVAILABLE
+    return exits.ExitCode.INVALID
+
+
+def _malformed(where: str, what: str) -> errors.Problem:
+    """Returns a problem of a request that cannot be sent."""
+    return errors.Problem(
+        kind=errors.ProblemKind.MALFORMED_REQUEST,
+        where=where,
+        what=what,
+        remedy="Correct it.",
+    )
--- /dev/null
+++ b/eelgrasshall/commands/rollout.py
@@ -0,0 +1,184 @@
+"""Changing the configuration through a daemon and watching it come into force.
+
+A change starts from the version in force and is accepted only while that is
+still the newest.  A lost reply is resolved by reading back, so that an
+operator learns whether the change was accepted.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from eelgrasshall import clock as clock_module
+from eelgrasshall import errors
+from eelgrasshall.commands import changes
+from eelgrasshall.commands import client
+from eelgrasshall.protocol import admin
+from eelgrasshall.state import configuration
+
+PATH = "/v1/configuration"
+NOT_FOUND = 404
+READ_BACK_TRIES = 10
+READ_BACK_PAUSE_S = 0.5
+WATCH_PAUSE_S = 0.5
+
+EMPTY = configuration.Configuration(
+    version=0, change_id="", zones=(), services=(), kinds=()
+)
+
+
+class Progress(NamedTuple):
+    """Where a version is in force.
+
+    Attributes:
+      hosts: Names of the live hosts.
+      lagging: Names of those that are not known to have it in force.
+    """
+
+    hosts: tuple[str, ...]
+    lagging: tuple[str, ...]
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every live host has it in force."""
+        return bool(self.hosts) and not self.lagging
+
+
+async def read_current(
+    urls: Sequence[str],
+) -> configuration.Configuration | list[errors.Problem]:
+    """Returns the configuration in force, `EMPTY` if there is none.
+
+    Args:
+      urls: Admin listeners, in the order in which to try them.
+    """
+    reply = await client.read(urls, PATH)
+    if isinstance(reply, errors.Problem):
+        return [reply]
+    if reply.status == NOT_FOUND:
+        return EMPTY
+    if reply.status != client.OK:
+        return client.read_problems(reply)
+    parsed, problems = configuration.parse_configuration(reply.body)
+    return problems if parsed is None else parsed
+
+
+async def submit(
+    urls: Sequence[str],
+    changed: configuration.Configuration,
+    *,
+    change_id: str,
+    clock: clock_module.Clock,
+) -> int | list[errors.Problem]:
+    """Has a changed configuration accepted as the next version.
+
+    Args:
+      urls: Admin listeners, in the order in which to try them.
+      changed: The contents, with the version from which the change starts.
+      change_id: Random name of the change.
+      clock: Source of time.
+
+    Returns:
+      The accepted version, or why it was not accepted.
+    """
+    base_version = changed.version
+    target = changed._replace(version=base_version + 1, change_id=change_id)
+    reply = await client.send(
+        urls,
+        PATH,
+        body=configuration.format_configuration(target),
+        params={"base_version": str(base_version)},
+        timeout_s=client.APPLY_TIMEOUT_S,
+    )
+    if isinstance(reply, errors.Problem):
+        if reply.kind is not errors.ProblemKind.REPLY_LOST:
+            return [reply]
+        return await _read_back(urls, target, reply, clock)
+    if reply.status != client.OK:
+        return client.read_problems(reply)
+    return target.version
+
+
+async def watch(
+    urls: Sequence[str],
+    version: int,
+    *,
+    clock: clock_module.Clock,
+    timeout_s: float,
+    report: Callable[[Progress], None],
+) -> Progress:
+    """Waits until every live host has a version in force.
+
+    Args:
+      urls: Admin listeners, in the order in which to try them.
+      version: The version.
+      clock: Source of time.
+      timeout_s: Longest wait in seconds.
+      report: Called with each change of progress.
+
+    Returns:
+      The last progress seen, complete or not.
+    """
+    end = clock.monotonic() + timeout_s
+    progress = Progress((), ())
+    while True:
+        seen = await _read_progress(urls, version)
+        if seen is not None and seen != progress:
+            progress = seen
+            report(progress)
+        if progress.is_complete or clock.monotonic() >= end:
+            return progress
+        await clock.sleep(WATCH_PAUSE_S)
+
+
+async def _read_progress(urls: Sequence[str], version: int) -> Progress | None:
+    """Reads which hosts have a version in force; None if none replies."""
+    reply = await client.read(urls, "/status")
+    if isinstance(reply, errors.Problem):
+        return None
+    status = admin.parse_status(reply.body)
+    if status is None:
+        return None
+    members = status.members
+    return Progress(
+        hosts=tuple(member.name for member in members),
+        lagging=tuple(
+            member.name
+            for member in members
+            if (member.configuration_version or 0) < version
+        ),
+    )
+
+
+async def _read_back(
+    urls: Sequence[str],
+    target: configuration.Configuration,
+    lost: errors.Problem,
+    clock: clock_module.Clock,
+) -> int | list[errors.Problem]:
+    """Finds out whether a change was accepted whose reply was lost."""
+    for _ in range(READ_BACK_TRIES):
+        await clock.sleep(READ_BACK_PAUSE_S)
+        current = await read_current(urls)
+        if isinstance(current, list):
+            continue
+        if current.version < target.version:
+            continue
+        if current.version > target.version:
+            return [lost]
+        if not changes.compare(current, target):
+            return target.version
+        return [_make_conflict(current)]
+    return [lost]
+
+
+def _make_conflict(
+    current: configuration.Configuration,
+) -> errors.Problem:
+    """Returns the problem that another change became the next version."""
+    return errors.Problem(
+        kind=errors.ProblemKind.CONFIGURATION_CONFLICT,
+        where="configuration",
+        what=f"Another change was accepted as version {current.version}.",
+        remedy="Look at it with diff, then repeat yours if it still fits.",
+    )
--- a/eelgrasshall/declare.py
+++ b/eelgrasshall/declare.py
@@ -216,6 +216,27 @@
     return problems[0] if problems else changed
 
 
+def keep_zones(
+    declared: Configuration, current: Configuration
+) -> Configuration:
+    """Returns a declaration with the zones out that are out at present.
+
+    Whether a zone that exists is in service is a matter of `zone out` and
+    `zone in` alone, so that applying a declaration brings no zone back that
+    was taken out in an emergency.  A new zone is as declared.
+
+    Args:
+      declared: The declaration to apply.
+      current: The configuration in force.
+    """
+    in_service = {zone.name: zone.in_service for zone in current.zones}
+    zones = tuple(
+        zone._replace(in_service=in_service.get(zone.name, zone.in_service))
+        for zone in declared.zones
+    )
+    return declared._replace(zones=zones)
+
+
 def main(build: Callable[[], Configuration]) -> None:
     """Prints what a declaring program builds, or every problem.
 
--- a/eelgrasshall/declare_test.py
+++ b/eelgrasshall/declare_test.py
@@ -114,6 +114,15 @@
     assert declare.put_zone(out, "c", in_service=False).where == "zones.c"
 
 
+def test_zones_that_are_out_stay_out():
+    current = declare.put_zone(_declare(), "b", in_service=False)
+    zones = [*_ZONES, declare.Zone(name="c", region="north", in_service=False)]
+    kept = declare.keep_zones(_declare(zones=zones), current)
+    assert kept.zones_in_service() == {"a"}
+    back = declare.keep_zones(current, _declare())
+    assert back.zones_in_service() == {"a", "b"}
+
+
 def test_main_prints_or_tells_every_problem(capsys):
     declare.main(_declare)
     printed = capsys.readouterr().out.encode()
--- a/eelgrasshall/state/configuration.py
+++ b/eelgrasshall/state/configuration.py
@@ -120,7 +120,7 @@
 
 def format_configuration(configuration: Configuration) -> bytes:
     """Returns the configuration as JSON, the same bytes for the same value."""
-    document = _to_plain(configuration)
+    document = to_plain(configuration)
     text = json.dumps(document, indent=2, ensure_ascii=False)
     return text.encode() + b"\n"
 
@@ -311,10 +311,10 @@
     return _invalid(where, f"{error['msg']}.", "Correct the value.")
 
 
-def _to_plain(value: Any) -> Any:
+def to_plain(value: Any) -> Any:
     """Turns named tuples into dictionaries, at every depth."""
     if hasattr(value, "_asdict"):
-        return {k: _to_plain(v) for k, v in value._asdict().items()}
+        return {k: to_plain(v) for k, v in value._asdict().items()}
     if isinstance(value, tuple):
-        return [_to_plain(each) for each in value]
+        return [to_plain(each) for each in value]
     return value
--- a/eelgrasshall/transport/admin.py
+++ b/eelgrasshall/transport/admin.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from eelgrasshall import errors
+from eelgrasshall.protocol import admin as codec
 
 MAX_CONFIGURATION_BYTES = 1 << 20
 STOP_TIMEOUT_S = 2.0
@@ -28,7 +29,7 @@
 class AdminHandler(Protocol):
     """What the application gives to its operators."""
 
-    def read_status(self) -> dict[str, Any]:
+    def read_status(self) -> codec.Status:
         """Returns the short state of this process for `GET /status`."""
 
     def dump(self) -> dict[str, Any]:
@@ -93,7 +94,8 @@
 
     async def _get_status(self, _: web.Request) -> web.Response:
         """Answers `GET /status`."""
-        return web.json_response(self._handler.read_status())
+        body = codec.format_status(self._handler.read_status())
+        return web.Response(body=body, content_type="application/json")
 
     async def _get_dump(self, _: web.Request) -> web.Response:
         """Answers `GET /dump`."""
--- a/eelgrasshall/transport/admin_test.py
+++ b/eelgrasshall/transport/admin_test.py
@@ -4,6 +4,7 @@
 import pytest
 
 from eelgrasshall import errors
+from eelgrasshall.protocol import admin as codec
 from eelgrasshall.transport import admin
 
 
@@ -14,7 +15,16 @@
         self.applied = []
 
     def read_status(self):
-        return {"name": "entry-1"}
+        return codec.Status(
+            name="entry-1",
+            zone="a",
+            state="serving",
+            configuration_version=3,
+            members=(codec.MemberStatus("entry-1", "a", "alive", None),),
+            store_reachable=False,
+            owned_services=0,
+            breaches=0,
+        )
 
     def dump(self):
         return {"owners": {"orders-1": "entry-1"}}
@@ -45,9 +55,14 @@
     await server.stop()
 
 
-async def test_reading_calls(client, handler):
+async def test_status_is_read_back_as_given(client, handler):
     async with client.get("/status") as response:
-        assert await response.json() == {"name": "entry-1"}
+        body = await response.read()
+    assert codec.parse_status(body) == handler.read_status()
+    assert codec.parse_status(b'{"name": "entry-1"}') is None
+
+
+async def test_reading_calls(client, handler):
     async with client.get("/dump") as response:
         assert (await response.json())["owners"] == {"orders-1": "entry-1"}
     async with client.get("/metrics") as response:
