--- a/eelgrasshall/fakes/backend.py
+++ b/eelgrasshall/fakes/backend.py
@@ -38,6 +38,11 @@
     straggler_share: float = 0.01
     straggler_factor: float = 8.0
 
+    def mean_s(self) -> float:
+        """Returns the mean running time in seconds."""
+        mean_s = self.median_s * math.exp(self.sigma**2 / 2)
+        return mean_s * (1 + self.straggler_share * (self.straggler_factor - 1))
+
     def draw(self, source: random.Random) -> float:
         """Draws the running time of one request in seconds."""
         seconds = source.lognormvariate(math.log(self.median_s), self.sigma)
--- a/eelgrasshall/fakes/fleet.py
+++ b/eelgrasshall/fakes/fleet.py
@@ -81,6 +81,9 @@
             "in_flight": sum(server.in_flight for server in chosen),
             "slots": sum(server.slots for server in chosen),
             "cold": sum(server.cold for server in chosen),
+            "snapshots": sorted(
+                {each.to_text() for s in chosen for each in s.snapshots}
+            ),
             "by_zone": _sum_by_zone(chosen),
             "runs": [run for server in chosen for run in server.runs],
         }
--- a/measure/deployment.py
+++ b/measure/deployment.py
@@ -187,6 +187,33 @@
             await asyncio.sleep(POLL_S)
         raise TimeoutError(f"No daemon accepted the configuration: {told}")
 
+    async def race(self, first: Host, second: Host) -> list[bool]:
+        """Sends two changes of the same version through two daemons at once.
+
+        Returns:
+          Which of them was accepted.
+        """
+        base = self.configuration.version
+        changes = [
+            self.configuration._replace(
+                version=base + 1, change_id=f"race-{base + 1}-{host.name}"
+            )
+            for host in (first, second)
+        ]
+        answers = await asyncio.gather(
+            *(
+                self._apply_at(
+                    host, configurations.format_configuration(change), base
+                )
+                for host, change in zip((first, second), changes, strict=True)
+            )
+        )
+        accepted = [each[0] for each in answers]
+        for change, taken in zip(changes, accepted, strict=True):
+            if taken:
+                self.configuration = change
+        return accepted
+
     async def _apply_at(
         self, host: Host, body: bytes, base: int
     ) -> tuple[bool, str]:
--- a/measure/load.py
+++ b/measure/load.py
@@ -87,6 +87,34 @@
         """Returns a percentile of the answers' latency in milliseconds."""
         return self.histogram.get_value_at_percentile(percentile) / 1000
 
+    def summarise_span(
+        self, name: str, from_s: float, to_s: float
+    ) -> dict[str, Any]:
+        """Returns the figures of the requests that arrived in a span.
+
+        Args:
+          name: What to call the span.
+          from_s: Its start since the start of the load, in seconds.
+          to_s: Its end.
+        """
+        counts: collections.Counter[str] = collections.Counter()
+        latencies_s: list[float] = []
+        for number, spot in self.bins.items():
+            if from_s <= number * BIN_S < to_s:
+                counts.update(spot.counts)
+                latencies_s += spot.latencies_s
+        latencies_s.sort()
+        total = sum(counts.values())
+        return {
+            "name": name,
+            "requests": total,
+            "counts": dict(counts),
+            "p50_ms": _find_percentile_ms(latencies_s, 50),
+            "p99_ms": _find_percentile_ms(latencies_s, 99),
+            "p999_ms": _find_percentile_ms(latencies_s, 99.9),
+            "complete_share": round(counts["complete"] / max(total, 1), 5),
+        }
+
     def summarise(self) -> dict[str, Any]:
         """Returns the figures as JSON."""
         total = sum(self.counts.values())
@@ -111,6 +139,14 @@
         }
 
 
+def _find_percentile_ms(sorted_s: list[float], percentile: float) -> float:
+    """Returns a percentile of sorted seconds in milliseconds."""
+    if not sorted_s:
+        return 0.0
+    place = min(len(sorted_s) - 1, int(len(sorted_s) * percentile / 100))
+    return round(sorted_s[place] * 1000, 1)
+
+
 class Load:
     """Sends streams of requests from one caller in each zone.
 
@@ -133,7 +169,7 @@
     ):
         self._streams = streams
         self._random = random.Random(f"load:{seed}")
-        self._checker = checker
+        self.checker = checker
         self._callers = [
             callers.Caller(
                 zone=zone,
@@ -227,9 +263,7 @@
         """Returns the result of a request and notes what was untrue."""
         if reply.outcome == "answer":
             document = reply.document
-            wrong = self._checker.check(
-                document, stream.kind, request_id, query
-            )
+            wrong = self.checker.check(document, stream.kind, request_id, query)
             self._note_breaches(request_id, wrong)
             self.result.parts += len(document["coverage"]["covered"])
             self.result.missing_parts += len(document["coverage"]["missing"])
--- /dev/null
+++ b/measure/policies.py
@@ -0,0 +1,148 @@
+"""Scenarios of load alone: steady, policies side by side, overload."""
+
+from typing import Any
+
+from eelgrasshall.fakes import backend
+from eelgrasshall.state import configuration as configurations
+from measure import deployment
+from measure import load
+from measure import scenarios
+from measure import shapes
+
+# Slow enough that the processor of one machine is not what is measured.
+MEDIAN_S = 0.016
+SERVICE_TIME = backend.ServiceTime(median_s=MEDIAN_S)
+WARM_UP_S = 6.0
+UTILISATION = 0.7
+GROUP = shapes.Group(
+    kind="search", services=10, replicas=3, slots=2, connections=25
+)
+
+POLICIES: dict[str, dict[str, Any]] = {
+    "owner, no hedging": {"ownership": "owner", "hedging": False},
+    "alone, no hedging": {"ownership": "alone", "hedging": False},
+    "alone, hedging": {"ownership": "alone", "hedging": True},
+    "owner, hedging": {"ownership": "owner", "hedging": True},
+}
+
+
+def make_plan(
+    context: scenarios.Context,
+    policy: dict[str, Any],
+    group: shapes.Group = GROUP,
+) -> deployment.Plan:
+    """Returns the plan of one group of services over three zones."""
+    return deployment.Plan(
+        build=shapes.build_shape(shapes.make_zones(3), (group,)),
+        hosts=context.hosts,
+        seed=context.seed,
+        service_time=SERVICE_TIME._asdict(),
+        policy=policy,
+    )
+
+
+def make_streams(
+    configuration: configurations.Configuration, utilisation: float
+) -> list[load.Stream]:
+    """Returns one stream for the only kind at a utilisation."""
+    kind = configuration.kinds[0]
+    mean_s = SERVICE_TIME.mean_s()
+    rate = scenarios.find_rate(configuration, kind, mean_s, utilisation)
+    return [scenarios.make_stream(kind, rate)]
+
+
+async def measure_policy(
+    context: scenarios.Context,
+    name: str,
+    utilisation: float,
+    group: shapes.Group = GROUP,
+) -> tuple[dict[str, Any], load.Result, list[str]]:
+    """Runs one policy in a deployment of its own.
+
+    Returns:
+      The row, the load's result and the breaches.
+    """
+    plan = make_plan(context, POLICIES[name], group)
+    directory = context.directory / name.replace(", ", "-").replace(" ", "-")
+    async with scenarios.running_deployment(plan, directory) as running:
+        streams = make_streams(running.configuration, utilisation)
+        sending = scenarios.make_load(running, streams, context.seed)
+        result = await sending.run(context.seconds, WARM_UP_S)
+        row = await scenarios.summarise_run(running, result, name)
+        breaches = await scenarios.find_breaches(running, [row])
+    return row, result, breaches
+
+
+@scenarios.register("steady")
+async def run_steady(context: scenarios.Context) -> scenarios.Report:
+    """Measures the product as it ships at half the capacity."""
+    row, result, breaches = await measure_policy(context, "owner, hedging", 0.5)
+    return scenarios.Report([row], [], {row["name"]: result}, [], breaches)
+
+
+@scenarios.register("policies")
+async def run_policies(context: scenarios.Context) -> scenarios.Report:
+    """Compares the policies at 70% with 1 request in 100 a straggler."""
+    rows, series, breaches = [], {}, []
+    for name in POLICIES:
+        row, result, broken = await measure_policy(context, name, UTILISATION)
+        rows.append(row)
+        series[name] = result
+        breaches += broken
+    by_name = {row["name"]: row for row in rows}
+    goals = compare_with_baseline(
+        by_name["owner, hedging"], by_name["owner, no hedging"]
+    )
+    notes = [
+        f"Service time median {MEDIAN_S * 1000:.0f} ms; the callers' 3 ms each "
+        "way and the way between zones are not in the figures."
+    ]
+    return scenarios.Report(rows, goals, series, notes, breaches)
+
+
+def compare_with_baseline(
+    product: dict[str, Any], baseline: dict[str, Any]
+) -> list[scenarios.Goal]:
+    """Returns the users' goals for hedging, measured."""
+    gain = baseline["p99_ms"] / max(product["p99_ms"], 1e-9)
+    work = product["busy_ms_per_part"] / max(baseline["busy_ms_per_part"], 1e-9)
+    sheds = product["sheds_per_request"]
+    return [
+        scenarios.Goal(
+            "p99 without hedging / with", round(gain, 2), ">= 2", gain >= 2.0
+        ),
+        scenarios.Goal(
+            "backend work with hedging / without",
+            round(work, 3),
+            "<= 1.05",
+            work <= 1.05,
+        ),
+        scenarios.Goal(
+            "sheds caused per request", sheds, "<= 0.02", sheds <= 0.02
+        ),
+    ]
+
+
+@scenarios.register("overload")
+async def run_overload(context: scenarios.Context) -> scenarios.Report:
+    """Measures goodput from half to twice the capacity."""
+    rows, series, breaches = [], {}, []
+    for utilisation in (0.7, 0.9, 1.0, 1.2, 2.0):
+        row, result, broken = await measure_policy(
+            context, "owner, hedging", utilisation
+        )
+        row["name"] = f"load {utilisation:.1f}"
+        rows.append(row)
+        series[row["name"]] = result
+        breaches += broken
+    peak = max(row["goodput_per_s"] for row in rows)
+    share = rows[-1]["goodput_per_s"] / max(peak, 1e-9)
+    goals = [
+        scenarios.Goal(
+            "goodput at twice the load / peak",
+            round(share, 3),
+            ">= 0.9",
+            share >= 0.9,
+        )
+    ]
+    return scenarios.Report(rows, goals, series, [], breaches)
--- /dev/null
+++ b/measure/scenarios.py
@@ -0,0 +1,214 @@
+"""The registry of scenarios and what they share.
+
+A scenario is a coroutine that gets a `Context` and returns a `Report`.  The
+decorator `register` makes it known to `measure.run` by name.
+"""
+
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import pathlib
+from typing import Any
+from typing import NamedTuple
+
+from eelgrasshall.state import configuration as configurations
+from measure import answers
+from measure import deployment
+from measure import load
+from measure import shapes
+
+
+class Context(NamedTuple):
+    """What a scenario may use.
+
+    Attributes:
+      seed: Seed of every draw.
+      seconds: Seconds of each measured span.
+      hosts: How many daemons.
+      directory: Where logs and results go.
+    """
+
+    seed: int
+    seconds: float
+    hosts: int
+    directory: pathlib.Path
+
+
+class Goal(NamedTuple):
+    """A figure with the bound that the users set for it.
+
+    Attributes:
+      name: What is measured.
+      measured: The figure.
+      bound: The bound.
+      met: Whether the figure keeps it.
+    """
+
+    name: str
+    measured: float
+    bound: str
+    met: bool
+
+
+class Report(NamedTuple):
+    """What a scenario found.
+
+    Attributes:
+      rows: Named figures, one row for each policy or span.
+      goals: Figures with bounds.
+      series: For plots: name to the result of a load.
+      notes: Sentences about how it was measured.
+      breaches: What broke a promise; empty if nothing did.
+    """
+
+    rows: list[dict[str, Any]]
+    goals: list[Goal] = []
+    series: dict[str, load.Result] = {}
+    notes: list[str] = []
+    breaches: list[str] = []
+
+
+Scenario = Callable[[Context], Awaitable[Report]]
+
+SCENARIOS: dict[str, Scenario] = {}
+
+
+def register(name: str) -> Callable[[Scenario], Scenario]:
+    """Registers a scenario under a name."""
+
+    def add(scenario: Scenario) -> Scenario:
+        SCENARIOS[name] = scenario
+        return scenario
+
+    return add
+
+
+@contextlib.asynccontextmanager
+async def running_deployment(plan: deployment.Plan, directory: pathlib.Path):
+    """Starts a deployment and stops it at the end, whatever happens."""
+    running = deployment.Deployment(plan=plan, directory=directory)
+    try:
+        await running.start()
+        yield running
+    finally:
+        await running.stop()
+
+
+def make_checker(
+    configuration: configurations.Configuration,
+) -> answers.Checker:
+    """Returns the checker of answers for a deployment as it starts."""
+    return answers.Checker(
+        configuration=configuration,
+        keys_by_epoch={1: shapes.divide_keys_of(configuration)},
+    )
+
+
+def make_load(
+    running: deployment.Deployment, streams: list[load.Stream], seed: int
+) -> load.Load:
+    """Returns a load against a deployment, one caller in each zone."""
+    return load.Load(
+        streams=streams,
+        zones=[zone.name for zone in running.configuration.zones],
+        entry_urls=[host.caller_url for host in running.hosts],
+        checker=make_checker(running.configuration),
+        seed=seed,
+    )
+
+
+def make_stream(kind: configurations.Kind, rate: float) -> load.Stream:
+    """Returns the stream of a kind."""
+    return load.Stream(
+        kind.name, rate, kind.deadline_ms / 1000, not kind.repeatable
+    )
+
+
+def find_rate(
+    configuration: configurations.Configuration,
+    kind: configurations.Kind,
+    mean_s: float,
+    utilisation: float,
+) -> float:
+    """Returns the requests a second that give a utilisation of the slots.
+
+    Args:
+      configuration: The deployment.
+      kind: The kind to send.
+      mean_s: Mean running time of a sub-request in seconds.
+      utilisation: Share of the slots to keep busy.
+    """
+    slots = min(
+        sum(server.slots for server in service.servers)
+        for service in configuration.services
+        if service.name in kind.services
+    )
+    return utilisation * slots / mean_s
+
+
+async def read_server_counts(running: deployment.Deployment) -> dict[str, Any]:
+    """Returns what all backend servers have seen, summed."""
+    total: dict[str, Any] = {}
+    for report in await running.steer_servers({"report": True}):
+        numbers = {**report["counts"], "busy_s": report["busy_s"]}
+        for name, value in numbers.items():
+            total[name] = total.get(name, 0) + value
+        total.setdefault("repeated", []).extend(
+            run for run in report["runs"] if run[3]
+        )
+    return total
+
+
+async def summarise_run(
+    running: deployment.Deployment, result: load.Result, name: str
+) -> dict[str, Any]:
+    """Returns a row: the load's figures and what it cost the servers."""
+    servers = await read_server_counts(running)
+    figures = result.summarise()
+    requests = max(1, figures["requests"])
+    parts = max(1, result.parts)
+    sheds = servers.get("sheds", 0) + servers.get("falls", 0)
+    return {
+        "name": name,
+        **figures,
+        "attempts_per_part": round(servers.get("runs", 0) / parts, 4),
+        "busy_ms_per_part": round(servers["busy_s"] * 1000 / parts, 3),
+        "sheds_per_request": round(sheds / requests, 4),
+        "servers": {k: v for k, v in servers.items() if k != "repeated"},
+        "repeated_runs": count_repeated_runs(servers["repeated"]),
+    }
+
+
+def count_repeated_runs(runs: list[list[Any]]) -> int:
+    """Returns how many run-once requests ran more than once.
+
+    Args:
+      runs: `Run` values as lists.
+    """
+    bodies = [run[4] for run in runs]
+    return len(bodies) - len(set(bodies))
+
+
+async def find_breaches(
+    running: deployment.Deployment, rows: list[dict[str, Any]]
+) -> list[str]:
+    """Returns breaches seen by the load and by the daemons' own checks."""
+    breaches = []
+    for row in rows:
+        breaches += [f"{row['name']}: {e}" for e in row["breach_examples"]]
+        if row["repeated_runs"]:
+            breaches.append(f"{row['name']}: at most once: {row}")
+    for host, dump in (await running.read_dumps()).items():
+        for promise, count in dump["invariants"]["breaches"].items():
+            if count:
+                breaches.append(f"{host}: {promise}: {count}")
+    return breaches
+
+
+async def count_checks(running: deployment.Deployment) -> dict[str, int]:
+    """Returns how often the daemons have checked each promise."""
+    total: collections.Counter[str] = collections.Counter()
+    for dump in (await running.read_dumps()).values():
+        total.update(dump["invariants"]["checks"])
+    return dict(total)
