--- a/measure/callers.py
+++ b/measure/callers.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import itertools
 import json
 import random
 from typing import Any
@@ -16,6 +15,7 @@
 
 MOST_SENDS = 3
 ADDRESS_TIMEOUT_S = 2.0
+TICKET_BITS = 64
 CALLER_CONNECTIONS = 2000
 # Answers in which another host may do better at once.
 ELSEWHERE = frozenset({"leaving", "no_configuration"})
@@ -67,6 +67,7 @@
       zone: The zone that it asks addresses for.
       entry_urls: Base URLs of hosts to ask for addresses.
       random_source: Where draws come from.
+      fixed_urls: Hosts to use whatever the address answers say.
     """
 
     def __init__(
@@ -75,15 +76,16 @@
         zone: str,
         entry_urls: list[str],
         random_source: random.Random,
+        fixed_urls: tuple[str, ...] = (),
     ):
         self._zone = zone
         self._entry_urls = entry_urls
         self._random = random_source
-        self._entries: list[Entry] = []
+        self._fixed = [Entry("", url) for url in fixed_urls]
+        self._entries: list[Entry] = list(self._fixed)
         self._ticket_prefix = ""
         self._keep_until = 0.0
         self._asking = asyncio.Lock()
-        self._tickets = itertools.count(1)
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
@@ -124,8 +126,8 @@
             url = self._choose(fresh or entries)
             tried.add(url)
             if run_once and "ticket" not in document:
-                number = next(self._tickets)
-                document["ticket"] = f"{self._ticket_prefix}{number:x}"
+                own = self._random.getrandbits(TICKET_BITS)
+                document["ticket"] = f"{self._ticket_prefix}{own:x}"
             reply = await self._send_once(
                 url, document, request_id, timeout_s, sends
             )
@@ -196,7 +198,7 @@
                     document = await response.json()
             except (aiohttp.ClientError, OSError, TimeoutError):
                 continue
-            self._entries = [
+            self._entries = self._fixed or [
                 Entry(each["zone"], f"http://{each['host']}:{each['port']}")
                 for each in document["addresses"]
             ]
--- a/measure/deployment.py
+++ b/measure/deployment.py
@@ -36,6 +36,8 @@
       policy: The daemons' policy settings.
       settings: Further settings of every daemon.
       fake_processes: Processes among which the backend servers are divided.
+      between_zones_s: One-way latency between daemons of different zones;
+        None to let them connect directly.
     """
 
     build: shapes.Build
@@ -46,6 +48,7 @@
     policy: dict[str, Any] = {}
     settings: dict[str, Any] = {}
     fake_processes: int = FAKE_PROCESSES
+    between_zones_s: float | None = None
 
 
 class Host(NamedTuple):
@@ -58,6 +61,7 @@
       caller_port: Port for callers.
       peer_port: Port for the other daemons.
       admin_port: Port for operators.
+      advertised_port: Port at which the other daemons reach it.
     """
 
     name: str
@@ -66,6 +70,7 @@
     caller_port: int
     peer_port: int
     admin_port: int
+    advertised_port: int
 
     @property
     def caller_url(self) -> str:
@@ -85,7 +90,7 @@
             "region": self.region,
             "host": "127.0.0.1",
             "caller_port": self.caller_port,
-            "peer_port": self.peer_port,
+            "peer_port": self.advertised_port,
             "leaving": leaving,
         }
 
@@ -104,6 +109,7 @@
         self.hosts: list[Host] = []
         self.daemons: dict[str, processes.Child] = {}
         self.platform: processes.Child | None = None
+        self.network: processes.Child | None = None
         self._children = processes.Children(directory=directory)
         self._fakes: list[processes.Child] = []
         self._session: aiohttp.ClientSession | None = None
@@ -128,6 +134,8 @@
             lambda name: ("127.0.0.1", self._ports[name])
         )._replace(version=0)
         self.hosts = self._place_hosts(self.configuration)
+        if self.plan.between_zones_s is not None:
+            await self._start_network(self.plan.between_zones_s)
         self.platform = await self._children.start(
             "platform",
             "eelgrasshall.fakes.platform",
@@ -151,6 +159,7 @@
             name, "eelgrasshall.daemon", self._make_settings(host)
         )
         self.daemons[host.name] = child
+        await self.steer_network({"pids": {host.name: child.pid}})
 
     async def stop_daemon(self, host: Host, timeout_s: float = 40.0) -> bool:
         """Stops one daemon as planned; returns whether it ended by itself."""
@@ -266,6 +275,12 @@
         """Sends a command to every process of backend servers."""
         return [await self._control(each, command) for each in self._fakes]
 
+    async def steer_network(self, command: dict[str, Any]) -> dict[str, Any]:
+        """Sends a command to the forwarder, if there is one."""
+        if self.network is None:
+            return {"bytes": 0, "silenced": 0}
+        return await self._control(self.network, command)
+
     async def _control(self, child: processes.Child, command: Any) -> Any:
         """Sends a command to a stand-in."""
         url = f"http://127.0.0.1:{child.ready['control']}/control"
@@ -285,6 +300,21 @@
         except (aiohttp.ClientError, TimeoutError):
             return -1
 
+    async def _start_network(self, delay_s: float) -> None:
+        """Puts the forwarder between the daemons."""
+        routes = [
+            {"name": h.name, "zone": h.zone, "target_port": h.peer_port}
+            for h in self.hosts
+        ]
+        self.network = await self._children.start(
+            "network", "measure.latency", {"delay_s": delay_s, "routes": routes}
+        )
+        ports = self.network.ready["ports"]
+        self.hosts = [
+            host._replace(advertised_port=ports[host.name])
+            for host in self.hosts
+        ]
+
     async def _start_fakes(self, draft: configurations.Configuration) -> None:
         """Starts the backend servers, divided among a few processes."""
         specs = self._specify_servers(draft)
@@ -337,7 +367,7 @@
             zone = configuration.zones[number % len(configuration.zones)]
             three = ports[3 * number : 3 * number + 3]
             name = f"host-{number + 1:02d}"
-            hosts.append(Host(name, zone.name, zone.region, *three))
+            hosts.append(Host(name, zone.name, zone.region, *three, three[1]))
         return hosts
 
     def _make_settings(self, host: Host) -> dict[str, Any]:
@@ -349,6 +379,7 @@
             "region": host.region,
             "caller": {"host": listen, "port": host.caller_port},
             "peer": {"host": listen, "port": host.peer_port},
+            "advertised_peer": {"host": listen, "port": host.advertised_port},
             "admin": {"host": listen, "port": host.admin_port},
             "platform_url": f"http://{listen}:{self.platform.ready['port']}",
             "policy": self.plan.policy,
--- a/measure/latency.py
+++ b/measure/latency.py
@@ -45,6 +45,7 @@
         self.routes = routes
         self.cuts: set[tuple[str, str]] = set()
         self.pids: dict[str, int] = {}
+        self.bytes_passed = 0
         self._delay_s = delay_s
         self._pipes: set[_Pipe] = set()
 
@@ -63,6 +64,12 @@
         """Forgets a closed pipe."""
         self._pipes.discard(pipe)
 
+    def learn_pids(self, pids: dict[str, int]) -> None:
+        """Learns process ids, and whose connections were of unknown owner."""
+        self.pids.update(pids)
+        for pipe in list(self._pipes):
+            pipe.find_source()
+
     def set_cuts(self, cuts: list[list[str]]) -> None:
         """Replaces the directions that are cut, as pairs of names."""
         self.cuts = {(source, target) for source, target in cuts}
@@ -93,7 +100,11 @@
         self.transport = transport
         self._network.add(self)
 
+    def find_source(self) -> None:
+        """Finds out who sends here, if that is not known."""
+
     def data_received(self, data: bytes) -> None:
+        self._network.bytes_passed += len(data)
         self._pass_on(data)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -140,10 +151,17 @@
         super().connection_made(transport)
         self._connecting = asyncio.create_task(self._connect())
 
-    async def _connect(self) -> None:
-        """Finds out who connects and connects to the daemon's own port."""
+    def find_source(self) -> None:
+        if self.source != UNKNOWN:
+            return
         port = self.transport.get_extra_info("peername")[1]
         self.source = find_owner(port, self._network.pids)
+        if self.other is not None:
+            self.other.target = self.source
+
+    async def _connect(self) -> None:
+        """Finds out who connects and connects to the daemon's own port."""
+        self.find_source()
         self.target = self._route.name
         loop = asyncio.get_running_loop()
         try:
@@ -224,11 +242,11 @@
 
     async def control(command: dict[str, Any]) -> Any:
         """Takes pids, cuts and the order to silence."""
-        network.pids.update(command.get("pids", {}))
+        network.learn_pids(command.get("pids", {}))
         if "cuts" in command:
             network.set_cuts(command["cuts"])
         silenced = network.silence() if command.get("silence") else 0
-        return {"silenced": silenced}
+        return {"silenced": silenced, "bytes": network.bytes_passed}
 
     runner, control_port = await process.serve_control(control)
     process.print_ready(control=control_port, ports=ports)
--- /dev/null
+++ b/measure/latency_test.py
@@ -0,0 +1,67 @@
+import asyncio
+import os
+
+import pytest
+
+from measure import latency
+
+
+@pytest.fixture
+async def link():
+    """A network with a daemon `b` that echoes, reached by `a`."""
+
+    async def echo(reader, writer):
+        while data := await reader.read(100):
+            writer.write(data)
+        writer.close()
+
+    loop = asyncio.get_running_loop()
+    target = await asyncio.start_server(echo, "127.0.0.1", 0)
+    target_port = target.sockets[0].getsockname()[1]
+    routes = {
+        "a": latency.Route("a", "zone-1", 1),
+        "b": latency.Route("b", "zone-2", target_port),
+    }
+    network = latency.Network(routes=routes, delay_s=0.001)
+    network.learn_pids({"a": os.getpid()})
+    server = await loop.create_server(
+        lambda: latency._Accepted(network, routes["b"]), "127.0.0.1", 0
+    )
+    port = server.sockets[0].getsockname()[1]
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    yield network, reader, writer
+    writer.close()
+    server.close()
+    target.close()
+
+
+async def test_passes_bytes_on_in_order(link):
+    _, reader, writer = link
+    for each in range(50):
+        writer.write(bytes([each]))
+        await asyncio.sleep(0)
+    assert await reader.readexactly(50) == bytes(range(50))
+
+
+async def test_a_cut_direction_holds_bytes_until_it_is_healed(link):
+    network, reader, writer = link
+    writer.write(b"x")
+    assert await reader.readexactly(1) == b"x"
+    network.set_cuts([["b", "a"]])
+    writer.write(b"y")
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.1):
+            await reader.readexactly(1)
+    network.set_cuts([])
+    assert await reader.readexactly(1) == b"y"
+
+
+async def test_a_silenced_connection_stays_silent(link):
+    network, reader, writer = link
+    writer.write(b"x")
+    assert await reader.readexactly(1) == b"x"
+    assert network.silence()
+    writer.write(b"y")
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.1):
+            await reader.readexactly(1)
--- a/measure/load.py
+++ b/measure/load.py
@@ -156,6 +156,7 @@
       entry_urls: Hosts to ask for addresses.
       checker: Checks each answer.
       seed: Seed of arrivals and choices.
+      fixed_urls: Hosts to use whatever the address answers say.
     """
 
     def __init__(
@@ -166,6 +167,7 @@
         entry_urls: list[str],
         checker: answers.Checker,
         seed: int,
+        fixed_urls: tuple[str, ...] = (),
     ):
         self._streams = streams
         self._random = random.Random(f"load:{seed}")
@@ -175,6 +177,7 @@
                 zone=zone,
                 entry_urls=entry_urls,
                 random_source=random.Random(f"caller:{seed}:{zone}"),
+                fixed_urls=fixed_urls,
             )
             for zone in zones
         ]
