--- a/eelgrasshall/state/configuration.py
+++ b/eelgrasshall/state/configuration.py
@@ -120,7 +120,7 @@
 
 def format_configuration(configuration: Configuration) -> bytes:
     """Returns the configuration as JSON, the same bytes for the same value."""
-    document = _to_plain(configuration)
+    document = to_plain(configuration)
     text = json.dumps(document, indent=2, ensure_ascii=False)
     return text.encode() + b"\n"
 
@@ -136,14 +136,27 @@
     Returns:
       The configuration and no problems, or None and every problem found.
     """
+    configuration, problems = decode_configuration(data)
+    if configuration is not None:
+        problems = check_configuration(configuration)
+    return (None, problems) if problems else (configuration, [])
+
+
+def decode_configuration(
+    data: bytes,
+) -> tuple[Configuration | None, list[errors.Problem]]:
+    """Reads a configuration and checks its types but not its contents.
+
+    Args:
+      data: The JSON document.
+
+    Returns:
+      The configuration and no problems, or None and every wrong type.
+    """
     try:
-        configuration = _ADAPTER.validate_json(data)
+        return _ADAPTER.validate_json(data, strict=True), []
     except pydantic.ValidationError as error:
         return None, [_from_pydantic(each) for each in error.errors()]
-    problems = check_configuration(configuration)
-    if problems:
-        return None, problems
-    return configuration, []
 
 
 def check_configuration(configuration: Configuration) -> list[errors.Problem]:
@@ -298,10 +311,10 @@
     return _invalid(where, f"{error['msg']}.", "Correct the value.")
 
 
-def _to_plain(value: Any) -> Any:
+def to_plain(value: Any) -> Any:
     """Turns named tuples into dictionaries, at every depth."""
     if hasattr(value, "_asdict"):
-        return {k: _to_plain(v) for k, v in value._asdict().items()}
+        return {k: to_plain(v) for k, v in value._asdict().items()}
     if isinstance(value, tuple):
-        return [_to_plain(each) for each in value]
+        return [to_plain(each) for each in value]
     return value
