--- a/eelgrasshall/coordination/direct.py
+++ b/eelgrasshall/coordination/direct.py
@@ -71,8 +71,10 @@
         tried: set[str] = set()
         while (record := self._choose(request, tried)) is not None:
             tried.add(record.name)
+            attempt_id = f"{request.sub_id}.d{len(tried)}"
+            self._hold(record, attempt_id, request.fingerprint)
             task = self._spawn(
-                self._send(record, request, len(tried), deadline_s)
+                self._send(record, request, attempt_id, deadline_s)
             )
             outcome = await asyncio.shield(task)
             result = self._judge(request, record, outcome, len(tried))
@@ -103,24 +105,31 @@
         ]
         return self._random.choice(candidates) if candidates else None
 
-    async def _send(
+    def _hold(
         self,
         record: directories.ServerRecord,
-        request: messages.SubRequest,
-        number: int,
-        deadline_s: float,
-    ) -> backend.BackendResponse | backends.BackendFailure:
-        """Sends one attempt and keeps its slot until the server let go."""
-        now = self._clock.monotonic()
-        attempt_id = f"{request.sub_id}.d{number}"
+        attempt_id: str,
+        fingerprint: str,
+    ) -> None:
+        """Takes the one slot that this host may use."""
         record.held[attempt_id] = directories.Held(
-            attempt_id, request.fingerprint, now
+            attempt_id, fingerprint, self._clock.monotonic()
         )
         self._invariants.check(
             invariants_module.Promise.COLD_ALLOWANCE,
             len(record.held) <= 1,
             record.name,
         )
+
+    async def _send(
+        self,
+        record: directories.ServerRecord,
+        request: messages.SubRequest,
+        attempt_id: str,
+        deadline_s: float,
+    ) -> backend.BackendResponse | backends.BackendFailure:
+        """Sends one attempt and keeps its slot until the server let go."""
+        now = self._clock.monotonic()
         attempt = backend.Attempt(
             attempt_id=attempt_id,
             query_id=request.query_id,
@@ -174,9 +183,8 @@
             if outcome.kind is backends.FailureKind.LOST:
                 self._quarantine.suspect(request.fingerprint)
             return
-        if record.incarnation not in ("", outcome.incarnation):
+        if record.note_incarnation(outcome.incarnation):
             record.told_warm_s = None
-        record.incarnation = outcome.incarnation
         record.draining |= outcome.draining
         if not outcome.served:
             record.told_warm_s = None
--- a/eelgrasshall/coordination/execution.py
+++ b/eelgrasshall/coordination/execution.py
@@ -127,17 +127,16 @@
                 result = None if reply is None else self._judge(reply)
                 if result is not None:
                     return result
-            if not self._may_hedge():
+            if self._is_suspect():
                 pending -= self._stop_waiting_hedges()
             now = self._clock.monotonic()
             if now >= self._deadline_s:
                 self._may_have_run = True
                 return self._give_up(self._explain_deadline())
             if now >= hedge_s and pending:
-                hedge_s = float("inf")
                 if self._may_hedge() and self._tools.hedger.take():
                     pending.add(self._start_hedge())
-                    hedge_s = self._find_hedge_time()
+                hedge_s = self._find_hedge_time()
         return None
 
     async def _try_alone(self) -> messages.SubResult | None:
@@ -184,9 +183,18 @@
         return stopped
 
     def _may_hedge(self) -> bool:
-        """Returns whether nothing speaks against a hedge of this request."""
+        """Returns whether nothing speaks against a hedge of this request.
+
+        A hedge that still waits for its slot is as good as a further one.
+        """
+        if len(self._sent_hedges) < len(self._hedge_tasks):
+            return False
+        return not self._is_suspect()
+
+    def _is_suspect(self) -> bool:
+        """Returns whether a backend server may have died of the request."""
         verdict = self._tools.quarantine.judge(self._request.fingerprint)
-        return verdict is quarantines.Verdict.FREE
+        return verdict is not quarantines.Verdict.FREE
 
     def _find_hedge_time(self) -> float:
         """Returns when to hedge the attempt just sent; infinite if never."""
--- a/eelgrasshall/coordination/executor_test.py
+++ b/eelgrasshall/coordination/executor_test.py
@@ -5,6 +5,7 @@
 import random
 
 from eelgrasshall import clock as clocks
+from eelgrasshall import errors
 from eelgrasshall import invariants as invariants_module
 from eelgrasshall.coordination import executor as executors
 from eelgrasshall.coordination import policy as policies
@@ -264,6 +265,10 @@
     return [result.outcome.value for result in results]
 
 
+def count_in_flight(bench):
+    return {n: len(s.running) for n, s in bench.transport.servers.items()}
+
+
 async def test_serves_and_says_where_from():
     async with run_bench() as bench:
         (result,) = await bench.finish(bench.start())
@@ -286,3 +291,174 @@
         results = await bench.finish(*tasks)
         assert outcomes(results) == ["served"] * 12
         assert all(s.most <= 2 for s in bench.transport.servers.values())
+
+
+async def test_what_cannot_be_served_in_time_is_refused_at_once():
+    async with run_bench() as bench:
+        tasks = [bench.start() for _ in range(30)]
+        await bench.clock.advance(0.001)
+        late = bench.start(budget_s=0.03)
+        await bench.clock.advance(0.0)
+        assert late.done()
+        assert late.result().outcome is messages.SubOutcome.NOT_RUN
+        assert late.result().problem.kind is errors.ProblemKind.OVERLOADED
+        assert late.result().attempts == 0
+        await bench.finish(*tasks)
+
+
+async def test_waiting_requests_are_refused_once_the_servers_stall():
+    async with run_bench() as bench:
+        for server in bench.transport.servers.values():
+            server.latency_s = 10.0
+        tasks = [bench.start(repeatable=False) for _ in range(6)]
+        await bench.clock.advance(0.001)
+        waiting = bench.start(budget_s=0.2)
+        await bench.clock.advance(0.22)
+        assert waiting.result().outcome is messages.SubOutcome.NOT_RUN
+        assert bench.waiting() == 0
+        await bench.finish(*tasks)
+        assert outcomes([t.result() for t in tasks]) == ["failed"] * 6
+
+
+async def start_slow(bench, **changes):
+    """Starts a request that one server holds for half a second."""
+    for server in bench.transport.servers.values():
+        server.latency_s = 0.5
+    task = bench.start(**changes)
+    await bench.clock.advance(0.001)
+    for server in bench.transport.servers.values():
+        server.latency_s = 0.01
+    held = [n for n, s in bench.transport.servers.items() if s.running]
+    return task, held[0]
+
+
+async def test_slow_attempt_is_hedged_elsewhere_and_cancelled():
+    async with run_bench() as bench:
+        task, slow = await start_slow(bench)
+        await bench.clock.advance(0.03)
+        result = task.result()
+        assert result.outcome is messages.SubOutcome.SERVED
+        assert (result.attempts, result.hedges) == (2, 1)
+        assert result.server != slow
+        assert not bench.server(slow).running
+        assert bench.record(slow)["in_flight"] == 0
+
+
+async def test_no_hedge_of_what_may_not_be_repeated():
+    async with run_bench() as bench:
+        task, _ = await start_slow(bench, repeatable=False)
+        (result,) = await bench.finish(task)
+        assert (result.attempts, result.hedges) == (1, 0)
+
+
+async def test_no_hedge_to_a_cold_server():
+    async with run_bench() as bench:
+        task, slow = await start_slow(bench)
+        for record in bench.executor._directory.all():
+            record.cold = record.name != slow
+        (result,) = await bench.finish(task)
+        assert (result.server, result.hedges) == (slow, 0)
+
+
+async def test_no_hedge_while_the_whole_service_is_slow():
+    async with run_bench() as bench:
+        hedger = bench.executor._owned["s0"].tools.hedger
+        for _ in range(40):
+            hedger.record(0.03)
+        task, slow = await start_slow(bench)
+        (result,) = await bench.finish(task)
+        assert (result.server, result.hedges) == (slow, 0)
+
+
+async def test_hedges_end_with_their_budget():
+    async with run_bench() as bench:
+        budget = bench.executor._owned["s0"].tools.hedger.budget
+        while budget.take():
+            pass
+        task, slow = await start_slow(bench)
+        (result,) = await bench.finish(task)
+        assert (result.server, result.hedges) == (slow, 0)
+
+
+async def test_slot_stays_taken_until_the_server_lets_go():
+    async with run_bench() as bench:
+        for server in bench.transport.servers.values():
+            server.cancel_works = False
+            server.latency_s = 0.3
+        task = bench.start(budget_s=0.8)
+        await bench.clock.advance(0.001)
+        task.cancel()
+        await bench.clock.advance(0.1)
+        busy = [n for n, s in bench.transport.servers.items() if s.running]
+        assert [bench.record(n)["in_flight"] for n in busy] == [1]
+        await bench.clock.advance(0.3)
+        assert bench.record(busy[0])["in_flight"] == 0
+
+
+async def test_cancelled_request_is_cancelled_at_the_backend_server():
+    async with run_bench() as bench:
+        task, slow = await start_slow(bench)
+        task.cancel()
+        await bench.clock.advance(0.001)
+        assert task.cancelled() and not bench.server(slow).running
+        assert bench.record(slow)["in_flight"] == 0
+
+
+async def test_request_cancelled_while_it_waits_is_never_sent():
+    async with run_bench() as bench:
+        tasks = [bench.start() for _ in range(7)]
+        await bench.clock.advance(0.001)
+        tasks[6].cancel()
+        await bench.finish(*tasks[:6])
+        started = [
+            n for s in bench.transport.servers.values() for n in s.started
+        ]
+        assert len(started) == 6 and bench.waiting() == 0
+
+
+async def test_shed_request_is_tried_elsewhere_even_if_not_repeatable():
+    async with run_bench() as bench:
+        bench.server("s0b0").sheds = bench.server("s0b1").sheds = True
+        results = await bench.finish(
+            *(bench.start(repeatable=False) for _ in range(2))
+        )
+        assert outcomes(results) == ["served"] * 2
+        assert {result.server for result in results} == {"s0b2"}
+
+
+async def test_lost_request_that_may_not_be_repeated_is_not_sent_again():
+    async with run_bench() as bench:
+        task, slow = await start_slow(bench, repeatable=False)
+        bench.server(slow).die()
+        (result,) = await bench.finish(task)
+        assert result.outcome is messages.SubOutcome.FAILED
+        started = [
+            n for s in bench.transport.servers.values() for n in s.started
+        ]
+        assert len(started) == 1
+
+
+async def test_retries_end_with_their_budget():
+    async with run_bench() as bench:
+        for server in bench.transport.servers.values():
+            server.sheds = True
+        results = []
+        for _ in range(30):
+            results += await bench.finish(bench.start())
+        attempts = sum(result.attempts for result in results)
+        assert set(outcomes(results)) == {"not_run"}
+        # Ten tokens saved up and a tenth for each request.
+        assert attempts <= 30 + 10 + 3
+
+
+async def test_snapshot_is_looked_for_at_every_replica_then_gone():
+    async with run_bench() as bench:
+        old = messages.Snapshot(1, 2)
+        for record in bench.executor._directory.all():
+            record.snapshots = ()
+        bench.server("s0b2").snapshots = (SNAPSHOT, old)
+        (result,) = await bench.finish(bench.start(snapshot=old))
+        assert result.server == "s0b2"
+        bench.server("s0b2").snapshots = (SNAPSHOT,)
+        (result,) = await bench.finish(bench.start(snapshot=old))
+        assert result.outcome is messages.SubOutcome.SNAPSHOT_GONE
--- a/eelgrasshall/coordination/histogram.py
+++ b/eelgrasshall/coordination/histogram.py
@@ -13,6 +13,8 @@
 _HALVE_AT = 4096.0
 # Percentiles are kept until this many further records came in.
 _REFRESH_EVERY = 32
+# With fewer records than this a percentile means nothing.
+MIN_RECORDED = 30
 
 
 class Histogram:
@@ -47,8 +49,10 @@
           share: From 0 to 1.
 
         Returns:
-          The upper edge of the bucket, or 0.0 if nothing was recorded.
+          The upper edge of the bucket, or 0.0 if too little was recorded.
         """
+        if self._recorded < MIN_RECORDED:
+            return 0.0
         recorded, value = self._cached.get(share, (-_REFRESH_EVERY, 0.0))
         if self._recorded - recorded < _REFRESH_EVERY:
             return value
@@ -58,8 +62,6 @@
 
     def _compute(self, share: float) -> float:
         """Walks the buckets up to a share of all counts."""
-        if self._total == 0.0:
-            return 0.0
         wanted = share * self._total
         reached = 0.0
         for bucket, count in enumerate(self._counts):
--- a/eelgrasshall/coordination/monitor.py
+++ b/eelgrasshall/coordination/monitor.py
@@ -90,7 +90,7 @@
 
     async def _watch(self, record: directories.ServerRecord) -> None:
         """Watches one server until it is no longer declared."""
-        draining_since_s = 0.0
+        draining_since_s = self._clock.monotonic()
         draining_seen = False
         while not record.removed:
             await self._clock.sleep(self._find_pause(record))
@@ -103,7 +103,7 @@
             if health is None:
                 continue
             was_draining = record.draining
-            restarted = health.incarnation != record.incarnation
+            known = record.incarnation
             self._observer.note_health(record, health)
             now = self._clock.monotonic()
             if not record.draining:
@@ -111,6 +111,7 @@
                 self._queue.pump()
                 continue
             draining_seen |= health.draining
+            restarted = known not in ("", record.incarnation)
             unseen_s = now - draining_since_s
             settled = draining_seen or restarted or unseen_s > DRAINING_UNSEEN_S
             if was_draining and settled and _is_back(health):
--- a/eelgrasshall/coordination/observer.py
+++ b/eelgrasshall/coordination/observer.py
@@ -28,7 +28,7 @@
 # A warm server whose recent median is above this multiple of the service's
 # has turned cold without saying so.
 JUMP_FACTOR = 4.0
-_RECENT = 9
+_RECENT = 15
 # A server that sheds is left alone for a moment.
 SHED_PAUSE_S = 0.01
 
@@ -138,9 +138,7 @@
         self, record: directories.ServerRecord, incarnation: str
     ) -> None:
         """Turns a server cold that has restarted."""
-        known = record.incarnation
-        record.incarnation = incarnation
-        if known and known != incarnation:
+        if record.note_incarnation(incarnation):
             self.turn_cold(record, "restarted")
 
     def _note_success(self, lease: queues.Lease, latency_s: float) -> None:
@@ -187,7 +185,7 @@
         )
         recent.append(latency_s)
         usual_s = self._usual.percentile(0.5)
-        if len(recent) < _RECENT or latency_s <= JUMP_FACTOR * usual_s:
+        if usual_s == 0.0 or len(recent) < _RECENT:
             return
         if self._hedger.is_slow() and self._has_warm_sibling(record):
             # All of the service is slow, which says nothing about this one.
--- a/eelgrasshall/coordination/relay.py
+++ b/eelgrasshall/coordination/relay.py
@@ -13,7 +13,8 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
+from typing import Protocol
 
 from loguru import logger
 
@@ -34,9 +35,7 @@
 class Executor(Protocol):
     """The part of the service executor that the relay needs."""
 
-    async def execute(
-        self, request: messages.SubRequest
-    ) -> messages.SubResult:
+    async def execute(self, request: messages.SubRequest) -> messages.SubResult:
         """Runs a sub-request against the backend servers of its service."""
 
 
--- a/eelgrasshall/state/directory.py
+++ b/eelgrasshall/state/directory.py
@@ -6,12 +6,15 @@
 `coordination.warmup`; this module holds the values.
 """
 
+import collections
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from eelgrasshall.protocol import messages
 from eelgrasshall.state import configuration as configurations
 
+_PAST_INCARNATIONS = 8
+
 
 class Held(NamedTuple):
     """One slot in use.
@@ -48,6 +51,8 @@
       failures: Failed connections in a row.
       down_until_s: Until when it is not tried again.
       incarnation: As last seen; empty if never.
+      past_incarnations: Those seen before it; whatever names one of them
+        is older than what is known.
       snapshots: As last seen, newest first; empty if never.
       told_warm_s: When another host last reported it warm; None if never.
       sent_s: When an attempt was last sent to it.
@@ -69,6 +74,9 @@
         self.failures = 0
         self.down_until_s = 0.0
         self.incarnation = ""
+        self.past_incarnations: collections.deque[str] = collections.deque(
+            maxlen=_PAST_INCARNATIONS
+        )
         self.snapshots: tuple[messages.Snapshot, ...] = ()
         self.told_warm_s: float | None = None
         self.sent_s = 0.0
@@ -83,6 +91,18 @@
         """Returns whether it may get new work at all."""
         return not (self.zone_out or self.removed or self.draining)
 
+    def note_incarnation(self, incarnation: str) -> bool:
+        """Notes a seen incarnation; gives whether the server restarted."""
+        if incarnation == self.incarnation:
+            return False
+        if incarnation in self.past_incarnations:
+            return False
+        known = self.incarnation
+        self.incarnation = incarnation
+        if known:
+            self.past_incarnations.append(known)
+        return bool(known)
+
     def may_hold(self, snapshot: messages.Snapshot | None) -> bool:
         """Returns whether it may be able to serve a pinned snapshot.
 
