--- a/eelgrasshall/coordination/executor_test.py
+++ b/eelgrasshall/coordination/executor_test.py
@@ -61,9 +61,11 @@
         timer.add_done_callback(lambda _: ended.done() or ended.set_result(200))
         status = await ended
         timer.cancel()
-        self.running.pop(attempt.attempt_id, None)
         if status == 0:
+            if not self.alive:
+                self.running.pop(attempt.attempt_id, None)
             return backends.BackendFailure(backends.FailureKind.LOST, "reset")
+        self.running.pop(attempt.attempt_id, None)
         self.finished.append(attempt.attempt_id)
         return self._answer(attempt, status)
 
@@ -74,6 +76,12 @@
             if not ended.done():
                 ended.set_result(0)
 
+    def reset_connections(self) -> None:
+        """Loses the connections, but what runs goes on unseen."""
+        for name, ended in list(self.running.items()):
+            self.running[name] = asyncio.get_running_loop().create_future()
+            ended.set_result(0)
+
     def restart(self) -> None:
         self.alive = True
         self.incarnation += "+"
@@ -116,6 +124,7 @@
         ended = scripted.running.get(attempt_id)
         if ended is not None and not ended.done():
             ended.set_result(499)
+            scripted.running.pop(attempt_id)
         return backends.CancelResult.CONFIRMED
 
     async def read_health(self, server):
@@ -277,22 +286,37 @@
         assert result.available == (SNAPSHOT,)
 
 
+def list_started(bench):
+    return [n for s in bench.transport.servers.values() for n in s.started]
+
+
 async def test_slots_are_never_exceeded_and_the_oldest_goes_first():
     async with run_bench() as bench:
-        tasks = [bench.start(age_s=0.001 * n) for n in range(12)]
+        tasks = [bench.start(age_s=0.001 * n) for n in range(14)]
         await bench.clock.advance(0.001)
-        started = [
-            n for s in bench.transport.servers.values() for n in s.started
-        ]
-        assert len(started) == 6 and bench.waiting() == 6
+        assert len(list_started(bench)) == 6 and bench.waiting() == 8
         await bench.clock.advance(0.011)
-        later = [n for s in bench.transport.servers.values() for n in s.started]
-        assert {"r12.0", "r11.0"} <= set(later)
+        oldest = {f"r{n}.0" for n in range(9, 15)}
+        assert set(list_started(bench)) >= oldest
+        assert "r7.0" not in list_started(bench)
         results = await bench.finish(*tasks)
-        assert outcomes(results) == ["served"] * 12
+        assert outcomes(results) == ["served"] * 14
         assert all(s.most <= 2 for s in bench.transport.servers.values())
 
 
+async def test_hedge_goes_before_older_queries():
+    async with run_bench() as bench:
+        task, _ = await start_slow(bench)
+        for server in bench.transport.servers.values():
+            server.latency_s = 0.05
+        older = [bench.start(age_s=0.5, repeatable=False) for _ in range(20)]
+        await bench.finish(task, *older)
+        started = [s.started for s in bench.transport.servers.values()]
+        places = [n.index("r1.1") for n in started if "r1.1" in n]
+        # Two slots were taken before the hedge was due.
+        assert places == [2]
+
+
 async def test_what_cannot_be_served_in_time_is_refused_at_once():
     async with run_bench() as bench:
         tasks = [bench.start() for _ in range(30)]
@@ -395,6 +419,17 @@
         assert bench.record(busy[0])["in_flight"] == 0
 
 
+async def test_slot_of_a_lost_attempt_stays_taken_until_it_is_cancelled():
+    async with run_bench() as bench:
+        task, slow = await start_slow(bench, budget_s=0.4)
+        bench.server(slow).cancel_works = False
+        bench.server(slow).reset_connections()
+        await bench.finish(task)
+        assert bench.record(slow)["in_flight"] == 1
+        await bench.clock.advance(0.5)
+        assert bench.record(slow)["in_flight"] == 0
+
+
 async def test_cancelled_request_is_cancelled_at_the_backend_server():
     async with run_bench() as bench:
         task, slow = await start_slow(bench)
@@ -410,9 +445,7 @@
         await bench.clock.advance(0.001)
         tasks[6].cancel()
         await bench.finish(*tasks[:6])
-        started = [
-            n for s in bench.transport.servers.values() for n in s.started
-        ]
+        started = list_started(bench)
         assert len(started) == 6 and bench.waiting() == 0
 
 
@@ -432,9 +465,7 @@
         bench.server(slow).die()
         (result,) = await bench.finish(task)
         assert result.outcome is messages.SubOutcome.FAILED
-        started = [
-            n for s in bench.transport.servers.values() for n in s.started
-        ]
+        started = list_started(bench)
         assert len(started) == 1
 
 
@@ -462,3 +493,11 @@
         bench.server("s0b2").snapshots = (SNAPSHOT,)
         (result,) = await bench.finish(bench.start(snapshot=old))
         assert result.outcome is messages.SubOutcome.SNAPSHOT_GONE
+
+
+async def test_snapshot_that_no_server_has_yet_is_asked_of_each_once():
+    async with run_bench() as bench:
+        newer = messages.Snapshot(1, 9)
+        (result,) = await bench.finish(bench.start(snapshot=newer))
+        assert result.outcome is messages.SubOutcome.SNAPSHOT_GONE
+        assert result.attempts == 3
--- a/eelgrasshall/transport/backends_test.py
+++ b/eelgrasshall/transport/backends_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+import aiohttp
 from aiohttp import web
 import pytest
 
@@ -10,6 +11,7 @@
 from eelgrasshall import invariants as invariants_module
 from eelgrasshall.protocol import backend
 from eelgrasshall.transport import backends
+from eelgrasshall.transport import connection as connections
 
 
 class SmallServer:
@@ -199,6 +201,22 @@
         await server.start()
 
 
+async def test_connection_is_not_opened_a_second_time_unseen():
+    async with run_server() as (server, _):
+        link = connections.Connection(
+            host="127.0.0.1", port=server.port, now=0.0
+        )
+        health = {"method": "GET", "path": "/health"}
+        limits = {"total_s": 2.0, "silence_s": 1.0}
+        await link.request(**health, **limits)
+        await server.stop()
+        await server.start()
+        with pytest.raises(aiohttp.ClientConnectorError):
+            await link.request(**health, **limits)
+        await link.close()
+        assert len(server.health_peers) == 1
+
+
 async def test_idle_connections_closed_by_the_server_are_counted_once():
     async with run_server() as (server, transport):
         await send(transport, "a1")
