--- a/eelgrasshall/coordination/relay.py
+++ b/eelgrasshall/coordination/relay.py
@@ -13,7 +13,8 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
+from typing import Protocol
 
 from loguru import logger
 
@@ -34,11 +35,12 @@
 class Executor(Protocol):
     """The part of the service executor that the relay needs."""
 
-    async def execute(
-        self, request: messages.SubRequest
-    ) -> messages.SubResult:
+    async def execute(self, request: messages.SubRequest) -> messages.SubResult:
         """Runs a sub-request against the backend servers of its service."""
 
+    def note_result(self, result: messages.SubResult) -> None:
+        """Learns which servers are warm from an owner's result."""
+
 
 class Ownership(Protocol):
     """The part of the ownership view that the relay needs."""
@@ -147,6 +149,7 @@
             return await self._recover(request, started, error)
         if _is_refused_by_non_owner(result):
             return await self._run_direct(request, started)
+        self._executor.note_result(result)
         return result
 
     def accept_requests(
@@ -184,9 +187,15 @@
             if task is not None:
                 task.cancel()
 
-    def drop_peer(self, name: str) -> None:
-        """Ends the wait for a peer that has left the membership."""
-        self._fail_pending(name, peers.PeerError("The owner is gone."))
+    def keep_peers(self, present: set[str]) -> None:
+        """Ends the waits for peers that are not among the members.
+
+        Args:
+          present: Names of the members.
+        """
+        gone = {pending.peer for pending in self._pending.values()} - present
+        for name in gone:
+            self._fail_pending(name, peers.PeerError("The owner is gone."))
 
     @property
     def running_for_peers(self) -> int:
--- a/eelgrasshall/coordination/relay_test.py
+++ b/eelgrasshall/coordination/relay_test.py
@@ -33,6 +33,7 @@
         self.seen: list[messages.SubRequest] = []
         self.gate: asyncio.Event | None = None
         self.cancelled = 0
+        self.noted: list[messages.SubResult] = []
 
     async def execute(self, request):
         self.seen.append(request)
@@ -46,6 +47,9 @@
             request.sub_id, request.service, messages.SubOutcome.SERVED
         )
 
+    def note_result(self, result):
+        self.noted.append(result)
+
 
 class FakeStream:
     def __init__(self):
@@ -98,6 +102,15 @@
     bench.relay.accept_results("b", [served])
     assert await task == served
     assert bench.executor.seen == []
+    assert bench.executor.noted == [served]
+
+
+async def test_owner_that_is_gone_frees_what_waits_for_it():
+    bench = Bench()
+    task = await bench.ask()
+    bench.relay.keep_peers({"a", "c"})
+    assert (await task).outcome is messages.SubOutcome.SERVED
+    assert bench.executor.seen[0].direct
 
 
 async def test_crossed_result_is_a_breach():
--- a/measure/demo.py
+++ b/measure/demo.py
@@ -13,9 +13,9 @@
 import sys
 import time
 
-from examples import tandil
 import uvloop
 
+from examples import tandil
 from measure import answers
 from measure import callers
 from measure import deployment
--- a/measure/faults.py
+++ b/measure/faults.py
@@ -16,11 +16,11 @@
 from typing import NamedTuple
 
 import aiohttp
-from examples import obshta_trapeza
 
 from eelgrasshall.fakes import backend
 from eelgrasshall.fakes import records
 from eelgrasshall.protocol import messages
+from examples import obshta_trapeza
 from measure import callers
 from measure import deployment
 from measure import load
--- a/measure/transitions.py
+++ b/measure/transitions.py
@@ -3,10 +3,9 @@
 import asyncio
 from typing import Any
 
-from examples import tandil
-
 from eelgrasshall.fakes import backend
 from eelgrasshall.state import configuration as configurations
+from examples import tandil
 from measure import deployment
 from measure import load
 from measure import scenarios
