--- a/eelgrasshall/state/directory.py
+++ b/eelgrasshall/state/directory.py
@@ -6,12 +6,15 @@
 `coordination.warmup`; this module holds the values.
 """
 
+import collections
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from eelgrasshall.protocol import messages
 from eelgrasshall.state import configuration as configurations
 
+_PAST_INCARNATIONS = 8
+
 
 class Held(NamedTuple):
     """One slot in use.
@@ -41,12 +44,15 @@
       cold: Whether it is in cold start or must be taken to be.
       allowance: Attempts that it may run at once while cold.
       proofs: Successes since the allowance last changed.
+      trials: Latencies of those successes that nothing compares with.
       turns: How often it has been taken to be cold anew.
       held: The slots in use, by attempt.
       reserved: Whether it is kept free for a request that must run alone.
       failures: Failed connections in a row.
       down_until_s: Until when it is not tried again.
       incarnation: As last seen; empty if never.
+      past_incarnations: Those seen before it; whatever names one of them
+        is older than what is known.
       snapshots: As last seen, newest first; empty if never.
       told_warm_s: When another host last reported it warm; None if never.
       sent_s: When an attempt was last sent to it.
@@ -61,12 +67,16 @@
         self.cold = True
         self.allowance = 1
         self.proofs = 0
+        self.trials: list[float] = []
         self.turns = 0
         self.held: dict[str, Held] = {}
         self.reserved = False
         self.failures = 0
         self.down_until_s = 0.0
         self.incarnation = ""
+        self.past_incarnations: collections.deque[str] = collections.deque(
+            maxlen=_PAST_INCARNATIONS
+        )
         self.snapshots: tuple[messages.Snapshot, ...] = ()
         self.told_warm_s: float | None = None
         self.sent_s = 0.0
@@ -81,6 +91,18 @@
         """Returns whether it may get new work at all."""
         return not (self.zone_out or self.removed or self.draining)
 
+    def note_incarnation(self, incarnation: str) -> bool:
+        """Notes a seen incarnation; gives whether the server restarted."""
+        if incarnation == self.incarnation:
+            return False
+        if incarnation in self.past_incarnations:
+            return False
+        known = self.incarnation
+        self.incarnation = incarnation
+        if known:
+            self.past_incarnations.append(known)
+        return bool(known)
+
     def may_hold(self, snapshot: messages.Snapshot | None) -> bool:
         """Returns whether it may be able to serve a pinned snapshot.
 
