--- a/eelgrasshall/commands/commands_test.py
+++ b/eelgrasshall/commands/commands_test.py
@@ -288,7 +288,7 @@
     assert (await run(f"apply {program}"))[0] == exits.ExitCode.CONFLICT
 
 
-async def test_unreachable_daemon_is_skipped_or_told(run, daemon):
+async def test_unreachable_daemon_is_skipped_or_told(run, program):
     code, output, error = await run(f"status -d {_UNUSED} --json")
     assert code == exits.ExitCode.UNREACHABLE
     assert json.loads(output)["problems"][0]["kind"] == "unreachable"
@@ -299,8 +299,8 @@
     assert code == exits.ExitCode.UNREACHABLE
     assert "entry-1 in a: serving" in output
     assert _UNUSED in error
-    code, _, _ = await run(f"zone out b -d {_UNUSED} -d {url}")
-    assert code == exits.ExitCode.INVALID
+    code, _, _ = await run(f"apply {program} -d {_UNUSED} -d {url}")
+    assert code == exits.ExitCode.DONE
 
 
 async def test_dump_of_one_part(run):
--- a/eelgrasshall/declare.py
+++ b/eelgrasshall/declare.py
@@ -205,7 +205,9 @@
         return _invalid(
             f"zones.{name}",
             "The zone is not declared.",
-            f"Name one of {', '.join(names)}.",
+            f"Name one of {', '.join(names)}."
+            if names
+            else "Declare it first.",
         )
     zones = tuple(
         zone._replace(in_service=in_service) if zone.name == name else zone
--- a/eelgrasshall/declare_test.py
+++ b/eelgrasshall/declare_test.py
@@ -83,6 +83,11 @@
     }
 
 
+def test_names_that_headers_cannot_carry_are_refused():
+    kinds = [declare.Kind(name="fi nd", services=("orders",))]
+    assert _refuse(kinds=kinds) == {"kinds.fi nd"}
+
+
 def test_value_without_json_form_is_refused():
     kinds = [declare.Kind(name="find", services=("orders",), weight=object())]
     assert _refuse(kinds=kinds) == {"declaration"}
