--- a/eelgrasshall/metrics.py
+++ b/eelgrasshall/metrics.py
@@ -6,9 +6,11 @@
 a gauge with a callback and costs nothing between scrapes.
 """
 
+import bisect
 from collections.abc import Callable
 from collections.abc import Iterable
 import enum
+import itertools
 import resource
 from typing import NamedTuple
 
@@ -104,9 +106,7 @@
         self._outcomes = meter.create_counter(
             "outcomes", "", "Outcomes of queries, by kind."
         )
-        self._service_latency = meter.create_histogram(
-            "service_latency", "s", "Time of sub-requests, by service."
-        )
+        self._service_latency: dict[str, _Latencies] = {}
         self._hedges = meter.create_counter("hedges", "", "Hedges sent.")
         self._retries = meter.create_counter("retries", "", "Retries sent.")
         self._sheds = meter.create_counter(
@@ -118,6 +118,7 @@
         self._control_bytes = meter.create_counter(
             "control_bytes", "By", "Bytes of heartbeats and configuration."
         )
+        self._observe_service_latency()
         self._observe_process()
 
     def record_query(
@@ -148,8 +149,11 @@
           hedges: Hedges sent for it.
           retries: Retries sent for it.
         """
+        latencies = self._service_latency.get(service)
+        if latencies is None:
+            latencies = self._service_latency[service] = _Latencies()
+        latencies.add(latency_s)
         labels = {"service": service}
-        self._service_latency.record(latency_s, labels)
         if hedges:
             self._hedges.add(hedges, labels)
         if retries:
@@ -197,6 +201,45 @@
         """Releases the meter provider."""
         self._provider.shutdown()
 
+    def _observe_service_latency(self) -> None:
+        """Registers the latencies by service as counters.
+
+        Sub-requests are by far the most frequent event.  A histogram
+        instrument costs several microseconds for each, a counter that is read
+        at a scrape well below one.
+        """
+        name = "service_latency"
+        self._count(
+            f"{name}_bucket",
+            "",
+            "Sub-requests that took at most `le` seconds, by service.",
+            self._read_latency_buckets,
+        )
+        self._count(
+            f"{name}_sum",
+            "s",
+            "Time of sub-requests, by service.",
+            self._read_latency_sums,
+        )
+
+    def _read_latency_buckets(self) -> list[Reading]:
+        """Reads the cumulated buckets of each service."""
+        bounds = [*map(str, LATENCY_BOUNDS_S), "+Inf"]
+        return [
+            Reading(total, {"service": service, "le": bound})
+            for service, latencies in self._service_latency.items()
+            for bound, total in zip(
+                bounds, itertools.accumulate(latencies.counts), strict=True
+            )
+        ]
+
+    def _read_latency_sums(self) -> list[Reading]:
+        """Reads the summed latency of each service."""
+        return [
+            Reading(latencies.sum_s, {"service": service})
+            for service, latencies in self._service_latency.items()
+        ]
+
     def _observe_process(self) -> None:
         """Registers what the operating system counts for this process."""
         self._observe(
@@ -220,18 +263,51 @@
         read: Callable[[], Iterable[Reading]],
     ) -> None:
         """Creates an observable gauge."""
+        callback = _make_callback(read)
+        self._meter.create_observable_gauge(name, [callback], unit, description)
+
+    def _count(
+        self,
+        name: str,
+        unit: str,
+        description: str,
+        read: Callable[[], Iterable[Reading]],
+    ) -> None:
+        """Creates an observable counter."""
+        callback = _make_callback(read)
+        self._meter.create_observable_counter(
+            name, [callback], unit, description
+        )
+
+
+class _Latencies:
+    """Counts of latencies between the bounds, and their sum in seconds."""
+
+    def __init__(self):
+        self.counts = [0] * (len(LATENCY_BOUNDS_S) + 1)
+        self.sum_s = 0.0
+
+    def add(self, latency_s: float) -> None:
+        """Counts one latency."""
+        self.counts[bisect.bisect_left(LATENCY_BOUNDS_S, latency_s)] += 1
+        self.sum_s += latency_s
+
+
+def _make_callback(
+    read: Callable[[], Iterable[Reading]],
+) -> Callable[[otel.CallbackOptions], list[otel.Observation]]:
+    """Returns an instrument's callback that gives present readings."""
 
-        def give(_: otel.CallbackOptions) -> list[otel.Observation]:
-            return [otel.Observation(r.value, r.labels) for r in read()]
+    def give(_: otel.CallbackOptions) -> list[otel.Observation]:
+        return [otel.Observation(r.value, r.labels) for r in read()]
 
-        self._meter.create_observable_gauge(name, [give], unit, description)
+    return give
 
 
 def _make_views() -> list[otel_view.View]:
     """Returns the bucket bounds of each histogram."""
     bounds = {
         "query_latency": LATENCY_BOUNDS_S,
-        "service_latency": LATENCY_BOUNDS_S,
         "coverage": COVERAGE_BOUNDS,
     }
     return [
--- a/eelgrasshall/metrics_test.py
+++ b/eelgrasshall/metrics_test.py
@@ -39,6 +39,24 @@
     )
 
 
+def test_service_latency_has_cumulated_buckets():
+    instruments = metrics.Metrics(name="entry-1")
+    for latency_s in (0.004, 0.005, 0.04, 99.0):
+        instruments.record_sub_request("orders-1", latency_s, 0, 0)
+    samples = _scrape(instruments)
+    bucket = "eelgrasshall_service_latency_bucket_total"
+    counts = {
+        dict(labels)["le"]: value
+        for (name, labels), value in samples.items()
+        if name == bucket
+    }
+    assert (counts["0.005"], counts["0.05"], counts["+Inf"]) == (2, 3, 4)
+    assert len(counts) == len(metrics.LATENCY_BOUNDS_S) + 1
+    service = (("service", "orders-1"),)
+    total = samples["eelgrasshall_service_latency_sum_seconds_total", service]
+    assert round(total, 3) == 99.049
+
+
 def test_gauges_are_read_at_each_scrape():
     instruments = metrics.Metrics(name="entry-1")
     servers = {"a": 1.0}
