A change whose reply is lost is sent again instead of read back

The daemons know a change by its change id, so sending it again is accepted once and needs no guess from contents, which took another operator's equal change for one's own. A change whose fate the daemon itself cannot learn now has its own kind of problem: the command line would have called it refused, which says that nothing was changed. Settings: the address at which peers reach a host may differ from the one that it opens.

--- a/eelgrasshall/commands/rollout.py
+++ b/eelgrasshall/commands/rollout.py
@@ -1,8 +1,8 @@
 """Changing the configuration through a daemon and watching it come into force.
 
 A change starts from the version in force and is accepted only while that is
-still the newest.  A lost reply is resolved by reading back, so that an
-operator learns whether the change was accepted.
+still the newest.  After a lost reply it is sent again: by its change id the
+daemons know a change that was accepted already, and accept it only once.
 """
 
 from collections.abc import Callable
@@ -11,15 +11,14 @@
 
 from eelgrasshall import clock as clock_module
 from eelgrasshall import errors
-from eelgrasshall.commands import changes
 from eelgrasshall.commands import client
 from eelgrasshall.protocol import admin
 from eelgrasshall.state import configuration
 
 PATH = "/v1/configuration"
 NOT_FOUND = 404
-READ_BACK_TRIES = 10
-READ_BACK_PAUSE_S = 0.5
+SEND_TRIES = 3
+SEND_PAUSE_S = 0.5
 WATCH_PAUSE_S = 0.5
 
 EMPTY = configuration.Configuration(
@@ -83,20 +82,17 @@
     """
     base_version = changed.version
     target = changed._replace(version=base_version + 1, change_id=change_id)
-    reply = await client.send(
-        urls,
-        PATH,
-        body=configuration.format_configuration(target),
-        params={"base_version": str(base_version)},
-        timeout_s=client.APPLY_TIMEOUT_S,
-    )
-    if isinstance(reply, errors.Problem):
-        if reply.kind is not errors.ProblemKind.REPLY_LOST:
-            return [reply]
-        return await _read_back(urls, target, reply, clock)
-    if reply.status != client.OK:
-        return client.read_problems(reply)
-    return target.version
+    body = configuration.format_configuration(target)
+    problems: list[errors.Problem] = []
+    for _ in range(SEND_TRIES):
+        if problems:
+            await clock.sleep(SEND_PAUSE_S)
+        problems = await _send(urls, body, base_version)
+        if not problems:
+            return target.version
+        if problems[0].kind is not errors.ProblemKind.REPLY_LOST:
+            return problems
+    return problems
 
 
 async def watch(
@@ -150,35 +146,17 @@
     )
 
 
-async def _read_back(
-    urls: Sequence[str],
-    target: configuration.Configuration,
-    lost: errors.Problem,
-    clock: clock_module.Clock,
-) -> int | list[errors.Problem]:
-    """Finds out whether a change was accepted whose reply was lost."""
-    for _ in range(READ_BACK_TRIES):
-        await clock.sleep(READ_BACK_PAUSE_S)
-        current = await read_current(urls)
-        if isinstance(current, list):
-            continue
-        if current.version < target.version:
-            continue
-        if current.version > target.version:
-            return [lost]
-        if not changes.compare(current, target):
-            return target.version
-        return [_make_conflict(current)]
-    return [lost]
-
-
-def _make_conflict(
-    current: configuration.Configuration,
-) -> errors.Problem:
-    """Returns the problem that another change became the next version."""
-    return errors.Problem(
-        kind=errors.ProblemKind.CONFIGURATION_CONFLICT,
-        where="configuration",
-        what=f"Another change was accepted as version {current.version}.",
-        remedy="Look at it with diff, then repeat yours if it still fits.",
+async def _send(
+    urls: Sequence[str], body: bytes, base_version: int
+) -> list[errors.Problem]:
+    """Sends a change once; gives no problems if it was accepted."""
+    reply = await client.send(
+        urls,
+        PATH,
+        body=body,
+        params={"base_version": str(base_version)},
+        timeout_s=client.APPLY_TIMEOUT_S,
     )
+    if isinstance(reply, errors.Problem):
+        return [reply]
+    return [] if reply.status == client.OK else client.read_problems(reply)
--- a/eelgrasshall/coordination/change.py
+++ b/eelgrasshall/coordination/change.py
@@ -230,6 +230,7 @@
 ) -> errors.Problem:
     """Returns the problem of a change whose fate could not be read back."""
     return problem._replace(
+        kind=errors.ProblemKind.REPLY_LOST,
         what=(
             f"{problem.what} Whether change {change.change_id} was accepted "
             "is not known."
--- a/eelgrasshall/settings.py
+++ b/eelgrasshall/settings.py
@@ -104,6 +104,8 @@
       policy: How sub-requests are sent.
       address_ttl_s: How long callers may keep an address answer.
       drain_s: Most time that a planned stop waits for requests in flight.
+      advertised_peer: Where the other entry hosts reach the peer listener, if
+        that is another address than the one it opens.
     """
 
     name: Name
@@ -119,6 +121,12 @@
     policy: PolicySettings = PolicySettings()
     address_ttl_s: Seconds = 5.0
     drain_s: Seconds = 30.0
+    advertised_peer: Listener | None = None
+
+    @property
+    def peer_address(self) -> Listener:
+        """Where the other entry hosts reach the peer listener."""
+        return self.advertised_peer or self.peer
 
 
 _ADAPTER = pydantic.TypeAdapter(Settings)
--- a/eelgrasshall/settings_test.py
+++ b/eelgrasshall/settings_test.py
@@ -27,6 +27,13 @@
     assert parsed.platform_url == "http://127.0.0.1:7000"
 
 
+def test_peer_address_may_be_another_than_the_one_opened():
+    assert _parse()[0].peer_address == settings.Listener("127.0.0.1", 7200)
+    parsed, _ = _parse(advertised_peer={"host": "10.0.0.9", "port": 7201})
+    assert parsed.peer_address == settings.Listener("10.0.0.9", 7201)
+    assert parsed.peer == settings.Listener("127.0.0.1", 7200)
+
+
 def test_every_mistake_is_reported_with_its_path():
     parsed, problems = _parse(
         name="",
--- a/eelgrasshall/transport/admin.py
+++ b/eelgrasshall/transport/admin.py
@@ -23,6 +23,7 @@
     errors.ProblemKind.STORE_UNAVAILABLE: 503,
     errors.ProblemKind.NO_CONFIGURATION: 503,
     errors.ProblemKind.LEAVING: 503,
+    errors.ProblemKind.REPLY_LOST: 504,
 }
 
 
--- a/eelgrasshall/transport/admin_test.py
+++ b/eelgrasshall/transport/admin_test.py
@@ -79,6 +79,7 @@
     [
         (errors.ProblemKind.CONFIGURATION_CONFLICT, 409),
         (errors.ProblemKind.STORE_UNAVAILABLE, 503),
+        (errors.ProblemKind.REPLY_LOST, 504),
         (errors.ProblemKind.INVALID_CONFIGURATION, 422),
     ],
 )
