Claims: at most one run for each idempotency key

A claim is a conditional create in the store before anything is sent; a lost reply is read back by nonce, an outcome is recorded for resends to any host, a refused run releases the key, and the creator deletes the claim after an hour. With the store out a request is called not run only if its caller states that no earlier send may have run, since an earlier send to another host may have: a plain refusal there was ruled out because it could be false.

Seen to fail with each switched off: the claim, its condition, the read-back, the caution in an outage, the release, the record, the memory of claims that never ran, the digest, the deletion, and the wait for another host's run.

--- /dev/null
+++ b/eelgrasshall/coordination/claims_test.py
@@ -0,0 +1,236 @@
+"""Tests of idempotency keys over resends, lost replies and outages."""
+
+import asyncio
+import json
+import random
+
+import pytest
+
+from eelgrasshall import clock as clock_module
+from eelgrasshall import errors
+from eelgrasshall import invariants as invariants_module
+from eelgrasshall.coordination import claims
+from eelgrasshall.protocol import caller
+from eelgrasshall.protocol import platform
+
+OUT = errors.Problem(
+    errors.ProblemKind.STORE_UNAVAILABLE, "platform", "It is out.", "Wait."
+)
+
+
+class MemoryStore:
+    """An object store whose replies can be lost and writes be late."""
+
+    def __init__(self):
+        self.objects = {}
+        self.version = 0
+        self.out = False
+        self.lost_replies = 0
+        self.late = None
+
+    async def write(self, kind, name, value, if_version):
+        if self.out:
+            return OUT
+        if self.late is not None:
+            self.late.append((kind, name, value, if_version))
+            return platform.Unknown(OUT)
+        result = self.apply(kind, name, value, if_version)
+        if self.lost_replies:
+            self.lost_replies -= 1
+            return platform.Unknown(OUT)
+        return result
+
+    def apply(self, kind, name, value, if_version):
+        current = self.objects.get((kind, name))
+        if (current.version if current else 0) != if_version:
+            return platform.Conflict(current)
+        self.version += 1
+        # Through JSON, as the real one.
+        value = json.loads(json.dumps(value))
+        stored = platform.StoredObject(name, self.version, value)
+        self.objects[kind, name] = stored
+        return platform.Written(self.version)
+
+    async def read(self, kind, name):
+        if self.out:
+            return OUT
+        return self.objects.get((kind, name), platform.Absent(name))
+
+    async def delete(self, kind, name, if_version=None):
+        if self.out:
+            return OUT
+        current = self.objects.get((kind, name))
+        if current is None:
+            return platform.Absent(name)
+        if current.version != if_version:
+            return platform.Conflict(current)
+        del self.objects[kind, name]
+        return platform.Deleted(name)
+
+
+def make_book(clock, store: MemoryStore, seed: int = 1) -> claims.ClaimBook:
+    return claims.ClaimBook(
+        clock=clock,
+        random=random.Random(seed),
+        invariants=invariants_module.Invariants(raising=True),
+        store=store,
+    )
+
+
+class Fleet:
+    """Two hosts with one store, and the runs that they make."""
+
+    def __init__(self):
+        self.clock = clock_module.ManualClock()
+        self.store = MemoryStore()
+        self.books = [
+            make_book(self.clock, self.store, seed) for seed in (1, 2)
+        ]
+        self.runs = 0
+        self.result = caller.Answer(
+            caller.Coverage(True, 1.0, ("s",), ()),
+            None,
+            (caller.Part("s", b"[1]"),),
+        )
+        self.duration_s = 0.0
+
+    async def run(self):
+        self.runs += 1
+        await self.clock.sleep(self.duration_s)
+        return self.result
+
+    def send(self, host: int, *, digest="d", first_send=False) -> asyncio.Task:
+        book = self.books[host]
+        request = caller.QueryRequest(
+            "id", "reserve", b"{}", idempotency_key="k", first_send=first_send
+        )
+        claim = book.prepare(
+            request,
+            digest=digest,
+            until=self.clock.monotonic() + 0.9,
+            ticket_prefix="prefix",
+        )
+        run = book.run(
+            claim, run=lambda: book.hold(claim, self.run), wait_s=1.0
+        )
+        return asyncio.create_task(run)
+
+    async def get(self, host: int, **options):
+        task = self.send(host, **options)
+        await self.clock.advance(1.0)
+        assert task.done()
+        return task.result()
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    return Fleet()
+
+
+async def test_resend_to_another_host_gets_the_recorded_outcome(fleet):
+    first = await fleet.get(0)
+    again = await fleet.get(1)
+    assert fleet.runs == 1
+    assert isinstance(again, caller.Recorded)
+    assert caller.encode(again, "x") == caller.encode(first, "x")
+
+
+async def test_racing_sends_to_two_hosts_run_once(fleet):
+    fleet.duration_s = 0.3
+    tasks = [fleet.send(0), fleet.send(1)]
+    await fleet.clock.advance(1.0)
+    assert fleet.runs == 1
+    bodies = {caller.encode(task.result(), "x").body for task in tasks}
+    assert len(bodies) == 1
+
+
+async def test_lost_reply_of_the_claim_is_read_back(fleet):
+    fleet.store.lost_replies = 1
+    assert await fleet.get(0) == fleet.result
+    assert fleet.runs == 1
+
+
+async def test_claim_that_lands_late_after_a_retry_changes_nothing(fleet):
+    fleet.store.late = []
+    task = fleet.send(0)
+    await fleet.clock.advance(0)
+    late, fleet.store.late = fleet.store.late, None
+    await fleet.clock.advance(0.5)
+    for write in late:
+        fleet.store.apply(*write)
+    await fleet.get(1)
+    assert fleet.runs <= 1
+    assert task.done()
+
+
+@pytest.mark.parametrize(
+    ("first_send", "kind"), [(True, caller.Refusal), (False, caller.Failure)]
+)
+async def test_store_out_runs_nothing_and_offers_a_ticket(
+    fleet, first_send, kind
+):
+    fleet.store.out = True
+    result = await fleet.get(0, first_send=first_send)
+    assert isinstance(result, kind)
+    assert result.ticket_prefix == "prefix"
+    assert result.retry_after_s > 0
+    assert fleet.runs == 0
+
+
+async def test_a_run_elsewhere_is_never_called_not_run_in_an_outage(fleet):
+    await fleet.get(0)
+    fleet.store.out = True
+    result = await fleet.get(1)
+    assert not isinstance(result, caller.Refusal)
+
+
+async def test_store_back_after_a_claim_that_landed_unseen(fleet):
+    fleet.store.late = []
+    task = fleet.send(0, first_send=True)
+    await fleet.clock.advance(0)
+    late = fleet.store.late[:1]
+    fleet.store.out = True
+    await fleet.clock.advance(1.0)
+    assert task.done()
+    fleet.store.out, fleet.store.late = False, None
+    for write in late:
+        fleet.store.apply(*write)
+    assert await fleet.get(0) == fleet.result
+    assert fleet.runs == 1
+
+
+async def test_refused_run_releases_the_key_for_other_hosts(fleet):
+    answer, fleet.result = fleet.result, caller.Refusal((OUT,))
+    assert isinstance(await fleet.get(0), caller.Refusal)
+    fleet.result = answer
+    assert await fleet.get(1) == answer
+    assert isinstance(await fleet.get(0), caller.Recorded)
+    assert fleet.runs == 2
+
+
+async def test_claim_without_an_outcome_is_never_run_by_another_host(fleet):
+    fleet.duration_s = 3600.0
+    task = fleet.send(0)
+    await fleet.clock.advance(0)
+    result = await fleet.get(1)
+    assert isinstance(result, caller.Failure)
+    assert fleet.runs == 1
+    assert task.done()
+
+
+async def test_other_body_under_the_same_key_is_refused(fleet):
+    await fleet.get(0)
+    for host in (0, 1):
+        result = await fleet.get(host, digest="other")
+        assert result.problems[0].kind is errors.ProblemKind.TICKET_USED
+    assert fleet.runs == 1
+
+
+async def test_creator_deletes_expired_claims(fleet):
+    await fleet.books[0].start()
+    await fleet.get(0)
+    await fleet.clock.advance(claims.CLAIM_TTL_S - 10)
+    assert fleet.store.objects
+    await fleet.clock.advance(2 * claims.SWEEP_PERIOD_S)
+    assert not fleet.store.objects
+    await fleet.books[0].stop()
--- a/eelgrasshall/coordination/once.py
+++ b/eelgrasshall/coordination/once.py
@@ -21,8 +21,20 @@
 
 MAX_RECORDS = 100_000
 
-Result = caller.Answer | caller.Refusal | caller.Failure
-Run = Callable[[], Awaitable[Result]]
+Result = caller.Answer | caller.Refusal | caller.Failure | caller.Recorded
+
+
+class Elsewhere(NamedTuple):
+    """An outcome of a run that was not here; it is not remembered.
+
+    Attributes:
+      result: The outcome.
+    """
+
+    result: Result
+
+
+Run = Callable[[], Awaitable[Result | Elsewhere]]
 
 
 class _Record(NamedTuple):
@@ -96,7 +108,7 @@
                 return caller.Refusal((_full(),), retry_after_s=1.0)
             record = self._start(key, digest, run, keep_s)
         elif record.digest != digest:
-            return caller.Refusal((_used(),))
+            return caller.Refusal((describe_reuse(),))
         return await self._wait(record, wait_s)
 
     def _start(
@@ -135,10 +147,10 @@
             )
         finally:
             self.running -= 1
-        if isinstance(result, caller.Refusal):
+        if isinstance(result, caller.Refusal | Elsewhere):
             del self._records[key]
             del self._runs[key]
-        return result
+        return result.result if isinstance(result, Elsewhere) else result
 
     async def _wait(self, record: _Record, wait_s: float) -> Result:
         """Waits for the outcome of a run without stopping it."""
@@ -181,7 +193,7 @@
     )
 
 
-def _used() -> errors.Problem:
+def describe_reuse() -> errors.Problem:
     """Returns the problem of a ticket or key under which another ran."""
     return errors.Problem(
         errors.ProblemKind.TICKET_USED,
--- a/eelgrasshall/coordination/query.py
+++ b/eelgrasshall/coordination/query.py
@@ -17,6 +17,7 @@
 from eelgrasshall import invariants as invariants_module
 from eelgrasshall.coordination import addresses as addresses_module
 from eelgrasshall.coordination import admission as admission_module
+from eelgrasshall.coordination import claims as claims_module
 from eelgrasshall.coordination import gather as gather_module
 from eelgrasshall.coordination import once
 from eelgrasshall.coordination import plan as plan_module
@@ -68,6 +69,7 @@
         admission: admission_module.Admission,
         snapshots: snapshots_module.SnapshotTable,
         tickets: tickets_module.TicketBook,
+        claims: claims_module.ClaimBook,
         address_ttl_s: float = addresses_module.DEFAULT_TTL_S,
     ):
         self._name = name
@@ -80,18 +82,19 @@
         self._admission = admission
         self._snapshots = snapshots
         self._tickets = tickets
+        self._claims = claims
         self._address_ttl_s = address_ttl_s
         self._id_prefix = f"{name}-{random.getrandbits(_ID_BITS):016x}"
         self._id_count = 0
         self._refuse_at: float | None = None
         self._callers_waiting = 0
-        # Sub-requests that a backend server may have run, by query.
-        self._sent: dict[str, set[str]] = {}
+        self._open: dict[str, _OpenQuery] = {}
 
     @property
     def in_flight(self) -> int:
         """Requests in flight, whether or not their callers still wait."""
-        return self._callers_waiting + self._tickets.running
+        detached = self._tickets.running + self._claims.running
+        return self._callers_waiting + detached
 
     def begin_leaving(self) -> None:
         """Refuses new requests once the addresses given are out of use."""
@@ -104,7 +107,8 @@
             "leaving": self._refuse_at is not None,
             "admission": self._admission.dump(),
             "snapshots": self._snapshots.dump(),
-            "run_once_running": self._tickets.running,
+            "tickets_running": self._tickets.running,
+            "claims_running": self._claims.running,
         }
 
     async def run(self, request: caller.QueryRequest) -> caller.Outcome:
@@ -184,7 +188,9 @@
             now=self._clock.monotonic(),
         )
         if kind.repeatable:
-            return await self._admit_and_run(plan, request.caller)
+            return await self._admit_and_run(
+                plan, request.caller, lambda: self._run_plan(plan)
+            )
         return await self._run_once(plan, request, relayed=relayed)
 
     async def _run_once(
@@ -195,19 +201,47 @@
         relayed: bool,
     ) -> once.Result | caller.Outcome:
         """Runs a request that may not be repeated."""
-        if not request.ticket:
-            return self._refuse(_no_ticket(plan.kind.name))
-        return await self._tickets.run(
+        if request.ticket:
+            return await self._tickets.run(
+                request,
+                digest=plan.fingerprint,
+                run=lambda: self._admit_and_run(
+                    plan, request.caller, lambda: self._run_plan(plan)
+                ),
+                wait_s=plan.answer_at - self._clock.monotonic(),
+                relayed=relayed,
+            )
+        if request.idempotency_key:
+            return await self._run_claimed(plan, request)
+        return self._refuse(_no_ticket(plan.kind.name))
+
+    async def _run_claimed(
+        self, plan: plan_module.Plan, request: caller.QueryRequest
+    ) -> once.Result:
+        """Runs a request that has an idempotency key.
+
+        It is admitted before its key is claimed, so that a refusal costs the
+        store nothing.
+        """
+        claim = self._claims.prepare(
             request,
             digest=plan.fingerprint,
-            run=lambda: self._admit_and_run(plan, request.caller),
+            until=plan.results_at,
+            ticket_prefix=self._make_ticket_prefix(),
+        )
+        return await self._claims.run(
+            claim,
+            run=lambda: self._admit_and_run(
+                plan,
+                request.caller,
+                lambda: self._claims.hold(claim, lambda: self._run_plan(plan)),
+            ),
             wait_s=plan.answer_at - self._clock.monotonic(),
-            relayed=relayed,
         )
 
     async def _admit_and_run(
-        self, plan: plan_module.Plan, caller_name: str
-    ) -> once.Result:
+        self, plan: plan_module.Plan, caller_name: str, run: once.Run
+    ) -> once.Result | once.Elsewhere:
         """Admits a request and runs it."""
         now = self._clock.monotonic()
         if self._refuse_at is not None and now >= self._refuse_at:
@@ -217,20 +251,26 @@
         )
         if isinstance(decision, admission_module.Rejection):
             return self._refuse(decision.problem, decision.retry_after_s)
-        queue_wait_s = None
-        self._sent[plan.query_id] = set()
+        opened = _OpenQuery()
+        self._open[plan.query_id] = opened
         try:
-            gathered = await self._gather(plan)
-            queue_wait_s = gathered.queue_wait_s
-            return self._conclude(plan, gathered)
+            return await run()
         finally:
-            del self._sent[plan.query_id]
+            del self._open[plan.query_id]
             self._admission.release(
                 decision,
-                queue_wait_s=queue_wait_s,
+                queue_wait_s=opened.queue_wait_s,
                 deadline_s=plan.kind.deadline_ms / 1000,
             )
 
+    async def _run_plan(self, plan: plan_module.Plan) -> once.Result:
+        """Scatters, gathers and concludes, if there is time left."""
+        if self._clock.monotonic() >= plan.results_at:
+            return self._refuse(_too_late(plan.kind.name), RETRY_AFTER_S)
+        gathered = await self._gather(plan)
+        self._open[plan.query_id].queue_wait_s = gathered.queue_wait_s
+        return self._conclude(plan, gathered)
+
     def _gather(
         self, plan: plan_module.Plan
     ) -> Awaitable[gather_module.Gathered]:
@@ -247,7 +287,7 @@
 
     async def _send(self, request: messages.SubRequest) -> messages.SubResult:
         """Dispatches a sub-request and notes whether it may have run."""
-        sent = self._sent[request.query_id]
+        sent = self._open[request.query_id].sent
         sent.add(request.sub_id)
         result = await self._dispatch(request)
         if result.outcome in gather_module.RAN_NOWHERE:
@@ -264,7 +304,7 @@
         if gathered.parts and total.key_share >= floor:
             return caller.Answer(total, gathered.snapshot, gathered.parts)
         if not gathered.may_have_run:
-            sent = self._sent[plan.query_id]
+            sent = self._open[plan.query_id].sent
             self._invariants.check(
                 invariants_module.Promise.NOT_RUN_IS_TRUE,
                 not sent,
@@ -339,6 +379,25 @@
         return f"{self._id_prefix}-{self._id_count:x}"
 
 
+class _OpenQuery:
+    """What is noted of a query while it runs."""
+
+    def __init__(self):
+        # Sub-requests that a backend server may have run.
+        self.sent: set[str] = set()
+        self.queue_wait_s: float | None = None
+
+
+def _too_late(kind: str) -> errors.Problem:
+    """Returns the problem of a request that was too late to send."""
+    return errors.Problem(
+        errors.ProblemKind.DEADLINE_TOO_SHORT,
+        kind,
+        "Its time was up before anything was sent.",
+        "Allow a longer deadline.",
+    )
+
+
 def _unconfigured() -> errors.Problem:
     """Returns the problem of a host without a configuration."""
     return errors.Problem(
--- a/eelgrasshall/coordination/query_test.py
+++ b/eelgrasshall/coordination/query_test.py
@@ -11,6 +11,7 @@
 from eelgrasshall import errors
 from eelgrasshall import invariants as invariants_module
 from eelgrasshall.coordination import admission
+from eelgrasshall.coordination import claims_test
 from eelgrasshall.coordination import query
 from eelgrasshall.coordination import tickets
 from eelgrasshall.protocol import caller
@@ -111,6 +112,7 @@
             invariants=invariants,
             run_at_home=run_at_home,
         ),
+        claims=claims_test.make_book(clock, claims_test.MemoryStore()),
     )
     return Parts(clock, backends, invariants, coordinator)
 
--- a/eelgrasshall/protocol/caller.py
+++ b/eelgrasshall/protocol/caller.py
@@ -182,6 +182,18 @@
     ticket_prefix: str = ""
 
 
+class Recorded(NamedTuple):
+    """An outcome as kept for resends.
+
+    Attributes:
+      status: HTTP status code.
+      body: JSON bytes, with an empty request id.
+    """
+
+    status: int
+    body: bytes
+
+
 class Outcome(NamedTuple):
     """An outcome in its HTTP form.
 
@@ -297,7 +309,7 @@
 
 
 def encode(
-    result: Answer | Refusal | Failure | Outcome, request_id: str
+    result: Answer | Refusal | Failure | Recorded | Outcome, request_id: str
 ) -> Outcome:
     """Returns the HTTP form of an outcome.
 
@@ -311,6 +323,12 @@
         return encode_refusal(result, request_id)
     if isinstance(result, Failure):
         return encode_failure(result, request_id)
+    if isinstance(result, Recorded):
+        document = json.loads(result.body)
+        document["request_id"] = request_id
+        # The order of the fields stays that of the first answer.
+        body = json.dumps(document, separators=(",", ":")).encode()
+        return decode_outcome(result.status, body)
     return result
 
 
