--- a/eelgrasshall/application.py
+++ b/eelgrasshall/application.py
@@ -18,6 +18,7 @@
 from eelgrasshall import metrics as metrics_module
 from eelgrasshall import settings as settings_module
 from eelgrasshall.coordination import admission
+from eelgrasshall.coordination import claims
 from eelgrasshall.coordination import executor
 from eelgrasshall.coordination import facts
 from eelgrasshall.coordination import membership
@@ -92,6 +93,7 @@
         self._pause.start()
         self._membership.start()
         self._keeper.start()
+        await self._claims.start()
         await self._callers.start(settings.caller.host, settings.caller.port)
         logger.info(f"application: {settings.name} serves.")
 
@@ -112,6 +114,7 @@
     async def stop(self) -> None:
         """Closes every part at once."""
         await self._callers.stop(self._settings.drain_s if self._leaving else 0)
+        await self._claims.stop()
         self._ownership.stop()
         self._pause.stop()
         await self._keeper.stop()
@@ -328,6 +331,12 @@
     def _make_caller_side(self, random: random_module.Random) -> None:
         """Makes the parts that answer callers."""
         settings = self._settings
+        self._claims = claims.ClaimBook(
+            clock=self._clock,
+            random=random,
+            invariants=self.invariants,
+            store=self._platform,
+        )
         self._coordinator = query.QueryCoordinator(
             name=settings.name,
             zone=settings.zone,
@@ -347,6 +356,7 @@
                 invariants=self.invariants,
                 run_at_home=self._run_at_home,
             ),
+            claims=self._claims,
             address_ttl_s=settings.address_ttl_s,
         )
         self._callers = callers.CallerServer(
--- a/eelgrasshall/coordination/query.py
+++ b/eelgrasshall/coordination/query.py
@@ -31,6 +31,10 @@
 LEAVING_RETRY_AFTER_S = 0.1
 MAX_REFUSAL_ADDRESSES = 8
 _ID_BITS = 64
+# Refusals after which a request that may not be repeated needs a new ticket.
+_WITH_TICKET = frozenset(
+    {errors.ProblemKind.TICKET_REQUIRED, errors.ProblemKind.LEAVING}
+)
 
 GetConfiguration = Callable[[], configuration_module.Configuration | None]
 GetMembers = Callable[[], tuple[addresses_module.Host, ...]]
@@ -341,7 +345,7 @@
         if retry_after_s is not None:
             other = self._choose_other_addresses()
         prefix = ""
-        if problem.kind is errors.ProblemKind.TICKET_REQUIRED:
+        if problem.kind in _WITH_TICKET:
             prefix = self._make_ticket_prefix()
         return caller.Refusal((problem,), retry_after_s, other, prefix)
 
@@ -448,7 +452,8 @@
         errors.ProblemKind.LEAVING,
         "host",
         f"The host {name} is leaving.",
-        "Send it to one of the addresses given.",
+        "Send it to one of the addresses given, with a new ticket if it had "
+        "one.",
     )
 
 
