Callers' listener: tests on the loopback; a stop at once is no planned stop

Seen to fail with each switched off: cancellation when the caller goes, the wait at a stop, the closing of connections while leaving, typed errors for what the HTTP library refuses, unknown fields, and NaN.

--- a/eelgrasshall/transport/callers.py
+++ b/eelgrasshall/transport/callers.py
@@ -92,25 +92,33 @@
         """Closes the listener, finishes what is in flight, then closes.
 
         Args:
-          timeout_s: Seconds after which requests are cut all the same.
+          timeout_s: Seconds after which requests are cut all the same; 0
+            stops at once, which is no planned stop.
         """
         if self._runner is None:
             return
+        runner, self._runner = self._runner, None
         self._leaving = True
         await self._site.stop()
+        try:
+            if timeout_s > 0:
+                await self._finish(timeout_s)
+        finally:
+            await runner.cleanup()
+
+    async def _finish(self, timeout_s: float) -> None:
+        """Waits until nothing is in flight."""
         try:
             async with asyncio.timeout(timeout_s):
                 await self._idle.wait()
         except TimeoutError:
-            logger.error(f"callers: {self.in_flight} requests were cut.")
+            logger.error(f"callers: {self.in_flight} requests are cut.")
         if self._invariants is not None:
             self._invariants.check(
                 invariants_module.Promise.STOP_CUTS_NOTHING,
                 self.in_flight == 0,
                 f"{self.in_flight} requests in flight at the stop",
             )
-        await self._runner.cleanup()
-        self._runner = None
 
     async def _answer_query(self, request: web.Request) -> web.Response:
         """Serves POST /v1/query."""
--- /dev/null
+++ b/eelgrasshall/transport/callers_test.py
@@ -0,0 +1,184 @@
+"""Tests of the callers' HTTP listener on the loopback."""
+
+import asyncio
+import json
+
+import aiohttp
+import pytest
+
+from eelgrasshall import invariants as invariants_module
+from eelgrasshall.protocol import caller
+from eelgrasshall.transport import callers
+
+ANSWER = caller.Outcome(caller.Verdict.ANSWER, 200, (), b"{}")
+
+
+class Handler:
+    """Answers when told to."""
+
+    def __init__(self):
+        self.requests = []
+        self.cancelled = asyncio.Event()
+        self.arrived = asyncio.Event()
+        self.release = asyncio.Event()
+        self.release.set()
+
+    async def query(self, request):
+        self.requests.append(request)
+        self.arrived.set()
+        try:
+            await self.release.wait()
+        except asyncio.CancelledError:
+            self.cancelled.set()
+            raise
+        return ANSWER
+
+    async def addresses(self, zone):
+        answer = caller.AddressAnswer(5.0, (), f"prefix-{zone}")
+        return caller.encode_addresses(answer)
+
+
+class Site:
+    """A listener with a client."""
+
+    def __init__(self, handler, server, port):
+        self.handler = handler
+        self.server = server
+        self.url = f"http://127.0.0.1:{port}"
+        self.client = aiohttp.ClientSession()
+
+    def post(self, document=None, **options):
+        if document is not None:
+            options["data"] = json.dumps(document)
+        return self.client.post(f"{self.url}/v1/query", **options)
+
+
+@pytest.fixture
+async def site():
+    handler = Handler()
+    server = callers.CallerServer(
+        handler=handler, invariants=invariants_module.Invariants(raising=True)
+    )
+    port = await server.start("127.0.0.1", 0)
+    made = Site(handler, server, port)
+    yield made
+    handler.release.set()
+    await made.client.close()
+    await server.stop()
+
+
+QUERY = {"kind": "orders", "query": {"b": 1, "a": [2.5]}, "deadline_ms": 300}
+
+
+async def test_request_is_read_and_its_id_echoed(site):
+    headers = {"X-Request-Id": "r7", "X-Caller": "gang", "Idempotency-Key": "k"}
+    async with site.post(QUERY, headers=headers) as response:
+        assert response.status == 200
+        assert response.headers["X-Request-Id"] == "r7"
+        assert await response.json() == {}
+    assert site.handler.requests == [
+        caller.QueryRequest(
+            "r7", "orders", b'{"a":[2.5],"b":1}', 300, "gang", "", "k"
+        )
+    ]
+
+
+@pytest.mark.parametrize(
+    ("data", "where"),
+    [
+        (b"", "body"),
+        (b"[1]", "body"),
+        (b'{"kind":"k","query":NaN}', "body"),
+        (b"[" * 100_000, "body"),
+        (b'{"kind":"k"}', "query"),
+        (b'{"query":1}', "kind"),
+        (b'{"kind":7,"query":1}', "kind"),
+        (b'{"kind":"k","query":1,"deadline_ms":0}', "deadline_ms"),
+        (b'{"kind":"k","query":1,"deadline_ms":true}', "deadline_ms"),
+        (b'{"kind":"k","query":1,"extra":1}', "extra"),
+        (b'{"kind":"k","query":1,"ticket":"\\u0007"}', "ticket"),
+        (b'{"kind":"k","query":1,"first_send":1}', "first_send"),
+    ],
+)
+async def test_malformed_input_gets_a_typed_error(site, data, where):
+    async with site.post(data=data) as response:
+        document = await response.json()
+    assert response.status == 400
+    assert document["outcome"] == "not_run"
+    assert document["problems"][0]["kind"] == "malformed_request"
+    assert document["problems"][0]["where"] == where
+    assert document["problems"][0]["remedy"]
+    assert not site.handler.requests
+
+
+async def test_oversized_body_is_refused(site):
+    data = b"x" * (callers.MAX_HTTP_BODY_BYTES + 1)
+    async with site.post(data=data) as response:
+        document = await response.json()
+    assert response.status == 413
+    assert document["problems"][0]["kind"] == "request_too_large"
+    assert not site.handler.requests
+
+
+async def test_unknown_path_gets_a_typed_error(site):
+    async with site.client.get(f"{site.url}/v2/query") as response:
+        assert response.status == 404
+        assert (await response.json())["outcome"] == "not_run"
+
+
+async def test_addresses_are_asked_by_zone(site):
+    async with site.client.get(f"{site.url}/v1/addresses?zone=z1") as response:
+        assert (await response.json())["ticket_prefix"] == "prefix-z1"
+
+
+async def test_caller_gone_cancels_its_request(site):
+    site.handler.release.clear()
+    task = asyncio.create_task(site.post(QUERY).__aenter__())
+    await site.handler.arrived.wait()
+    task.cancel()
+    async with asyncio.timeout(5):
+        await site.handler.cancelled.wait()
+
+
+async def wait_until_refused(site):
+    """Connects anew until the listener is closed."""
+    async with asyncio.timeout(5):
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(
+                    "127.0.0.1", int(site.url.rpartition(":")[2])
+                )
+            except OSError:
+                return
+            writer.close()
+
+
+async def test_stop_finishes_what_is_in_flight(site):
+    site.handler.release.clear()
+    task = asyncio.create_task(site.post(QUERY).__aenter__())
+    await site.handler.arrived.wait()
+    stop = asyncio.create_task(site.server.stop())
+    await wait_until_refused(site)
+    site.handler.release.set()
+    response = await task
+    assert response.status == 200
+    assert response.headers["Connection"] == "close"
+    await stop
+
+
+async def test_stop_that_cuts_a_request_is_a_breach(site):
+    site.handler.release.clear()
+    task = asyncio.create_task(site.post(QUERY).__aenter__())
+    await site.handler.arrived.wait()
+    with pytest.raises(invariants_module.BreachError):
+        await site.server.stop(timeout_s=0.01)
+    with pytest.raises(aiohttp.ServerDisconnectedError):
+        await task
+
+
+async def test_leaving_asks_callers_to_close(site):
+    async with site.post(QUERY) as response:
+        assert response.headers.get("Connection") != "close"
+    site.server.begin_leaving()
+    async with site.post(QUERY) as response:
+        assert response.headers["Connection"] == "close"
