--- a/eelgrasshall/coordination/admission.py
+++ b/eelgrasshall/coordination/admission.py
@@ -11,6 +11,7 @@
 refusal names the time to come back.
 """
 
+from collections.abc import Sequence
 import math
 import random as random_module
 from typing import NamedTuple
@@ -22,8 +23,11 @@
 CONTENDED_SHARE = 0.8
 DEFAULT_HOST_LIMIT = 1024
 # Queue waits are kept near this share of the kind's deadline.
-TARGET_WAIT_SHARE = 0.15
+TARGET_WAIT_SHARE = 0.25
 DECREASE_FACTOR = 0.9
+# The wait that counts is the one that this share of a request's services stay
+# within, so that one service that is down does not close the whole kind.
+WAIT_QUANTILE = 0.75
 MIN_LIMIT = 2.0
 # A caller or kind counts for the shares this long after its last request.
 ACTIVE_S = 1.0
@@ -151,18 +155,23 @@
         return Permit(kind.name, caller, now)
 
     def release(
-        self, permit: Permit, *, queue_wait_s: float | None, deadline_s: float
+        self,
+        permit: Permit,
+        *,
+        queue_waits_s: Sequence[float],
+        deadline_s: float,
     ) -> None:
         """Takes a permit back and learns from how the request went.
 
         Args:
           permit: The permit.
-          queue_wait_s: Longest wait at an owner, or None if it is not known.
+          queue_waits_s: Waits at the owners in seconds, as far as known.
           deadline_s: The kind's deadline.
         """
         state = self._kinds[permit.kind]
-        if queue_wait_s is not None:
-            self._learn(state, permit, queue_wait_s, deadline_s)
+        if queue_waits_s:
+            wait_s = _choose_wait_s(queue_waits_s)
+            self._learn(state, permit, wait_s, deadline_s)
         state.in_flight -= 1
         self.in_flight -= 1
         use = state.callers[permit.caller]
@@ -290,6 +299,12 @@
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, seconds))
 
 
+def _choose_wait_s(queue_waits_s: Sequence[float]) -> float:
+    """Returns the wait that most services of a request stay within."""
+    rank = math.ceil(WAIT_QUANTILE * len(queue_waits_s))
+    return sorted(queue_waits_s)[rank - 1]
+
+
 def _overloaded(where: str, what: str) -> errors.Problem:
     """Returns the problem of a request that finds no place."""
     return errors.Problem(
--- a/eelgrasshall/coordination/gather.py
+++ b/eelgrasshall/coordination/gather.py
@@ -40,7 +40,7 @@
       coverage: What they cover.
       may_have_run: Whether any backend server may have run any of it.
       timed_out: Whether the time was up before every service had answered.
-      queue_wait_s: The longest wait at an owner, in seconds.
+      queue_waits_s: Waits at the owners in seconds, as far as known.
     """
 
     snapshot: messages.Snapshot | None
@@ -48,7 +48,7 @@
     coverage: caller.Coverage
     may_have_run: bool
     timed_out: bool
-    queue_wait_s: float
+    queue_waits_s: tuple[float, ...]
 
 
 class Gather:
@@ -88,7 +88,7 @@
         self._replans_left = MAX_REPLANS
         self._outcomes_open = 0
         self._may_have_run = False
-        self._queue_wait_s = 0.0
+        self._queue_waits_s: list[float] = []
 
     async def run(self) -> Gathered:
         """Asks every service and returns what came by the answer time."""
@@ -185,7 +185,7 @@
             self._outcomes_open -= 1
         else:
             self._may_have_run = True
-        self._queue_wait_s = max(self._queue_wait_s, result.queue_wait_s)
+        self._queue_waits_s.append(result.queue_wait_s)
         self._snapshots.observe(result.service, result.available)
 
     def _keep(self, result: messages.SubResult) -> None:
@@ -269,7 +269,7 @@
             coverage=total,
             may_have_run=self._may_have_run or self._outcomes_open > 0,
             timed_out=timed_out,
-            queue_wait_s=self._queue_wait_s,
+            queue_waits_s=tuple(self._queue_waits_s),
         )
 
     def _assess(self, snapshot: messages.Snapshot | None) -> caller.Coverage:
--- a/eelgrasshall/coordination/query.py
+++ b/eelgrasshall/coordination/query.py
@@ -263,7 +263,7 @@
             del self._open[plan.query_id]
             self._admission.release(
                 decision,
-                queue_wait_s=opened.queue_wait_s,
+                queue_waits_s=opened.queue_waits_s,
                 deadline_s=plan.kind.deadline_ms / 1000,
             )
 
@@ -272,7 +272,7 @@
         if self._clock.monotonic() >= plan.results_at:
             return self._refuse(_too_late(plan.kind.name), RETRY_AFTER_S)
         gathered = await self._gather(plan)
-        self._open[plan.query_id].queue_wait_s = gathered.queue_wait_s
+        self._open[plan.query_id].queue_waits_s = gathered.queue_waits_s
         return self._conclude(plan, gathered)
 
     def _gather(
@@ -389,7 +389,7 @@
     def __init__(self):
         # Sub-requests that a backend server may have run.
         self.sent: set[str] = set()
-        self.queue_wait_s: float | None = None
+        self.queue_waits_s: tuple[float, ...] = ()
 
 
 def _too_late(kind: str) -> errors.Problem:
