--- a/eelgrasshall/coordination/query.py
+++ b/eelgrasshall/coordination/query.py
@@ -291,28 +291,39 @@
 
     async def _send(self, request: messages.SubRequest) -> messages.SubResult:
         """Dispatches a sub-request and notes whether it may have run."""
-        sent = self._open[request.query_id].sent
-        sent.add(request.sub_id)
+        opened = self._open[request.query_id]
+        self._invariants.check(
+            invariants_module.Promise.AT_MOST_ONCE,
+            request.repeatable or not opened.sent,
+            f"{request.query_id} is sent again as {request.sub_id}",
+        )
+        opened.sent.add(request.sub_id)
         result = await self._dispatch(request)
         if result.outcome in gather_module.RAN_NOWHERE:
-            sent.discard(request.sub_id)
+            opened.sent.discard(request.sub_id)
         return result
 
     def _conclude(
         self, plan: plan_module.Plan, gathered: gather_module.Gathered
     ) -> once.Result:
         """Turns what was gathered into the one outcome."""
+        opened = self._open[plan.query_id]
+        opened.outcomes += 1
+        self._invariants.check(
+            invariants_module.Promise.ONE_OUTCOME,
+            opened.outcomes == 1,
+            f"{plan.query_id} has {opened.outcomes} outcomes",
+        )
         total = gathered.coverage
         # What has run only once and gave its records is always told.
         floor = plan.kind.coverage_floor if plan.kind.repeatable else 0.0
         if gathered.parts and total.key_share >= floor:
             return caller.Answer(total, gathered.snapshot, gathered.parts)
         if not gathered.may_have_run:
-            sent = self._open[plan.query_id].sent
             self._invariants.check(
                 invariants_module.Promise.NOT_RUN_IS_TRUE,
-                not sent,
-                f"{plan.query_id} was sent as {sorted(sent)}",
+                not opened.sent,
+                f"{plan.query_id} was sent as {sorted(opened.sent)}",
             )
             return self._refuse_unserved(total)
         problem = total.missing[0].problem if total.missing else None
@@ -390,6 +401,7 @@
         # Sub-requests that a backend server may have run.
         self.sent: set[str] = set()
         self.queue_waits_s: tuple[float, ...] = ()
+        self.outcomes = 0
 
 
 def _too_late(kind: str) -> errors.Problem:
--- a/eelgrasshall/coordination/query_test.py
+++ b/eelgrasshall/coordination/query_test.py
@@ -11,13 +11,17 @@
 from eelgrasshall import errors
 from eelgrasshall import invariants as invariants_module
 from eelgrasshall.coordination import admission
+from eelgrasshall.coordination import claims
 from eelgrasshall.coordination import claims_test
+from eelgrasshall.coordination import gather
 from eelgrasshall.coordination import query
 from eelgrasshall.coordination import tickets
 from eelgrasshall.protocol import caller
 from eelgrasshall.protocol import messages
 from eelgrasshall.state import configuration as configuration_module
+from eelgrasshall.state import members
 from eelgrasshall.state import snapshots
+from eelgrasshall.state import ticket as ticket_module
 
 SEVEN = messages.Snapshot(1, 7)
 NAMES = ("s0", "s1", "s2", "s3")
@@ -76,6 +80,12 @@
         )
 
 
+MEMBERS = tuple(
+    members.Member(name, "z", "r", "127.0.0.1", port, "127.0.0.1", 1, 4)
+    for port, name in enumerate(("h0", "h1"), start=8001)
+)
+
+
 class Parts(NamedTuple):
     clock: clock_module.ManualClock
     backends: Backends
@@ -101,7 +111,7 @@
         invariants=invariants,
         dispatch=backends.dispatch,
         get_configuration=lambda: configuration,
-        get_members=lambda: (),
+        get_members=lambda: MEMBERS,
         admission=admission.Admission(clock=clock, random=random.Random(2)),
         snapshots=snapshots.SnapshotTable(clock=clock),
         tickets=tickets.TicketBook(
@@ -196,3 +206,109 @@
     assert outcome.status == status
     assert outcome.verdict is caller.Verdict.NOT_RUN
     assert not parts.backends.requests
+
+
+async def test_run_once_request_is_run_once_for_its_ticket(parts):
+    addresses = json.loads((await parts.coordinator.addresses("z")).body)
+    request = ask("reserve", ticket=addresses["ticket_prefix"] + "1")
+    outcomes = [await parts.coordinator.run(request) for _ in range(3)]
+    assert {outcome.status for outcome in outcomes} == {200}
+    assert len(parts.backends.requests) == 1
+    assert parts.backends.requests[0].snapshot is None
+    assert not parts.backends.requests[0].repeatable
+
+
+async def test_run_once_request_is_run_once_for_its_key(parts):
+    request = ask("reserve", idempotency_key="crate-7")
+    outcomes = [await parts.coordinator.run(request) for _ in range(3)]
+    assert {outcome.status for outcome in outcomes} == {200}
+    assert len(parts.backends.requests) == 1
+
+
+async def test_run_once_request_counts_in_flight_without_its_caller(parts):
+    parts.backends.delays["s0"] = 0.5
+    request = ask("reserve", idempotency_key="crate-7")
+    task = asyncio.create_task(parts.coordinator.run(request))
+    await parts.clock.advance(0.1)
+    task.cancel()
+    await parts.clock.advance(0.1)
+    assert parts.coordinator.in_flight == 1
+    await parts.clock.advance(0.5)
+    assert parts.coordinator.in_flight == 0
+    assert not parts.backends.cancelled
+
+
+async def test_request_that_timed_out_and_may_have_run_is_unknown(parts):
+    parts.backends.delays["s0"] = 60.0
+    request = ask("reserve", idempotency_key="crate-7")
+    task = asyncio.create_task(parts.coordinator.run(request))
+    await parts.clock.advance(1.0)
+    assert task.result().status == 504
+    assert task.result().verdict is caller.Verdict.UNKNOWN
+
+
+async def test_leaving_host_serves_until_its_addresses_are_out_of_use(parts):
+    parts.coordinator.begin_leaving()
+    document = json.loads((await parts.coordinator.addresses("z")).body)
+    assert [each["name"] for each in document["addresses"]] == ["h1"]
+    home = ticket_module.parse_ticket(document["ticket_prefix"] + "1")
+    assert (home.home, home.incarnation) == ("h1", 4)
+    assert (await parts.coordinator.run(ask())).status == 200
+    await parts.clock.advance(document["ttl_s"])
+    outcome = await parts.coordinator.run(ask())
+    refusal = json.loads(outcome.body)
+    assert outcome.status == 503
+    assert refusal["problems"][0]["kind"] == "leaving"
+    assert [each["name"] for each in refusal["addresses"]] == ["h1"]
+    assert refusal["retry_after_ms"] > 0
+
+
+async def test_leaving_host_still_gives_outcomes_that_it_has(parts):
+    document = json.loads((await parts.coordinator.addresses("z")).body)
+    request = ask("reserve", ticket=document["ticket_prefix"] + "1")
+    first = await parts.coordinator.run(request)
+    parts.coordinator.begin_leaving()
+    await parts.clock.advance(document["ttl_s"])
+    assert await parts.coordinator.run(request) == first
+
+
+async def test_dispatch_that_fails_still_gives_one_outcome(parts):
+    async def fail(request):
+        raise RuntimeError("a fault")
+
+    parts.coordinator._dispatch = fail
+    task = asyncio.create_task(parts.coordinator.run(ask()))
+    await parts.clock.advance(1.0)
+    assert task.result().verdict is caller.Verdict.UNKNOWN
+
+
+async def test_refusal_after_an_attempt_is_a_breach(parts, monkeypatch):
+    for name in NAMES:
+        parts.backends.outcomes[name] = messages.SubOutcome.FAILED
+    run = gather.Gather.run
+
+    async def forget(self):
+        return (await run(self))._replace(may_have_run=False)
+
+    monkeypatch.setattr(gather.Gather, "run", forget)
+    await parts.coordinator.run(ask())
+    assert parts.invariants.breaches[invariants_module.Promise.NOT_RUN_IS_TRUE]
+
+
+@pytest.mark.parametrize(
+    "promise",
+    [
+        invariants_module.Promise.AT_MOST_ONCE,
+        invariants_module.Promise.ONE_OUTCOME,
+    ],
+)
+async def test_second_run_of_a_claim_is_a_breach(parts, monkeypatch, promise):
+    parts.invariants._raising = False
+
+    async def hold_twice(self, claim, run):
+        await run()
+        return await run()
+
+    monkeypatch.setattr(claims.ClaimBook, "hold", hold_twice)
+    await parts.coordinator.run(ask("reserve", idempotency_key="crate-7"))
+    assert parts.invariants.breaches[promise]
