Peer streams: Cap'n Proto frames instead of the library's RPC streams

Cause: daemons died within seconds. The RPC streams of pycapnp crash under uvloop: a script with 10 streams and 4 callers each ended with a segmentation fault in each of 5 modes under uvloop and in none under plain asyncio.

Ruled out: closing or cancelling of calls as the trigger, since plain calls crash too; plain asyncio, since the users ask for uvloop. Conclusion: Cap'n Proto stays the codec; frames are length-prefixed on asyncio streams.

--- a/eelgrasshall/application.py
+++ b/eelgrasshall/application.py
@@ -128,19 +128,19 @@
     # Calls of peers.
 
     def accept_requests(
-        self, sender: str, batch: list[messages.SubRequest]
+        self, sender: str, batch: tuple[messages.SubRequest, ...]
     ) -> None:
         """Takes sub-requests relayed by a peer."""
         self._pause.check()
         self._relay.accept_requests(sender, batch)
 
     def accept_results(
-        self, sender: str, batch: list[messages.SubResult]
+        self, sender: str, batch: tuple[messages.SubResult, ...]
     ) -> None:
         """Takes results of sub-requests relayed to a peer."""
         self._relay.accept_results(sender, batch)
 
-    def accept_cancels(self, sender: str, sub_ids: list[str]) -> None:
+    def accept_cancels(self, sender: str, sub_ids: tuple[str, ...]) -> None:
         """Gives up sub-requests relayed by a peer."""
         self._relay.accept_cancels(sender, sub_ids)
 
--- a/eelgrasshall/coordination/relay.py
+++ b/eelgrasshall/coordination/relay.py
@@ -13,6 +13,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import NamedTuple
 from typing import Protocol
 
@@ -153,7 +154,7 @@
         return result
 
     def accept_requests(
-        self, sender: str, batch: list[messages.SubRequest]
+        self, sender: str, batch: Sequence[messages.SubRequest]
     ) -> None:
         """Runs sub-requests that a peer relayed, each in its own task."""
         for request in batch:
@@ -163,7 +164,7 @@
             self._running[request.sub_id] = task
 
     def accept_results(
-        self, sender: str, batch: list[messages.SubResult]
+        self, sender: str, batch: Sequence[messages.SubResult]
     ) -> None:
         """Delivers results to the sub-requests that wait for them."""
         self._unresponsive_until.pop(sender, None)
@@ -179,7 +180,7 @@
             )
             pending.future.set_result(result)
 
-    def accept_cancels(self, sender: str, sub_ids: list[str]) -> None:
+    def accept_cancels(self, sender: str, sub_ids: Sequence[str]) -> None:
         """Cancels sub-requests that a peer has given up."""
         del sender
         for sub_id in sub_ids:
--- a/eelgrasshall/daemon.py
+++ b/eelgrasshall/daemon.py
@@ -12,7 +12,6 @@
 import signal
 import sys
 
-import capnp
 from loguru import logger
 import uvloop
 
@@ -50,25 +49,24 @@
 
 async def _run(settings: settings_module.Settings) -> int:
     """Runs the application until it is told to stop."""
-    async with capnp.kj_loop():
-        app = application.Application(
-            settings=settings,
-            clock=clocks.Clock(),
-            random=random_module.Random(),
-        )
-        try:
-            await app.start()
-        except OSError as error:
-            logger.error(f"daemon: Cannot listen: {error}.")
-            logger.error("daemon: Free the port or change the settings.")
-            await app.stop()
-            return EXIT_CANNOT_START
-        stops = _watch_signals(app)
-        print(json.dumps({"ready": True, "name": settings.name}), flush=True)
-        await stops.get()
-        await _drain_unless_told_again(app, stops)
+    app = application.Application(
+        settings=settings,
+        clock=clocks.Clock(),
+        random=random_module.Random(),
+    )
+    try:
+        await app.start()
+    except OSError as error:
+        logger.error(f"daemon: Cannot listen: {error}.")
+        logger.error("daemon: Free the port or change the settings.")
         await app.stop()
-        return EXIT_OK
+        return EXIT_CANNOT_START
+    stops = _watch_signals(app)
+    print(json.dumps({"ready": True, "name": settings.name}), flush=True)
+    await stops.get()
+    await _drain_unless_told_again(app, stops)
+    await app.stop()
+    return EXIT_OK
 
 
 def _watch_signals(app: application.Application) -> asyncio.Queue[None]:
--- a/eelgrasshall/protocol/peers.capnp
+++ b/eelgrasshall/protocol/peers.capnp
@@ -64,24 +64,43 @@
   reachable @5 :Bool;
 }
 
-interface Peer {
-  # Accepts sub-requests.  The return says only that they have arrived; the
-  # results follow through `deliver` in the other direction.
-  relay @0 (sender :Text, batch :List(SubRequest)) -> ();
+struct Batch {
+  sender @0 :Text;
+  requests @1 :List(SubRequest);
+  results @2 :List(SubResult);
+  cancels @3 :List(Text);
+}
 
-  # Accepts results of sub-requests relayed earlier.
-  deliver @1 (sender :Text, batch :List(SubResult)) -> ();
+struct TicketRequest {
+  sender @0 :Text;
+  request @1 :Data;
+}
 
-  # Gives up sub-requests whose results nobody waits for any more.
-  cancel @2 (sender :Text, subIds :List(Text)) -> ();
+struct TicketAnswer {
+  status @0 :UInt16;
+  answer @1 :Data;
+}
 
-  # A heartbeat with facts; the reply carries facts back.
-  gossip @3 (message :Gossip) -> (reply :Gossip);
+struct Configuration {
+  version @0 :UInt64;
+  body @1 :Data;
+}
 
-  # Gives the configuration in force if it is newer than `have`.
-  fetchConfiguration @4 (have :UInt64) -> (version :UInt64, body :Data);
+struct Frame {
+  # One message on a peer stream.  A reply carries the id of its call.
+  id @0 :UInt64;
+  union {
+    # Calls.  A batch is acknowledged on arrival; the results of its
+    # sub-requests follow in a batch in the other direction.
+    batch @1 :Batch;
+    gossip @2 :Gossip;
+    fetchConfiguration @3 :UInt64;
+    runTicket @4 :TicketRequest;
 
-  # Runs a request of a caller that only this host may run, by its ticket.
-  # The body and the answer are the caller protocol's JSON.
-  runTicket @5 (sender :Text, request :Data) -> (status :UInt16, answer :Data);
+    # Replies.
+    acknowledgement @5 :Void;
+    gossipReply @6 :Gossip;
+    configuration @7 :Configuration;
+    ticketAnswer @8 :TicketAnswer;
+  }
 }
--- a/eelgrasshall/protocol/peers.py
+++ b/eelgrasshall/protocol/peers.py
@@ -1,6 +1,12 @@
-"""Codec between the messages and their Cap'n Proto form."""
+"""Codec between the messages of peers and their Cap'n Proto form.
+
+A peer stream carries frames.  `encode_*` give the bytes of one frame, and
+`decode` reads any frame back into an immutable value of the type that the
+frame stands for.
+"""
 
 import pathlib
+from typing import NamedTuple
 
 import capnp
 
@@ -18,7 +24,175 @@
     return max(0, int(seconds * _MICROS_PER_SECOND))
 
 
-def write_sub_request(builder, request: messages.SubRequest) -> None:
+class Batch(NamedTuple):
+    """Sub-requests, results and cancellations for one peer.
+
+    Attributes:
+      sender: Name of the sending host.
+      requests: Sub-requests for the receiver to run.
+      results: Results of sub-requests that the receiver relayed.
+      cancels: Ids of sub-requests that nobody waits for any more.
+    """
+
+    sender: str
+    requests: tuple[messages.SubRequest, ...] = ()
+    results: tuple[messages.SubResult, ...] = ()
+    cancels: tuple[str, ...] = ()
+
+
+class FetchConfiguration(NamedTuple):
+    """Asks for a configuration newer than version `have`."""
+
+    have: int
+
+
+class ConfigurationReply(NamedTuple):
+    """A configuration, or version 0 and no body if there is none newer."""
+
+    version: int
+    body: bytes
+
+
+class TicketRequest(NamedTuple):
+    """A caller's request that only the receiver may run."""
+
+    sender: str
+    request: bytes
+
+
+class TicketAnswer(NamedTuple):
+    """The HTTP status and body of a ticket's outcome."""
+
+    status: int
+    answer: bytes
+
+
+class Acknowledgement(NamedTuple):
+    """A batch has arrived."""
+
+
+class GossipReply(NamedTuple):
+    """The reply to a heartbeat."""
+
+    message: messages.Gossip
+
+
+Body = (
+    Batch
+    | messages.Gossip
+    | FetchConfiguration
+    | TicketRequest
+    | Acknowledgement
+    | GossipReply
+    | ConfigurationReply
+    | TicketAnswer
+)
+
+
+def encode(frame_id: int, body: Body) -> bytes:
+    """Returns one frame.
+
+    Args:
+      frame_id: Names the call; a reply carries that of its call.
+      body: What the frame says.
+    """
+    frame = schema.Frame.new_message()
+    frame.id = frame_id
+    match body:
+        case Batch():
+            _write_batch(frame.init("batch"), body)
+        case messages.Gossip():
+            _write_gossip(frame.init("gossip"), body)
+        case FetchConfiguration():
+            frame.fetchConfiguration = body.have
+        case TicketRequest():
+            builder = frame.init("runTicket")
+            builder.sender = body.sender
+            builder.request = body.request
+        case Acknowledgement():
+            frame.acknowledgement = None
+        case GossipReply():
+            _write_gossip(frame.init("gossipReply"), body.message)
+        case ConfigurationReply():
+            builder = frame.init("configuration")
+            builder.version = body.version
+            builder.body = body.body
+        case TicketAnswer():
+            builder = frame.init("ticketAnswer")
+            builder.status = body.status
+            builder.answer = body.answer
+    return frame.to_bytes()
+
+
+def decode(data: bytes) -> tuple[int, Body]:
+    """Reads one frame.
+
+    Returns:
+      Its id and what it says.
+
+    Raises:
+      ValueError: The bytes are no frame that this version knows.
+    """
+    try:
+        with schema.Frame.from_bytes(data) as frame:
+            return frame.id, _read_body(frame)
+    except (capnp.KjException, UnicodeDecodeError) as error:
+        raise ValueError(f"no frame: {error}") from error
+
+
+def _read_body(frame) -> Body:
+    """Reads what a frame says.
+
+    Raises:
+      ValueError: It says nothing that this version knows.
+    """
+    match str(frame.which()):
+        case "batch":
+            return _read_batch(frame.batch)
+        case "gossip":
+            return _read_gossip(frame.gossip)
+        case "fetchConfiguration":
+            return FetchConfiguration(frame.fetchConfiguration)
+        case "runTicket":
+            reader = frame.runTicket
+            return TicketRequest(reader.sender, bytes(reader.request))
+        case "acknowledgement":
+            return Acknowledgement()
+        case "gossipReply":
+            return GossipReply(_read_gossip(frame.gossipReply))
+        case "configuration":
+            reader = frame.configuration
+            return ConfigurationReply(reader.version, bytes(reader.body))
+        case "ticketAnswer":
+            reader = frame.ticketAnswer
+            return TicketAnswer(reader.status, bytes(reader.answer))
+        case other:
+            raise ValueError(f"unknown frame {other}")
+
+
+def _write_batch(builder, batch: Batch) -> None:
+    """Fills the builder of a `Batch`."""
+    builder.sender = batch.sender
+    requests = builder.init("requests", len(batch.requests))
+    for index, request in enumerate(batch.requests):
+        _write_sub_request(requests[index], request)
+    results = builder.init("results", len(batch.results))
+    for index, result in enumerate(batch.results):
+        _write_sub_result(results[index], result)
+    builder.cancels = list(batch.cancels)
+
+
+def _read_batch(reader) -> Batch:
+    """Reads a `Batch`."""
+    return Batch(
+        sender=reader.sender,
+        requests=tuple(_read_sub_request(each) for each in reader.requests),
+        results=tuple(_read_sub_result(each) for each in reader.results),
+        cancels=tuple(reader.cancels),
+    )
+
+
+def _write_sub_request(builder, request: messages.SubRequest) -> None:
     """Fills the builder of a `SubRequest`."""
     builder.subId = request.sub_id
     builder.queryId = request.query_id
@@ -36,7 +210,7 @@
     builder.direct = request.direct
 
 
-def read_sub_request(reader) -> messages.SubRequest:
+def _read_sub_request(reader) -> messages.SubRequest:
     """Reads a `SubRequest`."""
     snapshot = None
     if reader.pinned:
@@ -56,7 +230,7 @@
     )
 
 
-def write_sub_result(builder, result: messages.SubResult) -> None:
+def _write_sub_result(builder, result: messages.SubResult) -> None:
     """Fills the builder of a `SubResult`."""
     builder.subId = result.sub_id
     builder.service = result.service
@@ -85,7 +259,7 @@
         builder.problem.remedy = result.problem.remedy
 
 
-def read_sub_result(reader) -> messages.SubResult:
+def _read_sub_result(reader) -> messages.SubResult:
     """Reads a `SubResult`."""
     snapshot = None
     key_range = None
@@ -117,7 +291,7 @@
     )
 
 
-def write_gossip(builder, message: messages.Gossip) -> None:
+def _write_gossip(builder, message: messages.Gossip) -> None:
     """Fills the builder of a `Gossip`."""
     builder.sender = message.sender
     builder.incarnation = message.incarnation
@@ -132,7 +306,7 @@
     builder.reachable = message.reachable
 
 
-def read_gossip(reader) -> messages.Gossip:
+def _read_gossip(reader) -> messages.Gossip:
     """Reads a `Gossip`."""
     facts = tuple(
         messages.GossipFact(
--- a/eelgrasshall/transport/peers.py
+++ b/eelgrasshall/transport/peers.py
@@ -1,24 +1,26 @@
-"""Peer streams: Cap'n Proto RPC between the daemons over TCP.
+"""Peer streams: Cap'n Proto frames between the daemons over TCP.
 
 Each daemon listens once and keeps one outgoing stream to each peer that it
-talks to.  Messages for one peer are batched: whatever gathers while a call is
-under way goes out together in the next one, because the cost of a call far
-exceeds that of one more message in it.  A stream that does not acknowledge a
-batch within the acknowledgement timeout is closed and opened anew, since
-something between the two ends may have lost track of it.
+talks to.  Messages for one peer are batched: whatever gathers while a batch
+is under way goes out together in the next one, because the cost of a frame
+far exceeds that of one more message in it.  A stream that does not
+acknowledge a batch within the acknowledgement timeout is closed and opened
+anew, since something between the two ends may have lost track of it.
 """
 
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
+import itertools
 from typing import NamedTuple
 from typing import Protocol
 
-import capnp
 from loguru import logger
 
 from eelgrasshall.protocol import messages
 from eelgrasshall.protocol import peers as codec
+from eelgrasshall.transport import frames
 
 CONNECT_TIMEOUT_S = 0.25
 ACK_TIMEOUT_S = 0.25
@@ -39,16 +41,16 @@
     """What the listening side does with each call of a peer."""
 
     def accept_requests(
-        self, sender: str, batch: list[messages.SubRequest]
+        self, sender: str, batch: tuple[messages.SubRequest, ...]
     ) -> None:
         """Takes relayed sub-requests; must return at once."""
 
     def accept_results(
-        self, sender: str, batch: list[messages.SubResult]
+        self, sender: str, batch: tuple[messages.SubResult, ...]
     ) -> None:
         """Takes results of sub-requests; must return at once."""
 
-    def accept_cancels(self, sender: str, sub_ids: list[str]) -> None:
+    def accept_cancels(self, sender: str, sub_ids: tuple[str, ...]) -> None:
         """Gives up sub-requests; must return at once."""
 
     def answer_gossip(
@@ -77,41 +79,8 @@
     port: int
 
 
-class _PeerServer(codec.schema.Peer.Server):
-    """Translates calls of one connected peer for the handler."""
-
-    def __init__(self, handler: PeerHandler):
-        self._handler = handler
-
-    async def relay(self, sender, batch, _context, **_):
-        requests = [codec.read_sub_request(each) for each in batch]
-        self._handler.accept_requests(sender, requests)
-
-    async def deliver(self, sender, batch, _context, **_):
-        results = [codec.read_sub_result(each) for each in batch]
-        self._handler.accept_results(sender, results)
-
-    async def cancel(self, sender, subIds, _context, **_):  # noqa: N803
-        self._handler.accept_cancels(sender, list(subIds))
-
-    async def gossip(self, message, _context, **_):
-        received = codec.read_gossip(message)
-        reply = await self._handler.answer_gossip(received)
-        codec.write_gossip(_context.results.reply, reply)
-
-    async def fetchConfiguration(self, have, _context, **_):  # noqa: N802
-        version, body = self._handler.give_configuration(have)
-        _context.results.version = version
-        _context.results.body = body
-
-    async def runTicket(self, sender, request, _context, **_):  # noqa: N802
-        status, answer = await self._handler.run_ticket(sender, bytes(request))
-        _context.results.status = status
-        _context.results.answer = answer
-
-
 class PeerListener:
-    """Accepts the streams of peers.
+    """Accepts the streams of peers, one task for each.
 
     Args:
       handler: What to do with their calls.
@@ -120,32 +89,176 @@
     def __init__(self, *, handler: PeerHandler):
         self._handler = handler
         self._server: asyncio.AbstractServer | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
 
-    async def start(self, address: Address) -> None:
+    async def start(self, address: Address) -> int:
         """Opens the listener.
 
+        Returns:
+          The TCP port.
+
         Raises:
           OSError: The address cannot be bound.
         """
-        self._server = await capnp.AsyncIoStream.create_server(
+        self._server = await asyncio.start_server(
             self._serve, address.host, address.port
         )
-        self._task = asyncio.create_task(self._server.serve_forever())
+        return self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
         """Closes the listener and every accepted stream."""
         if self._server is None:
             return
         self._server.close()
-        self._task.cancel()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         self._server = None
 
-    async def _serve(self, stream) -> None:
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         """Serves one connected peer until it goes."""
-        server = capnp.TwoPartyServer(
-            stream, bootstrap=_PeerServer(self._handler)
+        self._keep(asyncio.current_task())
+        try:
+            while True:
+                frame = await frames.read(reader)
+                if frame is None:
+                    return
+                frame_id, call = codec.decode(frame)
+                await self._take_call(writer, frame_id, call)
+        except asyncio.CancelledError:
+            # The listener stops; a stream has nothing to pass that on to.
+            return
+        except (OSError, ValueError) as error:
+            logger.warning(f"peers: Closed the stream of a peer: {error}")
+        finally:
+            writer.close()
+
+    async def _take_call(
+        self, writer: asyncio.StreamWriter, frame_id: int, call: codec.Body
+    ) -> None:
+        """Acts on one call; what takes time runs in a task of its own."""
+        match call:
+            case codec.Batch():
+                self._take_batch(call)
+                await _reply(writer, frame_id, codec.Acknowledgement())
+            case codec.FetchConfiguration():
+                found = self._handler.give_configuration(call.have)
+                answer = codec.ConfigurationReply(*found)
+                await _reply(writer, frame_id, answer)
+            case messages.Gossip():
+                self._spawn(self._answer_gossip(writer, frame_id, call))
+            case codec.TicketRequest():
+                self._spawn(self._run_ticket(writer, frame_id, call))
+            case _:
+                raise ValueError(f"A reply came as a call: {type(call)}.")
+
+    def _take_batch(self, batch: codec.Batch) -> None:
+        """Hands the contents of a batch to the handler."""
+        if batch.requests:
+            self._handler.accept_requests(batch.sender, batch.requests)
+        if batch.results:
+            self._handler.accept_results(batch.sender, batch.results)
+        if batch.cancels:
+            self._handler.accept_cancels(batch.sender, batch.cancels)
+
+    async def _answer_gossip(
+        self,
+        writer: asyncio.StreamWriter,
+        frame_id: int,
+        message: messages.Gossip,
+    ) -> None:
+        """Answers a heartbeat."""
+        reply = await self._handler.answer_gossip(message)
+        await _reply(writer, frame_id, codec.GossipReply(reply))
+
+    async def _run_ticket(
+        self,
+        writer: asyncio.StreamWriter,
+        frame_id: int,
+        call: codec.TicketRequest,
+    ) -> None:
+        """Runs a request by its ticket and gives the outcome back."""
+        status, answer = await self._handler.run_ticket(
+            call.sender, call.request
         )
-        await server.on_disconnect()
+        await _reply(writer, frame_id, codec.TicketAnswer(status, answer))
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        """Runs work as a task that `stop` ends."""
+        self._keep(asyncio.ensure_future(work))
+
+    def _keep(self, task: asyncio.Task[None] | None) -> None:
+        """Remembers a task until it ends."""
+        if task is not None:
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+
+class _Connection:
+    """One open connection to a peer, with the calls that await replies."""
+
+    def __init__(
+        self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ):
+        self._reader = reader
+        self._writer = writer
+        self._ids = itertools.count(1)
+        self._replies: dict[int, asyncio.Future[codec.Body]] = {}
+        self._task = asyncio.create_task(self._read_replies())
+        self.bytes_sent = 0
+
+    def is_open(self) -> bool:
+        """Returns whether calls can still be made."""
+        return not self._task.done()
+
+    async def call(self, body: codec.Body) -> codec.Body:
+        """Sends a call and awaits its reply.
+
+        Raises:
+          OSError: The connection failed.
+        """
+        frame_id = next(self._ids)
+        reply = asyncio.get_running_loop().create_future()
+        self._replies[frame_id] = reply
+        try:
+            frame = codec.encode(frame_id, body)
+            self.bytes_sent += frames.HEADER_BYTES + len(frame)
+            frames.write(self._writer, frame)
+            await self._writer.drain()
+            return await reply
+        finally:
+            self._replies.pop(frame_id, None)
+
+    def close(self) -> None:
+        """Closes the connection; calls under way fail."""
+        self._task.cancel()
+        self._fail()
+
+    def _fail(self) -> None:
+        """Closes the socket and ends every wait."""
+        self._writer.close()
+        for reply in self._replies.values():
+            if not reply.done():
+                reply.set_exception(ConnectionError("The stream closed."))
+
+    async def _read_replies(self) -> None:
+        """Hands each reply to the call that awaits it."""
+        try:
+            while True:
+                frame = await frames.read(self._reader)
+                if frame is None:
+                    return
+                frame_id, body = codec.decode(frame)
+                reply = self._replies.get(frame_id)
+                if reply is not None and not reply.done():
+                    reply.set_result(body)
+        except (OSError, ValueError) as error:
+            logger.debug(f"peers: A stream failed: {error}")
+        finally:
+            self._fail()
 
 
 class PeerStream:
@@ -159,16 +272,14 @@
     def __init__(self, *, name: str, address: Address):
         self._name = name
         self.address = address
-        self._client = None
-        self._stream = None
-        self._connecting: asyncio.Lock = asyncio.Lock()
+        self._connection: _Connection | None = None
+        self._connecting = asyncio.Lock()
         self._requests: list[
             tuple[messages.SubRequest, Callable[[PeerError], None]]
         ] = []
         self._results: list[messages.SubResult] = []
         self._cancels: list[str] = []
         self._sender_task: asyncio.Task[None] | None = None
-        self.bytes_sent = 0
 
     def send_request(
         self,
@@ -200,12 +311,8 @@
         Raises:
           PeerError: The peer did not answer in time.
         """
-        async with _raising_peer_errors(self, GOSSIP_TIMEOUT_S):
-            peer = await self._connect()
-            call = peer.gossip_request()
-            codec.write_gossip(call.message, message)
-            reply = await call.send()
-            return codec.read_gossip(reply.reply)
+        reply = await self._call(message, GOSSIP_TIMEOUT_S)
+        return _expect(reply, codec.GossipReply).message
 
     async def fetch_configuration(self, have: int) -> tuple[int, bytes]:
         """Asks for a configuration newer than version `have`.
@@ -216,10 +323,10 @@
         Raises:
           PeerError: The peer did not answer in time.
         """
-        async with _raising_peer_errors(self, FETCH_TIMEOUT_S):
-            peer = await self._connect()
-            reply = await peer.fetchConfiguration(have)
-            return reply.version, bytes(reply.body)
+        call = codec.FetchConfiguration(have)
+        reply = await self._call(call, FETCH_TIMEOUT_S)
+        found = _expect(reply, codec.ConfigurationReply)
+        return found.version, found.body
 
     async def run_ticket(
         self, request: bytes, timeout_s: float
@@ -233,35 +340,70 @@
           PeerNotReachedError: The peer was not reached and ran nothing.
           PeerError: The peer did not answer in time and may have run it.
         """
-        async with _raising_peer_errors(self, timeout_s):
-            peer = await self._connect()
-            reply = await peer.runTicket(self._name, request)
-            return reply.status, bytes(reply.answer)
+        call = codec.TicketRequest(self._name, request)
+        # A request that takes long says nothing about the stream.
+        reply = await self._call(call, timeout_s, closing=False)
+        answer = _expect(reply, codec.TicketAnswer)
+        return answer.status, answer.answer
 
     def close(self) -> None:
         """Closes the stream; it opens anew when next needed."""
-        stream = self._stream
-        self._client = None
-        self._stream = None
-        if stream is not None:
-            stream.close()
-
-    async def _connect(self):
-        """Returns the peer's capability, connecting if need be."""
+        connection = self._connection
+        self._connection = None
+        if connection is not None:
+            connection.close()
+
+    async def _call(
+        self, body: codec.Body, timeout_s: float, *, closing: bool = True
+    ) -> codec.Body:
+        """Makes one call within a time.
+
+        Args:
+          body: The call.
+          timeout_s: Seconds until the peer counts as silent.
+          closing: Whether a silent peer's connection is closed.
+
+        Raises:
+          PeerNotReachedError: No connection could be opened.
+          PeerError: The peer did not answer.
+        """
+        connection = await self._connect()
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await connection.call(body)
+        except TimeoutError as error:
+            # Whatever waits on the same connection would wait in vain.
+            if closing:
+                self._drop(connection)
+            raise PeerError("No acknowledgement in time.") from error
+        except OSError as error:
+            self._drop(connection)
+            raise PeerError(str(error)) from error
+
+    def _drop(self, connection: _Connection) -> None:
+        """Closes a connection that failed, but not one opened since."""
+        connection.close()
+        if self._connection is connection:
+            self._connection = None
+
+    async def _connect(self) -> _Connection:
+        """Returns the open connection, opening one if need be.
+
+        Raises:
+          PeerNotReachedError: It could not be opened in time.
+        """
         async with self._connecting:
-            if self._client is not None:
-                return self._client
+            if self._connection is not None and self._connection.is_open():
+                return self._connection
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    stream = await capnp.AsyncIoStream.create_connection(
+                    reader, writer = await asyncio.open_connection(
                         self.address.host, self.address.port
                     )
             except (OSError, TimeoutError) as error:
                 raise PeerNotReachedError(str(self.address)) from error
-            self._stream = stream
-            client = capnp.TwoPartyClient(stream)
-            self._client = client.bootstrap().cast_as(codec.schema.Peer)
-            return self._client
+            self._connection = _Connection(reader=reader, writer=writer)
+            return self._connection
 
     def _ensure_sending(self) -> None:
         """Starts the sending task unless it runs."""
@@ -271,60 +413,42 @@
     async def _send_batches(self) -> None:
         """Sends batch after batch until nothing waits."""
         while self._requests or self._results or self._cancels:
-            requests = self._requests[:MAX_BATCH]
-            del self._requests[:MAX_BATCH]
-            results = self._results[:MAX_BATCH]
-            del self._results[:MAX_BATCH]
-            cancels = self._cancels[:MAX_BATCH]
-            del self._cancels[:MAX_BATCH]
+            requests = _take_some(self._requests)
+            batch = codec.Batch(
+                sender=self._name,
+                requests=tuple(request for request, _ in requests),
+                results=tuple(_take_some(self._results)),
+                cancels=tuple(_take_some(self._cancels)),
+            )
             try:
-                async with _raising_peer_errors(self, ACK_TIMEOUT_S):
-                    await self._send_batch(requests, results, cancels)
+                await self._call(batch, ACK_TIMEOUT_S)
             except PeerError as error:
-                logger.debug(f"peers: batch to {self.address} lost: {error}")
                 for _, on_failure in requests:
                     on_failure(error)
 
-    async def _send_batch(self, requests, results, cancels) -> None:
-        """Sends one batch of each sort and waits for the acknowledgements."""
-        peer = await self._connect()
-        calls = []
-        if requests:
-            call = peer.relay_request()
-            call.sender = self._name
-            batch = call.init("batch", len(requests))
-            for index, (request, _) in enumerate(requests):
-                codec.write_sub_request(batch[index], request)
-            calls.append(call.send())
-        if results:
-            call = peer.deliver_request()
-            call.sender = self._name
-            batch = call.init("batch", len(results))
-            for index, result in enumerate(results):
-                codec.write_sub_result(batch[index], result)
-            calls.append(call.send())
-        if cancels:
-            calls.append(peer.cancel(self._name, cancels))
-        for call in calls:
-            await call
-
-
-class _raising_peer_errors:  # noqa: N801
-    """Bounds a call in time and turns its failures into `PeerError`."""
-
-    def __init__(self, stream: PeerStream, timeout_s: float):
-        self._stream = stream
-        self._timeout = asyncio.timeout(timeout_s)
-
-    async def __aenter__(self) -> None:
-        await self._timeout.__aenter__()
-
-    async def __aexit__(self, kind, error, trace) -> None:
-        try:
-            await self._timeout.__aexit__(kind, error, trace)
-        except TimeoutError as timeout:
-            self._stream.close()
-            raise PeerError("No acknowledgement in time.") from timeout
-        if isinstance(error, (capnp.KjException, OSError)):
-            self._stream.close()
-            raise PeerError(str(error)) from error
+
+async def _reply(
+    writer: asyncio.StreamWriter, frame_id: int, body: codec.Body
+) -> None:
+    """Sends a reply; a peer that has gone needs none."""
+    frames.write(writer, codec.encode(frame_id, body))
+    with contextlib.suppress(OSError):
+        await writer.drain()
+
+
+def _expect(reply: codec.Body, kind: type) -> codec.Body:
+    """Returns the reply if it is of the kind that the call asks for.
+
+    Raises:
+      PeerError: It is of another kind.
+    """
+    if not isinstance(reply, kind):
+        raise PeerError(f"The reply is a {type(reply).__name__}.")
+    return reply
+
+
+def _take_some(waiting: list) -> list:
+    """Takes the first messages of a queue, as many as a batch holds."""
+    taken = waiting[:MAX_BATCH]
+    del waiting[:MAX_BATCH]
+    return taken
