--- a/eelgrasshall/coordination/change.py
+++ b/eelgrasshall/coordination/change.py
@@ -7,6 +7,8 @@
 carry the same condition and at most one of them can take effect.
 """
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import random as random_module
 from typing import Any
 from typing import NamedTuple
@@ -54,6 +56,18 @@
     problem: errors.Problem | None
 
 
+class Versions(NamedTuple):
+    """What the other hosts say of their versions.
+
+    Attributes:
+      highest: The highest version among them.
+      silent: Names of the members that did not answer.
+    """
+
+    highest: int
+    silent: tuple[str, ...]
+
+
 class Attempt:
     """Carries one change to the store.
 
@@ -62,6 +76,8 @@
       clock: The clock.
       random: The source of jitter and of change ids.
       current: What is in force on this host.
+      ask_peers: Asks every other member for its version, for the case that
+        the store does not tell which version is the newest.
     """
 
     def __init__(
@@ -71,11 +87,13 @@
         clock: clock_module.Clock,
         random: random_module.Random,
         current: stored_module.Stored | None,
+        ask_peers: Callable[[], Awaitable[Versions]],
     ):
         self._store = store
         self._clock = clock
         self._random = random
         self._latest = current
+        self._ask_peers = ask_peers
         self._if_version = 0
 
     async def run(
@@ -104,11 +122,11 @@
         if isinstance(found, errors.Problem):
             return found
         if isinstance(found, protocol.Absent):
-            return None
+            return await self._check_peers()
         self._if_version = found.version
         stored, _ = stored_module.decode_value(found.value, found.version)
         if stored is None:
-            return None
+            return await self._check_peers()
         latest = self._latest
         if (
             latest is None
@@ -117,6 +135,17 @@
             self._latest = stored
         return None
 
+    async def _check_peers(self) -> errors.Problem | None:
+        """Makes sure that no other host has a newer version than this one."""
+        latest = self._latest
+        latest_version = latest.configuration.version if latest else 0
+        versions = await self._ask_peers()
+        if versions.highest > latest_version:
+            return _describe_conflict(latest_version, None)
+        if versions.silent:
+            return _describe_silent(versions.silent)
+        return None
+
     def _choose_change_id(self, declared: configuration.Configuration) -> str:
         """Returns the operator's change id if it is new, else a random one."""
         used = self._latest.history if self._latest else ()
@@ -130,7 +159,7 @@
         """Writes until it is known whether the change was accepted."""
         value = stored_module.encode_value(change, history)
         give_up_at = self._clock.monotonic() + READ_BACK_LIMIT_S
-        maybe_written = False
+        lost: errors.Problem | None = None
         while True:
             result = await self._store.write(
                 stored_module.OBJECT_KIND,
@@ -144,38 +173,20 @@
                     stored_module.Stored(change, changes, result.version), None
                 )
             if isinstance(result, protocol.Conflict):
-                return self._judge(change, result.current)
+                return _judge(change, result.current, lost)
             if isinstance(result, protocol.Unknown):
-                maybe_written = True
-                problem = result.problem
-            else:
-                problem = result
-            if not maybe_written:
-                return Outcome(None, problem)
+                lost = result.problem
+            if lost is None:
+                return Outcome(None, result)
             if self._clock.monotonic() >= give_up_at:
-                return Outcome(None, _describe_unknown(change, problem))
+                return Outcome(None, _describe_unknown(change, lost))
             await self._pause()
             found = await self._read()
             if isinstance(found, protocol.StoredObject):
                 if found.version != self._if_version:
-                    return self._judge(change, found)
+                    return _judge(change, found, lost)
             elif isinstance(found, protocol.Absent) and self._if_version:
-                return Outcome(None, _describe_unknown(change, problem))
-
-    def _judge(
-        self,
-        change: configuration.Configuration,
-        found: protocol.StoredObject,
-    ) -> Outcome:
-        """Tells from what is in the store whether the change was accepted."""
-        stored, _ = stored_module.decode_value(found.value, found.version)
-        if stored is None:
-            return Outcome(None, _describe_conflict(change.version - 1, None))
-        if change.change_id in stored.history or (
-            change.change_id == stored.configuration.change_id
-        ):
-            return Outcome(stored, None)
-        return Outcome(stored, _describe_conflict(change.version - 1, stored))
+                return Outcome(None, _describe_unknown(change, lost))
 
     async def _read(self) -> protocol.ReadResult:
         """Reads the configuration object."""
@@ -189,6 +200,34 @@
         await self._clock.sleep(READ_BACK_PAUSE_S * jitter)
 
 
+def _judge(
+    change: configuration.Configuration,
+    found: protocol.StoredObject,
+    lost: errors.Problem | None,
+) -> Outcome:
+    """Tells from what is in the store whether the change was accepted.
+
+    Args:
+      change: The change.
+      found: The object that the store holds instead of what was read first.
+      lost: What happened to the reply of an earlier write, if one was lost.
+
+    Returns:
+      The outcome.  A lost write may have been overwritten by something that
+      tells nothing of what it replaced; then its fate stays unknown.
+    """
+    stored, _ = stored_module.decode_value(found.value, found.version)
+    if stored is not None:
+        later = stored.configuration.version - change.version
+        if 0 <= later < len(stored.history):
+            if stored.history[later] == change.change_id:
+                return Outcome(stored, None)
+            lost = None
+    if lost is not None:
+        return Outcome(stored, _describe_unknown(change, lost))
+    return Outcome(stored, _describe_conflict(change.version - 1, stored))
+
+
 def is_repetition(
     declared: configuration.Configuration,
     base_version: int,
@@ -240,3 +279,16 @@
             "the same change id and base version if it is not in force."
         ),
     )
+
+
+def _describe_silent(names: tuple[str, ...]) -> errors.Problem:
+    """Returns the problem of a store that must be repaired too early."""
+    return errors.Problem(
+        kind=errors.ProblemKind.STORE_UNAVAILABLE,
+        where="configuration",
+        what=(
+            "The store holds no valid configuration, and these hosts do not "
+            f"say which version they have: {', '.join(names)}."
+        ),
+        remedy="Apply again once they answer or are out of the members.",
+    )
--- a/eelgrasshall/coordination/rollout.py
+++ b/eelgrasshall/coordination/rollout.py
@@ -191,8 +191,8 @@
 
         Returns:
           No problems once the change is accepted; it is then in force here
-          and a few peers have it.  Else the reasons; STORE_UNAVAILABLE may
-          mean that the change is accepted all the same, and says so.
+          and a few peers have it.  Else the reasons; REPLY_LOST means that
+          the change may be accepted all the same.
         """
         declared, problems = configuration.parse_configuration(body)
         if declared is None:
@@ -207,6 +207,7 @@
                 clock=self._clock,
                 random=self._random,
                 current=self._stored,
+                ask_peers=self._ask_peers,
             )
             outcome = await attempt.run(declared, base_version)
             if outcome.seen is not None:
@@ -360,6 +361,21 @@
         for callback in self._callbacks:
             callback()
 
+    async def _ask_peers(self) -> change_module.Versions:
+        """Asks every other member for its version."""
+        own = self._membership.own.name
+        others = [m for m in self._membership.members() if m.name != own]
+        answered = await asyncio.gather(
+            *(self._membership.greet(member) for member in others)
+        )
+        silent = tuple(
+            member.name
+            for member, has_answered in zip(others, answered, strict=True)
+            if not has_answered
+        )
+        highest = max((self._holders.get(m.name, 0) for m in others), default=0)
+        return change_module.Versions(highest, silent)
+
     async def _await_acknowledgements(self, version: int) -> None:
         """Waits until a few peers have a version, so that it is not lost."""
         give_up_at = self._clock.monotonic() + ACKNOWLEDGEMENT_LIMIT_S
