--- a/measure/demo.py
+++ b/measure/demo.py
@@ -20,6 +20,7 @@
 from measure import callers
 from measure import deployment
 from measure import processes
+from measure import scenarios
 from measure import shapes
 
 HOSTS = 9
@@ -73,6 +74,8 @@
     )
     zones = [zone.name for zone in configuration.zones]
     entry_urls = [host.caller_url for host in running.hosts]
+    waited_s = await _wait_for_answers(running)
+    print(f"The first owners of the services served after {waited_s:.1f} s.")
     wrong = 0
     for number, kind in enumerate(configuration.kinds):
         caller = callers.Caller(
@@ -86,6 +89,20 @@
     return 1 if wrong else 0
 
 
+async def _wait_for_answers(running: deployment.Deployment) -> float:
+    """Waits until every kind is answered in full.
+
+    A new owner waits until no other host can still believe that it owns the
+    service, so a fleet that starts as a whole refuses requests at first.
+
+    Returns:
+      Seconds that it took.
+    """
+    began = time.monotonic()
+    await scenarios.wait_for_answers(running)
+    return time.monotonic() - began
+
+
 async def _query_kind(
     caller: callers.Caller, kind: str, checker: answers.Checker
 ) -> int:
--- a/measure/scenarios.py
+++ b/measure/scenarios.py
@@ -4,20 +4,26 @@
 decorator `register` makes it known to `measure.run` by name.
 """
 
+import asyncio
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
 import pathlib
+import random
 from typing import Any
 from typing import NamedTuple
 
 from eelgrasshall.state import configuration as configurations
 from measure import answers
+from measure import callers
 from measure import deployment
 from measure import load
 from measure import shapes
 
+ANSWER_TIMEOUT_S = 40.0
+ASK_AGAIN_S = 0.2
+
 
 class Context(NamedTuple):
     """What a scenario may use.
@@ -90,11 +96,52 @@
     running = deployment.Deployment(plan=plan, directory=directory)
     try:
         await running.start()
+        await wait_for_answers(running)
         yield running
     finally:
         await running.stop()
 
 
+async def wait_for_answers(running: deployment.Deployment) -> None:
+    """Sends requests of every repeatable kind until each is answered whole.
+
+    Args:
+      running: The deployment.
+
+    Raises:
+      TimeoutError: A kind was not answered in time.
+    """
+    caller = callers.Caller(
+        zone=running.configuration.zones[0].name,
+        entry_urls=[host.caller_url for host in running.hosts],
+        random_source=random.Random(0),
+    )
+    await caller.start()
+    try:
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            for kind in running.configuration.kinds:
+                if kind.repeatable:
+                    await _ask_until_complete(caller, kind)
+    finally:
+        await caller.stop()
+
+
+async def _ask_until_complete(
+    caller: callers.Caller, kind: configurations.Kind
+) -> None:
+    """Asks again and again until an answer is complete."""
+    complete = False
+    while not complete:
+        reply = await caller.send(
+            kind.name,
+            {"id": "first"},
+            request_id="first",
+            timeout_s=kind.deadline_ms / 1000 + 1.0,
+        )
+        complete = reply.document.get("complete", False)
+        await asyncio.sleep(ASK_AGAIN_S)
+
+
 def make_checker(
     configuration: configurations.Configuration,
 ) -> answers.Checker:
