Measuring: a daemon that ends by itself fails the run

Cause: daemons died with SIGSEGV within seconds of their start (5 to 7 of 9 in each of three starts) and the runs went on with the rest, so that their figures were of other fleets than they said. Now a lost daemon fails the start, the demo and the scenario.

--- a/measure/demo.py
+++ b/measure/demo.py
@@ -86,6 +86,9 @@
         await caller.start()
         wrong += await _query_kind(caller, kind.name, checker)
         await caller.stop()
+    for lost in running.find_lost():
+        print(f"demo: {lost}", file=sys.stderr)
+        wrong += 1
     return 1 if wrong else 0
 
 
--- a/measure/deployment.py
+++ b/measure/deployment.py
@@ -115,7 +115,8 @@
         self._session: aiohttp.ClientSession | None = None
         self._starts = itertools.count(1)
         self._ports: dict[str, int] = {}
-        self._gone: set[str] = set()
+        # Hosts whose daemon was ended on purpose.
+        self._ended: set[str] = set()
 
     async def start(self) -> None:
         """Starts everything and waits until the configuration is in force.
@@ -159,14 +160,32 @@
             name, "eelgrasshall.daemon", self._make_settings(host)
         )
         self.daemons[host.name] = child
+        self._ended.discard(host.name)
         await self.steer_network({"pids": {host.name: child.pid}})
 
     async def stop_daemon(self, host: Host, timeout_s: float = 40.0) -> bool:
         """Stops one daemon as planned; returns whether it ended by itself."""
+        self._ended.add(host.name)
         child = self.daemons[host.name]
         child.send_signal(signal.SIGTERM)
         return await child.wait(timeout_s)
 
+    async def kill_daemon(self, host: Host) -> None:
+        """Kills one daemon."""
+        self._ended.add(host.name)
+        child = self.daemons[host.name]
+        child.send_signal(signal.SIGKILL)
+        await child.process.wait()
+
+    def find_lost(self) -> list[str]:
+        """Returns daemons that ended though nobody ended them."""
+        return [
+            f"{name} ended with {child.process.returncode}: "
+            f"{child.read_log_end()}"
+            for name, child in sorted(self.daemons.items())
+            if not child.running and name not in self._ended
+        ]
+
     async def tell_hosts(self, gone: set[str] = frozenset()) -> None:
         """Makes the platform list the hosts that are not gone."""
         live = [h.to_platform() for h in self.hosts if h.name not in gone]
@@ -241,11 +260,14 @@
           Seconds that it took.
 
         Raises:
-          TimeoutError: It took too long.
+          TimeoutError: It took too long, or a daemon was lost meanwhile.
         """
         loop = asyncio.get_running_loop()
         began = loop.time()
+        versions: list[int] = []
         while loop.time() - began < SETTLE_TIMEOUT_S:
+            if lost := self.find_lost():
+                raise TimeoutError(f"Lost: {lost}")
             versions = [await self._read_version(h) for h in self.hosts]
             if all(v == self.configuration.version for v in versions):
                 return loop.time() - began
@@ -289,7 +311,7 @@
 
     async def _read_version(self, host: Host) -> int:
         """Returns the version that a daemon has in force, -1 if unknown."""
-        if not self.daemons[host.name].running:
+        if host.name in self._ended:
             return self.configuration.version
         url = f"{host.admin_url}/v1/configuration"
         try:
--- a/measure/faults.py
+++ b/measure/faults.py
@@ -235,9 +235,7 @@
     """A daemon is killed and replaced."""
     running = bench.running
     host = bench.random.choice(running.hosts)
-    child = running.daemons[host.name]
-    child.send_signal(signal.SIGKILL)
-    await child.wait(5.0)
+    await running.kill_daemon(host)
     yield
     await running.start_daemon(host)
 
--- a/measure/scenarios.py
+++ b/measure/scenarios.py
@@ -241,7 +241,7 @@
     running: deployment.Deployment, rows: list[dict[str, Any]]
 ) -> list[str]:
     """Returns breaches seen by the load and by the daemons' own checks."""
-    breaches = []
+    breaches = running.find_lost()
     for row in rows:
         breaches += [f"{row['name']}: {e}" for e in row["breach_examples"]]
         if row["repeated_runs"]:
