--- a/eelgrasshall/log.py
+++ b/eelgrasshall/log.py
@@ -13,7 +13,7 @@
 import loguru
 
 _PLAIN_FORMAT = (
-    "{time:YYYY-MM-DD[T]HH:mm:ss.SSS!UTC}Z {level: <7} {message}\n{exception}"
+    "{time:YYYY-MM-DDTHH:mm:ss.SSS!UTC}Z {level: <7} {message}\n{exception}"
 )
 
 
