Peers: a daemon no longer dies when a peer's first bytes come early

Cause: pycapnp pauses reading from inside get_buffer when no read waits yet; uvloop then calls the read callback that the pause removed, at address zero (found by a debugger's trace through uv__read). Before: of four daemons started together 2 or 3 died of SIGSEGV in each of five runs. After: none in six runs of the same script. The new test dies of the same fault without the guard. Ruled out: holding on to the client object (still 2, 2 and 0 of four died), serving the stream at once in the accept callback (the library schedules its first read for a later turn of the loop all the same).

--- a/eelgrasshall/transport/peers.py
+++ b/eelgrasshall/transport/peers.py
@@ -19,6 +19,7 @@
 
 from eelgrasshall.protocol import messages
 from eelgrasshall.protocol import peers as codec
+from eelgrasshall.transport import acceptance
 
 CONNECT_TIMEOUT_S = 0.25
 ACK_TIMEOUT_S = 0.25
@@ -127,7 +128,7 @@
         Raises:
           OSError: The address cannot be bound.
         """
-        self._server = await capnp.AsyncIoStream.create_server(
+        self._server = await acceptance.create_server(
             self._serve, address.host, address.port
         )
         self._task = asyncio.create_task(self._server.serve_forever())
