--- a/eelgrasshall/application.py
+++ b/eelgrasshall/application.py
@@ -5,7 +5,6 @@
 this host's address, finishes what is in flight, and only then closes.
 """
 
-from collections.abc import Iterable
 import json
 import random as random_module
 from typing import Any
@@ -16,6 +15,7 @@
 from eelgrasshall import errors
 from eelgrasshall import invariants as promises
 from eelgrasshall import metrics as metrics_module
+from eelgrasshall import readings
 from eelgrasshall import settings as settings_module
 from eelgrasshall.coordination import admission
 from eelgrasshall.coordination import executor
@@ -170,7 +170,9 @@
         outcome = await self._coordinator.run(request)
         elapsed = self._clock.monotonic() - started
         kind = request.kind if self._knows_kind(request.kind) else "unknown"
-        self.metrics.record_query(kind, outcome.verdict.value, elapsed, None)
+        self.metrics.record_query(
+            kind, outcome.verdict.value, elapsed, outcome.key_share
+        )
         return outcome
 
     async def addresses(self, zone: str) -> caller_protocol.Outcome:
@@ -268,8 +270,8 @@
                 region=settings.region,
                 caller_host=settings.caller.host,
                 caller_port=settings.caller.port,
-                peer_host=settings.peer.host,
-                peer_port=settings.peer.port,
+                peer_host=settings.peer_address.host,
+                peer_port=settings.peer_address.port,
                 incarnation=self._incarnation,
             ),
             clock=clock,
@@ -314,6 +316,7 @@
                 retry_budget=chosen.retry_budget,
                 ownership=chosen.ownership,
             ),
+            record_result=self._record_result,
         )
         self._relay = relay.Relay(
             name=self._settings.name,
@@ -366,25 +369,16 @@
         )
         for topic in topics:
             self._facts.subscribe(topic)(self._executor.accept_fact)
-        self._register_gauges()
-
-    def _register_gauges(self) -> None:
-        """Registers what the metrics read at each scrape."""
-        gauges = metrics_module.Gauge
-        single = {
-            gauges.CONFIGURATION_VERSION: lambda: self._keeper.version,
-            gauges.MEMBERS: lambda: len(self._membership.members()),
-            gauges.OWNED_SERVICES: lambda: len(self._ownership.owned()),
-            gauges.IN_FLIGHT: lambda: self._coordinator.in_flight,
-        }
-        for gauge, read in single.items():
-            self.metrics.observe(gauge, _make_reader(read))
-        counted = {
-            gauges.INVARIANT_CHECKS: self.invariants.checks,
-            gauges.INVARIANT_BREACHES: self.invariants.breaches,
-        }
-        for gauge, counter in counted.items():
-            self.metrics.observe(gauge, _make_counter_reader(counter))
+        readings.register(
+            self.metrics,
+            keeper=self._keeper,
+            membership=self._membership,
+            ownership=self._ownership,
+            coordinator=self._coordinator,
+            executor=self._executor,
+            platform=self._platform,
+            invariants=self.invariants,
+        )
 
     def _follow(self) -> None:
         """Lets the executor follow configuration and ownership."""
@@ -414,6 +408,13 @@
         """Tells the other hosts a fact."""
         self._facts.publish(topic, key, body, FACT_TTL_S)
 
+    def _record_result(self, result: messages.SubResult, took_s: float) -> None:
+        """Records a result of an owned service in the metrics."""
+        retries = max(0, result.attempts - result.hedges - 1)
+        self.metrics.record_sub_request(
+            result.service, took_s, result.hedges, retries
+        )
+
     def _find_stream(self, name: str) -> peers.PeerStream | None:
         """Returns the stream to a member, or None if it is none."""
         member = self._membership.find(name)
@@ -441,20 +442,3 @@
     def _is_busy(self) -> bool:
         """Returns whether anything is in flight."""
         return self._coordinator.in_flight + self._relay.running_for_peers > 0
-
-
-def _make_reader(read) -> Any:
-    """Returns a gauge callback for a single value."""
-    return lambda: [metrics_module.Reading(read(), {})]
-
-
-def _make_counter_reader(counter) -> Any:
-    """Returns a gauge callback for a counter of promises."""
-
-    def read() -> Iterable[metrics_module.Reading]:
-        return [
-            metrics_module.Reading(count, {"promise": promise.name.lower()})
-            for promise, count in counter.items()
-        ]
-
-    return read
--- a/eelgrasshall/coordination/executor.py
+++ b/eelgrasshall/coordination/executor.py
@@ -51,6 +51,24 @@
     usual: histograms.Histogram
 
 
+class ServiceTotals(NamedTuple):
+    """What an owned service holds at a moment.
+
+    Attributes:
+      service: Name of the service.
+      waiting: Sub-requests that wait for a slot.
+      slots_in_use: Slots in use at its backend servers.
+      cold: Backend servers that are cold.
+      sheds: Attempts shed so far.
+    """
+
+    service: str
+    waiting: int
+    slots_in_use: int
+    cold: int
+    sheds: int
+
+
 class ServiceExecutor:
     """Runs sub-requests against the backend servers.
 
@@ -61,6 +79,8 @@
       backends: Connections to the backend servers.
       publish: Tells the other hosts: topic, key, body.
       policy: The choices in force.
+      record_result: Called with each result of an owned service and the
+        seconds that it took.
     """
 
     def __init__(
@@ -72,6 +92,8 @@
         backends: backends.BackendTransport,
         publish: Callable[[str, str, bytes], None],
         policy: policies.Policy,
+        record_result: Callable[[messages.SubResult, float], None]
+        | None = None,
     ):
         self._clock = clock
         self._random = random
@@ -79,6 +101,7 @@
         self._transport = backends
         self._publish = publish
         self._policy = policy
+        self._record_result = record_result
         self._directory = directories.Directory()
         self._quarantine = quarantines.Quarantine(clock=clock, publish=publish)
         self._direct = direct.DirectSender(
@@ -152,7 +175,12 @@
         owned = self._owned.get(request.service)
         if owned is not None:
             course = execution.Execution(request=request, tools=owned.tools)
-            return await course.run()
+            began_s = self._clock.monotonic()
+            result = await course.run()
+            if self._record_result is not None:
+                took_s = self._clock.monotonic() - began_s
+                self._record_result(result, took_s)
+            return result
         if request.direct:
             return await self._direct.execute(request)
         return _refuse(
@@ -189,6 +217,26 @@
             owned.tools.queue.fail_all(problem)
         logger.warning("executor: Paused; ownership lapsed.")
 
+    def read_totals(self) -> list[ServiceTotals]:
+        """Returns what each owned service holds now."""
+        totals = []
+        for name, owned in self._owned.items():
+            records = self._directory.of_service(name)
+            totals.append(
+                ServiceTotals(
+                    service=name,
+                    waiting=owned.tools.queue.count_waiting(),
+                    slots_in_use=sum(len(each.held) for each in records),
+                    cold=sum(each.cold for each in records),
+                    sheds=sum(each.sheds for each in records),
+                )
+            )
+        return totals
+
+    def count_quarantined(self) -> int:
+        """Returns the number of requests in quarantine."""
+        return len(self._quarantine.dump()["quarantined"])
+
     def dump(self) -> dict:
         """Returns the state of the executor as plain values."""
         services = {}
--- a/eelgrasshall/coordination/observer.py
+++ b/eelgrasshall/coordination/observer.py
@@ -163,6 +163,7 @@
         if record.cold:
             warmup.turn_cold(record)
         if response.status == backend.SHED:
+            record.sheds += 1
             record.down_until_s = self._clock.monotonic() + SHED_PAUSE_S
 
     def _record_latency(self, lease: queues.Lease, latency_s: float) -> None:
--- a/eelgrasshall/metrics.py
+++ b/eelgrasshall/metrics.py
@@ -41,7 +41,7 @@
 
 
 class Gauge(enum.Enum):
-    """What can be read at any time; the value is name and description."""
+    """What can be read at any time; name and description."""
 
     SLOTS_IN_USE = (
         "slots_in_use",
@@ -57,6 +57,15 @@
         "Version of the configuration in force.",
     )
     MEMBERS = ("members", "Usable entry hosts as seen here.")
+    WATCHES = ("store_watches", "Watches that wait at the platform's store.")
+
+
+class Count(enum.Enum):
+    """What only rises and is counted elsewhere; name and description."""
+
+    SHEDS = ("sheds", "Attempts that a backend server shed.")
+    STORE_CALLS = ("store_calls", "Calls to the platform, by sort.")
+    CONTROL_BYTES = ("control_bytes", "Bytes of heartbeats, by direction.")
     INVARIANT_CHECKS = ("invariant_checks", "Checks of each promise.")
     INVARIANT_BREACHES = ("invariant_breaches", "Breaches of each promise.")
 
@@ -109,15 +118,6 @@
         self._service_latency: dict[str, _Latencies] = {}
         self._hedges = meter.create_counter("hedges", "", "Hedges sent.")
         self._retries = meter.create_counter("retries", "", "Retries sent.")
-        self._sheds = meter.create_counter(
-            "sheds", "", "Attempts that a backend server shed."
-        )
-        self._store_calls = meter.create_counter(
-            "store_calls", "", "Calls to the platform, watches included."
-        )
-        self._control_bytes = meter.create_counter(
-            "control_bytes", "By", "Bytes of heartbeats and configuration."
-        )
         self._observe_service_latency()
         self._observe_process()
 
@@ -159,28 +159,6 @@
         if retries:
             self._retries.add(retries, labels)
 
-    def count_shed(self, service: str) -> None:
-        """Counts an attempt that a backend server shed."""
-        self._sheds.add(1, {"service": service})
-
-    def count_store_call(self, call: str, outcome: str) -> None:
-        """Counts a call to the platform.
-
-        Args:
-          call: The call's name, such as `read` or `watch`.
-          outcome: How it ended, such as `ok`, `conflict` or `unavailable`.
-        """
-        self._store_calls.add(1, {"call": call, "outcome": outcome})
-
-    def count_control_bytes(self, direction: str, size: int) -> None:
-        """Counts bytes of heartbeats, facts and configuration.
-
-        Args:
-          direction: `sent` or `received`.
-          size: Bytes.
-        """
-        self._control_bytes.add(size, {"direction": direction})
-
     def observe(
         self, gauge: Gauge, read: Callable[[], Iterable[Reading]]
     ) -> None:
@@ -193,6 +171,18 @@
         name, description = gauge.value
         self._observe(name, "", description, read)
 
+    def count(
+        self, count: Count, read: Callable[[], Iterable[Reading]]
+    ) -> None:
+        """Registers how a counter is read at each scrape.
+
+        Args:
+          count: The counter; each may be registered once.
+          read: Gives its present totals.
+        """
+        name, description = count.value
+        self._count(name, "", description, read)
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
--- a/eelgrasshall/protocol/caller.py
+++ b/eelgrasshall/protocol/caller.py
@@ -190,12 +190,15 @@
       status: HTTP status code.
       headers: HTTP headers besides the content type.
       body: JSON bytes.
+      key_share: Share of the key space that an answer covers; None for other
+        outcomes and for what another entry host gave.
     """
 
     verdict: Verdict
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    key_share: float | None = None
 
 
 class AddressAnswer(NamedTuple):
@@ -333,7 +336,8 @@
     body = b"".join(
         (_format_json(head)[:-1], b',"data":[', b",".join(parts), b"]}")
     )
-    return Outcome(Verdict.ANSWER, 200, (), body)
+    key_share = answer.coverage.key_share
+    return Outcome(Verdict.ANSWER, 200, (), body, key_share)
 
 
 def encode_refusal(refusal: Refusal, request_id: str) -> Outcome:
--- a/eelgrasshall/state/directory.py
+++ b/eelgrasshall/state/directory.py
@@ -56,6 +56,7 @@
       snapshots: As last seen, newest first; empty if never.
       told_warm_s: When another host last reported it warm; None if never.
       sent_s: When an attempt was last sent to it.
+      sheds: Attempts that it has shed.
     """
 
     def __init__(self, *, server: configurations.BackendServer, service: str):
@@ -80,6 +81,7 @@
         self.snapshots: tuple[messages.Snapshot, ...] = ()
         self.told_warm_s: float | None = None
         self.sent_s = 0.0
+        self.sheds = 0
 
     @property
     def name(self) -> str:
@@ -127,6 +129,7 @@
             "draining": self.draining,
             "reserved": self.reserved,
             "failures": self.failures,
+            "sheds": self.sheds,
             "incarnation": self.incarnation,
             "snapshots": [s.to_text() for s in self.snapshots],
         }
