--- a/eelgrasshall/coordination/claims.py
+++ b/eelgrasshall/coordination/claims.py
@@ -35,6 +35,10 @@
 OBJECT_KIND = "claims"
 CLAIM_TTL_S = 3600.0
 MAX_TRIES = 4
+RECORD_TRIES = 6
+# Wait before a record is written again; doubles with each try.
+FIRST_RECORD_WAIT_S = 0.5
+STOP_TIMEOUT_S = 2.0
 MAX_RECORDED_BYTES = 262_144
 FIRST_POLL_S = 0.1
 MAX_POLL_S = 1.0
@@ -162,7 +166,9 @@
         if self._sweeper is not None:
             self._sweeper.cancel()
         if self._writes:
-            await asyncio.wait(self._writes)
+            await asyncio.wait(self._writes, timeout=STOP_TIMEOUT_S)
+        for task in self._writes:
+            task.cancel()
 
     def prepare(
         self,
@@ -360,12 +366,21 @@
         self, claim: Claim, version: int, value: ClaimValue
     ) -> None:
         """Writes a claim's last state, as best it can be."""
-        written = await self._store.write(
-            OBJECT_KIND, claim.name, value, version
-        )
-        if isinstance(written, platform.Written):
-            self._versions[claim.name] = written.version
-            return
+        wait_s = FIRST_RECORD_WAIT_S
+        for _ in range(RECORD_TRIES):
+            written = await self._store.write(
+                OBJECT_KIND, claim.name, value, version
+            )
+            if isinstance(written, platform.Written):
+                self._versions[claim.name] = written.version
+                return
+            if isinstance(written, platform.Conflict):
+                # An earlier try took effect, or another host has the key.
+                if written.current.value == value:
+                    self._versions[claim.name] = written.current.version
+                return
+            await self._clock.sleep(wait_s)
+            wait_s *= 2
         logger.warning(f"claims: Claim {claim.name[:8]} was not recorded.")
 
     async def _sweep_periodically(self) -> None:
--- a/eelgrasshall/coordination/claims_test.py
+++ b/eelgrasshall/coordination/claims_test.py
@@ -17,6 +17,8 @@
     errors.ProblemKind.STORE_UNAVAILABLE, "platform", "It is out.", "Wait."
 )
 
+LOST = platform.Unknown(OUT)
+
 
 class MemoryStore:
     """An object store whose replies can be lost and writes be late."""
@@ -33,17 +35,18 @@
             return OUT
         if self.late is not None:
             self.late.append((kind, name, value, if_version))
-            return platform.Unknown(OUT)
+            return LOST
         result = self.apply(kind, name, value, if_version)
         if self.lost_replies:
             self.lost_replies -= 1
-            return platform.Unknown(OUT)
+            return LOST
         return result
 
     def apply(self, kind, name, value, if_version):
         current = self.objects.get((kind, name))
         if (current.version if current else 0) != if_version:
-            return platform.Conflict(current)
+            # The real one cannot show an object that is gone either.
+            return platform.Conflict(current) if current else LOST
         self.version += 1
         # Through JSON, as the real one.
         value = json.loads(json.dumps(value))
@@ -137,6 +140,18 @@
     assert caller.encode(again, "x") == told
 
 
+async def test_outcome_that_was_not_recorded_at_once_is_recorded_later(fleet):
+    fleet.duration_s = 0.1
+    fleet.send(0)
+    await fleet.clock.advance(0.05)
+    fleet.store.out = True
+    await fleet.clock.advance(0.5)
+    fleet.store.out = False
+    await fleet.clock.advance(2.0)
+    assert isinstance(await fleet.get(1), caller.Recorded)
+    assert fleet.runs == 1
+
+
 async def test_racing_sends_to_two_hosts_run_once(fleet):
     fleet.duration_s = 0.3
     tasks = [fleet.send(0), fleet.send(1)]
