--- a/eelgrasshall/protocol/caller.py
+++ b/eelgrasshall/protocol/caller.py
@@ -299,6 +299,11 @@
     return request, []
 
 
+def choose_echo(request_id: str) -> str:
+    """Returns the id to echo: the caller's, unless it cannot be one."""
+    return "" if _check_text("", request_id, MAX_NAME_CHARS) else request_id
+
+
 def encode_request(request: QueryRequest) -> bytes:
     """Returns a checked request as bytes for another entry host."""
     fields = request._replace(body="")._asdict()
--- a/eelgrasshall/transport/callers.py
+++ b/eelgrasshall/transport/callers.py
@@ -123,6 +123,7 @@
     async def _answer_query(self, request: web.Request) -> web.Response:
         """Serves POST /v1/query."""
         request_id = request.headers.get("X-Request-Id", "")
+        echo = caller.choose_echo(request_id)
         self.in_flight += 1
         self._idle.clear()
         try:
@@ -135,10 +136,10 @@
             )
             if query is None:
                 refusal = caller.Refusal(tuple(problems))
-                outcome = caller.encode_refusal(refusal, "")
-                return self._respond(outcome, "")
+                outcome = caller.encode_refusal(refusal, echo)
+                return self._respond(outcome, echo)
             outcome = await self._handler.query(query)
-            return self._respond(outcome, request_id)
+            return self._respond(outcome, echo)
         finally:
             self.in_flight -= 1
             if self.in_flight == 0:
--- a/eelgrasshall/transport/callers_test.py
+++ b/eelgrasshall/transport/callers_test.py
@@ -111,6 +111,16 @@
     assert not site.handler.requests
 
 
+@pytest.mark.parametrize(
+    ("request_id", "echo"), [("r7", "r7"), ("x" * 129, "")]
+)
+async def test_refusal_echoes_an_id_that_can_be_one(site, request_id, echo):
+    headers = {"X-Request-Id": request_id}
+    async with site.post(data=b"", headers=headers) as response:
+        assert (await response.json())["request_id"] == echo
+        assert response.headers.get("X-Request-Id", "") == echo
+
+
 async def test_oversized_body_is_refused(site):
     data = b"x" * (callers.MAX_HTTP_BODY_BYTES + 1)
     async with site.post(data=data) as response:
