--- a/eelgrasshall/commands/client.py
+++ b/eelgrasshall/commands/client.py
@@ -15,6 +15,7 @@
 from eelgrasshall import errors
 
 OK = 200
+SERVER_ERROR = 500
 READ_TIMEOUT_S = 5.0
 APPLY_TIMEOUT_S = 30.0
 
@@ -84,7 +85,7 @@
     failures = []
     for url in urls:
         try:
-            return await _send(
+            reply = await _send(
                 "POST",
                 url,
                 path,
@@ -93,6 +94,9 @@
                 body=body,
                 timeout_s=timeout_s,
             )
+            if reply.status >= SERVER_ERROR and reply.document is None:
+                return _make_lost(url, f"HTTP {reply.status}")
+            return reply
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -100,12 +104,7 @@
         ) as error:
             failures.append(f"{url} ({_describe(error)})")
         except (aiohttp.ClientError, OSError) as error:
-            return errors.Problem(
-                kind=errors.ProblemKind.REPLY_LOST,
-                where=url,
-                what=f"The reply was lost ({_describe(error)}).",
-                remedy="It may have taken effect: look before you repeat it.",
-            )
+            return _make_lost(url, _describe(error))
     return _make_unreachable(failures)
 
 
@@ -162,6 +161,16 @@
     return str(error) or type(error).__name__
 
 
+def _make_lost(url: str, reason: str) -> errors.Problem:
+    """Returns the problem that nothing is known of a change's effect."""
+    return errors.Problem(
+        kind=errors.ProblemKind.REPLY_LOST,
+        where=url,
+        what=f"The reply was lost ({reason}).",
+        remedy="It may have taken effect: look before you repeat it.",
+    )
+
+
 def _make_unreachable(failures: Sequence[str]) -> errors.Problem:
     """Returns the problem that no daemon could be reached."""
     return errors.Problem(
--- a/eelgrasshall/commands/commands_test.py
+++ b/eelgrasshall/commands/commands_test.py
@@ -279,6 +279,16 @@
     assert "look before you repeat it" in error
 
 
+async def test_reply_without_a_reason_is_unknown(run, program, daemon):
+    async def break_down(*_):
+        raise ValueError("broken")
+
+    daemon.apply_configuration = break_down
+    code, _, error = await run(f"apply {program}")
+    assert code == exits.ExitCode.UNKNOWN
+    assert "HTTP 500" in error
+
+
 async def test_unreachable_daemon_is_skipped_or_told(run, program):
     code, output, error = await run(f"status -d {_UNUSED} --json")
     assert code == exits.ExitCode.UNREACHABLE
