--- a/eelgrasshall/application.py
+++ b/eelgrasshall/application.py
@@ -18,6 +18,7 @@
 from eelgrasshall import readings
 from eelgrasshall import settings as settings_module
 from eelgrasshall.coordination import admission
+from eelgrasshall.coordination import claims
 from eelgrasshall.coordination import executor
 from eelgrasshall.coordination import facts
 from eelgrasshall.coordination import membership
@@ -92,6 +93,7 @@
         self._pause.start()
         self._membership.start()
         self._keeper.start()
+        await self._claims.start()
         await self._callers.start(settings.caller.host, settings.caller.port)
         logger.info(f"application: {settings.name} serves.")
 
@@ -112,6 +114,7 @@
     async def stop(self) -> None:
         """Closes every part at once."""
         await self._callers.stop(self._settings.drain_s if self._leaving else 0)
+        await self._claims.stop()
         self._ownership.stop()
         self._pause.stop()
         await self._keeper.stop()
@@ -128,19 +131,19 @@
     # Calls of peers.
 
     def accept_requests(
-        self, sender: str, batch: list[messages.SubRequest]
+        self, sender: str, batch: tuple[messages.SubRequest, ...]
     ) -> None:
         """Takes sub-requests relayed by a peer."""
         self._pause.check()
         self._relay.accept_requests(sender, batch)
 
     def accept_results(
-        self, sender: str, batch: list[messages.SubResult]
+        self, sender: str, batch: tuple[messages.SubResult, ...]
     ) -> None:
         """Takes results of sub-requests relayed to a peer."""
         self._relay.accept_results(sender, batch)
 
-    def accept_cancels(self, sender: str, sub_ids: list[str]) -> None:
+    def accept_cancels(self, sender: str, sub_ids: tuple[str, ...]) -> None:
         """Gives up sub-requests relayed by a peer."""
         self._relay.accept_cancels(sender, sub_ids)
 
@@ -331,6 +334,12 @@
     def _make_caller_side(self, random: random_module.Random) -> None:
         """Makes the parts that answer callers."""
         settings = self._settings
+        self._claims = claims.ClaimBook(
+            clock=self._clock,
+            random=random,
+            invariants=self.invariants,
+            store=self._platform,
+        )
         self._coordinator = query.QueryCoordinator(
             name=settings.name,
             zone=settings.zone,
@@ -350,6 +359,7 @@
                 invariants=self.invariants,
                 run_at_home=self._run_at_home,
             ),
+            claims=self._claims,
             address_ttl_s=settings.address_ttl_s,
         )
         self._callers = callers.CallerServer(
