--- a/eelgrasshall/commands/commands_test.py
+++ b/eelgrasshall/commands/commands_test.py
@@ -320,8 +320,11 @@
         self.status = 200
         self.outcome = {}
         self.seen = []
+        self.keys = []
 
     async def answer(self, request):
+        if "Idempotency-Key" in request.headers:
+            self.keys.append(request.headers["Idempotency-Key"])
         self.seen.append(await request.json())
         return web.json_response(self.outcome, status=self.status)
 
@@ -421,6 +424,13 @@
     assert listener.seen[1]["ticket"] == ticket
 
 
+async def test_key_and_first_send_are_sent(run, listener, caller_url):
+    listener.outcome = _make_answer()
+    await run("query take --key van-12 --first", caller_url)
+    assert listener.keys == ["van-12"]
+    assert listener.seen == [{"kind": "take", "query": {}, "first_send": True}]
+
+
 async def test_bad_input_is_refused_before_sending(run, listener, caller_url):
     for line in ("query find '{'", "query find --deadline-ms soon"):
         assert (await run(line, caller_url))[0] == exits.ExitCode.INVALID
--- a/eelgrasshall/commands/query.py
+++ b/eelgrasshall/commands/query.py
@@ -27,13 +27,15 @@
     help = """\
 Runs one request as a caller does. The query is JSON text, or - for standard
 input. With --once the request runs at most once: it carries a ticket, which is
-printed so that the same request can be sent again with --ticket.
+printed so that the same request can be sent again with --ticket. With --key an
+idempotency key of one's own does the same through the platform's store.
 
 Exits with 0 for a complete answer, 8 for a partial one, 2 or 5 if the request
 was not run (5: come back later), and 6 if it may have run.
 
   eelgrasshall query pedidos '{"quarry": "La Pastora"}'
   eelgrasshall query reservation '{"crate": 7}' --once
+  eelgrasshall query reservation '{"crate": 7}' --key van-12-crate-7 --first
 """
     arguments = [
         helpers.argument("kind", "The kind of request."),
@@ -50,6 +52,9 @@
         helpers.option("once", None, "Take a ticket: run it at most once."),
         helpers.option("ticket", None, "Ticket of an earlier try.", flag=False),
         helpers.option("key", None, "Idempotency key.", flag=False),
+        helpers.option(
+            "first", None, "State that no earlier send of it may have run."
+        ),
     ]
 
     def handle(self) -> int:
@@ -89,6 +94,8 @@
             if not deadline.isdecimal():
                 return _malformed("--deadline-ms", "It is no whole number.")
             request["deadline_ms"] = int(deadline)
+        if self.option("first"):
+            request["first_send"] = True
         return request
 
     def _choose_ticket(self) -> str | list[errors.Problem]:
