--- a/eelgrasshall/declare_test.py
+++ b/eelgrasshall/declare_test.py
@@ -1,9 +1,15 @@
 """Tests of the operators' library: what it builds and what it refuses."""
 
+import copy
+import functools
+import json
+import operator
+
 import pytest
 
 from eelgrasshall import declare
 from eelgrasshall import errors
+from eelgrasshall.state import configuration
 
 _ZONES = declare.make_zones("north", ["a", "b"])
 _SHAPE = declare.Shape(replicas=3, slots=2, connections=4)
@@ -128,6 +134,36 @@
     assert back.zones_in_service() == {"a", "b"}
 
 
+_NAN = float("nan")
+_ODD = (
+    *(None, True, -1, 0, 2**70, 0.5, _NAN, float("inf"), "", "é", "\ud800"),
+    *([], {}, [None], {"name": "x"}),
+)
+
+
+def _list_places(value, path=()):
+    """Lists the path of every value inside a document."""
+    if isinstance(value, (dict, list)):
+        items = value.items() if isinstance(value, dict) else enumerate(value)
+        for key, inner in list(items):
+            yield (*path, key)
+            yield from _list_places(inner, (*path, key))
+
+
+def test_any_value_at_any_place_is_taken_or_refused():
+    document = configuration.to_plain(_declare())
+    for path in _list_places(document):
+        for odd in _ODD:
+            changed = copy.deepcopy(document)
+            inner = functools.reduce(operator.getitem, path[:-1], changed)
+            inner[path[-1]] = odd
+            declared, problems = declare.read(json.dumps(changed).encode())
+            assert (declared is None) == bool(problems), (path, odd)
+            if declared is not None:
+                printed = configuration.format_configuration(declared)
+                assert declare.read(printed) == (declared, []), (path, odd)
+
+
 def test_main_prints_or_tells_every_problem(capsys):
     declare.main(_declare)
     printed = capsys.readouterr().out.encode()
