--- a/eelgrasshall/coordination/relay.py
+++ b/eelgrasshall/coordination/relay.py
@@ -13,6 +13,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import NamedTuple
 from typing import Protocol
 
@@ -38,6 +39,9 @@
     async def execute(self, request: messages.SubRequest) -> messages.SubResult:
         """Runs a sub-request against the backend servers of its service."""
 
+    def note_result(self, result: messages.SubResult) -> None:
+        """Learns which servers are warm from an owner's result."""
+
 
 class Ownership(Protocol):
     """The part of the ownership view that the relay needs."""
@@ -146,10 +150,11 @@
             return await self._recover(request, started, error)
         if _is_refused_by_non_owner(result):
             return await self._run_direct(request, started)
+        self._executor.note_result(result)
         return result
 
     def accept_requests(
-        self, sender: str, batch: list[messages.SubRequest]
+        self, sender: str, batch: Sequence[messages.SubRequest]
     ) -> None:
         """Runs sub-requests that a peer relayed, each in its own task."""
         for request in batch:
@@ -159,7 +164,7 @@
             self._running[request.sub_id] = task
 
     def accept_results(
-        self, sender: str, batch: list[messages.SubResult]
+        self, sender: str, batch: Sequence[messages.SubResult]
     ) -> None:
         """Delivers results to the sub-requests that wait for them."""
         self._unresponsive_until.pop(sender, None)
@@ -175,7 +180,7 @@
             )
             pending.future.set_result(result)
 
-    def accept_cancels(self, sender: str, sub_ids: list[str]) -> None:
+    def accept_cancels(self, sender: str, sub_ids: Sequence[str]) -> None:
         """Cancels sub-requests that a peer has given up."""
         del sender
         for sub_id in sub_ids:
@@ -183,9 +188,15 @@
             if task is not None:
                 task.cancel()
 
-    def drop_peer(self, name: str) -> None:
-        """Ends the wait for a peer that has left the membership."""
-        self._fail_pending(name, peers.PeerError("The owner is gone."))
+    def keep_peers(self, present: set[str]) -> None:
+        """Ends the waits for peers that are not among the members.
+
+        Args:
+          present: Names of the members.
+        """
+        gone = {pending.peer for pending in self._pending.values()} - present
+        for name in gone:
+            self._fail_pending(name, peers.PeerError("The owner is gone."))
 
     @property
     def running_for_peers(self) -> int:
--- a/eelgrasshall/metrics.py
+++ b/eelgrasshall/metrics.py
@@ -6,9 +6,11 @@
 a gauge with a callback and costs nothing between scrapes.
 """
 
+import bisect
 from collections.abc import Callable
 from collections.abc import Iterable
 import enum
+import itertools
 import resource
 from typing import NamedTuple
 
@@ -39,7 +41,7 @@
 
 
 class Gauge(enum.Enum):
-    """What can be read at any time; the value is name and description."""
+    """What can be read at any time; name and description."""
 
     SLOTS_IN_USE = (
         "slots_in_use",
@@ -55,6 +57,15 @@
         "Version of the configuration in force.",
     )
     MEMBERS = ("members", "Usable entry hosts as seen here.")
+    WATCHES = ("store_watches", "Watches that wait at the platform's store.")
+
+
+class Count(enum.Enum):
+    """What only rises and is counted elsewhere; name and description."""
+
+    SHEDS = ("sheds", "Attempts that a backend server shed.")
+    STORE_CALLS = ("store_calls", "Calls to the platform, by sort.")
+    CONTROL_BYTES = ("control_bytes", "Bytes of heartbeats, by direction.")
     INVARIANT_CHECKS = ("invariant_checks", "Checks of each promise.")
     INVARIANT_BREACHES = ("invariant_breaches", "Breaches of each promise.")
 
@@ -104,20 +115,10 @@
         self._outcomes = meter.create_counter(
             "outcomes", "", "Outcomes of queries, by kind."
         )
-        self._service_latency = meter.create_histogram(
-            "service_latency", "s", "Time of sub-requests, by service."
-        )
+        self._service_latency: dict[str, _Latencies] = {}
         self._hedges = meter.create_counter("hedges", "", "Hedges sent.")
         self._retries = meter.create_counter("retries", "", "Retries sent.")
-        self._sheds = meter.create_counter(
-            "sheds", "", "Attempts that a backend server shed."
-        )
-        self._store_calls = meter.create_counter(
-            "store_calls", "", "Calls to the platform, watches included."
-        )
-        self._control_bytes = meter.create_counter(
-            "control_bytes", "By", "Bytes of heartbeats and configuration."
-        )
+        self._observe_service_latency()
         self._observe_process()
 
     def record_query(
@@ -148,35 +149,16 @@
           hedges: Hedges sent for it.
           retries: Retries sent for it.
         """
+        latencies = self._service_latency.get(service)
+        if latencies is None:
+            latencies = self._service_latency[service] = _Latencies()
+        latencies.add(latency_s)
         labels = {"service": service}
-        self._service_latency.record(latency_s, labels)
         if hedges:
             self._hedges.add(hedges, labels)
         if retries:
             self._retries.add(retries, labels)
 
-    def count_shed(self, service: str) -> None:
-        """Counts an attempt that a backend server shed."""
-        self._sheds.add(1, {"service": service})
-
-    def count_store_call(self, call: str, outcome: str) -> None:
-        """Counts a call to the platform.
-
-        Args:
-          call: The call's name, such as `read` or `watch`.
-          outcome: How it ended, such as `ok`, `conflict` or `unavailable`.
-        """
-        self._store_calls.add(1, {"call": call, "outcome": outcome})
-
-    def count_control_bytes(self, direction: str, size: int) -> None:
-        """Counts bytes of heartbeats, facts and configuration.
-
-        Args:
-          direction: `sent` or `received`.
-          size: Bytes.
-        """
-        self._control_bytes.add(size, {"direction": direction})
-
     def observe(
         self, gauge: Gauge, read: Callable[[], Iterable[Reading]]
     ) -> None:
@@ -189,6 +171,18 @@
         name, description = gauge.value
         self._observe(name, "", description, read)
 
+    def count(
+        self, count: Count, read: Callable[[], Iterable[Reading]]
+    ) -> None:
+        """Registers how a counter is read at each scrape.
+
+        Args:
+          count: The counter; each may be registered once.
+          read: Gives its present totals.
+        """
+        name, description = count.value
+        self._count(name, "", description, read)
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
@@ -197,6 +191,45 @@
         """Releases the meter provider."""
         self._provider.shutdown()
 
+    def _observe_service_latency(self) -> None:
+        """Registers the latencies by service as counters.
+
+        Sub-requests are by far the most frequent event.  A histogram
+        instrument costs several microseconds for each, a counter that is read
+        at a scrape well below one.
+        """
+        name = "service_latency"
+        self._count(
+            f"{name}_bucket",
+            "",
+            "Sub-requests that took at most `le` seconds, by service.",
+            self._read_latency_buckets,
+        )
+        self._count(
+            f"{name}_sum",
+            "s",
+            "Time of sub-requests, by service.",
+            self._read_latency_sums,
+        )
+
+    def _read_latency_buckets(self) -> list[Reading]:
+        """Reads the cumulated buckets of each service."""
+        bounds = [*map(str, LATENCY_BOUNDS_S), "+Inf"]
+        return [
+            Reading(total, {"service": service, "le": bound})
+            for service, latencies in self._service_latency.items()
+            for bound, total in zip(
+                bounds, itertools.accumulate(latencies.counts), strict=True
+            )
+        ]
+
+    def _read_latency_sums(self) -> list[Reading]:
+        """Reads the summed latency of each service."""
+        return [
+            Reading(latencies.sum_s, {"service": service})
+            for service, latencies in self._service_latency.items()
+        ]
+
     def _observe_process(self) -> None:
         """Registers what the operating system counts for this process."""
         self._observe(
@@ -220,18 +253,51 @@
         read: Callable[[], Iterable[Reading]],
     ) -> None:
         """Creates an observable gauge."""
+        callback = _make_callback(read)
+        self._meter.create_observable_gauge(name, [callback], unit, description)
+
+    def _count(
+        self,
+        name: str,
+        unit: str,
+        description: str,
+        read: Callable[[], Iterable[Reading]],
+    ) -> None:
+        """Creates an observable counter."""
+        callback = _make_callback(read)
+        self._meter.create_observable_counter(
+            name, [callback], unit, description
+        )
+
+
+class _Latencies:
+    """Counts of latencies between the bounds, and their sum in seconds."""
+
+    def __init__(self):
+        self.counts = [0] * (len(LATENCY_BOUNDS_S) + 1)
+        self.sum_s = 0.0
+
+    def add(self, latency_s: float) -> None:
+        """Counts one latency."""
+        self.counts[bisect.bisect_left(LATENCY_BOUNDS_S, latency_s)] += 1
+        self.sum_s += latency_s
+
+
+def _make_callback(
+    read: Callable[[], Iterable[Reading]],
+) -> Callable[[otel.CallbackOptions], list[otel.Observation]]:
+    """Returns an instrument's callback that gives present readings."""
 
-        def give(_: otel.CallbackOptions) -> list[otel.Observation]:
-            return [otel.Observation(r.value, r.labels) for r in read()]
+    def give(_: otel.CallbackOptions) -> list[otel.Observation]:
+        return [otel.Observation(r.value, r.labels) for r in read()]
 
-        self._meter.create_observable_gauge(name, [give], unit, description)
+    return give
 
 
 def _make_views() -> list[otel_view.View]:
     """Returns the bucket bounds of each histogram."""
     bounds = {
         "query_latency": LATENCY_BOUNDS_S,
-        "service_latency": LATENCY_BOUNDS_S,
         "coverage": COVERAGE_BOUNDS,
     }
     return [
--- a/eelgrasshall/transport/callers.py
+++ b/eelgrasshall/transport/callers.py
@@ -92,29 +92,38 @@
         """Closes the listener, finishes what is in flight, then closes.
 
         Args:
-          timeout_s: Seconds after which requests are cut all the same.
+          timeout_s: Seconds after which requests are cut all the same; 0
+            stops at once, which is no planned stop.
         """
         if self._runner is None:
             return
+        runner, self._runner = self._runner, None
         self._leaving = True
         await self._site.stop()
+        try:
+            if timeout_s > 0:
+                await self._finish(timeout_s)
+        finally:
+            await runner.cleanup()
+
+    async def _finish(self, timeout_s: float) -> None:
+        """Waits until nothing is in flight."""
         try:
             async with asyncio.timeout(timeout_s):
                 await self._idle.wait()
         except TimeoutError:
-            logger.error(f"callers: {self.in_flight} requests were cut.")
+            logger.error(f"callers: {self.in_flight} requests are cut.")
         if self._invariants is not None:
             self._invariants.check(
                 invariants_module.Promise.STOP_CUTS_NOTHING,
                 self.in_flight == 0,
                 f"{self.in_flight} requests in flight at the stop",
             )
-        await self._runner.cleanup()
-        self._runner = None
 
     async def _answer_query(self, request: web.Request) -> web.Response:
         """Serves POST /v1/query."""
         request_id = request.headers.get("X-Request-Id", "")
+        echo = caller.choose_echo(request_id)
         self.in_flight += 1
         self._idle.clear()
         try:
@@ -127,10 +136,10 @@
             )
             if query is None:
                 refusal = caller.Refusal(tuple(problems))
-                outcome = caller.encode_refusal(refusal, "")
-                return self._respond(outcome, "")
+                outcome = caller.encode_refusal(refusal, echo)
+                return self._respond(outcome, echo)
             outcome = await self._handler.query(query)
-            return self._respond(outcome, request_id)
+            return self._respond(outcome, echo)
         finally:
             self.in_flight -= 1
             if self.in_flight == 0:
