Owner side: a backlog no longer keeps cold servers cold

Cause: in a trial (one process with its fake servers, 1 service of 3 servers, 18 slots, 1069 requests a second, above what the machine bore) all servers stayed cold for good: the estimate of the wait knew no latencies of cold servers, so requests went out with no time left, ran into their deadlines, and each such end started the cold server over.

Estimates now use the latencies of all servers, and an attempt that ran into its deadline starts a cold server over only if it took long. The new test fails with the second part switched off.

--- a/eelgrasshall/coordination/attempts.py
+++ b/eelgrasshall/coordination/attempts.py
@@ -20,7 +20,7 @@
 
 # A response may pause for this multiple of the service's 99th percentile.
 SILENCE_FACTOR = 4.0
-SILENCE_SHORTEST_S = 0.15
+SILENCE_SHORTEST_S = 0.3
 SILENCE_LONGEST_S = 1.0
 # A cancelled attempt answers within this time, or its connection is silent.
 CANCEL_WAIT_S = 0.25
@@ -144,7 +144,7 @@
             raise
         latency_s = self._clock.monotonic() - sent_s
         if isinstance(outcome, backends.BackendFailure):
-            self._observer.note_failure(lease, outcome)
+            self._observer.note_failure(lease, outcome, latency_s)
             self._settle(lease, outcome, deadline_s)
         else:
             self._observer.note_response(lease, outcome, latency_s)
--- a/eelgrasshall/coordination/executor.py
+++ b/eelgrasshall/coordination/executor.py
@@ -49,6 +49,7 @@
     observer: observers.Observer
     monitor: monitors.Monitor
     usual: histograms.Histogram
+    seen: histograms.Histogram
 
 
 class ServiceTotals(NamedTuple):
@@ -292,6 +293,7 @@
     def _make_owned(self, name: str) -> _Owned:
         """Builds the parts that serve a service."""
         usual = histograms.Histogram()
+        seen = histograms.Histogram()
         hedger = hedges.Hedger(policy=self._policy, usual=usual)
         observer = observers.Observer(
             clock=self._clock,
@@ -301,6 +303,7 @@
             usual=usual,
             hedger=hedger,
             directory=self._directory,
+            seen=seen,
         )
 
         def notice_lost(record: directories.ServerRecord) -> None:
@@ -313,7 +316,7 @@
             random=self._random,
             invariants=self._invariants,
             directory=self._directory,
-            usual=usual,
+            seen=seen,
             notice_lost=notice_lost,
         )
         runner = attempts.AttemptRunner(
@@ -344,7 +347,7 @@
             queue=queue,
         )
         monitor.start()
-        return _Owned(tools, observer, monitor, usual)
+        return _Owned(tools, observer, monitor, usual, seen)
 
     def _give_up_service(self, name: str) -> None:
         """Stops serving a service; what is in flight finishes."""
--- a/eelgrasshall/coordination/executor_test.py
+++ b/eelgrasshall/coordination/executor_test.py
@@ -57,8 +57,12 @@
         self.most = max(self.most, len(self.running))
         if self.poison and self.poison in attempt.body:
             self.die()
-        timer = asyncio.create_task(self._clock.sleep(self.latency_s))
-        timer.add_done_callback(lambda _: ended.done() or ended.set_result(200))
+        in_time = self.latency_s <= attempt.budget_s
+        duration_s = min(self.latency_s, attempt.budget_s)
+        timer = asyncio.create_task(self._clock.sleep(duration_s))
+        timer.add_done_callback(
+            lambda _: ended.done() or ended.set_result(200 if in_time else 504)
+        )
         status = await ended
         timer.cancel()
         if status == 0:
@@ -225,6 +229,7 @@
         for owned in self.executor._owned.values():
             for _ in range(200):
                 owned.usual.record(0.01)
+                owned.seen.record(0.01)
 
     def request(self, **changes):
         self.number += 1
--- a/eelgrasshall/coordination/observer.py
+++ b/eelgrasshall/coordination/observer.py
@@ -32,7 +32,7 @@
 # A server that sheds is left alone for a moment.
 SHED_PAUSE_S = 0.01
 
-_FailureRule = Callable[["Observer", queues.Lease], None]
+_FailureRule = Callable[["Observer", queues.Lease, float], None]
 _FAILURE_RULES: dict[backends.FailureKind, _FailureRule] = {}
 
 
@@ -58,6 +58,7 @@
       usual: Latencies of the service's warm servers.
       hedger: Told of the same latencies.
       directory: Books of the backend servers.
+      seen: Latencies of all servers, cold ones included, for estimates.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         usual: histograms.Histogram,
         hedger: hedges.Hedger,
         directory: directories.Directory,
+        seen: histograms.Histogram,
     ):
         self._clock = clock
         self._random = random
@@ -78,6 +80,7 @@
         self._usual = usual
         self._hedger = hedger
         self._directory = directory
+        self._seen = seen
         self._recent: dict[str, collections.deque[float]] = {}
 
     def note_response(
@@ -96,17 +99,23 @@
             record.draining = True
             logger.info(f"observer: {record.name} is leaving.")
         if response.served:
+            self._seen.record(latency_s)
             self._note_success(lease, latency_s)
         elif response.status == backend.CANCELLED:
             self._record_latency(lease, latency_s)
+        elif response.status == backend.DEADLINE_PASSED:
+            self._note_deadline(lease, latency_s)
         elif response.status != backend.SNAPSHOT_GONE:
             self._note_unserved(lease, response)
 
     def note_failure(
-        self, lease: queues.Lease, failure: backends.BackendFailure
+        self,
+        lease: queues.Lease,
+        failure: backends.BackendFailure,
+        latency_s: float,
     ) -> None:
         """Learns from an attempt without a usable response."""
-        _FAILURE_RULES[failure.kind](self, lease)
+        _FAILURE_RULES[failure.kind](self, lease, latency_s)
 
     def note_health(
         self, record: directories.ServerRecord, health: backend.Health
@@ -200,13 +209,13 @@
         return any(r is not record and not r.cold for r in siblings)
 
     @_on(backends.FailureKind.REFUSED)
-    def _note_refused(self, lease: queues.Lease) -> None:
+    def _note_refused(self, lease: queues.Lease, latency_s: float) -> None:
         """Learns from a connection that could not be opened."""
         if lease.turns == lease.record.turns:
             self.note_down(lease.record)
 
     @_on(backends.FailureKind.LOST)
-    def _note_lost(self, lease: queues.Lease) -> None:
+    def _note_lost(self, lease: queues.Lease, latency_s: float) -> None:
         """Learns from a connection that broke under an attempt."""
         if lease.alone:
             self._quarantine.condemn(lease.fingerprint)
@@ -218,15 +227,25 @@
 
     @_on(
         backends.FailureKind.SILENT,
-        backends.FailureKind.TIMED_OUT,
         backends.FailureKind.CROSSED,
         backends.FailureKind.NO_CONNECTION,
     )
-    def _note_other(self, lease: queues.Lease) -> None:
+    def _note_other(self, lease: queues.Lease, latency_s: float) -> None:
         """Starts a cold server over; says nothing about a warm one."""
         if lease.record.cold:
             warmup.turn_cold(lease.record)
 
+    @_on(backends.FailureKind.TIMED_OUT)
+    def _note_deadline(self, lease: queues.Lease, latency_s: float) -> None:
+        """Learns from an attempt that ran into its deadline.
+
+        One that had little time left says nothing about the server; counting
+        it would keep a cold server cold for as long as there is a backlog.
+        """
+        longest_s = warmup.PROVEN_FACTOR * self._seen.percentile(0.9)
+        if lease.record.cold and latency_s > longest_s:
+            warmup.turn_cold(lease.record)
+
     def _tell(self, record: directories.ServerRecord) -> None:
         """Tells the other hosts whether a server is cold."""
         body = json.dumps({"cold": record.cold}).encode()
--- a/eelgrasshall/coordination/queue.py
+++ b/eelgrasshall/coordination/queue.py
@@ -61,7 +61,7 @@
       random: Source of chance, to break ties.
       invariants: Where slots and allowances are checked.
       directory: Books of the backend servers.
-      usual: Latencies of the service's warm servers.
+      seen: Latencies of all servers of the service, for estimates.
       notice_lost: Called with a server's books before a slot is given; turns
         it cold if its idle connections were closed.
 
@@ -78,7 +78,7 @@
         random: random_module.Random,
         invariants: invariants_module.Invariants,
         directory: directories.Directory,
-        usual: histograms.Histogram,
+        seen: histograms.Histogram,
         notice_lost: Callable[[directories.ServerRecord], None],
     ):
         self._service = service
@@ -86,7 +86,7 @@
         self._random = random
         self._invariants = invariants
         self._directory = directory
-        self._usual = usual
+        self._seen = seen
         self._notice_lost = notice_lost
         self._waiters: list[tuple[tuple[bool, float, int], _Waiter]] = []
         self._alone: list[_Waiter] = []
@@ -162,7 +162,7 @@
             self._records(),
             now=self._clock.monotonic(),
             settled_s=self.settled_s,
-            usual=self._usual,
+            seen=self._seen,
         )
 
     def _count_free(self, record: directories.ServerRecord) -> int:
--- a/eelgrasshall/coordination/selection.py
+++ b/eelgrasshall/coordination/selection.py
@@ -143,7 +143,7 @@
     *,
     now: float,
     settled_s: float,
-    usual: histograms.Histogram,
+    seen: histograms.Histogram,
 ) -> Outlook:
     """Sums up what the servers of a service can do now."""
     in_service = tuple(record for record in records if record.in_service)
@@ -167,8 +167,8 @@
             for record in in_service
         ),
         opens_s=opens_s,
-        typical_s=usual.percentile(0.5),
-        slow_s=usual.percentile(0.9),
+        typical_s=seen.percentile(0.5),
+        slow_s=seen.percentile(0.9),
     )
 
 
--- a/eelgrasshall/coordination/warmup_test.py
+++ b/eelgrasshall/coordination/warmup_test.py
@@ -64,6 +64,19 @@
         assert bench.record("s0b0")["allowance"] == 1
 
 
+async def test_backlog_of_short_deadlines_does_not_keep_a_server_cold():
+    async with executor_test.run_bench() as bench:
+        bench.executor._directory.find("s0b0").cold = True
+        await warm_up(bench, "s0b0", 4)
+        bench.server("s0b0").latency_s = 0.02
+        bench.server("s0b0").cancel_works = False
+        results = await bench.finish(bench.start(budget_s=0.015))
+        assert executor_test.outcomes(results) == ["failed"]
+        await bench.clock.advance(0.2)
+        bench.server("s0b0").latency_s = 0.01
+        assert bench.record("s0b0")["proofs"] == 4
+
+
 async def test_new_incarnation_is_cold_at_once_and_told():
     async with executor_test.run_bench() as bench:
         bench.server("s0b0").restart()
