--- a/eelgrasshall/coordination/queue.py
+++ b/eelgrasshall/coordination/queue.py
@@ -22,7 +22,7 @@
 from eelgrasshall.state import directory as directories
 
 # How often what waits is looked through for what cannot be served in time.
-SWEEP_S = 0.02
+SWEEP_S = 0.04
 
 
 class Lease(NamedTuple):
