Admission: a limit that a disturbance pressed down rises fast again

Cause: the wait at cold backend servers of a start pressed the limit of each of 9 hosts to 2, and 1/limit per answer raised it too slowly: at half the capacity 155 of 1353 queries were refused as overloaded. Below half of the wait aimed at the limit now rises by one with each answer.

Ruled out: fewer hosts in the limit's estimate; the limit stood at 2 on each host on its own.

--- a/eelgrasshall/coordination/admission.py
+++ b/eelgrasshall/coordination/admission.py
@@ -24,6 +24,8 @@
 DEFAULT_HOST_LIMIT = 1024
 # Queue waits are kept near this share of the kind's deadline.
 TARGET_WAIT_SHARE = 0.25
+# Below this share of the wait that is aimed at, a limit rises fast.
+SHORT_WAIT_SHARE = 0.5
 DECREASE_FACTOR = 0.9
 # The wait that counts is the one that this share of a request's services stay
 # within, so that one service that is down does not close the whole kind.
@@ -282,7 +284,18 @@
                 state.limit = max(MIN_LIMIT, lowered)
             return
         if state.in_flight >= CONTENDED_SHARE * state.limit:
-            state.limit += 1.0 / state.limit
+            state.limit += self._choose_step(state, deadline_s)
+
+    def _choose_step(self, state: _KindState, deadline_s: float) -> float:
+        """Returns by how much a limit rises with one more request.
+
+        Far below the wait that is aimed at, the limit doubles in a round
+        trip; else a limit that a short disturbance pressed down, such as a
+        start with cold backend servers, would refuse for long after it.
+        """
+        if state.wait_s < SHORT_WAIT_SHARE * TARGET_WAIT_SHARE * deadline_s:
+            return 1.0
+        return 1.0 / state.limit
 
     def _choose_retry_after_s(self, state: _KindState, now: float) -> float:
         """Returns when a place is likely free for a refused request.
