Admission: start low, grow fast while queues are short

Gains of 2, 4 and 8 on linear growth made no difference that stood out.

Seen to fail with a start at 256 and with linear growth.

--- a/eelgrasshall/coordination/admission.py
+++ b/eelgrasshall/coordination/admission.py
@@ -1,9 +1,9 @@
 """Which requests an entry host takes on, decided at once.
 
-Each kind of request has a concurrency limit.  The limit falls when the owners
-of its services report long queue waits and rises again while waits are short
-(additive increase, multiplicative decrease), so that under overload the
-owners' queues stay short and what is admitted is answered in time.  Above
+Each kind of request has a concurrency limit.  It falls when the owners of its
+services report long queue waits and rises again while waits are short, fast
+while they are far below the target and slowly near it.  Under overload the
+owners' queues so stay short and what is admitted is answered in time.  Above
 `CONTENDED_SHARE` of a limit only those are admitted that use less than their
 fair share: callers within a kind, and kinds, by weight, within the host.
 
@@ -29,6 +29,9 @@
 # within, so that one service that is down does not close the whole kind.
 WAIT_QUANTILE = 0.75
 MIN_LIMIT = 2.0
+# A kind starts here and finds its limit; starting from its most would fill the
+# queues of a fleet that starts cold with more than can be answered in time.
+INITIAL_LIMIT = 8
 # A caller or kind counts for the shares this long after its last request.
 ACTIVE_S = 1.0
 # Estimates of waits and durations halve their weight in this time, so that a
@@ -107,6 +110,7 @@
       clock: The source of time.
       random: Spreads the times to come back.
       host_limit: Requests that the host runs at once over all kinds.
+      initial_limit: Requests of one kind that it runs at once at first.
     """
 
     def __init__(
@@ -115,10 +119,12 @@
         clock: clock_module.Clock,
         random: random_module.Random,
         host_limit: int = DEFAULT_HOST_LIMIT,
+        initial_limit: int = INITIAL_LIMIT,
     ):
         self._clock = clock
         self._random = random
         self._host_limit = host_limit
+        self._initial_limit = initial_limit
         self._kinds: dict[str, _KindState] = {}
         self._weights: dict[str, int] = {}
         self.in_flight = 0
@@ -196,7 +202,7 @@
         self._weights[kind.name] = kind.weight
         state = self._kinds.get(kind.name)
         if state is None:
-            state = _KindState(limit=float(kind.max_concurrent))
+            state = _KindState(limit=float(self._initial_limit))
             self._kinds[kind.name] = state
         return state
 
@@ -274,7 +280,8 @@
         wait_s = state.estimate_wait_s(now)
         state.wait_s = wait_s + _SMOOTHING * (queue_wait_s - wait_s)
         state.wait_at = now
-        if state.wait_s > TARGET_WAIT_SHARE * deadline_s:
+        target_s = TARGET_WAIT_SHARE * deadline_s
+        if state.wait_s > target_s:
             # One decrease a round trip: its effect shows only after that.
             if now - state.lowered_at >= state.duration_s:
                 state.lowered_at = now
@@ -282,7 +289,10 @@
                 state.limit = max(MIN_LIMIT, lowered)
             return
         if state.in_flight >= CONTENDED_SHARE * state.limit:
-            state.limit += 1.0 / state.limit
+            # Far below the target the limit doubles each round trip, near it
+            # it grows by one.
+            room = 1.0 - state.wait_s / target_s
+            state.limit += room**3 + (1.0 - room) / state.limit
 
     def _choose_retry_after_s(self, state: _KindState, now: float) -> float:
         """Returns when a place is likely free for a refused request.
--- a/eelgrasshall/coordination/admission_test.py
+++ b/eelgrasshall/coordination/admission_test.py
@@ -26,7 +26,10 @@
 @pytest.fixture
 def control(clock) -> admission.Admission:
     return admission.Admission(
-        clock=clock, random=random.Random(1), host_limit=20
+        clock=clock,
+        random=random.Random(1),
+        host_limit=20,
+        initial_limit=KIND.max_concurrent,
     )
 
 
@@ -124,18 +127,22 @@
       hosts: Entry hosts, each with its own admission.
       services: Services that each query touches.
       kind: The kind of request.
+      cold_until_s: Time until which each service has one slot only.
+      counted_from_s: Time from which answers count.
+      counted_until_s: Time at which the run ends.
     """
 
     factor: float
     hosts: int = 9
     services: int = 3
     kind: configuration_module.Kind = KIND._replace(max_concurrent=256)
+    cold_until_s: float = 0.0
+    counted_from_s: float = 3.0
+    counted_until_s: float = 10.0
 
 
 SLOTS = 6
 SERVICE_S = 0.011
-RUN_S = 10.0
-WARM_UP_S = 3.0
 
 
 def measure_goodput(load: Load) -> float:
@@ -155,20 +162,22 @@
     deadline_s = load.kind.deadline_ms / 1000
     rate = load.factor * SLOTS / SERVICE_S
     queues = [collections.deque() for _ in range(load.services)]
-    free = [SLOTS] * load.services
+    busy = [0] * load.services
     order = itertools.count()
     events = [(draw.expovariate(rate), next(order), "arrive", None)]
     good = 0
 
     def serve(service: int) -> None:
-        while free[service] and queues[service]:
+        is_cold = clock.monotonic() < load.cold_until_s
+        slots = 1 if is_cold else SLOTS
+        while busy[service] < slots and queues[service]:
             query, queued_at = queues[service].popleft()
             waited_s = clock.monotonic() - queued_at
             query["waits"].append(waited_s)
             if waited_s >= deadline_s:
                 finish_part(query, served=False)
                 continue
-            free[service] -= 1
+            busy[service] += 1
             done_at = clock.monotonic() + draw.expovariate(1 / SERVICE_S)
             event = (done_at, next(order), "done", (query, service))
             heapq.heappush(events, event)
@@ -184,14 +193,14 @@
         )
         now = clock.monotonic()
         in_time = now - query["at"] <= deadline_s
-        good += query["served"] and in_time and now > WARM_UP_S
+        good += query["served"] and in_time and now > load.counted_from_s
 
-    while events and events[0][0] < RUN_S:
+    while events and events[0][0] < load.counted_until_s:
         at, _, what, which = heapq.heappop(events)
         clock.move(at - clock.monotonic())
         if what == "done":
             query, service = which
-            free[service] += 1
+            busy[service] -= 1
             finish_part(query, served=True)
             serve(service)
             continue
@@ -206,7 +215,7 @@
         for service in range(load.services):
             queues[service].append((query, at))
             serve(service)
-    return good / (RUN_S - WARM_UP_S)
+    return good / (load.counted_until_s - load.counted_from_s)
 
 
 def test_goodput_at_twice_the_load_stays_near_its_peak():
@@ -214,3 +223,13 @@
         factor: measure_goodput(Load(factor)) for factor in (0.7, 0.9, 1.0, 2.0)
     }
     assert goodput[2.0] >= 0.9 * max(goodput.values())
+
+
+def test_fleet_that_starts_cold_answers_what_it_can_and_recovers():
+    cold = Load(0.9, services=10, cold_until_s=4.0, counted_from_s=1.0)
+    kind = cold.kind._replace(deadline_ms=1000)
+    cold = cold._replace(kind=kind, counted_until_s=4.0)
+    warm = cold._replace(counted_from_s=5.0, counted_until_s=8.0)
+    one_slot_per_s = 1 / SERVICE_S
+    assert measure_goodput(cold) >= 0.5 * one_slot_per_s
+    assert measure_goodput(warm) >= 0.9 * 0.9 * SLOTS / SERVICE_S
