--- a/measure/load.py
+++ b/measure/load.py
@@ -20,6 +20,8 @@
 DIGITS = 3
 BIN_S = 0.5
 GRACE_S = 1.0
+# Load before the measured span, as a share: servers that start cold warm up.
+WARM_UP_SHARE = 0.3
 MOST_EXAMPLES = 10
 
 
@@ -194,7 +196,7 @@
 
         Args:
           seconds: Seconds that count.
-          warm_up_s: Seconds of the same load before them.
+          warm_up_s: Seconds of a lighter load before them.
 
         Returns:
           The figures.
@@ -221,15 +223,17 @@
         """Sends one stream at its scheduled arrivals."""
         loop = asyncio.get_running_loop()
         source = random.Random(f"{self._seed}:{stream.kind}")
-        arrival = source.expovariate(stream.rate)
+        arrival = 0.0
         while arrival < total_s:
+            warming = arrival < self.warm_up_s
+            rate = stream.rate * (WARM_UP_SHARE if warming else 1.0)
+            arrival += source.expovariate(rate)
             wait_s = began + arrival - loop.time()
             if wait_s > 0:
                 await asyncio.sleep(wait_s)
             task = asyncio.create_task(self._send(stream, began, arrival))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-            arrival += source.expovariate(stream.rate)
 
     async def _send(self, stream: Stream, began: float, arrival: float) -> None:
         """Sends one request, checks its outcome and records it."""
