--- a/measure/deployment.py
+++ b/measure/deployment.py
@@ -401,6 +401,7 @@
             "region": host.region,
             "caller": {"host": listen, "port": host.caller_port},
             "peer": {"host": listen, "port": host.peer_port},
+            "advertised_peer": {"host": listen, "port": host.advertised_port},
             "admin": {"host": listen, "port": host.admin_port},
             "platform_url": f"http://{listen}:{self.platform.ready['port']}",
             "policy": self.plan.policy,
--- a/measure/processes.py
+++ b/measure/processes.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -16,6 +17,8 @@
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 READ_LIMIT = 1 << 24
+LOWEST_PORT = 12_000
+HIGHEST_PORT = 32_000
 
 
 class StartError(Exception):
@@ -167,13 +170,20 @@
 
 
 def pick_ports(count: int) -> list[int]:
-    """Returns TCP ports of the loopback that are free now."""
-    sockets = []
-    for _ in range(count):
-        bound = socket.socket()
-        bound.bind(("127.0.0.1", 0))
-        sockets.append(bound)
-    ports = [bound.getsockname()[1] for bound in sockets]
-    for bound in sockets:
-        bound.close()
+    """Returns TCP ports of the loopback that are free now.
+
+    They lie below the range from which the system takes ports for outgoing
+    connections, so that none is taken before its daemon listens.
+    """
+    ports: list[int] = []
+    source = random.SystemRandom()
+    while len(ports) < count:
+        port = source.randint(LOWEST_PORT, HIGHEST_PORT)
+        with socket.socket() as bound:
+            try:
+                bound.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
