--- a/eelgrasshall/coordination/membership.py
+++ b/eelgrasshall/coordination/membership.py
@@ -273,7 +273,9 @@
         """Lets suspicion run out."""
         while True:
             await self._clock.sleep(view_module.SUSPICION_TICK_S)
-            self._view.expire()
+            for name in self._view.expire():
+                self._streams.close(name)
+                self._incarnations.pop(name, None)
 
     async def _run_digests(self) -> None:
         """Compares tables with a random member now and then."""
--- a/eelgrasshall/coordination/ownership.py
+++ b/eelgrasshall/coordination/ownership.py
@@ -17,7 +17,6 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
-import hashlib
 import math
 from typing import Any
 from typing import NamedTuple
@@ -27,13 +26,14 @@
 
 from eelgrasshall import clock as clock_module
 from eelgrasshall.coordination import facts as facts_module
+from eelgrasshall.coordination import rendezvous
 from eelgrasshall.protocol import messages
 from eelgrasshall.state import configuration
 from eelgrasshall.state import members as members_module
 
 # A host takes at most this many times its even share, and a zone too.
 HOST_BOUND = 1.25
-ZONE_BOUND = 1.1
+ZONE_BOUND = 1.25
 HANDOVER_TOPIC = "handover"
 # A word of handover counts this long, for a host whose view comes later.
 HANDOVER_VALID_S = 10.0
@@ -58,6 +58,7 @@
     services: Iterable[str],
     fleet: Iterable[members_module.Member],
     zones_in_service: frozenset[str],
+    orders: rendezvous.Orders | None = None,
 ) -> dict[str, str]:
     """Gives each service an owner.
 
@@ -65,51 +66,54 @@
       services: Names of the services, or of slices of services.
       fleet: The members; those that take no work own nothing.
       zones_in_service: Zones whose hosts may own services.
+      orders: The orders of an earlier call, to save work; they do not change
+        the result.
 
     Returns:
       The owner's name for each service; empty if no host may own any.
     """
-    hosts = sorted(
-        m for m in fleet if m.takes_work() and m.zone in zones_in_service
-    )
+    zones = _find_eligible(fleet, zones_in_service)
     names = sorted(set(services))
-    if not hosts or not names:
+    if not zones or not names:
         return {}
-    room = _count_host_room(len(names), hosts)
-    zone_room = _count_zone_room(len(names), hosts)
+    orders = orders or rendezvous.Orders()
+    orders.update(names, zones)
+    room = dict.fromkeys(zones, _bound_host(len(names), len(zones)))
+    zone_room = _bound_zones(len(names), zones)
     owners = {}
-    for service in sorted(names, key=_score):
-        order = sorted(hosts, key=lambda m: _score(f"{service}/{m.name}"))
+    for service in names:
         owner = next(
-            m for m in order if room[m.name] > 0 and zone_room[m.zone] > 0
+            host
+            for host in orders.iterate(service)
+            if room[host] > 0 and zone_room[zones[host]] > 0
         )
-        room[owner.name] -= 1
-        zone_room[owner.zone] -= 1
-        owners[service] = owner.name
+        room[owner] -= 1
+        zone_room[zones[owner]] -= 1
+        owners[service] = owner
     return owners
 
 
-def _count_host_room(
-    services: int, hosts: list[members_module.Member]
-) -> dict[str, int]:
-    """Returns how many services each host may own."""
-    bound = math.ceil(services * HOST_BOUND / len(hosts))
-    return {host.name: bound for host in hosts}
+def _find_eligible(
+    fleet: Iterable[members_module.Member], zones_in_service: frozenset[str]
+) -> dict[str, str]:
+    """Returns the zone of each host that may own services, by name."""
+    return {
+        member.name: member.zone
+        for member in sorted(fleet)
+        if member.takes_work() and member.zone in zones_in_service
+    }
 
 
-def _count_zone_room(
-    services: int, hosts: list[members_module.Member]
-) -> dict[str, int]:
-    """Returns how many services the hosts of each zone may own."""
-    zones = collections.Counter(host.zone for host in hosts)
-    share = services * ZONE_BOUND / len(hosts)
-    return {zone: math.ceil(share * count) for zone, count in zones.items()}
+def _bound_host(services: int, hosts: int) -> int:
+    """Returns how many services a host may own."""
+    return math.ceil(services * HOST_BOUND / hosts)
 
 
-def _score(text: str) -> int:
-    """Returns a hash that is the same on every host."""
-    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big")
+def _bound_zones(services: int, zones: dict[str, str]) -> dict[str, int]:
+    """Returns how many services the hosts of each zone may own."""
+    share = services * ZONE_BOUND / len(zones)
+    counts = collections.Counter(zones.values())
+    return {zone: math.ceil(share * count) for zone, count in counts.items()}
 
 
 class Fleet(Protocol):
--- a/eelgrasshall/coordination/view.py
+++ b/eelgrasshall/coordination/view.py
@@ -122,8 +122,12 @@
         self._publish(dead, members.death_sequence(known))
         self._note(dead)
 
-    def expire(self) -> None:
-        """Buries suspects whose time is over; forgets the long dead."""
+    def expire(self) -> list[str]:
+        """Buries suspects whose time is over; forgets the long dead.
+
+        Returns:
+          The names of those forgotten.
+        """
         now = self._clock.monotonic()
         late = now - self._ticked_at
         self._ticked_at = now
@@ -133,9 +137,14 @@
         due = [n for n, end in self._suspected_until.items() if end <= now]
         for name in due:
             self.bury(name)
-        for member in self.dead():
-            if self._facts.find_sequence(members.TOPIC, member.name) == 0:
-                del self._members[member.name]
+        forgotten = [
+            member.name
+            for member in self.dead()
+            if self._facts.find_sequence(members.TOPIC, member.name) == 0
+        ]
+        for name in forgotten:
+            del self._members[name]
+        return forgotten
 
     def _publish(self, member: members.Member, sequence: int) -> None:
         """Puts a statement into the table."""
--- a/eelgrasshall/coordination/view_test.py
+++ b/eelgrasshall/coordination/view_test.py
@@ -53,5 +53,5 @@
     own.bury("other")
     clock.move(view.DEAD_RETENTION_S + 1.0)
     table.collect_for("own")
-    own.expire()
+    assert own.expire() == ["other"]
     assert own.find("other") is None and table.dump()["facts"] == {"member": 1}
