--- a/eelgrasshall/commands/commands_test.py
+++ b/eelgrasshall/commands/commands_test.py
@@ -279,6 +279,16 @@
     assert "look before you repeat it" in error
 
 
+async def test_reply_without_a_reason_is_unknown(run, program, daemon):
+    async def break_down(*_):
+        raise ValueError("broken")
+
+    daemon.apply_configuration = break_down
+    code, _, error = await run(f"apply {program}")
+    assert code == exits.ExitCode.UNKNOWN
+    assert "HTTP 500" in error
+
+
 async def test_unreachable_daemon_is_skipped_or_told(run, program):
     code, output, error = await run(f"status -d {_UNUSED} --json")
     assert code == exits.ExitCode.UNREACHABLE
@@ -310,8 +320,11 @@
         self.status = 200
         self.outcome = {}
         self.seen = []
+        self.keys = []
 
     async def answer(self, request):
+        if "Idempotency-Key" in request.headers:
+            self.keys.append(request.headers["Idempotency-Key"])
         self.seen.append(await request.json())
         return web.json_response(self.outcome, status=self.status)
 
@@ -411,6 +424,13 @@
     assert listener.seen[1]["ticket"] == ticket
 
 
+async def test_key_and_first_send_are_sent(run, listener, caller_url):
+    listener.outcome = _make_answer()
+    await run("query take --key van-12 --first", caller_url)
+    assert listener.keys == ["van-12"]
+    assert listener.seen == [{"kind": "take", "query": {}, "first_send": True}]
+
+
 async def test_bad_input_is_refused_before_sending(run, listener, caller_url):
     for line in ("query find '{'", "query find --deadline-ms soon"):
         assert (await run(line, caller_url))[0] == exits.ExitCode.INVALID
--- a/eelgrasshall/protocol/caller.py
+++ b/eelgrasshall/protocol/caller.py
@@ -182,6 +182,18 @@
     ticket_prefix: str = ""
 
 
+class Recorded(NamedTuple):
+    """An outcome as kept for resends.
+
+    Attributes:
+      status: HTTP status code.
+      body: JSON bytes, with an empty request id.
+    """
+
+    status: int
+    body: bytes
+
+
 class Outcome(NamedTuple):
     """An outcome in its HTTP form.
 
@@ -190,12 +202,15 @@
       status: HTTP status code.
       headers: HTTP headers besides the content type.
       body: JSON bytes.
+      key_share: Share of the key space that an answer covers; None for other
+        outcomes and for what another entry host gave.
     """
 
     verdict: Verdict
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    key_share: float | None = None
 
 
 class AddressAnswer(NamedTuple):
@@ -284,6 +299,11 @@
     return request, []
 
 
+def choose_echo(request_id: str) -> str:
+    """Returns the id to echo: the caller's, unless it cannot be one."""
+    return "" if _check_text("", request_id, MAX_NAME_CHARS) else request_id
+
+
 def encode_request(request: QueryRequest) -> bytes:
     """Returns a checked request as bytes for another entry host."""
     fields = request._replace(body="")._asdict()
@@ -297,7 +317,7 @@
 
 
 def encode(
-    result: Answer | Refusal | Failure | Outcome, request_id: str
+    result: Answer | Refusal | Failure | Recorded | Outcome, request_id: str
 ) -> Outcome:
     """Returns the HTTP form of an outcome.
 
@@ -311,6 +331,12 @@
         return encode_refusal(result, request_id)
     if isinstance(result, Failure):
         return encode_failure(result, request_id)
+    if isinstance(result, Recorded):
+        document = json.loads(result.body)
+        document["request_id"] = request_id
+        # The order of the fields stays that of the first answer.
+        body = json.dumps(document, separators=(",", ":")).encode()
+        return decode_outcome(result.status, body)
     return result
 
 
@@ -333,7 +359,8 @@
     body = b"".join(
         (_format_json(head)[:-1], b',"data":[', b",".join(parts), b"]}")
     )
-    return Outcome(Verdict.ANSWER, 200, (), body)
+    key_share = answer.coverage.key_share
+    return Outcome(Verdict.ANSWER, 200, (), body, key_share)
 
 
 def encode_refusal(refusal: Refusal, request_id: str) -> Outcome:
