--- /dev/null
+++ b/eelgrasshall/coordination/pause_test.py
@@ -0,0 +1,23 @@
+"""Pauses are found by the tick and by a check before it."""
+
+from eelgrasshall import clock as clock_module
+from eelgrasshall.coordination import pause
+
+
+async def test_gap_in_the_clock_is_found_once_and_steady_time_is_not():
+    clock = clock_module.ManualClock()
+    detector = pause.PauseDetector(clock=clock, limit_s=1.0)
+    gaps = []
+    detector.subscribe(gaps.append)
+    detector.start()
+    await clock.advance(30)
+    assert gaps == [] and not detector.check()
+    clock.move(3.0)
+    assert detector.check()
+    assert len(gaps) == 1 and gaps[0] >= 3.0
+    await clock.advance(1)
+    assert len(gaps) == 1
+    clock.move(2.0)
+    await clock.advance(0.1)
+    assert len(gaps) == 2 and detector.pauses == 2
+    detector.stop()
--- a/eelgrasshall/transport/platform.py
+++ b/eelgrasshall/transport/platform.py
@@ -1,10 +1,11 @@
 """Client of the platform's object API and host list.
 
 Every result is typed.  A write whose reply was lost is reported as unknown,
-for the caller to read back, and never sent again behind the caller's back:
-writes use a connection of their own each, because HTTP clients resend
-idempotent methods on a kept connection that turns out to be closed.  Calls
-are paced below the host's share of the platform's rates.
+for the caller to read back, and never sent again behind the caller's back,
+as the HTTP library does with idempotent methods when a connection is lost.
+A write uses a connection of its own, so that a kept connection that turns out
+to be closed does not make it unknown.  Calls are paced below the host's share
+of the platform's rates.
 """
 
 import asyncio
@@ -50,6 +51,24 @@
     problem: errors.Problem
 
 
+class _SendOnce:
+    """Client middleware that lets a request pass once and not again."""
+
+    def __init__(self):
+        self._is_sent = False
+
+    async def __call__(
+        self,
+        request: aiohttp.ClientRequest,
+        handler: aiohttp.ClientHandlerType,
+    ) -> aiohttp.ClientResponse:
+        """Passes the first attempt on and ends any further one."""
+        if self._is_sent:
+            raise aiohttp.ClientError("The library would send it again.")
+        self._is_sent = True
+        return await handler(request)
+
+
 class PlatformClient:
     """Makes calls to the platform.
 
@@ -261,11 +280,16 @@
         """Sends one request and reads its reply."""
         session = self._session_for(method)
         headers = {"Content-Type": "application/json"} if body else {}
+        middlewares = (_SendOnce(),) if _is_write(method) else ()
         try:
             async with (
                 asyncio.timeout(self._call_timeout_s + extra_s),
                 session.request(
-                    method, self._base_url + path, data=body, headers=headers
+                    method,
+                    self._base_url + path,
+                    data=body,
+                    headers=headers,
+                    middlewares=middlewares,
                 ) as response,
             ):
                 reply = _Reply(response.status, await response.read())
