--- a/eelgrasshall/coordination/facts.py
+++ b/eelgrasshall/coordination/facts.py
@@ -20,6 +20,8 @@
 from typing import Any
 from typing import NamedTuple
 
+from loguru import logger
+
 from eelgrasshall import clock as clock_module
 from eelgrasshall.protocol import messages
 
@@ -155,8 +157,7 @@
         self.counts["received"] += len(facts)
         self.counts["news"] += len(news)
         for fact in news:
-            for handler in self._handlers.get(fact.topic, ()):
-                handler(fact)
+            self._hand_out(fact)
         if news:
             self._tell_listeners()
 
@@ -200,6 +201,14 @@
             "counts": dict(self.counts),
         }
 
+    def _hand_out(self, fact: messages.GossipFact) -> None:
+        """Hands a fact to its handlers; one that fails stops no heartbeat."""
+        for handler in self._handlers.get(fact.topic, ()):
+            try:
+                handler(fact)
+            except Exception:
+                logger.exception(f"facts: {fact.topic}/{fact.key} failed.")
+
     def _merge_one(
         self, wire: messages.GossipFact, source: str
     ) -> messages.GossipFact | None:
--- a/eelgrasshall/coordination/rollout.py
+++ b/eelgrasshall/coordination/rollout.py
@@ -354,6 +354,7 @@
             f"{version} after {self.version}",
         )
         self._stored = stored
+        self._reports.clear()
         self._packed = stored_module.pack(stored)
         self.body = configuration.format_configuration(stored.configuration)
         logger.info(f"rollout: Version {version} from {origin} is in force.")
--- a/eelgrasshall/coordination/rollout_test.py
+++ b/eelgrasshall/coordination/rollout_test.py
@@ -276,6 +276,22 @@
     await cluster.stop()
 
 
+async def test_fleet_started_while_the_store_is_out_follows_its_return():
+    cluster = await _make_cluster()
+    cluster.store.is_down = True
+    for index in range(_HOSTS):
+        await cluster.keepers[f"h{index}"].stop()
+        cluster.start(index)
+    await cluster.advance(30)
+    assert cluster.versions() == [0] * _HOSTS
+    problems = await cluster.apply(0, "early")
+    assert problems[0].kind is errors.ProblemKind.STORE_UNAVAILABLE
+    cluster.store.is_down = False
+    await cluster.advance(8)
+    assert cluster.versions() == [1] * _HOSTS
+    await cluster.stop()
+
+
 async def test_racing_operators_get_a_conflict_that_names_the_other_change():
     cluster = await _make_cluster()
     both = await asyncio.gather(
