Membership: overload of a host starts no storm of suspicion

A host that finds its own tick late by 0.3 s now blames nobody for 1 s, and pushes become rarer while news keep coming. Both tests fail without their mechanism.

--- a/eelgrasshall/coordination/membership.py
+++ b/eelgrasshall/coordination/membership.py
@@ -38,6 +38,9 @@
 # News that come together within this time leave together.
 PUSH_GATHER_S = 0.02
 PUSH_GAP_S = 0.1
+# While news keep coming, pushes become rarer up to this gap, so that a storm
+# of news does not add to the load that may have caused it.
+PUSH_GAP_LIMIT_S = 0.8
 DIGEST_PERIOD_S = 10.0
 RECONNECT_PERIOD_S = 2.0
 RECONNECT_FANOUT = 2
@@ -246,6 +249,7 @@
             "dead": [m.name for m in self._view.dead()],
             "listed_only": sorted(m.name for m in self._find_unmet()),
             "refutations": self._view.refutations,
+            "forgiven": self._view.forgiven,
             "counts": dict(self.counts),
             "facts": self._facts.dump(),
         }
@@ -260,14 +264,19 @@
                 self._spawn(self._probe(member))
 
     async def _run_pushes(self) -> None:
-        """Passes news on at once."""
+        """Passes news on at once, and less often while they keep coming."""
+        gap_s = PUSH_GAP_S
         while True:
             await self._news.wait()
             await self._clock.sleep(PUSH_GATHER_S)
             self._news.clear()
             for member in self._choose(self._view.answering(), PUSH_FANOUT):
                 self._spawn(self._exchange(member))
-            await self._clock.sleep(PUSH_GAP_S)
+            await self._clock.sleep(gap_s)
+            if self._news.is_set():
+                gap_s = min(2 * gap_s, PUSH_GAP_LIMIT_S)
+            else:
+                gap_s = PUSH_GAP_S
 
     async def _run_suspicions(self) -> None:
         """Lets suspicion run out."""
--- a/eelgrasshall/coordination/membership_test.py
+++ b/eelgrasshall/coordination/membership_test.py
@@ -266,6 +266,20 @@
         assert sent[40][unit] <= 1.3 * sent[5][unit]
 
 
+async def test_storm_of_news_does_not_multiply_messages():
+    network = await _make_network(9)
+    await network.clock.advance(10)
+    host = network.up[0]
+    before = host.membership.counts["messages_sent"]
+    for number in range(200):
+        host.facts.publish("cold", f"s{number}", b"1", 60.0)
+        await network.clock.advance(0.05)
+    sent = host.membership.counts["messages_sent"] - before
+    # Ten seconds of heartbeats, of pushes and of the answers to both.
+    assert sent <= 2 * 10 * (4 + 8)
+    await network.stop()
+
+
 class MembershipMachine(stateful.RuleBasedStateMachine):
     """Hosts come, go, stand still and lose links in any order."""
 
--- a/eelgrasshall/coordination/view.py
+++ b/eelgrasshall/coordination/view.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import math
 
 from loguru import logger
 
@@ -17,9 +18,11 @@
 # Time that a suspect has to refute.
 SUSPICION_S = 1.0
 SUSPICION_TICK_S = 0.1
-# A gap between ticks beyond this means that this process stood still, and
-# suspects get that time back, since their answers may wait unread.
-LATE_TICK_S = 0.6
+# A gap between ticks beyond this means that this process stood still.  Its
+# suspects get that time back, since their answers may wait unread, and for a
+# while it blames nobody for not answering.
+LATE_TICK_S = 0.3
+LATE_MEMORY_S = 1.0
 # The dead are remembered for rejoining after a partition, and so that older
 # statements about them are not believed.
 DEAD_RETENTION_S = 24 * 3600.0
@@ -54,10 +57,12 @@
         self._members = {self_member.name: self_member}
         self._suspected_until: dict[str, float] = {}
         self._ticked_at = clock.monotonic()
+        self._late_at = -math.inf
         self._callbacks: list[Callable[[], None]] = []
         self._usable: tuple[members.Member, ...] = (self_member,)
         self.name = self_member.name
         self.refutations = 0
+        self.forgiven = 0
         facts.subscribe(members.TOPIC)(self._take_statement)
 
     @property
@@ -106,10 +111,13 @@
         self._publish(self.own, self._own_sequence)
 
     def suspect(self, name: str) -> None:
-        """States that a member did not answer."""
+        """States that a member did not answer, unless this host was late."""
         member = self._members.get(name)
         if member is None or member.status is not members.MemberStatus.ALIVE:
             return
+        if self._clock.monotonic() - self._late_at < LATE_MEMORY_S:
+            self.forgiven += 1
+            return
         known = self._facts.find_sequence(members.TOPIC, name)
         suspect = member._replace(status=_SUSPECT)
         logger.info(f"membership: Host {name} does not answer.")
@@ -136,6 +144,7 @@
         late = now - self._ticked_at
         self._ticked_at = now
         if late > LATE_TICK_S:
+            self._late_at = now
             for name in self._suspected_until:
                 self._suspected_until[name] += late
         due = [n for n, end in self._suspected_until.items() if end <= now]
--- a/eelgrasshall/coordination/view_test.py
+++ b/eelgrasshall/coordination/view_test.py
@@ -30,6 +30,22 @@
     assert own.find("other").status is members.MemberStatus.DEAD
 
 
+async def test_host_that_was_late_itself_blames_nobody():
+    clock = clock_module.ManualClock()
+    own, table = _make("own", clock)
+    _, other_table = _make("other", clock)
+    table.merge(other_table.collect_for("own"))
+    clock.move(0.5)
+    own.expire()
+    own.suspect("other")
+    assert own.find("other").status is members.MemberStatus.ALIVE
+    for _ in range(11):
+        clock.move(view.SUSPICION_TICK_S)
+        own.expire()
+    own.suspect("other")
+    assert own.find("other").status is members.MemberStatus.SUSPECT
+
+
 async def test_refutation_wins_over_suspicion_and_death_in_any_order():
     clock = clock_module.ManualClock()
     own, table = _make("own", clock)
