--- a/eelgrasshall/coordination/facts.py
+++ b/eelgrasshall/coordination/facts.py
@@ -20,6 +20,8 @@
 from typing import Any
 from typing import NamedTuple
 
+from loguru import logger
+
 from eelgrasshall import clock as clock_module
 from eelgrasshall.protocol import messages
 
@@ -124,9 +126,8 @@
         self._expire()
         chosen: list[messages.GossipFact] = []
         room = MAX_BYTES_PER_MESSAGE
-        # The facts sent least so far go first.
-        order = sorted(self._sends_left.items(), key=lambda item: -item[1])
-        for name, left in order:
+        # The newest go first, so that news do not wait behind many joins.
+        for name, left in reversed(list(self._sends_left.items())):
             entry = self._entries[name]
             if entry.source == peer:
                 continue
@@ -155,8 +156,7 @@
         self.counts["received"] += len(facts)
         self.counts["news"] += len(news)
         for fact in news:
-            for handler in self._handlers.get(fact.topic, ()):
-                handler(fact)
+            self._hand_out(fact)
         if news:
             self._tell_listeners()
 
@@ -200,6 +200,14 @@
             "counts": dict(self.counts),
         }
 
+    def _hand_out(self, fact: messages.GossipFact) -> None:
+        """Hands a fact to its handlers; one that fails stops no heartbeat."""
+        for handler in self._handlers.get(fact.topic, ()):
+            try:
+                handler(fact)
+            except Exception:
+                logger.exception(f"facts: {fact.topic}/{fact.key} failed.")
+
     def _merge_one(
         self, wire: messages.GossipFact, source: str
     ) -> messages.GossipFact | None:
