--- a/eelgrasshall/commands/base.py
+++ b/eelgrasshall/commands/base.py
@@ -131,7 +131,7 @@
           The exit code.
         """
         if self.option("json"):
-            self.print_json({"problems": [_to_plain(p) for p in problems]})
+            self.print_json({"problems": [p.to_plain() for p in problems]})
         return self.print_problems(problems)
 
     def _list_urls(self, option: str, variable: str, default: str) -> list[str]:
@@ -141,8 +141,3 @@
             text = self.context.environment.get(variable, "")
             urls = [url.strip() for url in text.split(",") if url.strip()]
         return [url.rstrip("/") for url in urls or [default]]
-
-
-def _to_plain(problem: errors.Problem) -> dict[str, str]:
-    """Returns a problem as a JSON object."""
-    return {**problem._asdict(), "kind": problem.kind.value}
--- a/eelgrasshall/commands/program.py
+++ b/eelgrasshall/commands/program.py
@@ -7,6 +7,7 @@
 
 from eelgrasshall import declare
 from eelgrasshall import errors
+from eelgrasshall.state import configuration
 
 Loaded = tuple[declare.Configuration | None, list[errors.Problem]]
 
@@ -56,7 +57,7 @@
 
 def _make_unreadable(path: str, error: OSError) -> errors.Problem:
     """Returns the problem of a file that cannot be read."""
-    return _invalid(
+    return configuration.make_problem(
         path,
         f"It cannot be read: {error.strerror}.",
         "Name a declaring program or a printed configuration.",
@@ -65,7 +66,7 @@
 
 def _make_without_build(path: pathlib.Path) -> errors.Problem:
     """Returns the problem of a program that gives no configuration."""
-    return _invalid(
+    return configuration.make_problem(
         str(path),
         "It has no function build() that returns a configuration.",
         "Define build() and return what declare.compose gives.",
@@ -78,18 +79,8 @@
     for frame in traceback.extract_tb(error.__traceback__):
         if pathlib.Path(frame.filename).resolve() == path.resolve():
             line = frame.lineno
-    return _invalid(
+    return configuration.make_problem(
         f"{path}:{line}",
         f"The program failed: {type(error).__name__}: {error}.",
         "Correct the program.",
     )
-
-
-def _invalid(where: str, what: str, remedy: str) -> errors.Problem:
-    """Returns a problem of an invalid declaration."""
-    return errors.Problem(
-        kind=errors.ProblemKind.INVALID_CONFIGURATION,
-        where=where,
-        what=what,
-        remedy=remedy,
-    )
--- a/eelgrasshall/declare.py
+++ b/eelgrasshall/declare.py
@@ -202,7 +202,7 @@
     """
     names = [zone.name for zone in declared.zones]
     if name not in names:
-        return _invalid(
+        return configuration.make_problem(
             f"zones.{name}",
             "The zone is not declared.",
             f"Name one of {', '.join(names)}."
@@ -266,7 +266,7 @@
     try:
         return configuration.format_configuration(declared)
     except (TypeError, ValueError) as error:
-        problem = _invalid(
+        problem = configuration.make_problem(
             "declaration",
             f"A value has no form in JSON: {error}.",
             "Use text, numbers, booleans and the values of this library.",
@@ -279,7 +279,7 @@
     if declared.zones_in_service():
         return []
     return [
-        _invalid(
+        configuration.make_problem(
             "zones",
             "No zone is in service.",
             "Keep one zone in service at least.",
@@ -296,7 +296,7 @@
         places.append((where, service.name))
         places += [(f"{where}.{s.name}", s.name) for s in service.servers]
     return [
-        _invalid(
+        configuration.make_problem(
             where,
             f"The name {name!r} has other characters than letters, digits, "
             "dots, underscores and hyphens, or more than 100.",
@@ -316,7 +316,7 @@
             where = f"services.{service.name}.{server.name}"
             if not _is_ip_address(server.host):
                 problems.append(
-                    _invalid(
+                    configuration.make_problem(
                         where,
                         f"{server.host!r} is no IP address.",
                         "Give the address as an IP number.",
@@ -325,7 +325,7 @@
             address = (server.host, server.port)
             if address in taken:
                 problems.append(
-                    _invalid(
+                    configuration.make_problem(
                         where,
                         f"{taken[address]} has the same host and port.",
                         "Correct one of the two addresses.",
@@ -342,14 +342,14 @@
     for service in declared.services:
         if service.name not in used:
             problems.append(
-                _invalid(
+                configuration.make_problem(
                     f"services.{service.name}",
                     "No kind of request touches the service.",
                     "Name it in a kind or leave it out.",
                 )
             )
         problems += [
-            _invalid(
+            configuration.make_problem(
                 f"services.{service.name}.{server.name}",
                 f"{server.connections} connections cannot fill "
                 f"{server.slots} slots.",
@@ -368,13 +368,3 @@
     except ValueError:
         return False
     return True
-
-
-def _invalid(where: str, what: str, remedy: str) -> errors.Problem:
-    """Returns a problem of an invalid declaration."""
-    return errors.Problem(
-        kind=errors.ProblemKind.INVALID_CONFIGURATION,
-        where=where,
-        what=what,
-        remedy=remedy,
-    )
--- a/eelgrasshall/errors.py
+++ b/eelgrasshall/errors.py
@@ -59,3 +59,7 @@
     def describe(self) -> str:
         """Returns the problem as one line of text."""
         return f"{self.where}: {self.what} {self.remedy}"
+
+    def to_plain(self) -> dict[str, str]:
+        """Returns the problem as a JSON object."""
+        return {**self._asdict(), "kind": self.kind.value}
--- a/eelgrasshall/state/configuration.py
+++ b/eelgrasshall/state/configuration.py
@@ -182,10 +182,12 @@
         seen: set[str] = set()
         for item in items:
             if not item.name:
-                problems.append(_invalid(place, "A name is empty.", "Name it."))
+                problems.append(
+                    make_problem(place, "A name is empty.", "Name it.")
+                )
             if item.name in seen:
                 problems.append(
-                    _invalid(
+                    make_problem(
                         f"{place}.{item.name}",
                         "The name stands twice.",
                         "Give each one its own name.",
@@ -202,7 +204,7 @@
     for service in configuration.services:
         if not service.servers:
             problems.append(
-                _invalid(
+                make_problem(
                     f"services.{service.name}",
                     "The service has no backend server.",
                     "Declare at least one.",
@@ -212,7 +214,7 @@
             where = f"services.{service.name}.{server.name}"
             if server.zone not in zones:
                 problems.append(
-                    _invalid(
+                    make_problem(
                         where,
                         f"The zone {server.zone!r} is not declared.",
                         "Declare the zone or correct its name.",
@@ -220,7 +222,7 @@
                 )
             if server.slots < 1 or server.connections < 1:
                 problems.append(
-                    _invalid(
+                    make_problem(
                         where,
                         "Slots and connections must be at least 1.",
                         "Correct the numbers.",
@@ -228,7 +230,7 @@
                 )
             if not 0 < server.port < 65536:
                 problems.append(
-                    _invalid(
+                    make_problem(
                         where,
                         f"{server.port} is no TCP port.",
                         "Use a port from 1 to 65535.",
@@ -246,7 +248,7 @@
         for name in kind.services:
             if name not in services:
                 problems.append(
-                    _invalid(
+                    make_problem(
                         where,
                         f"The service {name!r} is not declared.",
                         "Declare the service or correct its name.",
@@ -254,7 +256,7 @@
                 )
         if not kind.services or len(set(kind.services)) < len(kind.services):
             problems.append(
-                _invalid(
+                make_problem(
                     where,
                     "The services are missing or stand twice.",
                     "Name each service of the kind once.",
@@ -262,7 +264,7 @@
             )
         if not kind.repeatable and len(kind.services) != 1:
             problems.append(
-                _invalid(
+                make_problem(
                     where,
                     "A kind that may not be repeated touches several services.",
                     "Give it exactly one service, or make it repeatable.",
@@ -270,7 +272,7 @@
             )
         if kind.deadline_ms < 1 or kind.max_concurrent < 1:
             problems.append(
-                _invalid(
+                make_problem(
                     where,
                     "Deadline and concurrency must be at least 1.",
                     "Correct the numbers.",
@@ -278,7 +280,7 @@
             )
         if kind.max_body_bytes < 2 or kind.weight < 1:
             problems.append(
-                _invalid(
+                make_problem(
                     where,
                     "Body size must be at least 2 and the weight at least 1.",
                     "Correct the numbers.",
@@ -286,7 +288,7 @@
             )
         if not 0.0 <= kind.coverage_floor <= 1.0:
             problems.append(
-                _invalid(
+                make_problem(
                     where,
                     "The coverage floor lies outside 0 to 1.",
                     "Give a share from 0 to 1.",
@@ -295,7 +297,7 @@
     return problems
 
 
-def _invalid(where: str, what: str, remedy: str) -> errors.Problem:
+def make_problem(where: str, what: str, remedy: str) -> errors.Problem:
     """Returns a problem of an invalid configuration."""
     return errors.Problem(
         kind=errors.ProblemKind.INVALID_CONFIGURATION,
@@ -308,7 +310,7 @@
 def _from_pydantic(error: Any) -> errors.Problem:
     """Turns one finding of pydantic into a problem."""
     where = ".".join(str(step) for step in error["loc"]) or "configuration"
-    return _invalid(where, f"{error['msg']}.", "Correct the value.")
+    return make_problem(where, f"{error['msg']}.", "Correct the value.")
 
 
 def to_plain(value: Any) -> Any:
--- a/eelgrasshall/transport/admin.py
+++ b/eelgrasshall/transport/admin.py
@@ -151,7 +151,7 @@
     problems: list[errors.Problem], status: int
 ) -> web.Response:
     """Returns problems as an HTTP response."""
-    plain = [{**p._asdict(), "kind": p.kind.value} for p in problems]
+    plain = [problem.to_plain() for problem in problems]
     return web.json_response({"problems": plain}, status=status)
 
 
