Gather: ask again a service that ran nothing for a passing reason

A service whose owner has just gone, or whose servers are all away, refuses at once while most of the deadline is left. It is asked up to three times more, after 30, 60 and 120 ms. Overloaded and quarantined ones are not. Problems for callers have a module of their own; services that are no longer declared are forgotten.

Seen to fail with each switched off: asking again, its bound, the choice of reasons, and the count of what may have run. Not yet measured.

--- a/eelgrasshall/coordination/gather.py
+++ b/eelgrasshall/coordination/gather.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import NamedTuple
@@ -23,12 +24,21 @@
 
 # Times that a query may move to another snapshot.
 MAX_REPLANS = 3
+# Waits before a sub-request that was not run is sent again.
+RESEND_WAITS_S = (0.03, 0.06, 0.12)
 
 Dispatch = Callable[[messages.SubRequest], Awaitable[messages.SubResult]]
 
 RAN_NOWHERE = frozenset(
     {messages.SubOutcome.NOT_RUN, messages.SubOutcome.SNAPSHOT_GONE}
 )
+# Reasons for not running a sub-request that are likely to pass.
+_PASSING = frozenset(
+    {
+        errors.ProblemKind.PEER_UNREACHABLE,
+        errors.ProblemKind.NO_BACKEND_SERVER,
+    }
+)
 
 
 class Gathered(NamedTuple):
@@ -86,6 +96,7 @@
         self._problems: dict[str, errors.Problem] = {}
         self._target: messages.Snapshot | None = None
         self._replans_left = MAX_REPLANS
+        self._resends: collections.Counter[str] = collections.Counter()
         self._outcomes_open = 0
         self._may_have_run = False
         self._queue_waits_s: list[float] = []
@@ -135,27 +146,72 @@
         if (service, self._target) in self._asked:
             return
         self._asked.add((service, self._target))
+        self._start(service, self._target, 0.0)
+
+    def _start(
+        self,
+        service: str,
+        snapshot: messages.Snapshot | None,
+        wait_s: float,
+    ) -> None:
+        """Starts a task that sends a sub-request after a wait."""
+        sub_id = self._make_sub_id()
+        task = asyncio.create_task(
+            self._send(sub_id, service, snapshot, wait_s)
+        )
+        self._running[service] = _Running(sub_id, snapshot, task)
+
+    async def _send(
+        self,
+        sub_id: str,
+        service: str,
+        snapshot: messages.Snapshot | None,
+        wait_s: float,
+    ) -> None:
+        """Runs one sub-request, straight down."""
+        if wait_s > 0:
+            await self._clock.sleep(wait_s)
         request = plan_module.make_sub_request(
             self._plan,
-            sub_id=self._make_sub_id(),
+            sub_id=sub_id,
             service=service,
-            snapshot=self._target,
+            snapshot=snapshot,
             now=self._clock.monotonic(),
         )
         self._outcomes_open += 1
-        task = asyncio.create_task(self._send(request))
-        self._running[service] = _Running(request, task)
-
-    async def _send(self, request: messages.SubRequest) -> None:
-        """Runs one sub-request, straight down."""
         result = await self._dispatch(request)
         self._arrivals.put_nowait(_Arrival(request, result))
 
+    def _ask_again(
+        self, request: messages.SubRequest, result: messages.SubResult
+    ) -> bool:
+        """Sends what was not run once more, if that is likely to help.
+
+        A service whose owner has just gone or whose servers are all away for
+        the moment is worth a few tries; an overloaded one is not.
+
+        Returns:
+          Whether it is sent again.
+        """
+        if result.outcome is not messages.SubOutcome.NOT_RUN:
+            return False
+        if result.problem is None or result.problem.kind not in _PASSING:
+            return False
+        resends = self._resends[request.service]
+        if resends == len(RESEND_WAITS_S):
+            return False
+        wait_s = RESEND_WAITS_S[resends]
+        if self._clock.monotonic() + wait_s >= self._plan.results_at:
+            return False
+        self._resends[request.service] += 1
+        self._start(request.service, request.snapshot, wait_s)
+        return True
+
     def _take(self, arrival: "_Arrival") -> None:
         """Takes one result and asks again where the snapshot has moved."""
         request, result = arrival
         running = self._running.get(request.service)
-        if running is None or running.request.sub_id != request.sub_id:
+        if running is None or running.sub_id != request.sub_id:
             # It was given up before its task could be cancelled.
             return
         del self._running[request.service]
@@ -167,6 +223,8 @@
             moved = result.snapshot != self._target
         else:
             self._problems[result.service] = _explain(result)
+            if self._ask_again(request, result):
+                return
             moved = result.outcome is messages.SubOutcome.SNAPSHOT_GONE
         if moved:
             self._move(self._snapshots.choose(self._plan.kind.services))
@@ -215,8 +273,8 @@
         running = self._running.get(service)
         if running is None:
             return False
-        if running.request.snapshot is not None:
-            return running.request.snapshot == self._target
+        if running.snapshot is not None:
+            return running.snapshot == self._target
         # An unpinned one gives the service's newest snapshot.
         known = self._snapshots.find(service)
         return not known or known[0] == self._target
@@ -297,7 +355,8 @@
 class _Running(NamedTuple):
     """A sub-request under way, with its task."""
 
-    request: messages.SubRequest
+    sub_id: str
+    snapshot: messages.Snapshot | None
     task: asyncio.Task[None]
 
 
--- a/eelgrasshall/coordination/gather_test.py
+++ b/eelgrasshall/coordination/gather_test.py
@@ -7,8 +7,10 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import pytest
 
 from eelgrasshall import clock as clock_module
+from eelgrasshall import errors
 from eelgrasshall import invariants as invariants_module
 from eelgrasshall.coordination import gather
 from eelgrasshall.coordination import plan
@@ -105,7 +107,6 @@
             request=request,
             query_id="q",
             kind=self.kind,
-            version=1,
             now=self.clock.monotonic(),
         )
         run = gather.Gather(
@@ -249,6 +250,70 @@
     assert gathered.snapshot == snap(1, 1)
 
 
+def not_run(kind: errors.ProblemKind) -> errors.Problem:
+    return errors.Problem(kind, "s0", "Not now.", "Later.")
+
+
+async def answer_refusals(setup, kind, refusals) -> gather.Gathered:
+    """Lets a service refuse a number of times, and the others serve."""
+    task = setup.start()
+    await setup.clock.advance(0)
+    while not task.done():
+        request, future = setup.index.waiting.pop(0)
+        result = setup.index._make_result(request, False)
+        if request.service == "s0" and refusals:
+            refusals -= 1
+            result = messages.SubResult(
+                request.sub_id,
+                "s0",
+                messages.SubOutcome.NOT_RUN,
+                problem=not_run(kind),
+            )
+        future.set_result(result)
+        await setup.clock.advance(0.0 if setup.index.waiting else 0.2)
+    return task.result()
+
+
+@pytest.mark.parametrize("refusals", [1, len(gather.RESEND_WAITS_S)])
+async def test_service_without_an_owner_for_a_moment_is_asked_again(refusals):
+    kind = errors.ProblemKind.PEER_UNREACHABLE
+    gathered = await answer_refusals(Setup(), kind, refusals)
+    assert gathered.coverage.complete
+    assert not gathered.timed_out
+
+
+async def test_asking_again_is_bounded():
+    setup = Setup()
+    kind = errors.ProblemKind.NO_BACKEND_SERVER
+    gathered = await answer_refusals(setup, kind, 100)
+    asked = [request.service for request in setup.index.sent]
+    assert asked.count("s0") == 1 + len(gather.RESEND_WAITS_S)
+    assert gathered.coverage.missing[0].problem == not_run(kind)
+
+
+async def test_overloaded_service_is_not_asked_again():
+    setup = Setup()
+    await answer_refusals(setup, errors.ProblemKind.OVERLOADED, 1)
+    assert len(setup.index.sent) == len(NAMES)
+
+
+async def test_what_waits_to_be_sent_again_has_not_run():
+    kind = KIND._replace(services=("s0",), deadline_ms=100)
+    setup = Setup(kind)
+    task = setup.start()
+    await setup.clock.advance(0)
+    for _ in range(2):
+        request, future = setup.index.waiting.pop(0)
+        problem = not_run(errors.ProblemKind.PEER_UNREACHABLE)
+        outcome = messages.SubOutcome.NOT_RUN
+        future.set_result(
+            messages.SubResult(request.sub_id, "s0", outcome, problem=problem)
+        )
+        await setup.clock.advance(0.035)
+    await setup.clock.advance(0.1)
+    assert not task.result().may_have_run
+
+
 async def test_result_for_another_request_is_a_breach():
     setup = Setup()
     task = setup.start()
--- a/eelgrasshall/coordination/plan.py
+++ b/eelgrasshall/coordination/plan.py
@@ -1,7 +1,8 @@
 """What a query will touch, settled before anything is sent.
 
-A plan holds one configuration version and one deadline for the query's whole
-life, so that a change of configuration cannot change a running query.
+A plan holds the kind as one configuration version declares it, and one
+deadline, for the query's whole life, so that a change of configuration cannot
+change a running query.
 """
 
 import hashlib
@@ -26,7 +27,6 @@
     Attributes:
       query_id: Names the query, unique over all hosts and time.
       kind: The kind of request, as configured when the query came.
-      configuration_version: Version of the configuration that it came from.
       body: The query as JSON bytes.
       fingerprint: Hash of kind and body.
       admitted_at: Monotonic time of admission in seconds.
@@ -36,7 +36,6 @@
 
     query_id: str
     kind: configuration_module.Kind
-    configuration_version: int
     body: bytes
     fingerprint: str
     admitted_at: float
@@ -49,7 +48,6 @@
     request: caller.QueryRequest,
     query_id: str,
     kind: configuration_module.Kind,
-    version: int,
     now: float,
 ) -> Plan:
     """Returns the plan of a request that came now.
@@ -58,7 +56,6 @@
       request: The request.
       query_id: Names the query.
       kind: Its kind.
-      version: Version of the configuration.
       now: Monotonic time in seconds.
     """
     budget_s = choose_budget_s(request, kind)
@@ -68,7 +65,6 @@
     return Plan(
         query_id=query_id,
         kind=kind,
-        configuration_version=version,
         body=request.body,
         fingerprint=compute_fingerprint(kind.name, request.body),
         admitted_at=now,
--- a/eelgrasshall/coordination/query.py
+++ b/eelgrasshall/coordination/query.py
@@ -21,6 +21,7 @@
 from eelgrasshall.coordination import gather as gather_module
 from eelgrasshall.coordination import once
 from eelgrasshall.coordination import plan as plan_module
+from eelgrasshall.coordination import reasons
 from eelgrasshall.coordination import tickets as tickets_module
 from eelgrasshall.protocol import caller
 from eelgrasshall.protocol import messages
@@ -92,6 +93,7 @@
         self._id_count = 0
         self._refuse_at: float | None = None
         self._callers_waiting = 0
+        self._followed_version = 0
         self._open: dict[str, _OpenQuery] = {}
 
     @property
@@ -147,7 +149,7 @@
         chosen = self._choose_addresses(zone)
         if not chosen:
             refusal = caller.Refusal(
-                (_no_hosts(),), retry_after_s=RETRY_AFTER_S
+                (reasons.describe_missing_hosts(),), retry_after_s=RETRY_AFTER_S
             )
             return caller.encode_refusal(refusal, "")
         return caller.encode_addresses(
@@ -167,7 +169,7 @@
             result = await self._find_result(request, relayed=relayed)
         except Exception as error:  # The caller must get an outcome.
             logger.exception("query: A request ended with an error.")
-            result = caller.Failure(_broken(error))
+            result = caller.Failure(reasons.describe_fault(error))
         finally:
             self._callers_waiting -= 1
         return caller.encode(result, request.request_id)
@@ -178,17 +180,21 @@
         """Checks a request and sends it down the path of its kind."""
         configuration = self._get_configuration()
         if configuration is None:
-            return self._refuse(_unconfigured(), RETRY_AFTER_S)
+            return self._refuse(
+                reasons.describe_missing_configuration(), RETRY_AFTER_S
+            )
+        self._follow(configuration)
         kind = configuration.find_kind(request.kind)
         if kind is None:
-            return self._refuse(_unknown_kind(request.kind, configuration))
+            return self._refuse(
+                reasons.describe_unknown_kind(request.kind, configuration)
+            )
         if len(request.body) > kind.max_body_bytes:
-            return self._refuse(_too_large(kind))
+            return self._refuse(reasons.describe_size(kind))
         plan = plan_module.make_plan(
             request=request,
             query_id=self._make_id(),
             kind=kind,
-            version=configuration.version,
             now=self._clock.monotonic(),
         )
         if kind.repeatable:
@@ -197,6 +203,17 @@
             )
         return await self._run_once(plan, request, relayed=relayed)
 
+    def _follow(
+        self, configuration: configuration_module.Configuration
+    ) -> None:
+        """Forgets services that a new configuration no longer declares."""
+        if configuration.version == self._followed_version:
+            return
+        self._followed_version = configuration.version
+        self._snapshots.keep_only(
+            frozenset(service.name for service in configuration.services)
+        )
+
     async def _run_once(
         self,
         plan: plan_module.Plan,
@@ -217,7 +234,7 @@
             )
         if request.idempotency_key:
             return await self._run_claimed(plan, request)
-        return self._refuse(_no_ticket(plan.kind.name))
+        return self._refuse(reasons.describe_missing_ticket(plan.kind.name))
 
     async def _run_claimed(
         self, plan: plan_module.Plan, request: caller.QueryRequest
@@ -249,7 +266,9 @@
         """Admits a request and runs it."""
         now = self._clock.monotonic()
         if self._refuse_at is not None and now >= self._refuse_at:
-            return self._refuse(_leaving(self._name), LEAVING_RETRY_AFTER_S)
+            return self._refuse(
+                reasons.describe_leaving(self._name), LEAVING_RETRY_AFTER_S
+            )
         decision = self._admission.admit(
             plan.kind, caller_name, plan.results_at - now
         )
@@ -270,7 +289,9 @@
     async def _run_plan(self, plan: plan_module.Plan) -> once.Result:
         """Scatters, gathers and concludes, if there is time left."""
         if self._clock.monotonic() >= plan.results_at:
-            return self._refuse(_too_late(plan.kind.name), RETRY_AFTER_S)
+            return self._refuse(
+                reasons.describe_lateness(plan.kind.name), RETRY_AFTER_S
+            )
         gathered = await self._gather(plan)
         self._open[plan.query_id].queue_waits_s = gathered.queue_waits_s
         return self._conclude(plan, gathered)
@@ -328,7 +349,7 @@
             return self._refuse_unserved(total)
         problem = total.missing[0].problem if total.missing else None
         if plan.kind.repeatable or problem is None:
-            problem = _uncovered(plan.kind, total)
+            problem = reasons.describe_low_coverage(plan.kind, total)
         return caller.Failure(problem, total, timed_out=gathered.timed_out)
 
     def _refuse_unserved(self, total: caller.Coverage) -> caller.Refusal:
@@ -402,101 +423,3 @@
         self.sent: set[str] = set()
         self.queue_waits_s: tuple[float, ...] = ()
         self.outcomes = 0
-
-
-def _too_late(kind: str) -> errors.Problem:
-    """Returns the problem of a request that was too late to send."""
-    return errors.Problem(
-        errors.ProblemKind.DEADLINE_TOO_SHORT,
-        kind,
-        "Its time was up before anything was sent.",
-        "Allow a longer deadline.",
-    )
-
-
-def _unconfigured() -> errors.Problem:
-    """Returns the problem of a host without a configuration."""
-    return errors.Problem(
-        errors.ProblemKind.NO_CONFIGURATION,
-        "host",
-        "It has no configuration yet.",
-        "Come back after the time given, or ask another address.",
-    )
-
-
-def _unknown_kind(
-    name: str, configuration: configuration_module.Configuration
-) -> errors.Problem:
-    """Returns the problem of a kind that is not declared."""
-    declared = ", ".join(kind.name for kind in configuration.kinds[:20])
-    return errors.Problem(
-        errors.ProblemKind.UNKNOWN_KIND,
-        "kind",
-        f"The kind {name!r} is not declared.",
-        f"Use one of: {declared}.",
-    )
-
-
-def _too_large(kind: configuration_module.Kind) -> errors.Problem:
-    """Returns the problem of a query that is too large for its kind."""
-    return errors.Problem(
-        errors.ProblemKind.REQUEST_TOO_LARGE,
-        "query",
-        f"It is larger than {kind.max_body_bytes} bytes.",
-        "Send a smaller query.",
-    )
-
-
-def _no_ticket(kind: str) -> errors.Problem:
-    """Returns the problem of a run-once request without a ticket or key."""
-    return errors.Problem(
-        errors.ProblemKind.TICKET_REQUIRED,
-        "ticket",
-        f"A request of kind {kind} may not be repeated and needs a ticket.",
-        "Append a part of your own to the ticket prefix and send it as "
-        "the ticket, or send an Idempotency-Key.",
-    )
-
-
-def _leaving(name: str) -> errors.Problem:
-    """Returns the problem of a host that takes no new requests."""
-    return errors.Problem(
-        errors.ProblemKind.LEAVING,
-        "host",
-        f"The host {name} is leaving.",
-        "Send it to one of the addresses given, with a new ticket if it had "
-        "one.",
-    )
-
-
-def _no_hosts() -> errors.Problem:
-    """Returns the problem of a fleet without a usable host."""
-    return errors.Problem(
-        errors.ProblemKind.LEAVING,
-        "addresses",
-        "No entry host is in service.",
-        "Come back after the time given.",
-    )
-
-
-def _uncovered(
-    kind: configuration_module.Kind, total: caller.Coverage
-) -> errors.Problem:
-    """Returns the problem of an answer below the kind's promise."""
-    return errors.Problem(
-        errors.ProblemKind.COVERAGE_TOO_LOW,
-        kind.name,
-        f"Only {total.key_share:.4f} of the keys could be covered, "
-        f"{kind.coverage_floor:.4f} are promised.",
-        "Ask again; the coverage names the missing services.",
-    )
-
-
-def _broken(error: Exception) -> errors.Problem:
-    """Returns the problem of a fault inside the host."""
-    return errors.Problem(
-        errors.ProblemKind.BACKEND_FAILED,
-        "host",
-        f"The request ended with {type(error).__name__}.",
-        "Ask another address, and report it to the operators.",
-    )
--- a/eelgrasshall/coordination/query_test.py
+++ b/eelgrasshall/coordination/query_test.py
@@ -312,3 +312,9 @@
     monkeypatch.setattr(claims.ClaimBook, "hold", hold_twice)
     await parts.coordinator.run(ask("reserve", idempotency_key="crate-7"))
     assert parts.invariants.breaches[promise]
+
+
+async def test_services_no_longer_declared_are_forgotten(parts):
+    parts.coordinator._snapshots.observe("gone", (SEVEN,))
+    await parts.coordinator.run(ask())
+    assert sorted(parts.coordinator.dump()["snapshots"]) == list(NAMES)
