--- a/eelgrasshall/state/snapshots.py
+++ b/eelgrasshall/state/snapshots.py
@@ -65,11 +65,16 @@
         Returns:
           The snapshot, or None if nothing is known.
         """
-        counts: collections.Counter[messages.Snapshot] = collections.Counter()
-        for service in services:
-            counts.update(set(self.find(service)))
-        if not counts:
+        known = [self.find(service) for service in services]
+        known = [available for available in known if available]
+        if not known:
             return None
+        # While nothing moves, all services can serve the same.
+        if all(available == known[0] for available in known):
+            return max(known[0])
+        counts: collections.Counter[messages.Snapshot] = collections.Counter()
+        for available in known:
+            counts.update(set(available))
         return max(counts, key=lambda snapshot: (counts[snapshot], snapshot))
 
     def keep_only(self, services: frozenset[str]) -> None:
