Claims: those of hosts that are gone are deleted too

Each host reads one page of at most 100 claims about once a minute and deletes up to 5 that expired ten minutes ago or more, on the condition of the version seen. For 400 hosts that is 7 reads a second (worked out, not measured).

Seen to fail with each switched off: the walk, its grace, the following pages, and the caution with values that are not understood.

--- a/eelgrasshall/coordination/claims.py
+++ b/eelgrasshall/coordination/claims.py
@@ -29,6 +29,7 @@
 from eelgrasshall import errors
 from eelgrasshall import invariants as invariants_module
 from eelgrasshall.coordination import once
+from eelgrasshall.coordination import sweep
 from eelgrasshall.protocol import caller
 from eelgrasshall.protocol import platform
 
@@ -39,13 +40,13 @@
 # Wait before a record is written again; doubles with each try.
 FIRST_RECORD_WAIT_S = 0.5
 STOP_TIMEOUT_S = 2.0
-MAX_RECORDED_BYTES = 262_144
+MAX_RECORDED_CHARS = 262_144
 FIRST_POLL_S = 0.1
 MAX_POLL_S = 1.0
 RETRY_AFTER_S = 2.0
-SWEEP_PERIOD_S = 10.0
-# Deletions in one sweep, so that they stay far below the store's rates.
-MAX_SWEEP = 20
+DELETE_PERIOD_S = 10.0
+# Deletions in one period, so that they stay far below the store's rates.
+MAX_DELETIONS = 20
 MAX_ABANDONED = 10_000
 _NONCE_BITS = 64
 
@@ -54,7 +55,7 @@
 _DONE = "done"
 
 
-class Store(Protocol):
+class Store(sweep.Store, Protocol):
     """What the claims need of the platform's object API."""
 
     async def write(
@@ -65,11 +66,6 @@
     async def read(self, kind: str, name: str) -> platform.ReadResult:
         """Reads an object."""
 
-    async def delete(
-        self, kind: str, name: str, if_version: int | None = None
-    ) -> platform.DeleteResult:
-        """Deletes an object if it has the version."""
-
 
 class ClaimValue(TypedDict):
     """A claim as the store keeps it.
@@ -80,6 +76,7 @@
       state: `claimed`, `released` if it was not run, or `done`.
       status: HTTP status of the outcome, 0 until it is recorded.
       body: The outcome as JSON text, empty until it is recorded.
+      expires_at: Seconds since the Unix epoch after which it may be deleted.
     """
 
     nonce: str
@@ -87,6 +84,7 @@
     state: str
     status: int
     body: str
+    expires_at: int
 
 
 class Claim(NamedTuple):
@@ -99,6 +97,7 @@
       until: Monotonic time in seconds after which it is not worth having.
       first_send: Whether no earlier send of the request may have run.
       ticket_prefix: What a refusal offers instead.
+      expires_at: Seconds since the Unix epoch after which it may be deleted.
     """
 
     name: str
@@ -107,6 +106,7 @@
     until: float
     first_send: bool
     ticket_prefix: str
+    expires_at: int
 
 
 class _Held(NamedTuple):
@@ -150,7 +150,10 @@
         self._expiring: list[tuple[float, str]] = []
         self._versions: dict[str, int] = {}
         self._writes: set[asyncio.Task[None]] = set()
-        self._sweeper: asyncio.Task[None] | None = None
+        self._deleter: asyncio.Task[None] | None = None
+        self._sweeper = sweep.Sweeper(
+            clock=clock, random=random, store=store, kind=OBJECT_KIND
+        )
 
     @property
     def running(self) -> int:
@@ -158,13 +161,15 @@
         return self._book.running
 
     async def start(self) -> None:
-        """Starts deleting this host's claims as they expire."""
-        self._sweeper = asyncio.create_task(self._sweep_periodically())
+        """Starts deleting claims as they expire."""
+        self._deleter = asyncio.create_task(self._delete_periodically())
+        self._sweeper.start()
 
     async def stop(self) -> None:
         """Finishes the outcomes being recorded and stops deleting."""
-        if self._sweeper is not None:
-            self._sweeper.cancel()
+        if self._deleter is not None:
+            self._deleter.cancel()
+        self._sweeper.stop()
         if self._writes:
             await asyncio.wait(self._writes, timeout=STOP_TIMEOUT_S)
         for task in self._writes:
@@ -194,6 +199,7 @@
             until=until,
             first_send=request.first_send,
             ticket_prefix=ticket_prefix,
+            expires_at=int(self._clock.wall() + CLAIM_TTL_S),
         )
 
     async def run(
@@ -383,16 +389,16 @@
             wait_s *= 2
         logger.warning(f"claims: Claim {claim.name[:8]} was not recorded.")
 
-    async def _sweep_periodically(self) -> None:
-        """Deletes expired claims at a slow pace."""
+    async def _delete_periodically(self) -> None:
+        """Deletes this host's expired claims at a slow pace."""
         while True:
-            await self._clock.sleep(SWEEP_PERIOD_S)
-            await self._sweep()
+            await self._clock.sleep(DELETE_PERIOD_S)
+            await self._delete_expired()
 
-    async def _sweep(self) -> None:
+    async def _delete_expired(self) -> None:
         """Deletes some of this host's claims that have expired."""
         now = self._clock.monotonic()
-        for _ in range(MAX_SWEEP):
+        for _ in range(MAX_DELETIONS):
             if not self._expiring or self._expiring[0][0] > now:
                 return
             _, name = heapq.heappop(self._expiring)
@@ -402,7 +408,7 @@
             result = await self._store.delete(OBJECT_KIND, name, version)
             if isinstance(result, errors.Problem | platform.Unknown):
                 self._versions[name] = version
-                heapq.heappush(self._expiring, (now + SWEEP_PERIOD_S, name))
+                heapq.heappush(self._expiring, (now + DELETE_PERIOD_S, name))
                 return
 
 
@@ -416,21 +422,14 @@
     claim: Claim, state: str, outcome: caller.Outcome | None
 ) -> ClaimValue:
     """Returns a claim in the form of the store."""
-    if outcome is None:
-        return ClaimValue(
-            nonce=claim.nonce,
-            digest=claim.digest,
-            state=state,
-            status=0,
-            body="",
-        )
-    body = outcome.body.decode()
+    body = outcome.body.decode() if outcome else ""
     return ClaimValue(
         nonce=claim.nonce,
         digest=claim.digest,
         state=state,
-        status=outcome.status,
-        body=body if len(outcome.body) <= MAX_RECORDED_BYTES else "",
+        status=outcome.status if outcome else 0,
+        body=body if len(body) <= MAX_RECORDED_CHARS else "",
+        expires_at=claim.expires_at,
     )
 
 
--- a/eelgrasshall/coordination/claims_test.py
+++ b/eelgrasshall/coordination/claims_test.py
@@ -10,6 +10,7 @@
 from eelgrasshall import errors
 from eelgrasshall import invariants as invariants_module
 from eelgrasshall.coordination import claims
+from eelgrasshall.coordination import sweep
 from eelgrasshall.protocol import caller
 from eelgrasshall.protocol import platform
 
@@ -59,6 +60,14 @@
             return OUT
         return self.objects.get((kind, name), platform.Absent(name))
 
+    async def list(self, kind, after="", limit=100):
+        if self.out:
+            return OUT
+        names = sorted(name for _, name in self.objects if name > after)
+        page = tuple(self.objects[kind, name] for name in names[:limit])
+        following = page[-1].name if len(names) > limit else None
+        return platform.Listing(page, following)
+
     async def delete(self, kind, name, if_version=None):
         if self.out:
             return OUT
@@ -248,6 +257,31 @@
     await fleet.get(0)
     await fleet.clock.advance(claims.CLAIM_TTL_S - 10)
     assert fleet.store.objects
-    await fleet.clock.advance(2 * claims.SWEEP_PERIOD_S)
+    await fleet.clock.advance(2 * claims.DELETE_PERIOD_S)
+    assert not fleet.store.objects
+    await fleet.books[0].stop()
+
+
+async def test_claims_of_hosts_that_are_gone_are_deleted_later(fleet):
+    await fleet.get(0)
+    await fleet.clock.advance(claims.CLAIM_TTL_S)
+    await fleet.books[1].start()
+    await fleet.clock.advance(480.0)
+    assert fleet.store.objects
+    await fleet.clock.advance(240.0)
     assert not fleet.store.objects
+    await fleet.books[1].stop()
+
+
+async def test_every_page_of_claims_is_walked(fleet, monkeypatch):
+    monkeypatch.setattr(sweep, "PAGE_LIMIT", 2)
+    for number in range(7):
+        value = {"expires_at": 0}
+        fleet.store.apply(claims.OBJECT_KIND, f"c{number}", value, 0)
+    kept = {"a-foreign": None, "a-mistyped": {}, "fresh": {"expires_at": 10**9}}
+    for name, value in kept.items():
+        fleet.store.apply(claims.OBJECT_KIND, name, value, 0)
+    await fleet.books[0].start()
+    await fleet.clock.advance(20 * sweep.PAGE_PERIOD_S)
+    assert [name for _, name in fleet.store.objects] == list(kept)
     await fleet.books[0].stop()
