Owner side: second hedges tested, alone hosts share the connections

Each now holds a ninth of the server's connections.

The second hedge of a sub-request has a test that fails with one hedge at most. The bound on deaths by a poison request stands in the module that keeps it. Closing refuses what still waits.

--- a/eelgrasshall/coordination/executor.py
+++ b/eelgrasshall/coordination/executor.py
@@ -40,6 +40,8 @@
 # is left to hosts that send directly.
 SPARE_CONNECTIONS = 4
 DIRECT_CONNECTIONS = 1
+# Hosts among which a server's connections are divided if each sends alone.
+ALONE_HOSTS = 9
 
 
 class _Owned(NamedTuple):
@@ -273,6 +275,9 @@
     async def close(self) -> None:
         """Drops everything in flight."""
         for owned in [*self._owned.values(), *self._retired]:
+            owned.tools.queue.fail_all(
+                _explain_lapse(errors.ProblemKind.LEAVING)
+            )
             await owned.monitor.stop()
             await owned.tools.runner.close()
         await self._direct.close()
@@ -390,7 +395,9 @@
         for record in self._directory.all():
             server = record.server
             limit = DIRECT_CONNECTIONS
-            if record.service in self._owned:
+            if self._policy.ownership == policies.ALONE:
+                limit = max(limit, server.connections // ALONE_HOSTS)
+            elif record.service in self._owned:
                 limit = server.slots + SPARE_CONNECTIONS
             targets.append(
                 backends.BackendTarget(
--- a/eelgrasshall/coordination/executor_test.py
+++ b/eelgrasshall/coordination/executor_test.py
@@ -373,6 +373,20 @@
         assert bench.record(slow)["in_flight"] == 0
 
 
+async def test_slow_hedge_is_hedged_once_more():
+    async with run_bench() as bench:
+        task, _ = await start_slow(bench)
+        for server in bench.transport.servers.values():
+            server.latency_s = 0.5
+        await bench.clock.advance(0.012)
+        for server in bench.transport.servers.values():
+            server.latency_s = 0.01
+        await bench.clock.advance(0.03)
+        assert (task.result().attempts, task.result().hedges) == (3, 2)
+        await bench.clock.advance(0.0)
+        assert sum(count_in_flight(bench).values()) == 0
+
+
 async def test_no_hedge_of_what_may_not_be_repeated():
     async with run_bench() as bench:
         task, _ = await start_slow(bench, repeatable=False)
--- a/eelgrasshall/coordination/quarantine.py
+++ b/eelgrasshall/coordination/quarantine.py
@@ -4,6 +4,12 @@
 not hedged and runs again only alone, one at a time.  If a server dies under it
 alone, its fingerprint is quarantined on all hosts for minutes; if it is
 served, it was innocent.  The hosts tell each other through facts.
+
+A request that goes to S services at once and crashes servers before a hedge
+is due kills one server of each service, since nobody knows of it yet.  After
+that it kills one for each owner that runs it alone before it has heard of
+another owner's finding: S + 1 in all if one host owns every service, at most
+2 * S if none of the owners has heard of the others.
 """
 
 import asyncio
