--- a/eelgrasshall/coordination/executor_test.py
+++ b/eelgrasshall/coordination/executor_test.py
@@ -112,11 +112,13 @@
     def __init__(self, clock, names):
         self.servers = {name: ScriptedServer(clock) for name in names}
         self.dropped_silent: list[str] = []
+        self.fresh: dict[str, bool] = {}
 
     def set_servers(self, targets):
         self.targets = {target.name: target for target in targets}
 
     async def send(self, server, attempt, *, silence_s, fresh):
+        self.fresh[attempt.attempt_id] = fresh
         return await self.servers[server].run(attempt)
 
     async def cancel(self, server, attempt_id):
@@ -488,6 +490,23 @@
         assert len(started) == 1
 
 
+async def test_run_once_and_suspects_go_on_fresh_connections():
+    async with run_bench() as bench:
+        fact = messages.GossipFact("suspect", "g", 1, b'{"until_s": 1100.0}')
+        bench.executor.accept_fact(fact)
+        tasks = [
+            bench.start(),
+            bench.start(repeatable=False),
+            bench.start(fingerprint="g"),
+        ]
+        await bench.finish(*tasks)
+        assert bench.transport.fresh == {
+            "r1.0": False,
+            "r2.0": True,
+            "r3.0": True,
+        }
+
+
 async def test_retries_end_with_their_budget():
     async with run_bench() as bench:
         for server in bench.transport.servers.values():
