Gather: a query that cannot reach its floor ends at once

Cause: at twice the load a query that had lost one service for good ran on in the others, used their slots and told its caller late.

A failure of a repeatable kind now says when to come back. Ruled out: the share of a lost service from its last key range, since a repartition may have moved it; one key is the least that it holds.

--- a/eelgrasshall/coordination/gather.py
+++ b/eelgrasshall/coordination/gather.py
@@ -97,6 +97,7 @@
         self._target: messages.Snapshot | None = None
         self._replans_left = MAX_REPLANS
         self._resends: collections.Counter[str] = collections.Counter()
+        self._lost: set[str] = set()
         self._outcomes_open = 0
         self._may_have_run = False
         self._queue_waits_s: list[float] = []
@@ -137,10 +138,34 @@
             if arrival is None:
                 return True
             self._take(arrival)
+            if not self._can_reach_floor():
+                self._explain_given_up()
+                return False
             if not self._running:
                 self._try_newer_snapshot()
         return False
 
+    def _can_reach_floor(self) -> bool:
+        """Returns whether the answer may still cover what its kind asks for.
+
+        What the others serve is of no use to a query that cannot, so they are
+        let go and its caller is told at once.  How many keys a lost service
+        holds is not known; one is the least.
+        """
+        reachable = messages.KEY_SPACE - len(self._lost)
+        floor = self._plan.kind.coverage_floor * messages.KEY_SPACE
+        return reachable >= floor
+
+    def _explain_given_up(self) -> None:
+        """Notes why the services still under way give nothing."""
+        for service in self._running:
+            self._problems[service] = errors.Problem(
+                errors.ProblemKind.COVERAGE_TOO_LOW,
+                service,
+                "It was given up, since others had failed already.",
+                "See the problems of the other services.",
+            )
+
     def _ask(self, service: str) -> None:
         """Starts the sub-request to a service, once for each snapshot."""
         if (service, self._target) in self._asked:
@@ -160,6 +185,7 @@
             self._send(sub_id, service, snapshot, wait_s)
         )
         self._running[service] = _Running(sub_id, snapshot, task)
+        self._lost.discard(service)
 
     async def _send(
         self,
@@ -226,6 +252,8 @@
             if self._ask_again(request, result):
                 return
             moved = result.outcome is messages.SubOutcome.SNAPSHOT_GONE
+            if not moved:
+                self._lost.add(result.service)
         if moved:
             self._move(self._snapshots.choose(self._plan.kind.services))
 
--- a/eelgrasshall/coordination/gather_test.py
+++ b/eelgrasshall/coordination/gather_test.py
@@ -418,3 +418,27 @@
     max_examples=150, stateful_step_count=25
 )
 TestMovingIndex = MovingIndex.TestCase
+
+
+async def test_query_that_cannot_reach_its_floor_ends_at_once():
+    setup = Setup(KIND._replace(coverage_floor=1.0))
+    task = setup.start()
+    await setup.clock.advance(0)
+    setup.index.answer(0)
+    await setup.clock.advance(0)
+    assert not task.done()
+    setup.index.answer(0, fails=True)
+    await setup.clock.advance(0)
+    gathered = task.result()
+    assert not gathered.timed_out
+    assert gathered.coverage.covered == ("s0",)
+    assert all(future.cancelled() for _, future in setup.index.waiting)
+
+
+async def test_query_without_a_floor_waits_for_the_other_services():
+    setup = Setup()
+    task = setup.start()
+    await setup.clock.advance(0)
+    setup.index.answer(0, fails=True)
+    gathered = await setup.settle(task)
+    assert gathered.coverage.covered == ("s1", "s2", "s3")
--- a/eelgrasshall/coordination/query.py
+++ b/eelgrasshall/coordination/query.py
@@ -350,7 +350,12 @@
         problem = total.missing[0].problem if total.missing else None
         if plan.kind.repeatable or problem is None:
             problem = reasons.describe_low_coverage(plan.kind, total)
-        return caller.Failure(problem, total, timed_out=gathered.timed_out)
+        return caller.Failure(
+            problem,
+            total,
+            timed_out=gathered.timed_out,
+            retry_after_s=RETRY_AFTER_S if plan.kind.repeatable else None,
+        )
 
     def _refuse_unserved(self, total: caller.Coverage) -> caller.Refusal:
         """Refuses a request that no service has run."""
