Ownership: a host that starts owns nothing until it has met its peers

A state machine of owners over real members (leaves, kills, starts, freezes, a zone out and in, each host hearing of it in its own order) failed at once: all hosts of a fleet that started together claimed everything, and words of handover were untrue. A start now counts as a lapse that ends on meeting peers.

--- a/eelgrasshall/coordination/membership.py
+++ b/eelgrasshall/coordination/membership.py
@@ -48,8 +48,10 @@
 HOST_LIST_PERIOD_S = 10.0
 HOST_LIST_PERIOD_PER_HOST_S = 0.5
 HOST_LIST_RETRY_S = 1.0
+# A host that finds neither peers nor the host list acts alone after this time.
+JOIN_LIMIT_S = 2.0
 LEAVING_CALLS_AT_ONCE = 32
-MESSAGE_OVERHEAD_BYTES = 96
+MESSAGE_OVERHEAD_BYTES = 124
 
 
 class Stream(Protocol):
@@ -129,6 +131,7 @@
             Callable[[int, members_module.Member], None] | None
         ) = None
         self._news = asyncio.Event()
+        self._joined = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
         self.counts: collections.Counter[str] = collections.Counter()
         facts.subscribe_news(self.push)
@@ -143,6 +146,7 @@
             self._run_digests,
             self._run_reconnects,
             self._run_host_list,
+            self._end_joining,
         ):
             self._spawn(loop())
 
@@ -229,11 +233,12 @@
         await asyncio.gather(*(say(m) for m in self._view.others()))
 
     async def rejoin(self) -> bool:
-        """Compares notes with a few members.
+        """Compares notes with a few members, after the first start too.
 
         Returns:
           Whether one answered, or there is no other member.
         """
+        await self._joined.wait()
         others = self._view.others()
         if not others:
             return True
@@ -314,8 +319,15 @@
             if not self._view.others():
                 unmet = self._choose(self._find_unmet(), PUSH_FANOUT)
                 await asyncio.gather(*(self._meet(m) for m in unmet))
+            if not isinstance(entries, errors.Problem):
+                self._joined.set()
             await self._sleep(wait_s)
 
+    async def _end_joining(self) -> None:
+        """Lets this host act alone if it has found nobody for a while."""
+        await self._clock.sleep(JOIN_LIMIT_S)
+        self._joined.set()
+
     # Probes.
 
     async def _probe(self, member: members_module.Member) -> None:
@@ -402,6 +414,8 @@
         self._incarnations[message.sender] = message.incarnation
         self._facts.merge(message.facts, message.sender)
         sender = self._view.find(message.sender)
+        if sender is not None:
+            self._joined.set()
         if sender is not None and self._on_version is not None:
             self._on_version(message.configuration_version, sender)
         digest = _find_digest(message)
--- a/eelgrasshall/coordination/ownership.py
+++ b/eelgrasshall/coordination/ownership.py
@@ -35,8 +35,10 @@
 HOST_BOUND = 1.25
 ZONE_BOUND = 1.25
 HANDOVER_TOPIC = "handover"
-# A word of handover counts this long, for a host whose view comes later.
-HANDOVER_VALID_S = 10.0
+# A word of handover counts this long, for a host whose view comes later.  It
+# is no longer than a suspicion, after which the teller may own again what it
+# has handed over.
+HANDOVER_VALID_S = 1.0
 REJOIN_RETRY_S = 0.2
 
 
@@ -179,7 +181,10 @@
         self._owners: dict[str, str] = {}
         self._claims: dict[str, Claim] = {}
         self._handed_over: dict[str, float] = {}
-        self._lapsed = False
+        # Until it has met its peers a new host would think it owns everything.
+        self._lapsed = True
+        self._pauses = 0
+        self._rejoining: asyncio.Task[None] | None = None
         self._callbacks: list[Callable[[], None]] = []
         self._tasks: set[asyncio.Task[Any]] = set()
         self.moves = 0
@@ -211,14 +216,13 @@
 
     def notice_pause(self, gap_s: float) -> None:
         """Treats everything as lapsed until the peers have been asked."""
-        already = self._lapsed
         self._lapsed = True
+        self._pauses += 1
         if self._claims:
             logger.info(f"ownership: Lapsed after a pause of {gap_s:.2f} s.")
             self._claims = {}
             self._call_back()
-        if not already:
-            self._spawn(self._rejoin())
+        self._ensure_rejoining()
 
     def dump(self) -> dict[str, Any]:
         """Returns the owners and claims for the state dump."""
@@ -234,6 +238,8 @@
         declared = self._keeper.current
         if declared is None:
             return
+        if self._lapsed:
+            self._ensure_rejoining()
         before = self._owners
         self._owners = assign_owners(
             (service.name for service in declared.services),
@@ -290,9 +296,18 @@
             self._claims[fact.key] = claim._replace(handed_over=True)
             self._call_back()
 
+    def _ensure_rejoining(self) -> None:
+        """Starts to ask the peers, unless that is under way."""
+        if self._rejoining is None or self._rejoining.done():
+            self._rejoining = self._spawn(self._rejoin())
+
     async def _rejoin(self) -> None:
         """Takes ownership up again once the peers have been asked."""
-        while not await self._membership.rejoin():
+        while True:
+            pauses = self._pauses
+            answered = await self._membership.rejoin()
+            if answered and pauses == self._pauses:
+                break
             await self._clock.sleep(REJOIN_RETRY_S)
         self._lapsed = False
         self._claim({})
@@ -303,8 +318,9 @@
         for callback in self._callbacks:
             callback()
 
-    def _spawn(self, work: Any) -> None:
+    def _spawn(self, work: Any) -> asyncio.Task[Any]:
         """Runs work as a task that `stop` ends."""
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
