Metrics: latencies of services that have moved away are dropped

Ownership moves, so in time a host would report every service of the fleet; a scrape of 27 services took 13 ms, which stops the process that long. The new test fails without the dropping.

--- a/eelgrasshall/application.py
+++ b/eelgrasshall/application.py
@@ -396,6 +396,7 @@
         if configuration is None:
             return
         claims = self._ownership.claims()
+        self.metrics.keep_services(self._ownership.owned())
         self._executor.adopt(
             configuration,
             frozenset(claim.service for claim in claims),
--- a/eelgrasshall/metrics.py
+++ b/eelgrasshall/metrics.py
@@ -159,6 +159,15 @@
         if retries:
             self._retries.add(retries, labels)
 
+    def keep_services(self, services: frozenset[str]) -> None:
+        """Drops the latencies of services that this host no longer owns.
+
+        Args:
+          services: The services that it owns.
+        """
+        for service in set(self._service_latency) - services:
+            del self._service_latency[service]
+
     def observe(
         self, gauge: Gauge, read: Callable[[], Iterable[Reading]]
     ) -> None:
--- a/eelgrasshall/metrics_test.py
+++ b/eelgrasshall/metrics_test.py
@@ -46,6 +46,21 @@
     assert round(total, 3) == 99.049
 
 
+def test_latency_of_services_that_have_moved_is_dropped():
+    instruments = metrics.Metrics(name="entry-1")
+    for service in ("orders-1", "orders-2"):
+        instruments.record_sub_request(service, 0.1, 0, 0)
+    _scrape(instruments)
+    instruments.keep_services(frozenset({"orders-2"}))
+    name = "eelgrasshall_service_latency_sum_seconds_total"
+    services = {
+        dict(labels)["service"]
+        for each, labels in _scrape(instruments)
+        if each == name
+    }
+    assert services == {"orders-2"}
+
+
 def test_gauges_are_read_at_each_scrape():
     instruments = metrics.Metrics(name="entry-1")
     servers = {"a": 1.0}
