Admission: a low limit rises without being reached first

Cause: a limit between 2 and 3 admits two requests, which is below 80% of 2.7, so it never counted as used and never rose: 2 of 9 hosts stood at 2.8 and 3.8 for 12 s with queue waits of 0.01 to 0.03 s, and gave all 157 refusals of 1778. Now the whole number is compared, and below the initial limit short waits alone raise it. Ruled out: a higher least limit, since 400 hosts times 8 would be admitted.

--- a/eelgrasshall/coordination/admission.py
+++ b/eelgrasshall/coordination/admission.py
@@ -288,7 +288,10 @@
                 lowered = min(state.limit, state.in_flight) * DECREASE_FACTOR
                 state.limit = max(MIN_LIMIT, lowered)
             return
-        if state.in_flight >= CONTENDED_SHARE * state.limit:
+        # A limit below the initial one may be smaller than any burst, so it
+        # does not wait to be reached before it rises.
+        used = state.in_flight >= CONTENDED_SHARE * int(state.limit)
+        if used or state.limit < self._initial_limit:
             # Far below the target the limit doubles each round trip, near it
             # it grows by one.
             room = 1.0 - state.wait_s / target_s
