Handover: the last owner's word brings the warm servers and ends the wait

A new owner that was just restarted knows no server to be warm, and the word of handover that came after it had taken over did not end the 2 s that it waits before it touches a cold one. It also took a service of a leaving host as clean at once, though that host may still have an attempt in flight at a cold server, which bears only one.

Now the word is sent once no attempt is in flight at a cold server (else not at all), names the warm servers, and ends the wait whenever it comes; until 0.3 s after a takeover requests wait for it instead of being refused. Ruled out: facts on each warm server through gossip, hundreds of them for a matter between two hosts.

--- a/eelgrasshall/application.py
+++ b/eelgrasshall/application.py
@@ -368,6 +368,10 @@
 
     def _subscribe(self) -> None:
         """Connects the parts that follow each other's changes."""
+        self._ownership.attach_handover(
+            prepare=self._executor.hand_over,
+            accept=self._executor.accept_handover,
+        )
         self._keeper.subscribe(self._follow)
         self._ownership.subscribe(self._follow)
         self._membership.subscribe(self._drop_gone_peers)
--- a/eelgrasshall/coordination/executor.py
+++ b/eelgrasshall/coordination/executor.py
@@ -40,6 +40,11 @@
 # is left to hosts that send directly.
 SPARE_CONNECTIONS = 4
 DIRECT_CONNECTIONS = 1
+# An owner that goes waits this long for its attempts at cold servers to end.
+HANDOVER_LIMIT_S = 1.0
+HANDOVER_POLL_S = 0.01
+# A new owner counts on the word of handover for this long.
+HANDOVER_EXPECTED_S = 0.3
 # Hosts among which a server's connections are divided if each sends alone.
 ALONE_HOSTS = 9
 
@@ -118,6 +123,9 @@
         self._owned: dict[str, _Owned] = {}
         self._retired: list[_Owned] = []
         self._lapsed = True
+        # How often a server had been taken to be cold when that was done for
+        # want of knowledge.
+        self._unknown_turns: dict[str, int] = {}
 
     def adopt(
         self,
@@ -152,8 +160,11 @@
                 self._owned[name] = self._make_owned(name)
             if (taken or self._lapsed) and name not in clean:
                 start_s = since.get(name, self._clock.monotonic())
-                settled_s = start_s + self._policy.disagreement_s
-                self._owned[name].tools.queue.settled_s = settled_s
+                queue = self._owned[name].tools.queue
+                queue.settled_s = start_s + self._policy.disagreement_s
+                queue.handover_s = start_s + HANDOVER_EXPECTED_S
+            elif name in clean:
+                self._owned[name].tools.queue.settled_s = 0.0
         self._lapsed = False
         self._set_targets()
         for owned_service in self._owned.values():
@@ -212,6 +223,42 @@
         )
         record.snapshots = result.available or record.snapshots
 
+    async def hand_over(self, service: str) -> bytes | None:
+        """Waits until no attempt of this host is in flight at a cold server.
+
+        Args:
+          service: A service that this host has stopped owning.
+
+        Returns:
+          The warm servers for the next owner, or None if attempts at cold
+          ones did not end in time, so that it must wait for itself.
+        """
+        latest = self._clock.monotonic() + HANDOVER_LIMIT_S
+        records = self._directory.of_service(service)
+        while any(record.cold and record.held for record in records):
+            if self._clock.monotonic() >= latest:
+                return None
+            await self._clock.sleep(HANDOVER_POLL_S)
+        warm = [record.name for record in records if not record.cold]
+        return json.dumps(warm).encode()
+
+    def accept_handover(self, service: str, body: bytes) -> None:
+        """Takes over which servers the previous owner knew to be warm."""
+        try:
+            warm = frozenset(json.loads(body))
+        except (ValueError, TypeError):
+            return
+        for record in self._directory.of_service(service):
+            if record.name not in warm:
+                continue
+            if service not in self._owned:
+                record.told_warm_s = self._clock.monotonic()
+            elif self._unknown_turns.get(record.name) == record.turns:
+                # It is cold only because nothing was known of it.
+                record.cold = False
+        if service in self._owned:
+            self._owned[service].tools.queue.pump()
+
     def notice_pause(self) -> None:
         """Takes all ownership to have lapsed until `adopt` is called."""
         self._lapsed = True
@@ -294,6 +341,7 @@
                 record.cold = False
             else:
                 warmup.turn_cold(record)
+                self._unknown_turns[record.name] = record.turns
 
     def _make_owned(self, name: str) -> _Owned:
         """Builds the parts that serve a service."""
--- a/eelgrasshall/coordination/ownership.py
+++ b/eelgrasshall/coordination/ownership.py
@@ -15,6 +15,7 @@
 
 import asyncio
 import collections
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 import math
@@ -154,6 +155,15 @@
         """Registers a callback for each new version."""
 
 
+Prepare = Callable[[str], Awaitable[bytes | None]]
+
+
+async def _prepare_nothing(service: str) -> bytes | None:
+    """Hands a service over with no state."""
+    del service
+    return b""
+
+
 class Ownership:
     """Knows the owner of each service as this host sees it.
 
@@ -188,6 +198,8 @@
         self._callbacks: list[Callable[[], None]] = []
         self._tasks: set[asyncio.Task[Any]] = set()
         self.moves = 0
+        self._prepare: Prepare = _prepare_nothing
+        self._accept: Callable[[str, bytes], None] | None = None
         facts.subscribe(HANDOVER_TOPIC)(self._take_handover)
         membership.subscribe(self._work_out)
         keeper.subscribe(self._work_out)
@@ -214,6 +226,23 @@
         """Registers a callback, without arguments, for each change."""
         self._callbacks.append(callback)
 
+    def attach_handover(
+        self,
+        *,
+        prepare: "Prepare",
+        accept: Callable[[str, bytes], None],
+    ) -> None:
+        """Lets the state of a service travel with the word of handover.
+
+        Args:
+          prepare: Waits until this host no longer touches what the next
+            owner must have alone and gives what that owner should know; None
+            if it cannot be handed over.
+          accept: Called with what the previous owner of a service has told.
+        """
+        self._prepare = prepare
+        self._accept = accept
+
     def notice_pause(self, gap_s: float) -> None:
         """Treats everything as lapsed until the peers have been asked."""
         self._lapsed = True
@@ -269,10 +298,7 @@
         """Returns the claim to a service that has come to this host."""
         now = self._clock.monotonic()
         told_at = self._handed_over.pop(service, -math.inf)
-        told = now - told_at <= HANDOVER_VALID_S
-        previous = self._membership.find(before.get(service, ""))
-        leaving = previous is not None and not previous.takes_work()
-        return Claim(service, now, told or leaving)
+        return Claim(service, now, now - told_at <= HANDOVER_VALID_S)
 
     def _hand_over(self, before: dict[str, str]) -> None:
         """Tells the next owners of what this host has stopped owning."""
@@ -282,12 +308,20 @@
                 continue
             member = self._membership.find(owner)
             if member is not None:
-                self._spawn(
-                    self._membership.tell(member, HANDOVER_TOPIC, service, b"1")
-                )
+                self._spawn(self._tell_handover(member, service))
+
+    async def _tell_handover(
+        self, member: members_module.Member, service: str
+    ) -> None:
+        """Tells the next owner once this host has let the service go."""
+        body = await self._prepare(service)
+        if body is not None:
+            await self._membership.tell(member, HANDOVER_TOPIC, service, body)
 
     def _take_handover(self, fact: messages.GossipFact) -> None:
         """Notes that the previous owner of a service has stopped."""
+        if self._accept is not None:
+            self._accept(fact.key, fact.body)
         claim = self._claims.get(fact.key)
         if claim is None:
             self._handed_over[fact.key] = self._clock.monotonic()
--- a/eelgrasshall/coordination/queue.py
+++ b/eelgrasshall/coordination/queue.py
@@ -68,6 +68,7 @@
     Attributes:
       settled_s: Until when another host may still believe that it owns the
         service, on the monotonic clock.
+      handover_s: Until when the word of that host may still end this early.
     """
 
     def __init__(
@@ -93,6 +94,7 @@
         self._numbers = itertools.count()
         self._sweeper: asyncio.Task[None] | None = None
         self.settled_s = 0.0
+        self.handover_s = 0.0
 
     async def acquire(self, ask: selection.Ask) -> Lease | errors.Problem:
         """Waits for a slot.
@@ -162,6 +164,7 @@
             self._records(),
             now=self._clock.monotonic(),
             settled_s=self.settled_s,
+            handover_s=self.handover_s,
             seen=self._seen,
         )
 
--- a/eelgrasshall/coordination/selection.py
+++ b/eelgrasshall/coordination/selection.py
@@ -145,13 +145,25 @@
     *,
     now: float,
     settled_s: float,
+    handover_s: float,
     seen: histograms.Histogram,
 ) -> Outlook:
-    """Sums up what the servers of a service can do now."""
+    """Sums up what the servers of a service can do now.
+
+    Args:
+      service: Name of the service.
+      records: Books of its servers.
+      now: Reading of the monotonic clock, in seconds.
+      settled_s: Until when another host may still believe that it owns the
+        service.
+      handover_s: Until when the word of that host may still end this early.
+      seen: Latencies seen of the service.
+    """
     in_service = tuple(record for record in records if record.in_service)
+    expected_s = min(handover_s, settled_s) if now < handover_s else settled_s
     opens_s = min(
         (
-            max(record.down_until_s, settled_s if record.cold else now)
+            max(record.down_until_s, expected_s if record.cold else now)
             for record in in_service
         ),
         default=now,
