--- a/eelgrasshall/coordination/executor.py
+++ b/eelgrasshall/coordination/executor.py
@@ -40,6 +40,8 @@
 # is left to hosts that send directly.
 SPARE_CONNECTIONS = 4
 DIRECT_CONNECTIONS = 1
+# Hosts among which a server's connections are divided if each sends alone.
+ALONE_HOSTS = 9
 
 
 class _Owned(NamedTuple):
@@ -49,6 +51,7 @@
     observer: observers.Observer
     monitor: monitors.Monitor
     usual: histograms.Histogram
+    seen: histograms.Histogram
 
 
 class ServiceTotals(NamedTuple):
@@ -272,6 +275,9 @@
     async def close(self) -> None:
         """Drops everything in flight."""
         for owned in [*self._owned.values(), *self._retired]:
+            owned.tools.queue.fail_all(
+                _explain_lapse(errors.ProblemKind.LEAVING)
+            )
             await owned.monitor.stop()
             await owned.tools.runner.close()
         await self._direct.close()
@@ -292,6 +298,7 @@
     def _make_owned(self, name: str) -> _Owned:
         """Builds the parts that serve a service."""
         usual = histograms.Histogram()
+        seen = histograms.Histogram()
         hedger = hedges.Hedger(policy=self._policy, usual=usual)
         observer = observers.Observer(
             clock=self._clock,
@@ -301,6 +308,7 @@
             usual=usual,
             hedger=hedger,
             directory=self._directory,
+            seen=seen,
         )
 
         def notice_lost(record: directories.ServerRecord) -> None:
@@ -313,7 +321,7 @@
             random=self._random,
             invariants=self._invariants,
             directory=self._directory,
-            usual=usual,
+            seen=seen,
             notice_lost=notice_lost,
         )
         runner = attempts.AttemptRunner(
@@ -344,7 +352,7 @@
             queue=queue,
         )
         monitor.start()
-        return _Owned(tools, observer, monitor, usual)
+        return _Owned(tools, observer, monitor, usual, seen)
 
     def _give_up_service(self, name: str) -> None:
         """Stops serving a service; what is in flight finishes."""
@@ -387,7 +395,9 @@
         for record in self._directory.all():
             server = record.server
             limit = DIRECT_CONNECTIONS
-            if record.service in self._owned:
+            if self._policy.ownership == policies.ALONE:
+                limit = max(limit, server.connections // ALONE_HOSTS)
+            elif record.service in self._owned:
                 limit = server.slots + SPARE_CONNECTIONS
             targets.append(
                 backends.BackendTarget(
