Membership: patience with suspects grows while many sides are silent

When everybody is slow a refutation takes longer than the 1 s that a suspect had. A host now follows the share of its own unanswered heartbeats and gives up to 4 s when most of them are. A fleet whose heartbeats all come too late buries nobody in 20 s; without the change the test fails.

--- a/eelgrasshall/coordination/membership.py
+++ b/eelgrasshall/coordination/membership.py
@@ -51,6 +51,13 @@
 # A host that finds neither peers nor the host list acts alone after this time.
 JOIN_LIMIT_S = 2.0
 LEAVING_CALLS_AT_ONCE = 32
+# A host whose own heartbeats go unanswered on many sides is likely to be slow
+# or cut off itself, or everybody is slow.  From the first share of unanswered
+# heartbeats on its patience with suspects grows, up to the limit at the second.
+STRESS_FLOOR = 0.25
+STRESS_CEILING = 0.75
+STRESS_WEIGHT = 0.1
+PATIENCE_LIMIT = 4.0
 MESSAGE_OVERHEAD_BYTES = 124
 
 
@@ -130,6 +137,7 @@
         self._on_version: (
             Callable[[int, members_module.Member], None] | None
         ) = None
+        self._stress = 0.0
         self._news = asyncio.Event()
         self._joined = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -255,6 +263,7 @@
             "listed_only": sorted(m.name for m in self._find_unmet()),
             "refutations": self._view.refutations,
             "forgiven": self._view.forgiven,
+            "patience": round(self._view.patience, 2),
             "counts": dict(self.counts),
             "facts": self._facts.dump(),
         }
@@ -332,7 +341,9 @@
 
     async def _probe(self, member: members_module.Member) -> None:
         """Sees whether a member answers, in one way or another."""
-        if await self._exchange(member) is not None:
+        has_answered = await self._exchange(member) is not None
+        self._note_heartbeat(has_answered)
+        if has_answered:
             return
         current = self._view.find(member.name)
         if current is not None and not current.takes_work():
@@ -342,6 +353,14 @@
             return
         self._view.suspect(member.name)
 
+    def _note_heartbeat(self, has_answered: bool) -> None:
+        """Follows the share of unanswered heartbeats; sets the patience."""
+        unanswered = 0.0 if has_answered else 1.0
+        self._stress += STRESS_WEIGHT * (unanswered - self._stress)
+        over = (self._stress - STRESS_FLOOR) / (STRESS_CEILING - STRESS_FLOOR)
+        share = min(1.0, max(0.0, over))
+        self._view.patience = 1.0 + (PATIENCE_LIMIT - 1.0) * share
+
     async def _probe_again(self, member: members_module.Member) -> bool:
         """Tries a member on a fresh stream and through other members."""
         others = [m for m in self._view.others() if m.name != member.name]
--- a/eelgrasshall/coordination/membership_test.py
+++ b/eelgrasshall/coordination/membership_test.py
@@ -74,6 +74,9 @@
         self.network, self.sender, self.receiver = network, sender, receiver
 
     async def gossip(self, message):
+        if self.network.is_slow:
+            asyncio.create_task(self._arrive_late(message))
+            await self._lose()
         await self._cross(self.sender, self.receiver)
         host = self.network.up.get(self.receiver)
         if host is None:
@@ -84,6 +87,10 @@
         await self._cross(self.receiver, self.sender)
         return reply
 
+    async def _arrive_late(self, message):
+        await self.network.clock.sleep(_TIMEOUT_S - 0.1)
+        await self.network.up[self.receiver].membership.answer_gossip(message)
+
     async def _cross(self, one, other):
         if (one, other) in self.network.cuts:
             await self._lose()
@@ -102,6 +109,7 @@
         self.cuts = set()
         self.entries = {}
         self.is_list_out = False
+        self.is_slow = False
         self.starts = 0
 
     async def hosts(self):
@@ -266,6 +274,19 @@
         assert sent[40][unit] <= 1.3 * sent[5][unit]
 
 
+async def test_fleet_that_is_slow_on_all_sides_buries_nobody():
+    network = await _make_network(9)
+    network.is_slow = True
+    for _ in range(100):
+        await network.clock.advance(0.2)
+        assert all(len(view) == 9 for view in network.views().values())
+    network.is_slow = False
+    await network.clock.advance(5)
+    for view in network.views().values():
+        assert set(view.values()) == {members.MemberStatus.ALIVE}
+    await network.stop()
+
+
 async def test_storm_of_news_does_not_multiply_messages():
     network = await _make_network(9)
     await network.clock.advance(10)
--- a/eelgrasshall/coordination/view.py
+++ b/eelgrasshall/coordination/view.py
@@ -15,7 +15,7 @@
 from eelgrasshall.protocol import messages
 from eelgrasshall.state import members
 
-# Time that a suspect has to refute.
+# Time that a suspect has to refute, times the patience of this host.
 SUSPICION_S = 1.0
 SUSPICION_TICK_S = 0.1
 # A gap between ticks beyond this means that this process stood still.  Its
@@ -55,12 +55,13 @@
         self._facts = facts
         self._own_sequence = members.first_sequence(self_member.incarnation)
         self._members = {self_member.name: self_member}
-        self._suspected_until: dict[str, float] = {}
+        self._suspected_since: dict[str, float] = {}
         self._ticked_at = clock.monotonic()
         self._late_at = -math.inf
         self._callbacks: list[Callable[[], None]] = []
         self._usable: tuple[members.Member, ...] = (self_member,)
         self.name = self_member.name
+        self.patience = 1.0
         self.refutations = 0
         self.forgiven = 0
         facts.subscribe(members.TOPIC)(self._take_statement)
@@ -145,9 +146,10 @@
         self._ticked_at = now
         if late > LATE_TICK_S:
             self._late_at = now
-            for name in self._suspected_until:
-                self._suspected_until[name] += late
-        due = [n for n, end in self._suspected_until.items() if end <= now]
+            for name in self._suspected_since:
+                self._suspected_since[name] += late
+        over = now - SUSPICION_S * self.patience
+        due = [n for n, at in self._suspected_since.items() if at <= over]
         for name in due:
             self.bury(name)
         forgotten = [
@@ -191,10 +193,10 @@
         """Takes a member's new status into the view and tells of it."""
         before = self._members.get(member.name)
         if member.status is _SUSPECT:
-            end = self._clock.monotonic() + SUSPICION_S
-            self._suspected_until.setdefault(member.name, end)
+            now = self._clock.monotonic()
+            self._suspected_since.setdefault(member.name, now)
         else:
-            self._suspected_until.pop(member.name, None)
+            self._suspected_since.pop(member.name, None)
         self._log_change(before, member)
         self._put(member)
 
