Peer streams: a slow peer is not a silent one

The stream is now closed only if nothing at all was read since the call was made, and a reply to a peer that has gone is dropped. The test fails without the change; the test of a peer that never answers fails if streams are never closed.

--- a/eelgrasshall/transport/peers.py
+++ b/eelgrasshall/transport/peers.py
@@ -209,6 +209,7 @@
         self._replies: dict[int, asyncio.Future[codec.Body]] = {}
         self._task = asyncio.create_task(self._read_replies())
         self.bytes_sent = 0
+        self.frames_read = 0
 
     def is_open(self) -> bool:
         """Returns whether calls can still be made."""
@@ -251,6 +252,7 @@
                 frame = await frames.read(self._reader)
                 if frame is None:
                     return
+                self.frames_read += 1
                 frame_id, body = codec.decode(frame)
                 reply = self._replies.get(frame_id)
                 if reply is not None and not reply.done():
@@ -368,12 +370,14 @@
           PeerError: The peer did not answer.
         """
         connection = await self._connect()
+        read_before = connection.frames_read
         try:
             async with asyncio.timeout(timeout_s):
                 return await connection.call(body)
         except TimeoutError as error:
-            # Whatever waits on the same connection would wait in vain.
-            if closing:
+            # Whatever waits on a silent connection would wait in vain.  One
+            # that has brought other replies meanwhile is slow and not silent.
+            if closing and connection.frames_read == read_before:
                 self._drop(connection)
             raise PeerError("No acknowledgement in time.") from error
         except OSError as error:
@@ -431,6 +435,8 @@
     writer: asyncio.StreamWriter, frame_id: int, body: codec.Body
 ) -> None:
     """Sends a reply; a peer that has gone needs none."""
+    if writer.is_closing():
+        return
     frames.write(writer, codec.encode(frame_id, body))
     with contextlib.suppress(OSError):
         await writer.drain()
--- a/eelgrasshall/transport/peers_test.py
+++ b/eelgrasshall/transport/peers_test.py
@@ -142,6 +142,34 @@
     server.close()
 
 
+async def test_slow_peer_that_sends_other_replies_keeps_its_connection():
+    async with Pair() as pair:
+        late = asyncio.Event()
+
+        async def answer_gossip(message):
+            if message.probe:
+                await late.wait()
+            return message
+
+        async def run_ticket(sender, request):
+            del sender, request
+            await late.wait()
+            return 200, b"late"
+
+        pair.handler.answer_gossip = answer_gossip
+        pair.handler.run_ticket = run_ticket
+        ticket = asyncio.create_task(pair.stream.run_ticket(b"", 10.0))
+        slow = asyncio.create_task(
+            pair.stream.gossip(messages.Gossip("a", 1, 0, probe="c"))
+        )
+        await asyncio.sleep(0)
+        await pair.stream.gossip(messages.Gossip("a", 1, 0))
+        with pytest.raises(peers.PeerError):
+            await slow
+        late.set()
+        assert await ticket == (200, b"late")
+
+
 async def test_peer_that_is_not_there_is_known_not_to_have_acted():
     async with Pair() as pair:
         address = pair.stream.address
