Owner side: a word of handover that comes late ends the wait of the new owner

Cause: the claim to a service usually comes before the word of handover, and adopt looked at that word only when it took the service, so the new owner sat out the whole 2 s of possible disagreement. The new test fails without the change.

--- a/eelgrasshall/coordination/executor.py
+++ b/eelgrasshall/coordination/executor.py
@@ -151,6 +151,9 @@
                 start_s = since.get(name, self._clock.monotonic())
                 settled_s = start_s + self._policy.disagreement_s
                 self._owned[name].tools.queue.settled_s = settled_s
+            elif name in clean:
+                # The word of handover may come after the ownership itself.
+                self._owned[name].tools.queue.settled_s = 0.0
         self._lapsed = False
         self._set_targets()
         for owned_service in self._owned.values():
--- a/eelgrasshall/coordination/leaving_test.py
+++ b/eelgrasshall/coordination/leaving_test.py
@@ -98,6 +98,19 @@
         assert task.result().outcome is messages.SubOutcome.SERVED
 
 
+async def test_word_of_handover_that_comes_late_ends_the_wait():
+    async with executor_test.run_bench(warm=False, clean=False) as bench:
+        bench.adopt()
+        task = bench.start(budget_s=5.0)
+        await bench.clock.advance(0.2)
+        assert sum(executor_test.count_in_flight(bench).values()) == 0
+        bench.adopt(clean=bench.names)
+        await bench.clock.advance(0.001)
+        assert sum(executor_test.count_in_flight(bench).values()) == 1
+        await bench.finish(task)
+        assert task.result().outcome is messages.SubOutcome.SERVED
+
+
 async def test_new_owner_starts_from_half_the_slots_of_warm_servers():
     configuration = executor_test.make_configuration(slots=6)
     async with executor_test.run_bench(
