--- a/eelgrasshall/coordination/executor.py
+++ b/eelgrasshall/coordination/executor.py
@@ -164,6 +164,7 @@
                 queue.settled_s = start_s + self._policy.disagreement_s
                 queue.handover_s = start_s + HANDOVER_EXPECTED_S
             elif name in clean:
+                # The word of handover may come after the ownership itself.
                 self._owned[name].tools.queue.settled_s = 0.0
         self._lapsed = False
         self._set_targets()
