--- a/eelgrasshall/coordination/executor_test.py
+++ b/eelgrasshall/coordination/executor_test.py
@@ -57,8 +57,12 @@
         self.most = max(self.most, len(self.running))
         if self.poison and self.poison in attempt.body:
             self.die()
-        timer = asyncio.create_task(self._clock.sleep(self.latency_s))
-        timer.add_done_callback(lambda _: ended.done() or ended.set_result(200))
+        in_time = self.latency_s <= attempt.budget_s
+        duration_s = min(self.latency_s, attempt.budget_s)
+        timer = asyncio.create_task(self._clock.sleep(duration_s))
+        timer.add_done_callback(
+            lambda _: ended.done() or ended.set_result(200 if in_time else 504)
+        )
         status = await ended
         timer.cancel()
         if status == 0:
@@ -108,11 +112,13 @@
     def __init__(self, clock, names):
         self.servers = {name: ScriptedServer(clock) for name in names}
         self.dropped_silent: list[str] = []
+        self.fresh: dict[str, bool] = {}
 
     def set_servers(self, targets):
         self.targets = {target.name: target for target in targets}
 
     async def send(self, server, attempt, *, silence_s, fresh):
+        self.fresh[attempt.attempt_id] = fresh
         return await self.servers[server].run(attempt)
 
     async def cancel(self, server, attempt_id):
@@ -225,6 +231,7 @@
         for owned in self.executor._owned.values():
             for _ in range(200):
                 owned.usual.record(0.01)
+                owned.seen.record(0.01)
 
     def request(self, **changes):
         self.number += 1
@@ -368,6 +375,20 @@
         assert bench.record(slow)["in_flight"] == 0
 
 
+async def test_slow_hedge_is_hedged_once_more():
+    async with run_bench() as bench:
+        task, _ = await start_slow(bench)
+        for server in bench.transport.servers.values():
+            server.latency_s = 0.5
+        await bench.clock.advance(0.012)
+        for server in bench.transport.servers.values():
+            server.latency_s = 0.01
+        await bench.clock.advance(0.03)
+        assert (task.result().attempts, task.result().hedges) == (3, 2)
+        await bench.clock.advance(0.0)
+        assert sum(count_in_flight(bench).values()) == 0
+
+
 async def test_no_hedge_of_what_may_not_be_repeated():
     async with run_bench() as bench:
         task, _ = await start_slow(bench, repeatable=False)
@@ -469,6 +490,23 @@
         assert len(started) == 1
 
 
+async def test_run_once_and_suspects_go_on_fresh_connections():
+    async with run_bench() as bench:
+        fact = messages.GossipFact("suspect", "g", 1, b'{"until_s": 1100.0}')
+        bench.executor.accept_fact(fact)
+        tasks = [
+            bench.start(),
+            bench.start(repeatable=False),
+            bench.start(fingerprint="g"),
+        ]
+        await bench.finish(*tasks)
+        assert bench.transport.fresh == {
+            "r1.0": False,
+            "r2.0": True,
+            "r3.0": True,
+        }
+
+
 async def test_retries_end_with_their_budget():
     async with run_bench() as bench:
         for server in bench.transport.servers.values():
