Faults: partition, asymmetric cut and silent streams between hosts

The forwarder finds the owner of a connection by one scan of the descriptors instead of one for each connection, which with 40 daemons took longer than the control call's 5 s.

--- a/measure/faults.py
+++ b/measure/faults.py
@@ -40,6 +40,8 @@
 POISON = "poison-marker"
 POISON_SENDS = 4
 IN_FORCE_BOUND_S = 8.0
+# The forwarder's timers count whole milliseconds, so 0.5 ms becomes one.
+BETWEEN_ZONES_S = 0.001
 
 
 class Bench(NamedTuple):
@@ -230,6 +232,39 @@
     yield
 
 
+@fault("partition")
+async def cut_hosts_off(bench: Bench) -> AsyncIterator[None]:
+    """A host and the others cannot reach each other."""
+    await bench.running.steer_network({"cuts": _cut_one(bench, both=True)})
+    yield
+    await bench.running.steer_network({"cuts": []})
+
+
+@fault("asymmetric cut")
+async def cut_one_way(bench: Bench) -> AsyncIterator[None]:
+    """A host hears the others, but they do not hear it."""
+    await bench.running.steer_network({"cuts": _cut_one(bench, both=False)})
+    yield
+    await bench.running.steer_network({"cuts": []})
+
+
+@fault("silent peer streams")
+async def silence_peers(bench: Bench) -> AsyncIterator[None]:
+    """Every open connection between hosts goes silent for good."""
+    await bench.running.steer_network({"silence": True})
+    yield
+
+
+def _cut_one(bench: Bench, *, both: bool) -> list[list[str]]:
+    """Returns the cut directions between a drawn host and all others."""
+    names = [host.name for host in bench.running.hosts]
+    lone = bench.random.choice(names)
+    cuts = [[lone, name] for name in names if name != lone]
+    if both:
+        cuts += [[name, lone] for name in names if name != lone]
+    return cuts
+
+
 @fault("host lost")
 async def kill_daemon(bench: Bench) -> AsyncIterator[None]:
     """A daemon is killed and replaced."""
@@ -343,6 +378,7 @@
         seed=context.seed,
         service_time=SERVICE_TIME._asdict(),
         server_fields={"poison": POISON},
+        between_zones_s=BETWEEN_ZONES_S,
     )
     async with scenarios.running_deployment(plan, context.directory) as running:
         streams = _make_streams(running)
--- a/measure/latency.py
+++ b/measure/latency.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+import contextlib
 import os
 from typing import Any
 from typing import NamedTuple
@@ -17,6 +18,8 @@
 
 PROC_TCP = "/proc/net/tcp"
 UNKNOWN = "unknown"
+# The state of an established connection in that table.
+ESTABLISHED = "01"
 
 
 class Route(NamedTuple):
@@ -44,7 +47,7 @@
     def __init__(self, *, routes: dict[str, Route], delay_s: float):
         self.routes = routes
         self.cuts: set[tuple[str, str]] = set()
-        self.pids: dict[str, int] = {}
+        self.owners = Owners()
         self.bytes_passed = 0
         self._delay_s = delay_s
         self._pipes: set[_Pipe] = set()
@@ -66,7 +69,7 @@
 
     def learn_pids(self, pids: dict[str, int]) -> None:
         """Learns process ids, and whose connections were of unknown owner."""
-        self.pids.update(pids)
+        self.owners.pids.update(pids)
         for pipe in list(self._pipes):
             pipe.find_source()
 
@@ -155,7 +158,7 @@
         if self.source != UNKNOWN:
             return
         port = self.transport.get_extra_info("peername")[1]
-        self.source = find_owner(port, self._network.pids)
+        self.source = self._network.owners.find(port)
         if self.other is not None:
             self.other.target = self.source
 
@@ -179,20 +182,32 @@
         self.flush()
 
 
-def find_owner(port: int, pids: dict[str, int]) -> str:
-    """Returns the name of the process that holds a TCP port's socket.
+class Owners:
+    """Knows which process holds which socket, scanning as rarely as it can."""
 
-    Args:
-      port: The local port of the socket.
-      pids: Names and ids of the processes that may hold it.
-    """
-    inode = _find_inode(port)
-    if inode is None:
-        return UNKNOWN
-    for name, pid in pids.items():
-        if _holds_socket(pid, f"socket:[{inode}]"):
-            return name
-    return UNKNOWN
+    def __init__(self):
+        self.pids: dict[str, int] = {}
+        self._names: dict[str, str] = {}
+
+    def find(self, port: int) -> str:
+        """Returns the name of the process that holds a TCP port's socket.
+
+        Args:
+          port: The local port of the socket.
+        """
+        inode = _find_inode(port)
+        if inode is None:
+            return UNKNOWN
+        link = f"socket:[{inode}]"
+        if link not in self._names:
+            self._scan()
+        return self._names.get(link, UNKNOWN)
+
+    def _scan(self) -> None:
+        """Reads the open sockets of every process."""
+        for name, pid in self.pids.items():
+            for link in _read_sockets(pid):
+                self._names[link] = name
 
 
 def _find_inode(port: int) -> str | None:
@@ -201,25 +216,22 @@
     with open(PROC_TCP, encoding="ascii") as table:
         for line in table:
             fields = line.split()
-            if fields[1].endswith(wanted) and fields[3] == "01":
+            if fields[1].endswith(wanted) and fields[3] == ESTABLISHED:
                 return fields[9]
     return None
 
 
-def _holds_socket(pid: int, link: str) -> bool:
-    """Returns whether a process has a socket open."""
+def _read_sockets(pid: int) -> list[str]:
+    """Returns the links of the sockets that a process has open."""
     directory = f"/proc/{pid}/fd"
+    links = []
     try:
-        numbers = os.listdir(directory)
+        for number in os.listdir(directory):
+            with contextlib.suppress(OSError):
+                links.append(os.readlink(f"{directory}/{number}"))
     except OSError:
-        return False
-    for number in numbers:
-        try:
-            if os.readlink(f"{directory}/{number}") == link:
-                return True
-        except OSError:
-            continue
-    return False
+        return []
+    return [link for link in links if link.startswith("socket:")]
 
 
 async def serve(spec: dict[str, Any]) -> None:
