--- a/eelgrasshall/coordination/cluster_test.py
+++ b/eelgrasshall/coordination/cluster_test.py
@@ -10,6 +10,7 @@
 from eelgrasshall import errors
 from eelgrasshall.coordination import facts as facts_module
 from eelgrasshall.coordination import membership as membership_module
+from eelgrasshall.coordination import seeds as seeds_module
 from eelgrasshall.coordination import streams as streams_module
 from eelgrasshall.state import members
 from eelgrasshall.transport import peers
@@ -74,7 +75,7 @@
 async def test_hosts_meet_through_a_seed_and_a_fact_reaches_all():
     async with capnp.kj_loop():
         ports = _pick_ports(3)
-        seeds = (membership_module.Seed("127.0.0.1", ports[0]),)
+        seeds = (seeds_module.Seed("127.0.0.1", ports[0]),)
         hosts = [_Host(f"h{i}", port, seeds) for i, port in enumerate(ports)]
         for host in hosts:
             await host.start()
--- a/eelgrasshall/coordination/facts.py
+++ b/eelgrasshall/coordination/facts.py
@@ -287,6 +287,12 @@
     return FACT_OVERHEAD_BYTES + texts
 
 
+def find_digest(message: messages.Gossip) -> messages.GossipFact | None:
+    """Returns the digest in a message."""
+    digests = (fact for fact in message.facts if fact.topic == DIGEST_TOPIC)
+    return next(digests, None)
+
+
 def _hash_part(name: tuple[str, str]) -> int:
     """Returns the part of the digest that a key belongs to."""
     return _hash("/".join(name)) % DIGEST_PARTS
--- a/eelgrasshall/coordination/membership.py
+++ b/eelgrasshall/coordination/membership.py
@@ -15,7 +15,6 @@
 from collections.abc import Coroutine
 import random as random_module
 from typing import Any
-from typing import NamedTuple
 from typing import Protocol
 
 from loguru import logger
@@ -23,6 +22,8 @@
 from eelgrasshall import clock as clock_module
 from eelgrasshall import errors
 from eelgrasshall.coordination import facts as facts_module
+from eelgrasshall.coordination import seeds as seeds_module
+from eelgrasshall.coordination import stress
 from eelgrasshall.coordination import view as view_module
 from eelgrasshall.protocol import messages
 from eelgrasshall.protocol import platform as platform_protocol
@@ -51,13 +52,6 @@
 # A host that finds neither peers nor the host list acts alone after this time.
 JOIN_LIMIT_S = 2.0
 LEAVING_CALLS_AT_ONCE = 32
-# A host whose own heartbeats go unanswered on many sides is likely to be slow
-# or cut off itself, or everybody is slow.  From the first share of unanswered
-# heartbeats on its patience with suspects grows, up to the limit at the second.
-STRESS_FLOOR = 0.25
-STRESS_CEILING = 0.75
-STRESS_WEIGHT = 0.1
-PATIENCE_LIMIT = 4.0
 MESSAGE_OVERHEAD_BYTES = 124
 
 
@@ -85,18 +79,6 @@
         """Reads the host list."""
 
 
-class Seed(NamedTuple):
-    """An address that may lead to a member when the host list is out.
-
-    Attributes:
-      host: IP address.
-      port: TCP port for peers.
-    """
-
-    host: str
-    port: int
-
-
 class Membership:
     """Keeps this host's view of the fleet.
 
@@ -119,7 +101,7 @@
         facts: facts_module.FactTable,
         streams: Streams,
         platform: HostList,
-        seeds: tuple[Seed, ...] = (),
+        seeds: tuple[seeds_module.Seed, ...] = (),
     ):
         self._view = view_module.MemberView(
             self_member=self_member, clock=clock, facts=facts
@@ -129,15 +111,14 @@
         self._facts = facts
         self._streams = streams
         self._platform = platform
-        self._seeds = seeds
-        self._listed: dict[str, members_module.Member] = {}
+        self._addresses = seeds_module.Addresses(view=self._view, seeds=seeds)
         self._round: list[str] = []
         self._incarnations: dict[str, int] = {}
         self._get_version: Callable[[], int] = lambda: 0
         self._on_version: (
             Callable[[int, members_module.Member], None] | None
         ) = None
-        self._stress = 0.0
+        self._stress = stress.Stress()
         self._news = asyncio.Event()
         self._joined = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -205,7 +186,7 @@
     async def answer_gossip(self, message: messages.Gossip) -> messages.Gossip:
         """Answers a heartbeat of another host."""
         answers = self._receive(message)
-        if _find_digest(message) is not None:
+        if facts_module.find_digest(message) is not None:
             answers += (self._facts.make_digest(self._view.name),)
         reachable = False
         if message.probe:
@@ -260,7 +241,7 @@
             "self": _describe(self._view.own),
             "members": [_describe(m) for m in self._view.usable()],
             "dead": [m.name for m in self._view.dead()],
-            "listed_only": sorted(m.name for m in self._find_unmet()),
+            "listed_only": sorted(m.name for m in self._addresses.find_unmet()),
             "refutations": self._view.refutations,
             "forgiven": self._view.forgiven,
             "patience": round(self._view.patience, 2),
@@ -311,7 +292,7 @@
         """Tries hosts that are dead or only listed; they may be back."""
         while True:
             await self._sleep(RECONNECT_PERIOD_S)
-            candidates = self._view.dead() + self._find_unmet()
+            candidates = self._view.dead() + self._addresses.find_unmet()
             for member in self._choose(candidates, RECONNECT_FANOUT):
                 self._spawn(self._meet(member))
 
@@ -321,12 +302,12 @@
             wait_s = HOST_LIST_RETRY_S
             entries = await self._platform.hosts()
             if not isinstance(entries, errors.Problem):
-                self._take_list(entries)
+                self._addresses.take(entries)
                 fleet = len(self._view.usable())
                 scaled_s = HOST_LIST_PERIOD_PER_HOST_S * fleet
                 wait_s = max(HOST_LIST_PERIOD_S, scaled_s)
             if not self._view.others():
-                unmet = self._choose(self._find_unmet(), PUSH_FANOUT)
+                unmet = self._choose(self._addresses.find_unmet(), PUSH_FANOUT)
                 await asyncio.gather(*(self._meet(m) for m in unmet))
             if not isinstance(entries, errors.Problem):
                 self._joined.set()
@@ -342,7 +323,7 @@
     async def _probe(self, member: members_module.Member) -> None:
         """Sees whether a member answers, in one way or another."""
         has_answered = await self._exchange(member) is not None
-        self._note_heartbeat(has_answered)
+        self._view.patience = self._stress.note(has_answered)
         if has_answered:
             return
         current = self._view.find(member.name)
@@ -353,14 +334,6 @@
             return
         self._view.suspect(member.name)
 
-    def _note_heartbeat(self, has_answered: bool) -> None:
-        """Follows the share of unanswered heartbeats; sets the patience."""
-        unanswered = 0.0 if has_answered else 1.0
-        self._stress += STRESS_WEIGHT * (unanswered - self._stress)
-        over = (self._stress - STRESS_FLOOR) / (STRESS_CEILING - STRESS_FLOOR)
-        share = min(1.0, max(0.0, over))
-        self._view.patience = 1.0 + (PATIENCE_LIMIT - 1.0) * share
-
     async def _probe_again(self, member: members_module.Member) -> bool:
         """Tries a member on a fresh stream and through other members."""
         others = [m for m in self._view.others() if m.name != member.name]
@@ -437,7 +410,7 @@
             self._joined.set()
         if sender is not None and self._on_version is not None:
             self._on_version(message.configuration_version, sender)
-        digest = _find_digest(message)
+        digest = facts_module.find_digest(message)
         return self._facts.answer_digest(digest) if digest else ()
 
     def _compose(
@@ -497,27 +470,6 @@
         """Returns a few random candidates."""
         return self._random.sample(candidates, min(wanted, len(candidates)))
 
-    def _take_list(
-        self, entries: tuple[platform_protocol.HostEntry, ...]
-    ) -> None:
-        """Remembers the hosts that the platform names."""
-        self._listed = {entry.name: _from_entry(entry) for entry in entries}
-
-    def _find_unmet(self) -> list[members_module.Member]:
-        """Returns listed hosts and seeds that are no members, dead or not."""
-        own = self._view.own
-        known = {
-            (m.peer_host, m.peer_port)
-            for m in [*self._view.usable(), *self._view.dead()]
-        }
-        listed = [
-            m
-            for m in self._listed.values()
-            if m.name != own.name and self._view.find(m.name) is None
-        ]
-        seeds = [_from_seed(seed) for seed in self._seeds if seed not in known]
-        return listed + seeds
-
     async def _sleep(self, period_s: float) -> None:
         """Waits for about a period, so that hosts do not act in step."""
         await self._clock.sleep(period_s * self._random.uniform(0.9, 1.1))
@@ -546,39 +498,3 @@
     """Returns about how many bytes a message takes."""
     facts = sum(facts_module.measure_fact(fact) for fact in message.facts)
     return MESSAGE_OVERHEAD_BYTES + len(message.sender) + facts
-
-
-def _find_digest(message: messages.Gossip) -> messages.GossipFact | None:
-    """Returns the digest in a message."""
-    digests = (f for f in message.facts if f.topic == facts_module.DIGEST_TOPIC)
-    return next(digests, None)
-
-
-def _from_entry(entry: platform_protocol.HostEntry) -> members_module.Member:
-    """Returns a host of the platform's list as one to try."""
-    return members_module.Member(
-        name=entry.name,
-        zone=entry.zone,
-        region=entry.region,
-        caller_host=entry.host,
-        caller_port=entry.caller_port,
-        peer_host=entry.host,
-        peer_port=entry.peer_port,
-        incarnation=0,
-        status=members_module.MemberStatus.DEAD,
-    )
-
-
-def _from_seed(seed: Seed) -> members_module.Member:
-    """Returns a seed address as a host to try."""
-    return members_module.Member(
-        name=f"{seed.host}:{seed.port}",
-        zone="",
-        region="",
-        caller_host=seed.host,
-        caller_port=0,
-        peer_host=seed.host,
-        peer_port=seed.port,
-        incarnation=0,
-        status=members_module.MemberStatus.DEAD,
-    )
