Background tasks of a part: one holder in place of three copies

Membership, rollout and ownership each held, ended and (two of them) reported their tasks; failures in ownership's tasks were not logged.

--- a/eelgrasshall/coordination/membership.py
+++ b/eelgrasshall/coordination/membership.py
@@ -12,18 +12,16 @@
 import asyncio
 import collections
 from collections.abc import Callable
-from collections.abc import Coroutine
 import random as random_module
 from typing import Any
 from typing import Protocol
 
-from loguru import logger
-
 from eelgrasshall import clock as clock_module
 from eelgrasshall import errors
 from eelgrasshall.coordination import facts as facts_module
 from eelgrasshall.coordination import seeds as seeds_module
 from eelgrasshall.coordination import stress
+from eelgrasshall.coordination import tasks
 from eelgrasshall.coordination import view as view_module
 from eelgrasshall.protocol import messages
 from eelgrasshall.protocol import platform as platform_protocol
@@ -121,7 +119,7 @@
         self._stress = stress.Stress()
         self._news = asyncio.Event()
         self._joined = asyncio.Event()
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = tasks.Tasks(part="membership")
         self.counts: collections.Counter[str] = collections.Counter()
         facts.subscribe_news(self.push)
 
@@ -137,14 +135,11 @@
             self._run_host_list,
             self._end_joining,
         ):
-            self._spawn(loop())
+            self._tasks.spawn(loop())
 
     async def stop(self) -> None:
         """Stops heartbeats without a word; see `announce_leaving`."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.stop()
 
     @property
     def own(self) -> members_module.Member:
@@ -256,7 +251,7 @@
         while True:
             await self._sleep(HEARTBEAT_PERIOD_S)
             for member in self._next_targets():
-                self._spawn(self._probe(member))
+                self._tasks.spawn(self._probe(member))
 
     async def _run_pushes(self) -> None:
         """Passes news on at once, and less often while they keep coming."""
@@ -266,7 +261,7 @@
             await self._clock.sleep(PUSH_GATHER_S)
             self._news.clear()
             for member in self._choose(self._view.answering(), PUSH_FANOUT):
-                self._spawn(self._exchange(member))
+                self._tasks.spawn(self._exchange(member))
             await self._clock.sleep(gap_s)
             if self._news.is_set():
                 gap_s = min(2 * gap_s, PUSH_GAP_LIMIT_S)
@@ -294,7 +289,7 @@
             await self._sleep(RECONNECT_PERIOD_S)
             candidates = self._view.dead() + self._addresses.find_unmet()
             for member in self._choose(candidates, RECONNECT_FANOUT):
-                self._spawn(self._meet(member))
+                self._tasks.spawn(self._meet(member))
 
     async def _run_host_list(self) -> None:
         """Reads the host list, at first until it has been read once."""
@@ -382,10 +377,10 @@
             return None
         answers = self._receive(reply)
         if answers:
-            self._spawn(self._exchange(member, extra=answers))
+            self._tasks.spawn(self._exchange(member, extra=answers))
         if before not in (None, self._incarnations.get(member.name)):
             # A host that has just restarted may know nobody.
-            self._spawn(self._sync(member))
+            self._tasks.spawn(self._sync(member))
         # A different host may have taken over the address.
         known = self._view.find(member.name)
         if known is not None and reply.sender != member.name:
@@ -474,20 +469,6 @@
         """Waits for about a period, so that hosts do not act in step."""
         await self._clock.sleep(period_s * self._random.uniform(0.9, 1.1))
 
-    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
-        """Runs work as a task that `stop` ends."""
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._finish)
-
-    def _finish(self, task: asyncio.Task[Any]) -> None:
-        """Forgets a task and reports what went wrong in it."""
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logger.opt(exception=task.exception()).error(
-                "membership: A task failed."
-            )
-
 
 def _describe(member: members_module.Member) -> dict[str, Any]:
     """Returns a member for the state dump."""
--- a/eelgrasshall/coordination/ownership.py
+++ b/eelgrasshall/coordination/ownership.py
@@ -28,6 +28,7 @@
 from eelgrasshall import clock as clock_module
 from eelgrasshall.coordination import facts as facts_module
 from eelgrasshall.coordination import rendezvous
+from eelgrasshall.coordination import tasks
 from eelgrasshall.protocol import messages
 from eelgrasshall.state import configuration
 from eelgrasshall.state import members as members_module
@@ -196,7 +197,7 @@
         self._pauses = 0
         self._rejoining: asyncio.Task[None] | None = None
         self._callbacks: list[Callable[[], None]] = []
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = tasks.Tasks(part="ownership")
         self.moves = 0
         self._prepare: Prepare = _prepare_nothing
         self._accept: Callable[[str, bytes], None] | None = None
@@ -206,8 +207,7 @@
 
     def stop(self) -> None:
         """Ends what is under way."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
 
     def owner_of(self, service: str) -> members_module.Member | None:
         """Returns the owner of a service, or None if there is none."""
@@ -308,7 +308,7 @@
                 continue
             member = self._membership.find(owner)
             if member is not None:
-                self._spawn(self._tell_handover(member, service))
+                self._tasks.spawn(self._tell_handover(member, service))
 
     async def _tell_handover(
         self, member: members_module.Member, service: str
@@ -333,7 +333,7 @@
     def _ensure_rejoining(self) -> None:
         """Starts to ask the peers, unless that is under way."""
         if self._rejoining is None or self._rejoining.done():
-            self._rejoining = self._spawn(self._rejoin())
+            self._rejoining = self._tasks.spawn(self._rejoin())
 
     async def _rejoin(self) -> None:
         """Takes ownership up again once the peers have been asked."""
@@ -351,10 +351,3 @@
         """Calls the subscribers."""
         for callback in self._callbacks:
             callback()
-
-    def _spawn(self, work: Any) -> asyncio.Task[Any]:
-        """Runs work as a task that `stop` ends."""
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
--- a/eelgrasshall/coordination/rollout.py
+++ b/eelgrasshall/coordination/rollout.py
@@ -10,7 +10,6 @@
 import asyncio
 import collections
 from collections.abc import Callable
-from collections.abc import Coroutine
 import random as random_module
 from typing import Any
 from typing import Protocol
@@ -22,6 +21,7 @@
 from eelgrasshall import invariants as invariants_module
 from eelgrasshall.coordination import change as change_module
 from eelgrasshall.coordination import stored as stored_module
+from eelgrasshall.coordination import tasks
 from eelgrasshall.protocol import platform as protocol
 from eelgrasshall.state import configuration
 from eelgrasshall.state import members as members_module
@@ -120,7 +120,7 @@
         self._hints: dict[str, tuple[int, members_module.Member]] = {}
         self._hinted = asyncio.Event()
         self._applying = asyncio.Lock()
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = tasks.Tasks(part="rollout")
         self._reports: collections.deque[errors.Problem] = collections.deque(
             maxlen=REPORTS_KEPT
         )
@@ -142,14 +142,11 @@
     def start(self) -> None:
         """Starts to follow the store and the peers."""
         for loop in (self._run_watch, self._run_read_back, self._run_pulls):
-            self._spawn(loop())
+            self._tasks.spawn(loop())
 
     async def stop(self) -> None:
         """Stops to follow."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.stop()
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Registers a callback, without arguments, for each new version."""
@@ -318,7 +315,7 @@
             return
         self._take(stored, f"host {source.name}")
         # The peer may wait to hear that its version has arrived.
-        self._spawn(self._membership.greet(source))
+        self._tasks.spawn(self._membership.greet(source))
 
     def _take_object(self, found: protocol.StoredObject) -> None:
         """Takes what the store holds, if it can be followed."""
@@ -400,20 +397,6 @@
         """Waits for about a period, so that hosts do not act in step."""
         await self._clock.sleep(period_s * self._random.uniform(0.8, 1.2))
 
-    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
-        """Runs work as a task that `stop` ends."""
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._finish)
-
-    def _finish(self, task: asyncio.Task[Any]) -> None:
-        """Forgets a task and reports what went wrong in it."""
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logger.opt(exception=task.exception()).error(
-                "rollout: A task failed."
-            )
-
 
 def _describe_stale(found: int, current: int) -> errors.Problem:
     """Returns the problem of a store that is older than what is in force."""
