--- a/eelgrasshall/coordination/selection.py
+++ b/eelgrasshall/coordination/selection.py
@@ -18,8 +18,6 @@
 COLD_PACE_S = 0.05
 # Mean service time over the median, for estimates of the wait.
 MEAN_OVER_MEDIAN = 1.4
-# Median latency to reckon waits with before any is known.
-ASSUMED_TYPICAL_S = 0.02
 # What Retry-After may be at least and at most.
 RETRY_SHORTEST_S = 0.1
 RETRY_LONGEST_S = 5.0
@@ -220,8 +218,7 @@
         return max(0.0, outlook.opens_s - outlook.now)
     if ahead < outlook.free:
         return 0.0
-    typical_s = outlook.typical_s or ASSUMED_TYPICAL_S
-    mean_s = typical_s * MEAN_OVER_MEDIAN
+    mean_s = outlook.typical_s * MEAN_OVER_MEDIAN
     return mean_s * (1 + ahead - outlook.free) / outlook.capacity
 
 
