--- a/eelgrasshall/coordination/selection.py
+++ b/eelgrasshall/coordination/selection.py
@@ -18,6 +18,8 @@
 COLD_PACE_S = 0.05
 # Mean service time over the median, for estimates of the wait.
 MEAN_OVER_MEDIAN = 1.4
+# Median latency to reckon waits with before any is known.
+ASSUMED_TYPICAL_S = 0.02
 # What Retry-After may be at least and at most.
 RETRY_SHORTEST_S = 0.1
 RETRY_LONGEST_S = 5.0
@@ -143,13 +145,25 @@
     *,
     now: float,
     settled_s: float,
+    handover_s: float,
     seen: histograms.Histogram,
 ) -> Outlook:
-    """Sums up what the servers of a service can do now."""
+    """Sums up what the servers of a service can do now.
+
+    Args:
+      service: Name of the service.
+      records: Books of its servers.
+      now: Reading of the monotonic clock, in seconds.
+      settled_s: Until when another host may still believe that it owns the
+        service.
+      handover_s: Until when the word of that host may still end this early.
+      seen: Latencies seen of the service.
+    """
     in_service = tuple(record for record in records if record.in_service)
+    expected_s = min(handover_s, settled_s) if now < handover_s else settled_s
     opens_s = min(
         (
-            max(record.down_until_s, settled_s if record.cold else now)
+            max(record.down_until_s, expected_s if record.cold else now)
             for record in in_service
         ),
         default=now,
@@ -218,7 +232,8 @@
         return max(0.0, outlook.opens_s - outlook.now)
     if ahead < outlook.free:
         return 0.0
-    mean_s = outlook.typical_s * MEAN_OVER_MEDIAN
+    typical_s = outlook.typical_s or ASSUMED_TYPICAL_S
+    mean_s = typical_s * MEAN_OVER_MEDIAN
     return mean_s * (1 + ahead - outlook.free) / outlook.capacity
 
 
