--- a/measure/daemons_test.py
+++ b/measure/daemons_test.py
@@ -214,11 +214,17 @@
         await site.ask_until_whole()
         stopping = site.running.hosts[-1]
         child = site.running.daemons[stopping.name]
+        # Slow servers keep the queries in flight while the stop begins.
+        slow = {"set": {"slow_factor": 15.0}}
+        await site.running.steer_servers(slow)
         replies = [asyncio.create_task(site.ask()) for _ in range(6)]
-        await asyncio.sleep(0)
+        await site.wait_for(
+            lambda dumps: dumps[stopping.name]["queries"]["in_flight"] == 6
+        )
         child.send_signal(signal.SIGTERM)
         for reply in await asyncio.gather(*replies):
-            assert reply.document["complete"], reply
+            assert reply.outcome == "answer", reply
+        await site.running.steer_servers({"set": {"slow_factor": 1.0}})
         assert await child.wait(RECOVERY_S)
         assert child.process.returncode == 0
         await site.running.start_daemon(stopping)
