--- a/measure/load.py
+++ b/measure/load.py
@@ -280,7 +280,9 @@
         if reply.outcome == "not_run":
             return "refused"
         if len(self.result.failures) < MOST_EXAMPLES:
-            self.result.failures.append(f"{request_id}: {problem}")
+            missing = reply.document.get("coverage", {}).get("missing", [])
+            reasons = [f"{e['service']}: {e['what']}" for e in missing[:2]]
+            self.result.failures.append(f"{request_id}: {problem} {reasons}")
         return "unknown" if reply.outcome == "unknown" else "none"
 
     def _note_breaches(self, request_id: str, wrong: list[str]) -> None:
