--- a/measure/policies.py
+++ b/measure/policies.py
@@ -131,7 +131,7 @@
         row, result, broken = await measure_policy(
             context, "owner, hedging", utilisation
         )
-        row["name"] = f"load {utilisation:.1f}"
+        row["name"] = f"load {utilisation:.2f}"
         rows.append(row)
         series[row["name"]] = result
         breaches += broken
