Membership: a host takes no work before it has a configuration

The others made it owner of despacho-01 as soon as it was a member; without a configuration it refused what came, and lost the warm servers of the handover. A host now joins as JOINING, owns nothing and stands in no address answer until it has a configuration.

Ruled out: a longer wait at the entry host, since the owner was known not to be able. The test of the killed ticket's home sent before its service had settled, and failed once for that; it now sends until the ticket has run, and still counts one run.

--- a/eelgrasshall/application.py
+++ b/eelgrasshall/application.py
@@ -91,7 +91,9 @@
         )
         await self._admin.start(settings.admin.host, settings.admin.port)
         self._pause.start()
-        self._membership.start()
+        # Without a configuration this host can serve nothing that others
+        # would send to it or to its callers' listener.
+        self._membership.start(joining=True)
         self._keeper.start()
         await self._claims.start()
         await self._callers.start(settings.caller.host, settings.caller.port)
@@ -402,6 +404,7 @@
         configuration = self._keeper.current
         if configuration is None:
             return
+        self._membership.announce_ready()
         claims = self._ownership.claims()
         self.metrics.keep_services(self._ownership.owned())
         self._executor.adopt(
--- a/eelgrasshall/coordination/membership.py
+++ b/eelgrasshall/coordination/membership.py
@@ -123,9 +123,16 @@
         self.counts: collections.Counter[str] = collections.Counter()
         facts.subscribe_news(self.push)
 
-    def start(self) -> None:
-        """Starts heartbeats and joins through the host list."""
-        self._view.state_own()
+    def start(self, *, joining: bool = False) -> None:
+        """Starts heartbeats and joins through the host list.
+
+        Args:
+          joining: Whether this host takes no work until `announce_ready`.
+        """
+        status = members_module.MemberStatus.ALIVE
+        if joining:
+            status = members_module.MemberStatus.JOINING
+        self._view.state_own(status)
         for loop in (
             self._run_heartbeats,
             self._run_pushes,
@@ -204,6 +211,11 @@
         """Exchanges one heartbeat with a member at once."""
         return await self._exchange(member) is not None
 
+    def announce_ready(self) -> None:
+        """Tells the members that this host takes work, if it was joining."""
+        if self.own.status is members_module.MemberStatus.JOINING:
+            self._view.state_own(members_module.MemberStatus.ALIVE)
+
     async def announce_leaving(self) -> None:
         """Tells every member directly that this host is about to go."""
         self._view.state_own(members_module.MemberStatus.LEAVING)
--- a/eelgrasshall/coordination/membership_test.py
+++ b/eelgrasshall/coordination/membership_test.py
@@ -43,7 +43,7 @@
 
 
 class _Host:
-    def __init__(self, network, number, incarnation, name, zone):
+    def __init__(self, network, number, incarnation, name, zone, joining):
         self.network = network
         self.number = number
         self.clock = _HostClock(network.clock)
@@ -57,7 +57,7 @@
             streams=self,
             platform=network,
         )
-        self.membership.start()
+        self.membership.start(joining=joining)
 
     def get(self, member):
         return _Stream(self.network, self.number, member.peer_port)
@@ -115,13 +115,13 @@
     async def hosts(self):
         return _OUT if self.is_list_out else tuple(self.entries.values())
 
-    def start(self, number, name="", zone="a"):
+    def start(self, number, name="", zone="a", joining=False):
         self.starts += 1
         name = name or f"h{number}"
         self.entries[number] = protocol.HostEntry(
             name, zone, "r", "h", 1, number, False
         )
-        self.up[number] = _Host(self, number, self.starts, name, zone)
+        self.up[number] = _Host(self, number, self.starts, name, zone, joining)
         return self.up[number]
 
     async def kill(self, number):
@@ -233,6 +233,23 @@
     await network.stop()
 
 
+async def test_host_without_a_configuration_takes_no_work_until_it_has_one():
+    network = await _make_network(5)
+    host = network.start(5, joining=True)
+    await network.clock.advance(3)
+    for view in network.views().values():
+        assert view["h5"] is members.MemberStatus.JOINING
+    assert not host.membership.own.takes_work()
+    host.membership.announce_ready()
+    await network.clock.advance(1)
+    for view in network.views().values():
+        assert view["h5"] is members.MemberStatus.ALIVE
+    await host.membership.announce_leaving()
+    host.membership.announce_ready()
+    assert host.membership.own.status is members.MemberStatus.LEAVING
+    await network.stop()
+
+
 async def test_news_reach_a_large_fleet_within_a_second():
     network = await _make_network(40)
     network.up[0].facts.publish("cold", "server", b"1", 60.0)
--- a/eelgrasshall/coordination/ownership_test.py
+++ b/eelgrasshall/coordination/ownership_test.py
@@ -210,6 +210,13 @@
         assert clean & new == {told}
 
 
+async def test_host_that_joins_owns_nothing():
+    fleet = await _Fleet.make("h0")
+    assert "h1" in fleet.owner_names().values()
+    fleet.change("h1", members.MemberStatus.JOINING)
+    assert "h1" not in fleet.owner_names().values()
+
+
 async def test_state_of_a_service_travels_with_the_word_of_handover():
     fleet = await _Fleet.make("h0")
     mine = fleet.ownership.owned()
--- a/eelgrasshall/coordination/view.py
+++ b/eelgrasshall/coordination/view.py
@@ -213,6 +213,8 @@
             logger.info(f"membership: Host {name} is gone.")
         elif member.status is members.MemberStatus.LEAVING:
             logger.info(f"membership: Host {name} is leaving.")
+        elif member.status is members.MemberStatus.JOINING:
+            logger.info(f"membership: Host {name} is starting.")
         else:
             logger.info(f"membership: Host {name} has joined.")
 
--- a/eelgrasshall/protocol/admin.py
+++ b/eelgrasshall/protocol/admin.py
@@ -17,7 +17,7 @@
     Attributes:
       name: Its name.
       zone: Its availability zone.
-      state: `alive`, `suspect` or `leaving`.
+      state: `joining`, `alive`, `suspect` or `leaving`.
       configuration_version: The version that it has in force, None if it has
         not been heard.
     """
--- a/eelgrasshall/state/members.py
+++ b/eelgrasshall/state/members.py
@@ -20,12 +20,14 @@
 class MemberStatus(enum.Enum):
     """What a host is held to be; the value is the name on the wire.
 
+    JOINING: It has started and has no configuration yet; it takes no work.
     ALIVE: It answers.
     SUSPECT: It did not answer, and may refute this for a while.
     LEAVING: It has said that it is about to go; it takes no new work.
     DEAD: It is out of the view until it speaks for itself again.
     """
 
+    JOINING = "joining"
     ALIVE = "alive"
     SUSPECT = "suspect"
     LEAVING = "leaving"
--- a/measure/daemons_test.py
+++ b/measure/daemons_test.py
@@ -196,8 +196,16 @@
             async with site.caller._session.post(url, json=request) as response:
                 return await response.json()
 
-        outcomes = [await send(other) for _ in range(3)]
-        served = [o for o in outcomes if o["outcome"] == "answer"]
+        # Until the service has settled with its owner the request is refused
+        # as not run, and the same ticket may be sent again.
+        outcomes = []
+        async with asyncio.timeout(RECOVERY_S):
+            while len(outcomes) < 3:
+                outcome = await send(other)
+                if outcome["outcome"] != "not_run":
+                    outcomes.append(outcome["outcome"])
+                await asyncio.sleep(ASK_PAUSE_S)
+        assert outcomes == ["answer"] * 3
         await site.running.kill_daemon(home)
         await site.running.start_daemon(home)
         await site.ask_until_whole()
@@ -206,7 +214,6 @@
         counts = await scenarios.read_server_counts(site.running)
         # The stand-ins list every run of a request that may run only once.
         assert len(counts["repeated"]) == 1
-        assert len(served) == 3
 
 
 async def test_planned_stop_ends_by_itself_and_cuts_nothing(tmp_path):
