--- a/eelgrasshall/coordination/claims_test.py
+++ b/eelgrasshall/coordination/claims_test.py
@@ -104,7 +104,7 @@
         self.clock = clock_module.ManualClock()
         self.store = MemoryStore()
         self.links_cut = True
-        self.books = [
+        self.records = [
             make_book(
                 self.clock,
                 self.store,
@@ -135,7 +135,7 @@
         return outcome.status, outcome.body
 
     async def ask(self, host, request, digest, *, relayed=False):
-        book = self.books[host]
+        book = self.records[host]
         claim = book.prepare(
             request,
             digest=digest,
@@ -296,24 +296,24 @@
 
 
 async def test_creator_deletes_expired_claims(fleet):
-    await fleet.books[0].start()
+    await fleet.records[0].start()
     await fleet.get(0)
     await fleet.clock.advance(claims.CLAIM_TTL_S - 10)
     assert fleet.store.objects
     await fleet.clock.advance(2 * claims.DELETE_PERIOD_S)
     assert not fleet.store.objects
-    await fleet.books[0].stop()
+    await fleet.records[0].stop()
 
 
 async def test_claims_of_hosts_that_are_gone_are_deleted_later(fleet):
     await fleet.get(0)
     await fleet.clock.advance(claims.CLAIM_TTL_S)
-    await fleet.books[1].start()
+    await fleet.records[1].start()
     await fleet.clock.advance(480.0)
     assert fleet.store.objects
     await fleet.clock.advance(240.0)
     assert not fleet.store.objects
-    await fleet.books[1].stop()
+    await fleet.records[1].stop()
 
 
 async def test_every_page_of_claims_is_walked(fleet, monkeypatch):
@@ -324,7 +324,7 @@
     kept = {"a-foreign": None, "a-mistyped": {}, "fresh": {"expires_at": 10**9}}
     for name, value in kept.items():
         fleet.store.apply(claims.OBJECT_KIND, name, value, 0)
-    await fleet.books[0].start()
+    await fleet.records[0].start()
     await fleet.clock.advance(20 * sweep.PAGE_PERIOD_S)
     assert [name for _, name in fleet.store.objects] == list(kept)
-    await fleet.books[0].stop()
+    await fleet.records[0].stop()
--- a/eelgrasshall/coordination/direct.py
+++ b/eelgrasshall/coordination/direct.py
@@ -1,6 +1,6 @@
 """Sub-requests sent past an owner that cannot be reached.
 
-A host that does not own a service has no books of its slots, so it sends at
+A host that does not own a service has no records of its slots, so it sends at
 most one attempt at a time to a backend server, only to servers that an owner
 reported warm a moment ago, and it neither queues nor hedges.
 """
@@ -38,7 +38,7 @@
       random: Source of chance, to choose among servers.
       invariants: Where slots and allowances are checked.
       transport: Connections to the backend servers.
-      directory: Books of the backend servers.
+      directory: Records of the backend servers.
       quarantine: Poison requests.
     """
 
--- a/eelgrasshall/coordination/execution.py
+++ b/eelgrasshall/coordination/execution.py
@@ -31,7 +31,7 @@
     Attributes:
       clock: Source of time.
       invariants: Where single runs and true refusals are checked.
-      directory: Books of the backend servers.
+      directory: Records of the backend servers.
       quarantine: Poison requests.
       queue: The service's queue.
       runner: The service's attempts.
@@ -206,7 +206,7 @@
         return self._clock.monotonic() + delay_s
 
     async def _acquire(
-        self, ask: selection.Ask
+        self, ask: selection.SlotRequest
     ) -> queues.Lease | errors.Problem:
         """Waits for a slot and notes how long that took."""
         start_s = self._clock.monotonic()
@@ -214,10 +214,10 @@
         self._waited_s += self._clock.monotonic() - start_s
         return lease
 
-    def _ask(self) -> selection.Ask:
+    def _ask(self) -> selection.SlotRequest:
         """Returns what an ordinary attempt asks of the queue."""
         request = self._request
-        return selection.Ask(
+        return selection.SlotRequest(
             attempt_id=f"{request.sub_id}.{next(self._numbers)}",
             fingerprint=request.fingerprint,
             admitted_s=self._admitted_s,
--- a/eelgrasshall/coordination/executor.py
+++ b/eelgrasshall/coordination/executor.py
@@ -41,26 +41,17 @@
 # is left to hosts that send directly.
 SPARE_CONNECTIONS = 4
 DIRECT_CONNECTIONS = 1
-# An owner that goes waits this long for its attempts at cold servers to end.
-HANDOVER_LIMIT_S = 1.0
-HANDOVER_POLL_S = 0.01
-# A new owner counts on the word of handover for this long.
-HANDOVER_EXPECTED_S = 0.3
 # Hosts among which a server's connections are divided if each sends alone.
 ALONE_HOSTS = 9
 
 
-_Latencies = tuple[histograms.BucketCount, ...]
-
-
 class _Owned(NamedTuple):
     """The parts that serve one owned service."""
 
     tools: execution.Tools
     observer: observers.Observer
     monitor: monitors.Monitor
-    usual: histograms.Histogram
-    seen: histograms.Histogram
+    latencies: handovers.Latencies
 
 
 class ServiceTotals(NamedTuple):
@@ -127,13 +118,9 @@
         self._owned: dict[str, _Owned] = {}
         self._retired: list[_Owned] = []
         self._lapsed = True
-        # How often a server had been taken to be cold when that was done for
-        # want of knowledge.
-        self._unknown_turns: dict[str, int] = {}
-        # Latencies of services that were given up, until they are told on.
-        self._last_latencies: dict[str, _Latencies] = {}
-        # Latencies told of services that are not owned yet.
-        self._told_latencies: dict[str, _Latencies] = {}
+        self._handovers = handovers.HandoverBook(
+            clock=clock, directory=self._directory
+        )
 
     def adopt(
         self,
@@ -164,22 +151,20 @@
         for name in sorted(owned & names):
             taken = name not in self._owned
             if taken:
-                self._inherit(name)
                 self._owned[name] = self._make_owned(name)
-                told = self._told_latencies.pop(name, ())
-                self._learn_latencies(self._owned[name], told)
+                self._handovers.take_over(name, self._owned[name].latencies)
             if (taken or self._lapsed) and name not in clean:
                 start_s = since.get(name, self._clock.monotonic())
                 queue = self._owned[name].tools.queue
                 queue.settled_s = start_s + self._policy.disagreement_s
-                queue.handover_s = start_s + HANDOVER_EXPECTED_S
+                queue.handover_s = start_s + handovers.EXPECTED_S
             elif name in clean:
                 # The word of handover may come after the ownership itself.
                 self._owned[name].tools.queue.settled_s = 0.0
         self._lapsed = False
         self._set_targets()
         for owned_service in self._owned.values():
-            owned_service.tools.queue.pump()
+            owned_service.tools.queue.dispatch_waiting()
 
     async def execute(self, request: messages.SubRequest) -> messages.SubResult:
         """Runs one sub-request; cancelling this cancels its attempts.
@@ -235,47 +220,24 @@
         record.snapshots = result.available or record.snapshots
 
     async def hand_over(self, service: str) -> bytes | None:
-        """Waits until no attempt of this host is in flight at a cold server.
+        """Gives what the next owner of a service should know, once it may.
 
         Args:
           service: A service that this host has stopped owning.
 
         Returns:
-          What the next owner should know, or None if attempts at cold
-          servers did not end in time, so that it must wait for itself.
+          The body for `accept_handover` there, or None if the next owner
+          must wait for itself.
         """
-        latest = self._clock.monotonic() + HANDOVER_LIMIT_S
-        records = self._directory.of_service(service)
-        while any(record.cold and record.held for record in records):
-            if self._clock.monotonic() >= latest:
-                return None
-            await self._clock.sleep(HANDOVER_POLL_S)
-        return handovers.encode_handover(
-            handovers.Handover(
-                warm=tuple(r.name for r in records if not r.cold),
-                latencies=self._last_latencies.pop(service, ()),
-            )
-        )
+        return await self._handovers.export_state(service)
 
     def accept_handover(self, service: str, body: bytes) -> None:
         """Takes over what the previous owner knew of a service."""
-        handover = handovers.decode_handover(body)
-        if handover is None:
-            return
-        if service in self._owned:
-            self._learn_latencies(self._owned[service], handover.latencies)
-        else:
-            self._told_latencies[service] = handover.latencies
-        for record in self._directory.of_service(service):
-            if record.name not in handover.warm:
-                continue
-            if service not in self._owned:
-                record.told_warm_s = self._clock.monotonic()
-            elif self._unknown_turns.get(record.name) == record.turns:
-                # It is cold only because nothing was known of it.
-                record.cold = False
-        if service in self._owned:
-            self._owned[service].tools.queue.pump()
+        owned = self._owned.get(service)
+        latencies = owned.latencies if owned is not None else None
+        self._handovers.import_state(service, body, latencies)
+        if owned is not None:
+            owned.tools.queue.dispatch_waiting()
 
     def notice_pause(self) -> None:
         """Takes all ownership to have lapsed until `adopt` is called."""
@@ -318,8 +280,12 @@
                     ),
                     3,
                 ),
-                "p50_ms": round(owned.usual.percentile(0.5) * 1000, 3),
-                "p99_ms": round(owned.usual.percentile(0.99) * 1000, 3),
+                "p50_ms": round(
+                    owned.latencies.usual.percentile(0.5) * 1000, 3
+                ),
+                "p99_ms": round(
+                    owned.latencies.usual.percentile(0.99) * 1000, 3
+                ),
                 "hedge_budget": owned.tools.hedger.budget.dump(),
                 "retry_budget": owned.tools.retries.dump(),
             }
@@ -347,20 +313,6 @@
             await owned.tools.runner.close()
         await self._direct.close()
 
-    def _inherit(self, name: str) -> None:
-        """Takes over what is known of the servers of a service.
-
-        Only servers that were reported warm a moment ago are; all others
-        have a history that this host does not know.
-        """
-        now = self._clock.monotonic()
-        for record in self._directory.of_service(name):
-            if direct.is_told_warm(record, now):
-                record.cold = False
-            else:
-                warmup.turn_cold(record)
-                self._unknown_turns[record.name] = record.turns
-
     def _make_owned(self, name: str) -> _Owned:
         """Builds the parts that serve a service."""
         usual = histograms.Histogram()
@@ -418,25 +370,17 @@
             queue=queue,
         )
         monitor.start()
-        return _Owned(tools, observer, monitor, usual, seen)
-
-    def _learn_latencies(self, owned: _Owned, told: _Latencies) -> None:
-        """Takes latencies of the previous owner, unless there are own ones."""
-        if owned.usual.recorded < hedges.MIN_RECORDED:
-            owned.usual.add_counts(told)
-            owned.seen.add_counts(told)
+        latencies = handovers.Latencies(usual, seen)
+        return _Owned(tools, observer, monitor, latencies)
 
     def _give_up_service(self, name: str) -> None:
         """Stops serving a service; what is in flight finishes."""
         owned = self._owned.pop(name)
-        self._last_latencies[name] = owned.usual.list_counts()
         owned.tools.queue.fail_all(
             _explain_lapse(errors.ProblemKind.PEER_UNREACHABLE)
         )
         owned.monitor.cancel()
-        for record in self._directory.of_service(name):
-            if not record.cold:
-                record.told_warm_s = self._clock.monotonic()
+        self._handovers.give_up(name, owned.latencies)
         self._retired = [r for r in self._retired if r.tools.runner.is_busy()]
         self._retired.append(owned)
 
--- a/eelgrasshall/coordination/membership.py
+++ b/eelgrasshall/coordination/membership.py
@@ -207,7 +207,7 @@
         fact = messages.GossipFact(topic, key, sequence, b"0 " + body)
         return await self._exchange(member, extra=(fact,)) is not None
 
-    async def greet(self, member: members_module.Member) -> bool:
+    async def exchange_heartbeat(self, member: members_module.Member) -> bool:
         """Exchanges one heartbeat with a member at once."""
         return await self._exchange(member) is not None
 
@@ -335,7 +335,7 @@
             return
         current = self._view.find(member.name)
         if current is not None and not current.takes_work():
-            self._view.bury(member.name)
+            self._view.mark_dead(member.name)
             return
         if await self._probe_again(member):
             return
--- a/eelgrasshall/coordination/monitor.py
+++ b/eelgrasshall/coordination/monitor.py
@@ -30,7 +30,7 @@
       clock: Source of time.
       random: Source of chance, to spread the requests.
       transport: Connections to the backend servers.
-      directory: Books of the backend servers.
+      directory: Records of the backend servers.
       observer: Told of each answer.
       queue: Told when a server can be used again.
     """
@@ -108,7 +108,7 @@
             now = self._clock.monotonic()
             if not record.draining:
                 draining_since_s, draining_seen = now, False
-                self._queue.pump()
+                self._queue.dispatch_waiting()
                 continue
             draining_seen |= health.draining
             restarted = known not in ("", record.incarnation)
@@ -116,7 +116,7 @@
             settled = draining_seen or restarted or unseen_s > DRAINING_UNSEEN_S
             if was_draining and settled and _is_back(health):
                 self._observer.note_return(record)
-                self._queue.pump()
+                self._queue.dispatch_waiting()
 
     def _note_failure(
         self,
--- a/eelgrasshall/coordination/observer.py
+++ b/eelgrasshall/coordination/observer.py
@@ -1,7 +1,7 @@
 """What each reply of a backend server says about that server.
 
 Every reply, lost connection and health answer passes through here on its way
-to the books: it can turn a server cold, prove that it is warm, mark it as
+to the records: it can turn a server cold, prove that it is warm, mark it as
 leaving or as down, and make suspects of the requests in flight.  Health
 answers only ever make the system more careful.
 """
@@ -48,7 +48,7 @@
 
 
 class Observer:
-    """Keeps the books of one service's backend servers up to date.
+    """Keeps the records of one service's backend servers up to date.
 
     Args:
       clock: Source of time.
@@ -57,7 +57,7 @@
       publish: Tells the other hosts: topic, key, body.
       usual: Latencies of the service's warm servers.
       hedger: Told of the same latencies.
-      directory: Books of the backend servers.
+      directory: Records of the backend servers.
       seen: Latencies of all servers, cold ones included, for estimates.
     """
 
--- a/eelgrasshall/coordination/queue.py
+++ b/eelgrasshall/coordination/queue.py
@@ -29,7 +29,7 @@
     """One slot of one backend server, until it is released.
 
     Attributes:
-      record: Books of the backend server.
+      record: Records of the backend server.
       attempt_id: The attempt that holds the slot.
       fingerprint: Fingerprint of its request.
       cold: Whether the server was cold when the slot was given.
@@ -48,7 +48,7 @@
 class _Waiter(NamedTuple):
     """An attempt that waits for a slot."""
 
-    ask: selection.Ask
+    ask: selection.SlotRequest
     future: asyncio.Future[Lease | errors.Problem]
 
 
@@ -60,9 +60,9 @@
       clock: Source of time.
       random: Source of chance, to break ties.
       invariants: Where slots and allowances are checked.
-      directory: Books of the backend servers.
+      directory: Records of the backend servers.
       seen: Latencies of all servers of the service, for estimates.
-      notice_lost: Called with a server's books before a slot is given; turns
+      notice_lost: Called with a server's records before a slot is given; turns
         it cold if its idle connections were closed.
 
     Attributes:
@@ -96,20 +96,22 @@
         self.settled_s = 0.0
         self.handover_s = 0.0
 
-    async def acquire(self, ask: selection.Ask) -> Lease | errors.Problem:
+    async def acquire(
+        self, ask: selection.SlotRequest
+    ) -> Lease | errors.Problem:
         """Waits for a slot.
 
         Returns:
           The slot, which must be released, or why there will be none in time.
         """
         ahead = self._count_ahead(ask)
-        problem = selection.find_hopeless(self._survey(), ask, ahead=ahead)
+        problem = selection.find_refusal(self._survey(), ask, ahead=ahead)
         if problem is not None:
             return problem
         future = asyncio.get_running_loop().create_future()
         waiter = _Waiter(ask, future)
         self._enqueue(waiter)
-        self.pump()
+        self.dispatch_waiting()
         try:
             return await future
         except asyncio.CancelledError:
@@ -119,11 +121,11 @@
     def release(self, lease: Lease) -> None:
         """Gives a slot back once the backend server has let go."""
         lease.record.held.pop(lease.attempt_id, None)
-        self.pump()
+        self.dispatch_waiting()
 
-    def pump(self) -> None:
+    def dispatch_waiting(self) -> None:
         """Gives free slots to waiting attempts."""
-        self._pump_alone()
+        self._dispatch_isolated()
         free = {r.name: self._count_free(r) for r in self._records()}
         position = 0
         while position < len(self._waiters) and any(free.values()):
@@ -154,7 +156,7 @@
         return len(self._waiters) + len(self._alone)
 
     def _records(self) -> tuple[directories.ServerRecord, ...]:
-        """Returns the books of the service's servers."""
+        """Returns the records of the service's servers."""
         return self._directory.of_service(self._service)
 
     def _survey(self) -> selection.Outlook:
@@ -189,7 +191,7 @@
         rank = (not ask.hedge, ask.admitted_s, next(self._numbers))
         bisect.insort(self._waiters, (rank, waiter))
 
-    def _count_ahead(self, ask: selection.Ask) -> int:
+    def _count_ahead(self, ask: selection.SlotRequest) -> int:
         """Returns how many waiting attempts go before a new one."""
         if ask.alone:
             return len(self._alone)
@@ -206,10 +208,10 @@
             if isinstance(given, Lease):
                 self.release(given)
                 return
-        self.pump()
+        self.dispatch_waiting()
 
     def _choose(
-        self, ask: selection.Ask, free: dict[str, int]
+        self, ask: selection.SlotRequest, free: dict[str, int]
     ) -> directories.ServerRecord | None:
         """Chooses the freest server that has not just been lost."""
         while True:
@@ -263,7 +265,7 @@
         for name, holds in checks:
             self._invariants.check(name, holds, f"{record.name}: {in_use}")
 
-    def _pump_alone(self) -> None:
+    def _dispatch_isolated(self) -> None:
         """Empties one server for the attempts that must run alone."""
         reserved = next((r for r in self._records() if r.reserved), None)
         if reserved is not None:
@@ -307,20 +309,20 @@
             await self._clock.sleep(SWEEP_S)
             outlook = self._survey()
             for ahead, (_, waiter) in enumerate(self._waiters):
-                _refuse_if_hopeless(outlook, waiter, ahead)
+                _refuse_if_late(outlook, waiter, ahead)
             for ahead, waiter in enumerate(self._alone):
-                _refuse_if_hopeless(outlook, waiter, ahead)
+                _refuse_if_late(outlook, waiter, ahead)
             self._waiters = [w for w in self._waiters if not w[1].future.done()]
             self._alone = [w for w in self._alone if not w.future.done()]
-            self.pump()
+            self.dispatch_waiting()
 
 
-def _refuse_if_hopeless(
+def _refuse_if_late(
     outlook: selection.Outlook, waiter: _Waiter, ahead: int
 ) -> None:
     """Refuses a waiter that cannot be served in time."""
     if waiter.future.done():
         return
-    problem = selection.find_hopeless(outlook, waiter.ask, ahead=ahead)
+    problem = selection.find_refusal(outlook, waiter.ask, ahead=ahead)
     if problem is not None:
         waiter.future.set_result(problem)
--- a/eelgrasshall/coordination/queue_machine_test.py
+++ b/eelgrasshall/coordination/queue_machine_test.py
@@ -4,7 +4,7 @@
 slow down, leave and come back and ownership lapses.  Each server knows by
 itself what it bears: one attempt after a restart and one more for each few
 successes, so that the allowance is checked against something else than the
-owner's own books.
+owner's own records.
 """
 
 import asyncio
--- a/eelgrasshall/coordination/rollout.py
+++ b/eelgrasshall/coordination/rollout.py
@@ -71,7 +71,7 @@
     def push(self) -> None:
         """Has a heartbeat go to a few random members at once."""
 
-    async def greet(self, member: members_module.Member) -> bool:
+    async def exchange_heartbeat(self, member: members_module.Member) -> bool:
         """Exchanges one heartbeat with a member at once."""
 
     def attach_versions(
@@ -315,7 +315,7 @@
             return
         self._take(stored, f"host {source.name}")
         # The peer may wait to hear that its version has arrived.
-        self._tasks.spawn(self._membership.greet(source))
+        self._tasks.spawn(self._membership.exchange_heartbeat(source))
 
     def _take_object(self, found: protocol.StoredObject) -> None:
         """Takes what the store holds, if it can be followed."""
@@ -364,7 +364,7 @@
         own = self._membership.own.name
         others = [m for m in self._membership.members() if m.name != own]
         answered = await asyncio.gather(
-            *(self._membership.greet(member) for member in others)
+            *(self._membership.exchange_heartbeat(member) for member in others)
         )
         silent = tuple(
             member.name
--- a/eelgrasshall/coordination/rollout_test.py
+++ b/eelgrasshall/coordination/rollout_test.py
@@ -109,7 +109,7 @@
         for member in self.cluster.members:
             self.exchange(member)
 
-    async def greet(self, member):
+    async def exchange_heartbeat(self, member):
         return self.exchange(member)
 
     def attach_versions(self, *, get_version, on_version):
--- a/eelgrasshall/coordination/selection.py
+++ b/eelgrasshall/coordination/selection.py
@@ -1,6 +1,6 @@
 """Which backend server an attempt goes to, and when it can be served.
 
-Pure functions over the books of a service's backend servers.  The queue calls
+Pure functions over the records of a service's backend servers.  The queue calls
 them whenever a slot frees or an attempt arrives.
 """
 
@@ -23,7 +23,7 @@
 RETRY_LONGEST_S = 5.0
 
 
-class Ask(NamedTuple):
+class SlotRequest(NamedTuple):
     """What one attempt asks of the queue.
 
     Attributes:
@@ -57,7 +57,7 @@
     Attributes:
       service: Name of the service.
       now: Reading of the monotonic clock, in seconds.
-      in_service: Books of the servers that may get new work at all.
+      in_service: Records of the servers that may get new work at all.
       capacity: Attempts that they may run at once now.
       free: How many of those are not in flight.
       opens_s: When the first of them may be tried, if none may now.
@@ -81,7 +81,7 @@
     """Returns how many attempts a server may run at once.
 
     Args:
-      record: Its books.
+      record: Its record.
       now: Reading of the monotonic clock, in seconds.
       settled_s: Until when another host may still believe that it owns the
         service.
@@ -105,7 +105,7 @@
     return max(0, capacity - len(record.held))
 
 
-def suits(record: directories.ServerRecord, ask: Ask) -> bool:
+def suits(record: directories.ServerRecord, ask: SlotRequest) -> bool:
     """Returns whether an attempt may go to a server at all."""
     if record.name in ask.excluded or not record.in_service:
         return False
@@ -116,7 +116,7 @@
 
 def find_freest(
     records: Sequence[directories.ServerRecord],
-    ask: Ask,
+    ask: SlotRequest,
     *,
     free: dict[str, int],
     now: float,
@@ -150,7 +150,7 @@
 
     Args:
       service: Name of the service.
-      records: Books of its servers.
+      records: Records of its servers.
       now: Reading of the monotonic clock, in seconds.
       settled_s: Until when another host may still believe that it owns the
         service.
@@ -184,8 +184,8 @@
     )
 
 
-def find_hopeless(
-    outlook: Outlook, ask: Ask, *, ahead: int
+def find_refusal(
+    outlook: Outlook, ask: SlotRequest, *, ahead: int
 ) -> errors.Problem | None:
     """Returns why an attempt cannot be served in time; None if it can.
 
@@ -234,7 +234,9 @@
     return mean_s * (1 + ahead - outlook.free) / outlook.capacity
 
 
-def _rank_warmth(record: directories.ServerRecord, ask: Ask, now: float) -> int:
+def _rank_warmth(
+    record: directories.ServerRecord, ask: SlotRequest, now: float
+) -> int:
     """Ranks a server: a cold one now and then first, else last."""
     if not record.cold:
         return 1
--- a/eelgrasshall/coordination/tickets_test.py
+++ b/eelgrasshall/coordination/tickets_test.py
@@ -35,7 +35,7 @@
         self.clock = clock_module.ManualClock()
         self.names = names
         self.incarnations = dict.fromkeys(names, 0)
-        self.books = {}
+        self.records = {}
         self.duration_s = 0.0
         self.refuses = False
         self.runs = []
@@ -48,7 +48,7 @@
 
     def restart(self, name: str) -> None:
         self.incarnations[name] += 1
-        self.books[name] = tickets.TicketBook(
+        self.records[name] = tickets.TicketBook(
             name=name,
             incarnation=self.incarnations[name],
             clock=self.clock,
@@ -59,7 +59,7 @@
 
     async def run_at_home(self, home, incarnation, data, timeout_s):
         # A stale view of the members reaches whatever runs there now.
-        if self.links_cut or home not in self.books:
+        if self.links_cut or home not in self.records:
             raise peers.PeerNotReachedError("cut")
         if self.members_known and self.incarnations[home] > incarnation:
             raise tickets.HomeRestartedError("restarted")
@@ -71,7 +71,7 @@
         return outcome.status, outcome.body
 
     async def ask(self, host, request, *, relayed=False):
-        return await self.books[host].run(
+        return await self.records[host].run(
             request,
             digest=request.body.decode(),
             run=lambda: self.run(request.ticket),
@@ -104,7 +104,7 @@
 
 @pytest.fixture
 def ticket(fleet) -> str:
-    return fleet.books["a"].make_prefix() + "crate-7"
+    return fleet.records["a"].make_prefix() + "crate-7"
 
 
 async def test_resends_to_any_host_get_the_one_outcome(fleet, ticket):
@@ -252,7 +252,7 @@
     @stateful.rule(target=sent, home=strategies.sampled_from("abc"))
     def issue(self, home):
         own_part = next(self.own_parts)
-        return f"{self.fleet.books[home].make_prefix()}{own_part}"
+        return f"{self.fleet.records[home].make_prefix()}{own_part}"
 
     @stateful.rule(
         ticket=sent,
--- a/eelgrasshall/coordination/view.py
+++ b/eelgrasshall/coordination/view.py
@@ -125,7 +125,7 @@
         self._publish(suspect, members.suspicion_sequence(known))
         self._note(suspect)
 
-    def bury(self, name: str) -> None:
+    def mark_dead(self, name: str) -> None:
         """States that a member is dead."""
         member = self._members.get(name)
         if member is None or member.status is _DEAD:
@@ -136,7 +136,7 @@
         self._note(dead)
 
     def expire(self) -> list[str]:
-        """Buries suspects whose time is over; forgets the long dead.
+        """Declares suspects dead whose time is over; forgets the long dead.
 
         Returns:
           The names of those forgotten.
@@ -151,7 +151,7 @@
         over = now - SUSPICION_S * self.patience
         due = [n for n, at in self._suspected_since.items() if at <= over]
         for name in due:
-            self.bury(name)
+            self.mark_dead(name)
         forgotten = [
             member.name
             for member in self.dead()
--- a/eelgrasshall/coordination/view_test.py
+++ b/eelgrasshall/coordination/view_test.py
@@ -52,7 +52,7 @@
     other, other_table = _make("other", clock)
     table.merge(other_table.collect_for("own"))
     own.suspect("other")
-    own.bury("other")
+    own.mark_dead("other")
     accusation = (own.find_statement("other"),)
     other_table.merge(accusation)
     assert other.refutations == 1
@@ -66,7 +66,7 @@
     own, table = _make("own", clock)
     _, other_table = _make("other", clock)
     table.merge(other_table.collect_for("own"))
-    own.bury("other")
+    own.mark_dead("other")
     clock.move(view.DEAD_RETENTION_S + 1.0)
     table.collect_for("own")
     assert own.expire() == ["other"]
--- a/eelgrasshall/coordination/warmup.py
+++ b/eelgrasshall/coordination/warmup.py
@@ -44,7 +44,7 @@
     """Counts a success at a cold backend server.
 
     Args:
-      record: Its books.
+      record: Its record.
       latency_s: How long the attempt took.
       usual_s: What a warm server of the service usually takes; 0.0 if
         that is not known.
@@ -75,7 +75,7 @@
     """Keeps a backend server that refuses from being tried for a while.
 
     Args:
-      record: Its books.
+      record: Its record.
       now: Reading of the monotonic clock, in seconds.
       draw: A random number from 0 to 1 for the jitter.
     """
--- a/eelgrasshall/state/directory.py
+++ b/eelgrasshall/state/directory.py
@@ -1,8 +1,8 @@
 """What this process knows of each backend server.
 
-The owner of a service keeps exact books here: which attempts are in flight at
+The owner of a service keeps exact records here: which attempts are in flight at
 each backend server and how much it may be given.  The other hosts keep only
-what they were told.  The rules by which the books change are in
+what they were told.  The rules by which the records change are in
 `coordination.warmup`; this module holds the values.
 """
 
@@ -31,7 +31,7 @@
 
 
 class ServerRecord:
-    """The books of one backend server.
+    """The records of one backend server.
 
     Args:
       server: Its declaration.
@@ -115,7 +115,7 @@
         return snapshot in self.snapshots or snapshot > self.snapshots[0]
 
     def dump(self) -> dict:
-        """Returns the books as plain values."""
+        """Returns the records as plain values."""
         return {
             "service": self.service,
             "zone": self.server.zone,
@@ -136,22 +136,22 @@
 
 
 class Directory:
-    """The books of all backend servers of the configuration."""
+    """The records of all backend servers of the configuration."""
 
     def __init__(self):
         self._records: dict[str, ServerRecord] = {}
         self._by_service: dict[str, tuple[ServerRecord, ...]] = {}
 
     def find(self, server: str) -> ServerRecord | None:
-        """Returns the books of a backend server."""
+        """Returns the records of a backend server."""
         return self._records.get(server)
 
     def of_service(self, service: str) -> tuple[ServerRecord, ...]:
-        """Returns the books of a service's backend servers."""
+        """Returns the records of a service's backend servers."""
         return self._by_service.get(service, ())
 
     def all(self) -> Iterable[ServerRecord]:
-        """Returns the books of every backend server."""
+        """Returns the records of every backend server."""
         return self._records.values()
 
     def follow(
