--- a/eelgrasshall/gateway/belief.py
+++ b/eelgrasshall/gateway/belief.py
@@ -70,11 +70,28 @@
             collection: {} for collection in Collection
         }
         self._revisions = dict.fromkeys(Collection, 0)
+        self._held: dict[Collection, dict[str, int]] = {
+            collection: {} for collection in Collection
+        }
 
     def revision(self, collection: Collection) -> int:
         """Returns the highest revision up to which a collection is known."""
         return self._revisions[collection]
 
+    def complete(self, collection: Collection) -> int:
+        """Returns the revision up to which all changes are applied here."""
+        held = self._held[collection]
+        revision = self._revisions[collection]
+        return min(revision, min(held.values()) - 1) if held else revision
+
+    def hold(self, news: News) -> None:
+        """Notes news that will be applied later, unless others undo it."""
+        self._held[news.collection][news.name] = news.revision
+
+    def release(self, news: News) -> None:
+        """Ends the holding of an object's news."""
+        self._held[news.collection].pop(news.name, None)
+
     def apply(self, news: News) -> bool:
         """Takes news of one object; False if it was known already."""
         known = self._known[news.collection]
--- a/eelgrasshall/gateway/client.py
+++ b/eelgrasshall/gateway/client.py
@@ -14,6 +14,8 @@
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import upstream
 
+# Several round trips; a longer wait means that nothing gets there.
+CONNECT_TIMEOUT_S = 0.7
 # Most bytes of an answer; a full page of the store is about a megabyte.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
@@ -96,7 +98,8 @@
         """Opens a connection."""
         loop = asyncio.get_running_loop()
         host, port = self._address
-        _, self._link = await loop.create_connection(_Link, host, port)
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, self._link = await loop.create_connection(_Link, host, port)
 
 
 class _Link(asyncio.Protocol):
--- a/eelgrasshall/gateway/directory.py
+++ b/eelgrasshall/gateway/directory.py
@@ -16,7 +16,7 @@
 MOST_NAMED = 64
 # With fewer hosts in the caller's zone than this, hosts elsewhere are named
 # as well, so that the loss of one does not leave its callers alone.
-LEAST_IN_ZONE = 2
+LEAST_IN_ZONE = 99
 
 
 def name_hosts(
@@ -37,9 +37,6 @@
       random: Breaks the tie if there are too many.
     """
     hosts = [*others, own] if own_ready else list(others)
-    near = [host for host in hosts if host.zone == zone]
-    if len(near) >= LEAST_IN_ZONE:
-        hosts = near
     if len(hosts) > MOST_NAMED:
         hosts = random.sample(hosts, MOST_NAMED)
     return sorted(hosts)
--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -157,6 +157,8 @@
 
     async def run(self) -> Outcome:
         """Runs the request; cancelling it lets go of all attempts."""
+        if not self._is_servable():
+            return self._refuse("too few shards have a backend server")
         for part in self._parts:
             self._context.find_allowance(part.service).earn()
             self._launch(part)
@@ -192,13 +194,25 @@
         """The ids of all backend servers that were sent to."""
         return [b.server.id for part in self._parts for b in part.sends]
 
+    def _is_servable(self) -> bool:
+        """Returns whether enough shards have a server that can be reached."""
+        least = self._route.least_share if self._route.shards else 1.0
+        servable = sum(
+            any(
+                not backend.unreachable
+                for backend in self._context.find_candidates(part.service)
+            )
+            for part in self._parts
+        )
+        return merging.is_enough(servable, len(self._parts), least)
+
     def _launch(self, part: Part) -> bool:
         """Sends an attempt for a shard; False if there is nowhere to send."""
         now = self._context.loop.time()
         candidates = [
             backend
             for backend in self._context.find_candidates(part.service)
-            if backend not in part.sends
+            if backend not in part.sends and not backend.unreachable
         ]
         chosen = placement.choose(
             candidates,
--- a/eelgrasshall/gateway/following.py
+++ b/eelgrasshall/gateway/following.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import random as random_module
 from typing import NamedTuple
 from typing import Protocol
@@ -18,6 +19,11 @@
 # Pause after a failed call, doubled up to the longest one.
 FIRST_PAUSE_S = 0.15
 LONGEST_PAUSE_S = 1.0
+# How often a host that does not listen looks whether it should.
+DUTY_POLL_S = 0.2
+# Servers that vanish together without having drained: more likely entries that
+# lapsed than servers that ended at one moment.
+MASS_DELETION = 3
 # Time within which servers whose entries lapsed register again, with the
 # platform's word of two seconds and a margin for the news to get here.
 LAPSE_GRACE_S = 2.4
@@ -60,6 +66,7 @@
       belief: What to keep up to date.
       log: Where lost and regained dependencies are noted.
       random: The source of jitter.
+      should_listen: Returns whether this host is one that listens.
     """
 
     def __init__(
@@ -70,36 +77,44 @@
         belief: beliefs.Belief,
         log: events.EventLog,
         random: random_module.Random,
+        should_listen: Callable[[], bool],
     ):
         self._collection = collection
         self._source = source
         self._belief = belief
         self._log = log
         self._random = random
+        self._should_listen = should_listen
         self._failures = 0
         self._regained_s = -LAPSE_GRACE_S
         self._listed = False
+        self._watching = False
         self._held: dict[str, asyncio.TimerHandle] = {}
 
     @property
     def reachable(self) -> bool:
-        """Whether the last call was answered."""
-        return self._failures == 0 and self._listed
+        """Whether this host watches and the last call was answered."""
+        return self._failures == 0 and self._watching
 
     async def run(self) -> None:
         """Follows the collection until it is cancelled."""
         while True:
+            if self._belief.revision(self._collection):
+                await self._watch()
             listing = await self._source.read_all(self._collection)
             if isinstance(listing, Unavailable):
                 await self._pause(listing.reason)
                 continue
             self._note_answer()
             self._take_listing(listing)
-            await self._watch()
 
     async def _watch(self) -> None:
-        """Watches until a new list is needed."""
+        """Watches, while that is this host's duty, until a list is needed."""
         while True:
+            while not self._should_listen():
+                self._watching = False
+                await asyncio.sleep(DUTY_POLL_S)
+            resumed, self._watching = not self._watching, True
             revision = self._belief.revision(self._collection)
             result = await self._source.wait(
                 self._collection, revision, WATCH_WAIT_S
@@ -113,14 +128,19 @@
                 return
             if isinstance(result, Unavailable):
                 await self._pause(result.reason)
-                return
+                continue
             self._note_answer()
+            if resumed or self._is_mass_deletion(result.news):
+                self._regained_s = asyncio.get_running_loop().time()
             for news in result.news:
                 self._take(news)
             self._belief.advance(self._collection, result.revision)
 
     def _take_listing(self, listing: beliefs.Listing) -> None:
         """Takes a whole list in, with the deletions that it implies."""
+        if not self._listed:
+            # What other hosts told may have lapsed while the store was out.
+            self._regained_s = asyncio.get_running_loop().time()
         for news in listing.news:
             self._take(news)
         for news in self._belief.find_missing(listing, self._collection):
@@ -128,11 +148,17 @@
         self._belief.advance(self._collection, listing.revision)
         self._listed = True
 
+    def _is_mass_deletion(self, news: tuple[beliefs.News, ...]) -> bool:
+        """Returns whether many objects vanished at one moment."""
+        deleted = sum(1 for each in news if each.document is None)
+        return deleted >= MASS_DELETION
+
     def _take(self, news: beliefs.News) -> None:
         """Takes news in, a doubtful deletion only later."""
         held = self._held.pop(news.name, None)
         if held is not None:
             held.cancel()
+            self._belief.release(news)
         loop = asyncio.get_running_loop()
         left_s = self._regained_s + LAPSE_GRACE_S - loop.time()
         if (
@@ -140,6 +166,7 @@
             and self._collection is beliefs.Collection.SERVERS
             and left_s > 0
         ):
+            self._belief.hold(news)
             self._held[news.name] = loop.call_later(
                 left_s, self._take_held, news
             )
@@ -149,6 +176,7 @@
     def _take_held(self, news: beliefs.News) -> None:
         """Takes a deletion in that nothing has taken back."""
         self._held.pop(news.name, None)
+        self._belief.release(news)
         self._belief.apply(news)
 
     def _note_answer(self) -> None:
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -18,10 +18,12 @@
 from eelgrasshall.gateway import belief as beliefs
 from eelgrasshall.gateway import directory
 from eelgrasshall.gateway import events
+from eelgrasshall.gateway import exchange
 from eelgrasshall.gateway import fanout
 from eelgrasshall.gateway import following
 from eelgrasshall.gateway import hedging
 from eelgrasshall.gateway import listener
+from eelgrasshall.gateway import listening
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import peers
@@ -131,16 +133,21 @@
                 belief=self._belief,
                 log=log,
                 random=random,
+                should_listen=self._should_listen,
             )
             for collection in beliefs.Collection
         ]
+        self._exchange = exchange.Exchange(belief=self._belief, log=log)
+        self._spreading = False
         self._peers = peers.Peers(
             own=options.host,
             incarnation=incarnation,
             loop=self.loop,
             random=random,
+            reaches_store=self._reaches_store,
             read_news=self._read_news,
             take_news=self._take_news,
+            note_hosts=self._share_anew,
         )
         self._callers = self._make_listener(self._answer)
         self._inner = self._make_listener(self._answer_inner)
@@ -170,6 +177,11 @@
                 extra = self._make_listener(self._answer_inner)
                 self._extra_listeners.append(extra)
                 await extra.start(address)
+        seeds = [s for s in options.seeds if s != options.host.control]
+        self.random.shuffle(seeds)
+        self._tasks.append(
+            self.loop.create_task(self._exchange.fetch_first(seeds))
+        )
         for follower in self._followers:
             self._tasks.append(self.loop.create_task(follower.run()))
         self._tasks.append(self.loop.create_task(self._publish_until_done()))
@@ -201,6 +213,7 @@
         self._callers.stop()
         for extra in self._extra_listeners:
             extra.stop()
+        self._exchange.stop()
         self._registry.close()
         self._peers.stop()
         self._log.record("stopped", **self.counters)
@@ -330,6 +343,8 @@
             return listener.Response(200 if ready else 503, [], b"")
         if path == self._options.directory_path:
             return self._answer_directory(request)
+        if path == exchange.BELIEF_PATH:
+            return self._answer_belief(request)
         if path == "/metrics":
             return listener.Response(200, [], self._render_metrics())
         return listener.Response(404, [], b"")
@@ -354,6 +369,16 @@
         }
         return listener.Response(200, _JSON, json.dumps(body).encode())
 
+    def _answer_belief(self, request: messages.Request) -> listener.Response:
+        """Gives another host what it lacks."""
+        query = request.target.partition(b"?")[2].decode("latin-1")
+        try:
+            have = exchange.parse_have(query)
+        except ValueError:
+            return listener.Response(400, [], b"")
+        body = json.dumps(exchange.encode_belief(self._belief, have))
+        return listener.Response(200, _JSON, body.encode())
+
     def _render_metrics(self) -> bytes:
         """Returns the counters in the Prometheus text format."""
         lines = [
@@ -393,6 +418,9 @@
 
     def _learn(self, news: beliefs.News, value: Any) -> None:
         """Acts on a change of one object."""
+        if not self._spreading:
+            self._spreading = True
+            self.loop.call_soon(self._spread)
         if news.collection is beliefs.Collection.CONFIGURATION:
             if value is not None:
                 self._adopt(value, news.revision)
@@ -404,9 +432,13 @@
             self._peers.remove_host(news.name)
         else:
             self._peers.add_host(value)
-            self._registry.set_hosts(self._peers.known)
-            for allowance in self._allowances.values():
-                allowance.set_hosts(self._peers.known)
+
+    def _share_anew(self) -> None:
+        """Divides what all hosts share by the hosts known now."""
+        hosts = self._peers.known
+        self._registry.set_hosts(hosts)
+        for allowance in self._allowances.values():
+            allowance.set_hosts(hosts)
 
     def _adopt(self, configuration: model.Configuration, revision: int) -> None:
         """Puts a configuration in force, unless it is an older one."""
@@ -433,12 +465,31 @@
         if self._peers.state is peers.State.JOINING:
             self._peers.announce(peers.State.READY)
 
-    def _read_news(self) -> dict:
-        """Returns what each heartbeat carries beside itself."""
-        return {}
-
-    def _take_news(self, sender: str, news: dict) -> None:
-        """Takes what a heartbeat of another host carried."""
+    def _spread(self) -> None:
+        """Tells other hosts that there is something new here."""
+        self._spreading = False
+        self._peers.spread()
+
+    def _read_news(self) -> list:
+        """Returns the revisions up to which this host knows everything."""
+        return [self._belief.complete(each) for each in beliefs.Collection]
+
+    def _take_news(self, sender: str, news: list) -> None:
+        """Fetches what another host knows and this one does not."""
+        host = self._peers.find(sender)
+        if host is not None:
+            self._exchange.notice(sender, host.control, news)
+
+    def _reaches_store(self) -> bool:
+        """Returns whether this host watches all that there is to watch."""
+        return all(follower.reachable for follower in self._followers)
+
+    def _should_listen(self) -> bool:
+        """Returns whether this host should watch the store."""
+        own = listening.Candidate(
+            self._options.host.name, self.zone, self._reaches_store()
+        )
+        return listening.should_listen(own, self._peers.list_candidates())
 
     async def _publish_until_done(self) -> None:
         """Publishes this host in the store."""
--- a/eelgrasshall/gateway/model.py
+++ b/eelgrasshall/gateway/model.py
@@ -19,6 +19,19 @@
         return f"{self.host}:{self.port}"
 
 
+def parse_address(text: str) -> Address:
+    """Reads `host:port`.
+
+    Raises:
+      ValueError: The text is no address.
+    """
+    host, _, port = text.rpartition(":")
+    number = int(port)
+    if not host or not 0 < number < 65536:
+        raise ValueError(f"no address: {text!r}")
+    return Address(host, number)
+
+
 class WeightedService(NamedTuple):
     """One of the services among which a route's requests are divided.
 
--- a/eelgrasshall/gateway/peers.py
+++ b/eelgrasshall/gateway/peers.py
@@ -14,6 +14,7 @@
 import random as random_module
 from typing import NamedTuple
 
+from eelgrasshall.gateway import listening
 from eelgrasshall.gateway import model
 
 # Period of heartbeats: a dead host is noticed within a few of them.
@@ -45,12 +46,14 @@
       incarnation: Start of its process, Unix milliseconds.
       beat: Counts the heartbeats of this incarnation.
       state: What it says of itself.
+      reaches_store: Whether it watches the store and is answered.
       at_s: When the news arrived here, monotonic seconds.
     """
 
     incarnation: int
     beat: int
     state: State
+    reaches_store: bool
     at_s: float
 
 
@@ -62,8 +65,10 @@
       incarnation: Start of this process, Unix milliseconds.
       loop: The event loop.
       random: The source of chance.
+      reaches_store: Returns whether this host is answered by the store.
       read_news: Returns what else each heartbeat carries.
       take_news: Takes what a heartbeat of a host carried.
+      note_hosts: Is called when the hosts known have changed.
     """
 
     def __init__(
@@ -73,16 +78,20 @@
         incarnation: int,
         loop: asyncio.AbstractEventLoop,
         random: random_module.Random,
-        read_news: Callable[[], dict],
-        take_news: Callable[[str, dict], None],
+        reaches_store: Callable[[], bool],
+        read_news: Callable[[], list],
+        take_news: Callable[[str, list], None],
+        note_hosts: Callable[[], None],
     ):
         self.state = State.JOINING
         self._own = own
         self._incarnation = incarnation
         self._loop = loop
         self._random = random
+        self._reaches_store = reaches_store
         self._read_news = read_news
         self._take_news = take_news
+        self._note_hosts = note_hosts
         self._hosts: dict[str, model.Host] = {}
         self._heard: dict[str, Heard] = {}
         self._beat = 0
@@ -112,12 +121,14 @@
         if host.name == self._own.name or self._hosts.get(host.name) == host:
             return
         self._hosts[host.name] = host
+        self._note_hosts()
         self._send_to([host])
 
     def remove_host(self, name: str) -> None:
         """Forgets a host."""
         self._hosts.pop(name, None)
         self._heard.pop(name, None)
+        self._note_hosts()
 
     @property
     def known(self) -> int:
@@ -137,6 +148,19 @@
             and (state is None or heard.state is state)
         ]
 
+    def find(self, name: str) -> model.Host | None:
+        """Returns a host by its name."""
+        return self._hosts.get(name)
+
+    def list_candidates(self) -> list[listening.Candidate]:
+        """Returns the other hosts that may listen to the store."""
+        return [
+            listening.Candidate(
+                host.name, host.zone, self._heard[host.name].reaches_store
+            )
+            for host in self.list_alive(State.READY)
+        ]
+
     def announce(self, state: State) -> None:
         """Changes this host's state and tells all hosts at once."""
         self.state = state
@@ -144,9 +168,9 @@
         self._send_to(self._hosts.values())
 
     def spread(self) -> None:
-        """Tells all hosts what is new here at once."""
+        """Tells others at once that there is something new here."""
         self._beat += 1
-        self._send_to(self._hosts.values())
+        self._send_to(self._choose_targets())
 
     # Callbacks of the event loop.
 
@@ -163,20 +187,28 @@
             message = json.loads(data)
             name = message["n"]
             known = self._heard.get(name)
-            if not self._note(name, message["i"], message["b"], message["s"]):
+            if not self._note(name, *message["h"]):
                 return
-            for each, (inc, beat, state) in message.get("t", {}).items():
-                self._note(each, inc, beat, state)
+            for each, heartbeat in message.get("t", {}).items():
+                self._note(each, *heartbeat)
             news = message["x"]
+            self._meet(name, message["a"])
         except (ValueError, KeyError, TypeError, AttributeError):
             return
-        if known is None or known.incarnation != message["i"]:
+        if known is None or known.incarnation != message["h"][0]:
             host = self._hosts.get(name)
             if host is not None:
                 self._send_to([host])
         self._take_news(name, news)
 
-    def _note(self, name: str, incarnation: int, beat: int, state: str) -> bool:
+    def _note(
+        self,
+        name: str,
+        incarnation: int,
+        beat: int,
+        state: str,
+        reaches_store: int,
+    ) -> bool:
         """Keeps a heartbeat if it is newer than what was heard."""
         if name == self._own.name:
             return False
@@ -187,18 +219,36 @@
         ):
             return False
         self._heard[name] = Heard(
-            incarnation, beat, State(state), self._loop.time()
+            incarnation,
+            beat,
+            State(state),
+            bool(reaches_store),
+            self._loop.time(),
         )
         return True
 
+    def _meet(self, name: str, fields: list[str]) -> None:
+        """Learns of a host from its own heartbeat."""
+        if name == self._own.name:
+            return
+        zone, *addresses = fields
+        host = model.Host(name, zone, *map(model.parse_address, addresses))
+        if self._hosts.get(name) != host:
+            self._hosts[name] = host
+            self._note_hosts()
+
     def _tick(self) -> None:
         """Sends the heartbeats of one period."""
         self._beat += 1
+        self._send_to(self._choose_targets())
+        self._timer = self._loop.call_later(PERIOD_S, self._tick)
+
+    def _choose_targets(self) -> list[model.Host]:
+        """Returns the hosts that are told in one period."""
         hosts = list(self._hosts.values())
         if len(hosts) >= DIRECT_HOSTS:
-            hosts = self._random.sample(hosts, FANOUT)
-        self._send_to(hosts)
-        self._timer = self._loop.call_later(PERIOD_S, self._tick)
+            return self._random.sample(hosts, FANOUT)
+        return hosts
 
     def _send_to(self, hosts: Iterable[model.Host]) -> None:
         """Sends this host's heartbeat."""
@@ -206,14 +256,23 @@
             return
         message = {
             "n": self._own.name,
-            "i": self._incarnation,
-            "b": self._beat,
-            "s": self.state.value,
+            "h": (
+                self._incarnation,
+                self._beat,
+                self.state.value,
+                int(self._reaches_store()),
+            ),
+            "a": (self._own.zone, *map(str, self._own[2:])),
             "x": self._read_news(),
         }
         if len(self._hosts) >= DIRECT_HOSTS:
             message["t"] = {
-                name: (heard.incarnation, heard.beat, heard.state.value)
+                name: (
+                    heard.incarnation,
+                    heard.beat,
+                    heard.state.value,
+                    int(heard.reaches_store),
+                )
                 for name, heard in self._heard.items()
             }
         data = json.dumps(message, separators=(",", ":")).encode()
--- a/eelgrasshall/gateway/placement.py
+++ b/eelgrasshall/gateway/placement.py
@@ -19,8 +19,6 @@
 OVERDUE_FACTOR = 2.5
 # What an overdue attempt adds, in usual latencies.
 OVERDUE_COST = 6.0
-# Added for a server to which no connection could be opened.
-UNREACHABLE_COST = 1000.0
 # Greatest random change of an expected time, as a share.
 CHANCE = 0.15
 # How much one attempt of this host in flight weighs against the slots: other
@@ -48,8 +46,6 @@
     age_s = now - backend.oldest_start_s()
     if age_s > OVERDUE_FACTOR * expected_s * max(backend.slowness, 1.0):
         time_s += OVERDUE_COST * expected_s
-    if backend.unreachable:
-        time_s += UNREACHABLE_COST
     return time_s
 
 
--- a/eelgrasshall/platform/records.py
+++ b/eelgrasshall/platform/records.py
@@ -43,19 +43,6 @@
     return True
 
 
-def decode_address(text: str) -> model.Address:
-    """Decodes `HOST:PORT`.
-
-    Raises:
-      ValueError: The text is no address.
-    """
-    host, _, port = text.rpartition(":")
-    number = int(port)
-    if not host or not 0 < number < 65536:
-        raise ValueError(f"no address: {text!r}")
-    return model.Address(host, number)
-
-
 def encode_host(host: model.Host) -> dict[str, Any]:
     """Encodes what this host publishes of itself."""
     return {
@@ -71,9 +58,9 @@
     return model.Host(
         name=name,
         zone=_text(spec["zone"]),
-        callers=decode_address(spec["callers"]),
-        control=decode_address(spec["control"]),
-        peers=decode_address(spec["peers"]),
+        callers=model.parse_address(spec["callers"]),
+        control=model.parse_address(spec["control"]),
+        peers=model.parse_address(spec["peers"]),
     )
 
 
@@ -85,7 +72,7 @@
     return model.Server(
         id=name,
         service=_text(spec["service"]),
-        address=decode_address(_text(spec["address"])),
+        address=model.parse_address(_text(spec["address"])),
         zone=_text(spec["zone"]),
         slots=int(_number(spec["slots"])),
         draining=state == "draining",
--- a/eelgrasshall/platform/settings.py
+++ b/eelgrasshall/platform/settings.py
@@ -6,7 +6,6 @@
 
 from eelgrasshall.gateway import hedging
 from eelgrasshall.gateway import model
-from eelgrasshall.platform import records
 
 SETTINGS_VARIABLE = "EELGRASSHALL_NODE_FILE"
 SETTINGS_PATH = "/etc/eelgrasshall/node.toml"
@@ -92,18 +91,18 @@
         host=model.Host(
             name=document["nodeName"],
             zone=document["zone"],
-            callers=records.decode_address(listen["front"]),
-            control=records.decode_address(listen["controlAddr"]),
+            callers=model.parse_address(listen["front"]),
+            control=model.parse_address(listen["controlAddr"]),
             peers=model.Address(ip, first_port + _PEERS_PORT),
         ),
         region=document["region"],
-        directory=records.decode_address(listen["directory"]),
-        readiness=records.decode_address(listen["readyAddr"]),
+        directory=model.parse_address(listen["directory"]),
+        readiness=model.parse_address(listen["readyAddr"]),
         metrics=model.Address(ip, first_port + _METRICS_PORT),
         seeds=tuple(
-            records.decode_address(each) for each in document.get("seeds", ())
+            model.parse_address(each) for each in document.get("seeds", ())
         ),
-        store=records.decode_address(document["platform"]["address"]),
+        store=model.parse_address(document["platform"]["address"]),
         extra_bound=hedging.ExtraBound(
             ratio=float(bounds["budgetRatio"]),
             fixed=float(bounds["budgetExtra"]),
