Soak: a host whose start was cancelled is ended with its fleet

Now a start is shielded and every process that was started is ended. The new test of program_test fails without that.

--- a/eelgrasshall/platform/fleet.py
+++ b/eelgrasshall/platform/fleet.py
@@ -126,6 +126,7 @@
                 server_port += 1
         self.names = [f"host{i}" for i in range(hosts)]
         self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self._started: list[asyncio.subprocess.Process] = []
         self.version = 0
 
     async def start(self) -> None:
@@ -141,7 +142,7 @@
 
     async def stop(self) -> None:
         """Ends all processes that this fleet started."""
-        for process in self.processes.values():
+        for process in self._started:
             if process.returncode is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
@@ -208,11 +209,19 @@
         self.store.put("config", "main", spec)
 
     async def start_host(self, name: str) -> None:
-        """Starts an entry host's process."""
+        """Starts an entry host's process.
+
+        A caller that is cancelled meanwhile does not lose the process, which
+        would otherwise outlive the fleet.
+        """
+        await asyncio.shield(asyncio.ensure_future(self._start_host(name)))
+
+    async def _start_host(self, name: str) -> None:
+        """Starts a process and keeps it."""
         path = self._folder / f"{name}.toml"
         path.write_text(self._make_settings(name), encoding="utf-8")
         with self._open_log(name) as log:
-            self.processes[name] = await asyncio.create_subprocess_exec(
+            process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
                 "eelgrasshall.platform.program",
@@ -220,6 +229,8 @@
                 stderr=log,
                 env={**os.environ, "EELGRASSHALL_NODE_FILE": str(path)},
             )
+        self._started.append(process)
+        self.processes[name] = process
 
     def signal_host(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to a host's process, if it still runs."""
--- a/eelgrasshall/platform/program_test.py
+++ b/eelgrasshall/platform/program_test.py
@@ -119,3 +119,14 @@
     await fleet.start_host("host0")
     assert await fleet.processes["host0"].wait() == 2
     assert "host0.toml" in fleet.read_log("host0")
+
+
+async def test_a_fleet_ends_also_the_hosts_whose_start_was_cancelled(tmp_path):
+    fleet = fleets.Fleet(folder=tmp_path, port=22400, hosts=1)
+    task = asyncio.create_task(fleet.start_host("host0"))
+    await asyncio.sleep(0)
+    task.cancel()
+    await asyncio.wait((task,))
+    await asyncio.sleep(0.3)
+    await fleet.stop()
+    assert fleet.processes["host0"].returncode is not None
--- a/eelgrasshall/platform/soak.py
+++ b/eelgrasshall/platform/soak.py
@@ -90,6 +90,7 @@
             breaking = asyncio.create_task(self._break_things())
             await asyncio.sleep(seconds)
             breaking.cancel()
+            await asyncio.wait((breaking,))
             await self._restore()
             await asyncio.sleep(TOUCH_S)
             await self._check_recovered()
