Log: how each attempt of a request failed, and which shards were left out

Now each failure has its server, kind, whether it ran, and time; at most twelve of each a line. fanout_test checks it.

--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 import enum
 import random as random_module
+from typing import Any
 from typing import NamedTuple
 from typing import Protocol
 
@@ -37,6 +38,8 @@
 DEADLINE_MARGIN_S = 0.012
 # Sends beyond the route's limit that backend servers may turn away unrun.
 UNRUN_SENDS = 2
+# Servers, shards and failures that one log line names at most.
+MOST_LOGGED = 12
 # When callers may come back: a pause ends, or a server is found, by then.
 RETRY_BUSY_S = 0.1
 RETRY_NO_SERVER_S = 0.4
@@ -159,6 +162,8 @@
             ),
             SHORTEST_HEDGE_S,
         )
+        self._failures: list[str] = []
+        self._hedges = 0
         self._timer: asyncio.TimerHandle | None = None
         self._result: asyncio.Future[Outcome] = context.loop.create_future()
 
@@ -187,6 +192,8 @@
         part.active.remove(attempt)
         if not outcome.not_run:
             part.ran = True
+        if not (isinstance(outcome, messages.Reply) and outcome.succeeded):
+            self._note_failure(attempt, outcome)
         if isinstance(outcome, messages.Reply) and outcome.succeeded:
             took_s = self._context.loop.time() - attempt.started_s
             self._latencies.record(took_s)
@@ -196,10 +203,35 @@
             self._repeat(part, outcome)
         self._check()
 
-    @property
-    def sent_to(self) -> list[str]:
-        """The ids of all backend servers that were sent to."""
-        return [b.server.id for part in self._parts for b in part.sends]
+    def explain(self) -> dict[str, Any]:
+        """Returns what was decided, for the log."""
+        sent_to = [b.server.id for part in self._parts for b in part.sends]
+        left_out = [p.service for p in self._parts if p.reply is None]
+        return {
+            "sent_to": sent_to[:MOST_LOGGED],
+            "hedges": self._hedges,
+            "failures": self._failures,
+            "left_out": left_out[:MOST_LOGGED],
+        }
+
+    def _note_failure(
+        self,
+        attempt: upstream.Attempt,
+        outcome: messages.Reply | messages.Failure,
+    ) -> None:
+        """Keeps how an attempt failed, for the log."""
+        if len(self._failures) >= MOST_LOGGED:
+            return
+        if isinstance(outcome, messages.Reply):
+            how = f"status {outcome.status}"
+        else:
+            how = outcome.kind.value
+        if outcome.not_run:
+            how += ", not run"
+        took_s = self._context.loop.time() - attempt.started_s
+        self._failures.append(
+            f"{attempt.backend.server.id}: {how} after {took_s * 1000:.0f} ms"
+        )
 
     def _is_servable(self) -> bool:
         """Returns whether enough shards have a server that can be reached."""
@@ -316,6 +348,7 @@
                 if backend not in part.sends and backend.may_start(now)
             ]
             if others and allowance.take(reserve=HEDGE_RESERVE):
+                self._hedges += 1
                 self._context.count("hedges")
                 self._launch(part)
 
--- a/eelgrasshall/gateway/fanout_test.py
+++ b/eelgrasshall/gateway/fanout_test.py
@@ -196,6 +196,22 @@
     assert outcome.status == 504
 
 
+async def test_the_log_tells_how_each_attempt_failed():
+    context = standins.Context(("orders",))
+    flight, task = _start(context, standins.make_route(max_attempts=2))
+    await _settle()
+    context.busy("orders")[0].feed(_SHED)
+    await _settle()
+    context.busy("orders")[0].connection.connection_lost(None)
+    await _settle()
+    context.reply("orders", b"x")
+    await task
+    told = flight.explain()
+    assert "status 503, not run" in told["failures"][0]
+    assert "lost" in told["failures"][1]
+    assert len(told["sent_to"]) == 3 and told["left_out"] == []
+
+
 async def test_a_caller_that_leaves_cuts_its_attempts():
     context = standins.Context(SHARDS, replicas=1)
     _, task = _start(context, standins.make_route(shards=SHARDS))
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -302,7 +302,7 @@
             inner = await self._answer_inner(request)
             if inner.status != 404:
                 return inner
-        outcome, route, sent_to = await self._serve(request)
+        outcome, route, decided = await self._serve(request)
         took_s = self.loop.time() - request.received_s
         self._metrics.record_request(outcome.verdict.value, took_s)
         if self._log.wants_request(failed=outcome.status >= 400):
@@ -316,18 +316,18 @@
                 status=outcome.status,
                 reason=outcome.reason,
                 missing=outcome.missing,
-                sent_to=sent_to,
+                **decided,
                 took_ms=round(took_s * 1000),
             )
         return listener.Response(outcome.status, outcome.headers, outcome.body)
 
     async def _serve(
         self, request: messages.Request
-    ) -> tuple[fanout.Outcome, model.Route | None, list[str]]:
+    ) -> tuple[fanout.Outcome, model.Route | None, dict[str, Any]]:
         """Finds a request's route and has it served.
 
         Returns:
-          The outcome, the route, and the servers that it was sent to.
+          The outcome, the route, and what was decided on the way.
         """
         if self._table is None:
             return self._refuse(503, "no configuration", RETRY_UNREADY_S)
@@ -352,7 +352,7 @@
             deadline_s=request.received_s + self._find_patience(request, route),
         )
         outcome = await flight.run()
-        return outcome, route, flight.sent_to
+        return outcome, route, flight.explain()
 
     def _refuse(
         self,
@@ -361,14 +361,14 @@
         wait_s: float | None = None,
         *,
         route: model.Route | None = None,
-    ) -> tuple[fanout.Outcome, model.Route | None, list[str]]:
+    ) -> tuple[fanout.Outcome, model.Route | None, dict[str, Any]]:
         """Returns a refusal of a request that was not sent anywhere."""
         headers = []
         if wait_s is not None:
             headers.append((self.names.retry_after, b"%.1f" % wait_s))
         refused = fanout.Verdict.REFUSED
         outcome = fanout.Outcome(refused, status, headers, b"", 0, reason)
-        return outcome, route, []
+        return outcome, route, {}
 
     def _find_patience(
         self, request: messages.Request, route: model.Route
