Gateway: host and connections in smaller modules

Cause: host.py had grown to 625 lines and upstream.py to 636, each with two jobs. serving.py now has what lies between a request and its response, attempts.py and connections.py what upstream.py had beside the backend server; code was moved, not changed.

--- a/eelgrasshall/gateway/client.py
+++ b/eelgrasshall/gateway/client.py
@@ -11,8 +11,8 @@
 
 import httptools
 
+from eelgrasshall.gateway import connections
 from eelgrasshall.gateway import model
-from eelgrasshall.gateway import upstream
 
 # Several round trips; a longer wait means that nothing gets there.
 CONNECT_TIMEOUT_S = 0.7
@@ -128,7 +128,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Prepares the socket."""
         self._transport = transport
-        upstream.set_keepalive(transport)
+        connections.set_keepalive(transport)
 
     def data_received(self, data: bytes) -> None:
         """Parses an answer."""
--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from eelgrasshall.gateway import attempts
 from eelgrasshall.gateway import hedging
 from eelgrasshall.gateway import merging
 from eelgrasshall.gateway import messages
@@ -105,7 +106,7 @@
 
     def __init__(self, *, service: str):
         self.service = service
-        self.active: list[upstream.Attempt] = []
+        self.active: list[attempts.Attempt] = []
         self.reply: messages.Reply | None = None
         self.failed = False
         self.ran = False
@@ -184,7 +185,7 @@
 
     def settle(
         self,
-        attempt: upstream.Attempt,
+        attempt: attempts.Attempt,
         outcome: messages.Reply | messages.Failure,
     ) -> None:
         """Takes the outcome of an attempt."""
@@ -216,7 +217,7 @@
 
     def _note_failure(
         self,
-        attempt: upstream.Attempt,
+        attempt: attempts.Attempt,
         outcome: messages.Reply | messages.Failure,
     ) -> None:
         """Keeps how an attempt failed, for the log."""
@@ -265,7 +266,7 @@
         if chosen is None:
             part.failed = not part.active
             return False
-        attempt = upstream.Attempt(
+        attempt = attempts.Attempt(
             owner=self,
             part=part,
             request_id=self._request_id,
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Sequence
 import json
 import random as random_module
 from typing import Any
@@ -18,7 +17,6 @@
 from eelgrasshall.gateway import directory
 from eelgrasshall.gateway import events
 from eelgrasshall.gateway import exchange
-from eelgrasshall.gateway import fanout
 from eelgrasshall.gateway import following
 from eelgrasshall.gateway import hedging
 from eelgrasshall.gateway import listener
@@ -27,10 +25,7 @@
 from eelgrasshall.gateway import metrics
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import peers
-from eelgrasshall.gateway import quarantine
-from eelgrasshall.gateway import registry
-from eelgrasshall.gateway import routing
-from eelgrasshall.gateway import upstream
+from eelgrasshall.gateway import serving
 from eelgrasshall.gateway import working
 
 # How often attempts and connections past their time are ended.
@@ -46,8 +41,6 @@
 # How long a host that starts waits for its seeds to know something, before it
 # asks the store itself: all start within a third of a second.
 SEEDS_WAIT_S = 0.8
-# A host without a configuration has one within this time, usually.
-RETRY_UNREADY_S = 0.3
 
 _JSON = [(b"Content-Type", b"application/json")]
 
@@ -110,35 +103,24 @@
         random: random_module.Random,
         log: events.EventLog,
     ):
-        self.names = options.names
-        self.zone = options.host.zone
-        self.random = random
-        self.loop = asyncio.get_running_loop()
+        self._random = random
+        self._loop = asyncio.get_running_loop()
         self._options = options
         self._decode_document = decode
         self._publish = publish
         self._log = log
         self._metrics = metrics.Metrics()
-        self._table: routing.RouteTable | None = None
-        self._dealer = routing.Dealer()
-        self._allowances: dict[str, hedging.ExtraAllowance] = {}
-        self._latencies: dict[str, hedging.Latencies] = {}
-        self._leaving = False
         self._tasks: list[asyncio.Task] = []
-        self._registry = registry.Registry(
-            log=log,
-            own=options.host.name,
+        self._serving = serving.RequestServer(
+            own=options.host,
+            names=options.names,
+            extra_bound=options.extra_bound,
             cold_bound=options.cold_bound,
+            random=random,
+            log=log,
+            metrics=self._metrics,
         )
-        self._quarantine = quarantine.Quarantine()
-        self._registry.attach(
-            upstream.Environment(
-                loop=self.loop,
-                names=options.names,
-                observer=self,
-                count=self.count,
-            )
-        )
+        self._registry = self._serving.registry
         self._belief = beliefs.Belief(decode=self._decode, listen=self._learn)
         self._followers = [
             following.Follower(
@@ -158,7 +140,7 @@
             own=options.host,
             incarnation=incarnation,
             read_rate=self._read_rate,
-            loop=self.loop,
+            loop=self._loop,
             random=random,
             reaches_store=self._reaches_store,
             read_news=self._read_news,
@@ -166,11 +148,9 @@
             note_hosts=self._share_anew,
         )
         self._callers = self._make_listener(self._answer)
-        self._inner = self._make_listener(self._answer_inner)
         self._extra_listeners: list[listener.Listener] = []
         self._sweeper: asyncio.TimerHandle | None = None
         self._measurer: asyncio.TimerHandle | None = None
-        self._sharing = working.LEAST_HOSTS
         self._rate = 0.0
         self._sent_before = 0
 
@@ -197,23 +177,22 @@
                 extra = self._make_listener(self._answer_inner)
                 self._extra_listeners.append(extra)
                 await extra.start(address)
-        self._tasks.append(self.loop.create_task(self._join()))
-        self._tasks.append(self.loop.create_task(self._publish_until_done()))
+        self._tasks.append(self._loop.create_task(self._join()))
+        self._tasks.append(self._loop.create_task(self._publish_until_done()))
         self._sweep()
         self._measure_rate()
-        self._log.record("started", zone=self.zone)
+        self._log.record("started", zone=self._options.host.zone)
 
     async def drain(self) -> None:
         """Leaves: callers go elsewhere and all in flight is finished."""
-        started_s = self.loop.time()
-        self._leaving = True
+        started_s = self._loop.time()
         self._log.record("leaving", in_flight=self._callers.busy)
         self._peers.announce(peers.State.LEAVING)
         self._callers.begin_closing()
         await asyncio.sleep(LEAVE_AFTER_S)
         latest_s = started_s + self._options.grace_s - STOP_MARGIN_S
         self._callers.stop_listening()
-        while self.loop.time() < latest_s:
+        while self._loop.time() < latest_s:
             self._callers.close_idle()
             if not self._callers.connections:
                 break
@@ -235,65 +214,6 @@
         self._peers.stop()
         self._log.record("stopped", **self._metrics.counters)
 
-    # What a fan-out asks.
-
-    def find_candidates(self, service: str) -> Sequence[upstream.Backend]:
-        """Returns the backend servers that may get work now."""
-        return self._registry.find_candidates(service)
-
-    def find_allowance(self, service: str) -> hedging.ExtraAllowance:
-        """Returns the allowance of extra attempts at a service."""
-        allowance = self._allowances.get(service)
-        if allowance is None:
-            allowance = self._allowances[service] = hedging.ExtraAllowance(
-                bound=self._options.extra_bound, hosts=self._sharing
-            )
-        return allowance
-
-    def find_latencies(self, route: model.Route) -> hedging.Latencies:
-        """Returns the latencies of a route."""
-        found = self._latencies.get(route.name)
-        if found is None:
-            found = self._latencies[route.name] = hedging.Latencies(
-                initial_s=route.objective_s / 2
-            )
-        return found
-
-    def count(self, name: str) -> None:
-        """Adds one to a named counter."""
-        self._metrics.count(name)
-
-    # What backend servers tell.
-
-    def notice_connection_lost(
-        self, backend: upstream.Backend, attempt: upstream.Attempt
-    ) -> None:
-        """Notes a connection that ended while a request ran on it."""
-        self.count("connections_lost")
-        if attempt.find_fingerprint is not None:
-            self._quarantine.note_lost(
-                backend.server.id,
-                attempt.find_fingerprint(),
-                attempt.request_id.decode("latin-1"),
-                self.loop.time(),
-            )
-
-    def notice_unreachable(self, backend: upstream.Backend) -> None:
-        """Has an unreachable server asked until it answers."""
-        blames = self._quarantine.note_down(backend.server.id, self.loop.time())
-        for blame in blames:
-            self._log.record(
-                "blamed",
-                id=blame.request_id,
-                fingerprint=blame.fingerprint,
-                server=blame.server_id,
-            )
-        self._registry.probe(backend)
-
-    def notice_misdirected(self, backend: upstream.Backend) -> None:
-        """Removes a server at whose address another one answers."""
-        self._registry.drop_misdirected(backend)
-
     # Requests of callers.
 
     async def _answer(self, request: messages.Request) -> listener.Response:
@@ -302,82 +222,7 @@
             inner = await self._answer_inner(request)
             if inner.status != 404:
                 return inner
-        outcome, route, decided = await self._serve(request)
-        took_s = self.loop.time() - request.received_s
-        self._metrics.record_request(outcome.verdict.value, took_s)
-        if self._log.wants_request(failed=outcome.status >= 400):
-            request_id = request.find(self.names.request_id) or b""
-            self._log.record(
-                "request",
-                id=request_id.decode("latin-1"),
-                route=route.name if route else None,
-                version=self._version,
-                verdict=outcome.verdict.value,
-                status=outcome.status,
-                reason=outcome.reason,
-                missing=outcome.missing,
-                **decided,
-                took_ms=round(took_s * 1000),
-            )
-        return listener.Response(outcome.status, outcome.headers, outcome.body)
-
-    async def _serve(
-        self, request: messages.Request
-    ) -> tuple[fanout.Outcome, model.Route | None, dict[str, Any]]:
-        """Finds a request's route and has it served.
-
-        Returns:
-          The outcome, the route, and what was decided on the way.
-        """
-        if self._table is None:
-            return self._refuse(503, "no configuration", RETRY_UNREADY_S)
-        route = self._table.find(request.host, request.path)
-        if route is None:
-            return self._refuse(404, "no route")
-        request_id = request.find(self.names.request_id)
-        if not request_id:
-            return self._refuse(400, "no request id", route=route)
-        if self._quarantine.is_blaming() and self._quarantine.refuses(
-            messages.compute_fingerprint(request), self.loop.time()
-        ):
-            wait_s = quarantine.REMEMBER_S
-            return self._refuse(503, "crashes servers", wait_s, route=route)
-        services = route.shards or (self._dealer.deal(route.name, route.split),)
-        flight = fanout.Fanout(
-            context=self,
-            request=request,
-            route=route,
-            services=services,
-            request_id=request_id,
-            deadline_s=request.received_s + self._find_patience(request, route),
-        )
-        outcome = await flight.run()
-        return outcome, route, flight.explain()
-
-    def _refuse(
-        self,
-        status: int,
-        reason: str,
-        wait_s: float | None = None,
-        *,
-        route: model.Route | None = None,
-    ) -> tuple[fanout.Outcome, model.Route | None, dict[str, Any]]:
-        """Returns a refusal of a request that was not sent anywhere."""
-        headers = []
-        if wait_s is not None:
-            headers.append((self.names.retry_after, b"%.1f" % wait_s))
-        refused = fanout.Verdict.REFUSED
-        outcome = fanout.Outcome(refused, status, headers, b"", 0, reason)
-        return outcome, route, {}
-
-    def _find_patience(
-        self, request: messages.Request, route: model.Route
-    ) -> float:
-        """Returns for how many seconds a request may take."""
-        text = request.find(self.names.budget)
-        if text is not None and text.isdigit():
-            return min(int(text) / 1000.0, route.timeout_s)
-        return route.timeout_s
+        return await self._serving.answer(request)
 
     async def _answer_inner(
         self, request: messages.Request
@@ -420,7 +265,7 @@
         """Returns the metrics as text."""
         return self._metrics.render(
             {
-                "configuration_version": self._version,
+                "configuration_version": self._serving.version,
                 "servers": self._registry.count_servers(),
                 "hosts_alive": len(self._peers.list_alive()) + 1,
                 "requests_in_flight": self._callers.busy,
@@ -434,7 +279,7 @@
         return {
             "host": self._options.host.name,
             "state": self._peers.state.name,
-            "version": self._version,
+            "version": self._serving.version,
             "revisions": {
                 each.name: self._belief.revision(each)
                 for each in beliefs.Collection
@@ -458,18 +303,13 @@
         self._options = self._options._replace(
             extra_bound=options.extra_bound, grace_s=options.grace_s
         )
-        self._allowances.clear()
+        self._serving.set_extra_bound(options.extra_bound)
         self._log.record(
             "reloaded", extra_bound=options.extra_bound, grace_s=options.grace_s
         )
 
     # What this host believes.
 
-    @property
-    def _version(self) -> int:
-        """The version of the configuration in force, 0 if there is none."""
-        return self._table.configuration.version if self._table else 0
-
     def _decode(
         self, collection: beliefs.Collection, name: str, document: Any
     ) -> Any:
@@ -477,7 +317,7 @@
         try:
             return self._decode_document(collection, document)
         except ValueError as error:
-            self.count("unreadable_objects")
+            self._metrics.count("unreadable_objects")
             self._log.record(
                 "unreadable",
                 collection=collection.name,
@@ -490,7 +330,7 @@
         """Acts on a change of one object."""
         if not self._spreading:
             self._spreading = True
-            self.loop.call_soon(self._spread)
+            self._loop.call_soon(self._spread)
         if news.collection is beliefs.Collection.CONFIGURATION:
             if value is not None:
                 self._adopt(value, news.revision)
@@ -508,24 +348,19 @@
         sharing = min(self._peers.known, self._working_hosts())
         own = self._options.host.name
         names = [own, *(host.name for host in self._peers.list_hosts())]
-        self._registry.set_hosts(sharing, tuple(sorted(names)))
-        if sharing != self._sharing:
-            self._sharing = sharing
-            for allowance in self._allowances.values():
-                allowance.set_hosts(sharing)
+        self._serving.set_hosts(sharing, tuple(sorted(names)))
 
     def _adopt(self, configuration: model.Configuration, revision: int) -> None:
         """Puts a configuration in force, unless it is an older one."""
-        if configuration.version < self._version:
+        if configuration.version < self._serving.version:
             self._log.record(
                 "configuration_ignored",
                 version=configuration.version,
-                in_force=self._version,
+                in_force=self._serving.version,
                 revision=revision,
             )
             return
-        self._table = routing.RouteTable(configuration=configuration)
-        self._registry.set_services(configuration.services)
+        self._serving.adopt(configuration)
         self._log.record(
             "configuration",
             version=configuration.version,
@@ -547,12 +382,15 @@
     def _read_news(self) -> list:
         """Returns the revisions known here, and whom this host blames."""
         revisions = [self._belief.complete(e) for e in beliefs.Collection]
-        return [revisions, self._quarantine.list_told(self.loop.time())]
+        return [
+            revisions,
+            self._serving.quarantine.list_told(self._loop.time()),
+        ]
 
     def _take_news(self, sender: str, news: list) -> None:
         """Fetches what another host knows and this one does not."""
         revisions, blames = news
-        self._quarantine.take_told(blames, self.loop.time())
+        self._serving.quarantine.take_told(blames, self._loop.time())
         host = self._peers.find(sender)
         if host is not None:
             self._exchange.notice(sender, host.control, revisions)
@@ -573,7 +411,7 @@
         self._sent_before = sent
         self._rate += (rate - self._rate) * RATE_WEIGHT
         self._share_anew()
-        self._measurer = self.loop.call_later(MEASURE_S, self._measure_rate)
+        self._measurer = self._loop.call_later(MEASURE_S, self._measure_rate)
 
     def _reaches_store(self) -> bool:
         """Returns whether this host watches all that there is to watch."""
@@ -581,9 +419,8 @@
 
     def _should_listen(self) -> bool:
         """Returns whether this host should watch the store."""
-        own = listening.Candidate(
-            self._options.host.name, self.zone, self._reaches_store()
-        )
+        host = self._options.host
+        own = listening.Candidate(host.name, host.zone, self._reaches_store())
         return listening.should_listen(own, self._peers.list_candidates())
 
     async def _join(self) -> None:
@@ -591,35 +428,31 @@
         seeds = list(self._options.seeds)
         own = self._options.host.control
         if own not in seeds:
-            self.random.shuffle(seeds)
+            self._random.shuffle(seeds)
             await self._exchange.fetch_first(seeds, SEEDS_WAIT_S)
         else:
             seeds.remove(own)
             self._tasks.append(
-                self.loop.create_task(self._exchange.fetch_first(seeds, 0.0))
+                self._loop.create_task(self._exchange.fetch_first(seeds, 0.0))
             )
         for follower in self._followers:
-            self._tasks.append(self.loop.create_task(follower.run()))
+            self._tasks.append(self._loop.create_task(follower.run()))
 
     async def _publish_until_done(self) -> None:
         """Publishes this host in the store."""
         pause_s = following.FIRST_PAUSE_S
         while not await self._publish(self._options.host):
-            await asyncio.sleep(pause_s * (0.5 + self.random.random()))
+            await asyncio.sleep(pause_s * (0.5 + self._random.random()))
             pause_s = min(pause_s * 2, following.LONGEST_PAUSE_S)
 
     def _sweep(self) -> None:
         """Ends what has taken too long."""
-        self._registry.sweep(self.loop.time())
+        self._registry.sweep(self._loop.time())
         self._log.flush()
-        self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
+        self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
 
     def _make_listener(self, handler: listener.Handler) -> listener.Listener:
         """Makes a listener under the limits in force."""
-        return listener.Listener(handler=handler, read_limits=self._read_limits)
-
-    def _read_limits(self) -> model.CallerLimits:
-        """Returns the limits on callers."""
-        if self._table is None:
-            return model.CallerLimits()
-        return self._table.configuration.limits
+        return listener.Listener(
+            handler=handler, read_limits=self._serving.read_limits
+        )
--- a/eelgrasshall/gateway/listener.py
+++ b/eelgrasshall/gateway/listener.py
@@ -13,9 +13,9 @@
 
 import httptools
 
+from eelgrasshall.gateway import connections
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import model
-from eelgrasshall.gateway import upstream
 
 # Requests that a caller may send before earlier ones are answered.
 MAX_PIPELINED = 32
@@ -165,7 +165,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Takes a new connection in."""
         self._transport = transport
-        upstream.set_keepalive(transport)
+        connections.set_keepalive(transport)
         self._listener.connections.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/eelgrasshall/gateway/registry.py
+++ b/eelgrasshall/gateway/registry.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 from typing import Any
 
+from eelgrasshall.gateway import attempts
 from eelgrasshall.gateway import cold
 from eelgrasshall.gateway import events
 from eelgrasshall.gateway import messages
@@ -188,7 +189,7 @@
             pause_s = min(pause_s * 2, LONGEST_PROBE_S)
             waiter = _Waiter(loop=self._environment.loop)
             now = self._environment.loop.time()
-            attempt = upstream.Attempt(
+            attempt = attempts.Attempt(
                 owner=waiter,
                 part=None,
                 request_id=None,
@@ -305,7 +306,7 @@
 
     def settle(
         self,
-        attempt: upstream.Attempt,
+        attempt: attempts.Attempt,
         outcome: messages.Reply | messages.Failure,
     ) -> None:
         """Takes the outcome."""
--- a/eelgrasshall/gateway/standins.py
+++ b/eelgrasshall/gateway/standins.py
@@ -4,6 +4,8 @@
 import random
 import zlib
 
+from eelgrasshall.gateway import attempts
+from eelgrasshall.gateway import connections
 from eelgrasshall.gateway import hedging
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import model
@@ -108,12 +110,12 @@
     """Keeps what backend servers tell."""
 
     def __init__(self):
-        self.lost: list[upstream.Attempt] = []
+        self.lost: list[attempts.Attempt] = []
         self.unreachable: list[upstream.Backend] = []
         self.misdirected: list[upstream.Backend] = []
 
     def notice_connection_lost(
-        self, backend: upstream.Backend, attempt: upstream.Attempt
+        self, backend: upstream.Backend, attempt: attempts.Attempt
     ) -> None:
         """Keeps an attempt whose connection ended."""
         self.lost.append(attempt)
@@ -131,12 +133,12 @@
     """Collects the outcomes of attempts."""
 
     def __init__(self):
-        self.outcomes: dict[upstream.Attempt, object] = {}
+        self.outcomes: dict[attempts.Attempt, object] = {}
         self.settled = asyncio.Event()
 
     def settle(
         self,
-        attempt: upstream.Attempt,
+        attempt: attempts.Attempt,
         outcome: messages.Reply | messages.Failure,
     ) -> None:
         """Keeps an outcome."""
@@ -144,13 +146,13 @@
         self.outcomes[attempt] = outcome
         self.settled.set()
 
-    def reply(self, attempt: upstream.Attempt) -> messages.Reply:
+    def reply(self, attempt: attempts.Attempt) -> messages.Reply:
         """Returns the response of an attempt."""
         outcome = self.outcomes[attempt]
         assert isinstance(outcome, messages.Reply)
         return outcome
 
-    def failure(self, attempt: upstream.Attempt) -> messages.FailureKind:
+    def failure(self, attempt: attempts.Attempt) -> messages.FailureKind:
         """Returns why an attempt has no response."""
         outcome = self.outcomes[attempt]
         assert isinstance(outcome, messages.Failure)
@@ -158,14 +160,14 @@
 
 
 def make_attempt(
-    owner: upstream.Owner,
+    owner: attempts.Owner,
     request_id: str,
     *,
     left_s: float = 5.0,
     fresh: bool = False,
-) -> upstream.Attempt:
+) -> attempts.Attempt:
     """Returns an attempt that sends the server's id and the time left."""
-    return upstream.Attempt(
+    return attempts.Attempt(
         owner=owner,
         part=None,
         request_id=request_id.encode(),
@@ -206,13 +208,13 @@
             max_open=max_open,
         )
         self.transport = Transport()
-        self.connection = upstream.Connection(backend=self.backend)
+        self.connection = connections.Connection(backend=self.backend)
         self.connection.connection_made(self.transport)
         self.backend.adopt(self.connection)
 
     def send(
         self, request_id: str, *, left_s: float = 5.0
-    ) -> tuple[upstream.Attempt, Collector]:
+    ) -> tuple[attempts.Attempt, Collector]:
         """Sends an attempt on the connection."""
         owner = Collector()
         attempt = make_attempt(owner, request_id, left_s=left_s)
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -11,25 +11,17 @@
 import collections
 from collections.abc import Callable
 import math
-import socket
 from typing import NamedTuple
 from typing import Protocol
 
-import httptools
-
+from eelgrasshall.gateway import attempts
 from eelgrasshall.gateway import cold
+from eelgrasshall.gateway import connections
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import model
 
 # Several round trips to another zone; a longer wait means no host is there.
 CONNECT_TIMEOUT_S = 0.4
-# Probes of the kernel find a connection that fell silent within 3 s.
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
-UNACKNOWLEDGED_MS = 2000
-# Share of the announced idle time for which a connection is used again.
-IDLE_SHARE = 0.7
 # Weight of the newest observation in the moving averages.
 LATENCY_WEIGHT = 0.1
 ERROR_WEIGHT = 0.25
@@ -43,81 +35,11 @@
 MAX_WAITING = 64
 
 
-class Owner(Protocol):
-    """Who asked for an attempt."""
-
-    def settle(
-        self,
-        attempt: "Attempt",
-        outcome: messages.Reply | messages.Failure,
-    ) -> None:
-        """Takes the outcome of an attempt."""
-
-
-class Attempt:
-    """One sending of a request to one backend server.
-
-    Args:
-      owner: Who waits for the outcome.
-      part: What the owner knows the attempt by.
-      request_id: The id that the response must echo; None for a health check,
-        which has none.
-      encode: Gives the bytes for a number of seconds left.
-      deadline_s: Monotonic time until which the backend server may work.
-      expected_s: Usual latency of such requests, seconds.
-      fresh: Whether only a connection opened for it may carry it.
-      find_fingerprint: Returns what stays the same when the caller sends the
-        request again; None for a health check.
-    """
-
-    __slots__ = (
-        "backend",
-        "connection",
-        "deadline_s",
-        "done",
-        "encode",
-        "expected_s",
-        "find_fingerprint",
-        "fresh",
-        "owner",
-        "part",
-        "request_id",
-        "sent",
-        "started_s",
-    )
-
-    def __init__(
-        self,
-        *,
-        owner: Owner | None,
-        part: object,
-        request_id: bytes | None,
-        encode: Callable[[float, str], bytes],
-        deadline_s: float,
-        expected_s: float,
-        fresh: bool,
-        find_fingerprint: Callable[[], str] | None = None,
-    ):
-        self.find_fingerprint = find_fingerprint
-        self.owner = owner
-        self.part = part
-        self.request_id = request_id
-        self.encode = encode
-        self.deadline_s = deadline_s
-        self.expected_s = expected_s
-        self.fresh = fresh
-        self.backend: Backend | None = None
-        self.connection: Connection | None = None
-        self.started_s = 0.0
-        self.sent = False
-        self.done = False
-
-
 class Observer(Protocol):
     """Who wants to know what happens at a backend server."""
 
     def notice_connection_lost(
-        self, backend: "Backend", attempt: Attempt
+        self, backend: "Backend", attempt: attempts.Attempt
     ) -> None:
         """Notes a connection that ended while a request ran on it."""
 
@@ -144,190 +66,6 @@
     count: Callable[[str], None]
 
 
-class Connection(asyncio.Protocol):
-    """One TCP connection; it carries one request at a time.
-
-    Args:
-      backend: The backend server at the other end.
-    """
-
-    __slots__ = (
-        "_answered",
-        "_body",
-        "_ended",
-        "_headers",
-        "_parser",
-        "attempt",
-        "backend",
-        "broken",
-        "idle_limit_s",
-        "idle_since_s",
-        "transport",
-    )
-
-    def __init__(self, *, backend: "Backend"):
-        self.backend = backend
-        self.attempt: Attempt | None = None
-        self.transport: asyncio.Transport | None = None
-        self.broken = False
-        self.idle_since_s = 0.0
-        self.idle_limit_s = math.inf
-        self._ended = False
-        self._answered = False
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        """Prepares the socket of a new connection."""
-        self.transport = transport
-        set_keepalive(transport)
-
-    def send(self, attempt: Attempt, data: bytes) -> None:
-        """Sends one attempt."""
-        self.attempt = attempt
-        attempt.connection = self
-        attempt.sent = True
-        self._answered = False
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._parser = httptools.HttpResponseParser(self)
-        self.transport.write(data)
-
-    def close(self) -> None:
-        """Closes the connection without waiting for anything."""
-        self.broken = True
-        if self.transport is not None:
-            self.transport.abort()
-
-    def data_received(self, data: bytes) -> None:
-        """Parses what the backend server sends."""
-        if self.attempt is None:
-            self.backend.drop(self)
-            return
-        try:
-            self._parser.feed_data(data)
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ):
-            if self.attempt is not None:
-                self._fail(messages.FailureKind.GARBLED)
-            else:
-                self.backend.drop(self)
-            return
-        if self._answered:
-            self._deliver()
-
-    def eof_received(self) -> None:
-        """Completes a response that ends with its connection."""
-        self._ended = True
-        if self.attempt is None or self._answered:
-            return
-        if self._is_open_ended():
-            self.broken = True
-            self._answered = True
-            self._deliver()
-
-    def connection_lost(self, error: Exception | None) -> None:
-        """Fails the attempt that was in flight."""
-        self.broken = True
-        if self.attempt is not None:
-            self._fail(messages.FailureKind.LOST)
-        self.backend.forget(self)
-
-    # Callbacks of the parser.
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Keeps one header of the response."""
-        if not self._answered:
-            self._headers.append((name, value))
-
-    def on_body(self, data: bytes) -> None:
-        """Keeps a piece of the response's body."""
-        if not self._answered:
-            self._body.append(data)
-
-    def on_message_complete(self) -> None:
-        """Marks the response as complete."""
-        if self._parser.get_status_code() < 200:
-            self._headers = []
-            return
-        if self._answered:
-            self.broken = True
-            return
-        self._answered = True
-        if not self._parser.should_keep_alive():
-            self.broken = True
-
-    def on_message_begin(self) -> None:
-        """Notes bytes that follow a complete response."""
-        if self._answered:
-            self.broken = True
-
-    def _is_open_ended(self) -> bool:
-        """Returns whether the response has a head but states no length."""
-        try:
-            status = self._parser.get_status_code()
-        except AttributeError:
-            return False
-        if not status or not self._headers:
-            return False
-        framing = (b"content-length", b"transfer-encoding")
-        return not any(key.lower() in framing for key, _ in self._headers)
-
-    def _deliver(self) -> None:
-        """Hands a complete response to the attempt that waits for it."""
-        attempt, self.attempt = self.attempt, None
-        names = self.backend.environment.names
-        echoed = seal = None
-        not_run = False
-        for key, value in self._headers:
-            name = key.lower()
-            if name == names.request_id:
-                echoed = value
-            elif name == names.seal:
-                seal = value
-            elif name == names.not_run:
-                not_run = True
-            elif name == b"keep-alive":
-                self._read_idle_limit(value)
-        status = self._parser.get_status_code()
-        # Refusals before a request was read carry no id.
-        if (
-            attempt.request_id is not None
-            and echoed != attempt.request_id
-            and (echoed or status < 300)
-        ):
-            self.backend.environment.count("crossed_responses")
-            self.broken = True
-            self.attempt = attempt
-            self._fail(messages.FailureKind.GARBLED)
-            return
-        reply = messages.Reply(
-            status=status,
-            headers=self._headers,
-            body=b"".join(self._body),
-            seal=seal,
-            not_run=not_run or status == 421,
-        )
-        # A response that came before the whole request was sent leaves the
-        # rest of the request to follow; such a connection is not used again.
-        if self.transport.get_write_buffer_size() or self._ended:
-            self.broken = True
-        self.backend.finish(self, attempt, reply)
-
-    def _read_idle_limit(self, value: bytes) -> None:
-        """Reads how long the backend server keeps an idle connection."""
-        _, found, text = value.partition(b"timeout=")
-        digits = text.split(b",")[0].strip()
-        if found and digits.isdigit():
-            self.idle_limit_s = int(digits) * IDLE_SHARE
-
-    def _fail(self, kind: messages.FailureKind) -> None:
-        """Ends the attempt without a response and closes the connection."""
-        attempt, self.attempt = self.attempt, None
-        self.broken = True
-        self.backend.finish(self, attempt, messages.Failure(kind))
-
-
 class Backend:
     """One backend server: its connections and what was seen of it.
 
@@ -354,22 +92,22 @@
         self.slowness = COLD_SLOWNESS if server.cold_s > 0 else 1.0
         self.unreachable = False
         self.gone = False
-        self.pending: dict[Attempt, None] = {}
+        self.pending: dict[attempts.Attempt, None] = {}
         self._error_rate = 0.0
         self._error_time_s = 0.0
         self._shed_rate = 0.0
         self._shed_time_s = 0.0
-        self._idle: list[Connection] = []
-        self._open: set[Connection] = set()
+        self._idle: list[connections.Connection] = []
+        self._open: set[connections.Connection] = set()
         self._opening = 0
-        self._waiting: collections.deque[Attempt] = collections.deque()
+        self._waiting: collections.deque[attempts.Attempt] = collections.deque()
         self._tasks: set[asyncio.Task] = set()
 
     def may_start(self, now: float) -> bool:
         """Returns whether an attempt may be sent here now."""
         return not self.unreachable and self.cold.admits(now)
 
-    def start(self, attempt: Attempt) -> None:
+    def start(self, attempt: attempts.Attempt) -> None:
         """Sends an attempt as soon as a connection is free."""
         now = self.environment.loop.time()
         self.cold.note_send(now)
@@ -397,7 +135,7 @@
         if not self._is_full():
             self._open_one()
 
-    def abandon(self, attempt: Attempt, *, cut: bool) -> None:
+    def abandon(self, attempt: attempts.Attempt, *, cut: bool) -> None:
         """Lets go of an attempt whose outcome nobody needs.
 
         Args:
@@ -438,8 +176,8 @@
 
     def finish(
         self,
-        connection: Connection,
-        attempt: Attempt,
+        connection: connections.Connection,
+        attempt: attempts.Attempt,
         outcome: messages.Reply | messages.Failure,
     ) -> None:
         """Takes the outcome of an attempt from its connection."""
@@ -458,12 +196,12 @@
             self._reuse(connection)
         self._settle(attempt, outcome)
 
-    def drop(self, connection: Connection) -> None:
+    def drop(self, connection: connections.Connection) -> None:
         """Closes a connection."""
         connection.close()
         self.forget(connection)
 
-    def forget(self, connection: Connection) -> None:
+    def forget(self, connection: connections.Connection) -> None:
         """Stops counting a connection that is closed."""
         self._open.discard(connection)
         if connection in self._idle:
@@ -506,7 +244,7 @@
         return self.open_connections >= self.max_open
 
     def _learn(
-        self, attempt: Attempt, reply: messages.Reply, now: float
+        self, attempt: attempts.Attempt, reply: messages.Reply, now: float
     ) -> None:
         """Updates latency and errors from a response."""
         if reply.status == 421:
@@ -533,7 +271,9 @@
         self._error_rate = rate + (1 - rate) * ERROR_WEIGHT
         self._error_time_s = now
 
-    def _send(self, connection: Connection, attempt: Attempt) -> None:
+    def _send(
+        self, connection: connections.Connection, attempt: attempts.Attempt
+    ) -> None:
         """Sends an attempt on a free connection."""
         left_s = attempt.deadline_s - self.environment.loop.time()
         if left_s <= 0.001:
@@ -545,7 +285,7 @@
         connection.send(attempt, attempt.encode(left_s, self.server.id))
         self.environment.count("attempts_sent")
 
-    def _reuse(self, connection: Connection) -> None:
+    def _reuse(self, connection: connections.Connection) -> None:
         """Gives a free connection to who waits, or keeps it."""
         while self._waiting:
             if self._waiting[0].done:
@@ -574,7 +314,7 @@
         try:
             _, connection = await asyncio.wait_for(
                 self.environment.loop.create_connection(
-                    lambda: Connection(backend=self), host, port
+                    lambda: connections.Connection(backend=self), host, port
                 ),
                 CONNECT_TIMEOUT_S,
             )
@@ -586,7 +326,7 @@
         self.unreachable = False
         self.adopt(connection)
 
-    def adopt(self, connection: Connection) -> None:
+    def adopt(self, connection: connections.Connection) -> None:
         """Takes a connection in that was just opened."""
         self._open.add(connection)
         while self._waiting:
@@ -611,7 +351,7 @@
 
     def _settle(
         self,
-        attempt: Attempt,
+        attempt: attempts.Attempt,
         outcome: messages.Reply | messages.Failure | None,
     ) -> None:
         """Tells the owner of an attempt its outcome, once."""
@@ -621,16 +361,3 @@
         self.pending.pop(attempt, None)
         if attempt.owner is not None and outcome is not None:
             attempt.owner.settle(attempt, outcome)
-
-
-def set_keepalive(transport: asyncio.Transport) -> None:
-    """Lets the kernel find out when the other end has fallen silent."""
-    sock = transport.get_extra_info("socket")
-    if sock is None:
-        return
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    tcp = socket.IPPROTO_TCP
-    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
