--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: env format check demo measure
+.PHONY: env format check demo measure soak
 
 env: $(VENV)/.installed
 
@@ -28,3 +28,6 @@
 
 measure: env
 	$(BIN)/python -m measure.run --short
+
+soak: env
+	$(BIN)/python -m eelgrasshall.platform.soak --seeds 5
