--- a/eelgrasshall/gateway/exchange.py
+++ b/eelgrasshall/gateway/exchange.py
@@ -98,11 +98,26 @@
             loop = asyncio.get_running_loop()
             self._task = loop.create_task(self._fetch_soon(name, address))
 
-    async def fetch_first(self, seeds: Sequence[model.Address]) -> None:
-        """Asks hosts in turn until one has given what it knows."""
-        for address in seeds:
-            if await self.fetch(str(address), address):
+    async def fetch_first(
+        self, seeds: Sequence[model.Address], wait_s: float
+    ) -> None:
+        """Asks hosts in turn until one has given something.
+
+        Args:
+          seeds: The hosts.
+          wait_s: Seconds for which to ask again; 0 asks each once.
+        """
+        loop = asyncio.get_running_loop()
+        latest_s = loop.time() + wait_s
+        while True:
+            for address in seeds:
+                if await self.fetch(str(address), address) and all(
+                    self._belief.revision(each) for each in beliefs.Collection
+                ):
+                    return
+            if loop.time() >= latest_s:
                 return
+            await asyncio.sleep(FAILURE_PAUSE_S)
 
     async def fetch(self, name: str, address: model.Address) -> bool:
         """Fetches what a host knows; False if that failed."""
--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -24,10 +24,13 @@
 # Quantiles of a route's latencies after which a second attempt is made.
 SEARCH_HEDGE_QUANTILE = 0.88
 SINGLE_HEDGE_QUANTILE = 0.95
+# A second attempt waits no longer than this many medians: while many servers
+# are slow, the quantile says how slow they are and no longer what is usual.
+LONGEST_HEDGE_MEDIANS = 1.9
 # Shortest wait before a second attempt; below it chance decides.
 SHORTEST_HEDGE_S = 0.004
 # Share of the extra allowance that hedges leave to repeats after failures.
-HEDGE_RESERVE = 0.35
+HEDGE_RESERVE = 0.2
 # Way back to the caller and the work of this host, before the objective.
 ANSWER_MARGIN_S = 0.013
 # The same before the caller's deadline.
@@ -150,7 +153,11 @@
             SEARCH_HEDGE_QUANTILE if route.shards else SINGLE_HEDGE_QUANTILE
         )
         self._hedge_after_s = max(
-            self._latencies.quantile(quantile), SHORTEST_HEDGE_S
+            min(
+                self._latencies.quantile(quantile),
+                LONGEST_HEDGE_MEDIANS * self._expected_s,
+            ),
+            SHORTEST_HEDGE_S,
         )
         self._timer: asyncio.TimerHandle | None = None
         self._result: asyncio.Future[Outcome] = context.loop.create_future()
@@ -219,6 +226,7 @@
             expected_s=self._expected_s,
             zone=self._context.zone,
             now=now,
+            scarcity=self._context.find_allowance(part.service).scarcity(),
             random=self._context.random,
         )
         if chosen is None:
--- a/eelgrasshall/gateway/following.py
+++ b/eelgrasshall/gateway/following.py
@@ -19,8 +19,13 @@
 # Pause after a failed call, doubled up to the longest one.
 FIRST_PAUSE_S = 0.15
 LONGEST_PAUSE_S = 1.0
+# Pause between the answer of a watch and the next one: servers often come and
+# go together, and each answer is a call.
+GATHER_S = 0.1
 # How often a host that does not listen looks whether it should.
 DUTY_POLL_S = 0.2
+# A host that has just started hears by then who listens.
+FIRST_DUTY_S = 1.5
 # Servers that vanish together without having drained: more likely entries that
 # lapsed than servers that ended at one moment.
 MASS_DELETION = 3
@@ -98,6 +103,9 @@
 
     async def run(self) -> None:
         """Follows the collection until it is cancelled."""
+        if self._belief.revision(self._collection):
+            # Other hosts told what there is, and may be about to listen.
+            await asyncio.sleep(FIRST_DUTY_S)
         while True:
             if self._belief.revision(self._collection):
                 await self._watch()
@@ -135,6 +143,7 @@
             for news in result.news:
                 self._take(news)
             self._belief.advance(self._collection, result.revision)
+            await asyncio.sleep(GATHER_S)
 
     def _take_listing(self, listing: beliefs.Listing) -> None:
         """Takes a whole list in, with the deletions that it implies."""
--- a/eelgrasshall/gateway/hedging.py
+++ b/eelgrasshall/gateway/hedging.py
@@ -20,7 +20,7 @@
 USED_SHARE = 0.85
 # Share of the allowance that a host has at its start, as it may have used
 # some before it was restarted.
-START_SHARE = 0.3
+START_SHARE = 0.6
 
 
 class ExtraBound(NamedTuple):
@@ -88,6 +88,10 @@
         self._capacity = self._fixed / max(hosts, 1)
         self._tokens = min(self._tokens, self._capacity)
 
+    def scarcity(self) -> float:
+        """Returns how much of the allowance is used, from 0 to 1."""
+        return 1.0 - self._tokens / self._capacity
+
     def earn(self) -> None:
         """Counts a request for the service."""
         self._tokens = min(self._capacity, self._tokens + self._ratio)
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -13,7 +13,6 @@
 import random as random_module
 from typing import Any
 from typing import NamedTuple
-import urllib.parse
 
 from eelgrasshall.gateway import belief as beliefs
 from eelgrasshall.gateway import directory
@@ -30,14 +29,21 @@
 from eelgrasshall.gateway import registry
 from eelgrasshall.gateway import routing
 from eelgrasshall.gateway import upstream
+from eelgrasshall.gateway import working
 
 # How often attempts and connections past their time are ended.
 SWEEP_S = 0.1
+# How often the own load is measured, and the weight of the newest measurement.
+MEASURE_S = 1.0
+RATE_WEIGHT = 0.5
 # A stopping host serves on until callers have new addresses.
 LEAVE_AFTER_S = 2.5
 # Time kept for the end of a stop, before the platform kills the process.
 STOP_MARGIN_S = 0.5
 STOP_POLL_S = 0.05
+# How long a host that starts waits for its seeds to know something, before it
+# asks the store itself: all start within a third of a second.
+SEEDS_WAIT_S = 0.8
 # A host without a configuration has one within this time, usually.
 RETRY_UNREADY_S = 0.3
 
@@ -85,7 +91,7 @@
       decode: Turns a document of the store into a value of the model; raises
         ValueError for one that cannot be read.
       publish: Publishes this host in the store.
-      incarnation: Start of this process, Unix milliseconds.
+      incarnation: Start of this process, Unix seconds.
       random: The source of chance.
       log: The structured log.
     """
@@ -142,6 +148,7 @@
         self._peers = peers.Peers(
             own=options.host,
             incarnation=incarnation,
+            read_rate=self._read_rate,
             loop=self.loop,
             random=random,
             reaches_store=self._reaches_store,
@@ -153,6 +160,9 @@
         self._inner = self._make_listener(self._answer_inner)
         self._extra_listeners: list[listener.Listener] = []
         self._sweeper: asyncio.TimerHandle | None = None
+        self._measurer: asyncio.TimerHandle | None = None
+        self._rate = 0.0
+        self._sent_before = 0
 
     # Life cycle.
 
@@ -177,15 +187,10 @@
                 extra = self._make_listener(self._answer_inner)
                 self._extra_listeners.append(extra)
                 await extra.start(address)
-        seeds = [s for s in options.seeds if s != options.host.control]
-        self.random.shuffle(seeds)
-        self._tasks.append(
-            self.loop.create_task(self._exchange.fetch_first(seeds))
-        )
-        for follower in self._followers:
-            self._tasks.append(self.loop.create_task(follower.run()))
+        self._tasks.append(self.loop.create_task(self._join()))
         self._tasks.append(self.loop.create_task(self._publish_until_done()))
         self._sweep()
+        self._measure_rate()
         self._log.record("started", zone=self.zone)
 
     async def drain(self) -> None:
@@ -210,6 +215,8 @@
             task.cancel()
         if self._sweeper is not None:
             self._sweeper.cancel()
+        if self._measurer is not None:
+            self._measurer.cancel()
         self._callers.stop()
         for extra in self._extra_listeners:
             extra.stop()
@@ -342,25 +349,16 @@
             ready = self._peers.state is peers.State.READY
             return listener.Response(200 if ready else 503, [], b"")
         if path == self._options.directory_path:
-            return self._answer_directory(request)
+            return self._answer_directory()
         if path == exchange.BELIEF_PATH:
             return self._answer_belief(request)
         if path == "/metrics":
             return listener.Response(200, [], self._render_metrics())
         return listener.Response(404, [], b"")
 
-    def _answer_directory(self, request: messages.Request) -> listener.Response:
+    def _answer_directory(self) -> listener.Response:
         """Names the hosts that a caller should use."""
-        query = urllib.parse.parse_qs(
-            request.target.partition(b"?")[2].decode("latin-1")
-        )
-        hosts = directory.name_hosts(
-            own=self._options.host,
-            own_ready=self._peers.state is peers.State.READY,
-            others=self._peers.list_alive(peers.State.READY),
-            zone=query.get("zone", [""])[0],
-            random=self.random,
-        )
+        hosts = directory.name_hosts(self._peers.list_loads())
         if not hosts:
             return listener.Response(503, [], b"")
         body = {
@@ -435,7 +433,7 @@
 
     def _share_anew(self) -> None:
         """Divides what all hosts share by the hosts known now."""
-        hosts = self._peers.known
+        hosts = min(self._peers.known, self._working_hosts())
         self._registry.set_hosts(hosts)
         for allowance in self._allowances.values():
             allowance.set_hosts(hosts)
@@ -480,6 +478,24 @@
         if host is not None:
             self._exchange.notice(sender, host.control, news)
 
+    def _working_hosts(self) -> int:
+        """Returns the number of hosts that carry requests."""
+        working_hosts = working.choose_working(self._peers.list_loads())
+        return max(len(working_hosts), working.LEAST_HOSTS)
+
+    def _read_rate(self) -> float:
+        """Returns the attempts a second that this host makes."""
+        return self._rate
+
+    def _measure_rate(self) -> None:
+        """Measures the attempts a second since the last measurement."""
+        sent = self.counters["attempts_sent"]
+        rate = (sent - self._sent_before) / MEASURE_S
+        self._sent_before = sent
+        self._rate += (rate - self._rate) * RATE_WEIGHT
+        self._share_anew()
+        self._measurer = self.loop.call_later(MEASURE_S, self._measure_rate)
+
     def _reaches_store(self) -> bool:
         """Returns whether this host watches all that there is to watch."""
         return all(follower.reachable for follower in self._followers)
@@ -491,6 +507,21 @@
         )
         return listening.should_listen(own, self._peers.list_candidates())
 
+    async def _join(self) -> None:
+        """Learns what there is to know, from other hosts or the store."""
+        seeds = list(self._options.seeds)
+        own = self._options.host.control
+        if own not in seeds:
+            self.random.shuffle(seeds)
+            await self._exchange.fetch_first(seeds, SEEDS_WAIT_S)
+        else:
+            seeds.remove(own)
+            self._tasks.append(
+                self.loop.create_task(self._exchange.fetch_first(seeds, 0.0))
+            )
+        for follower in self._followers:
+            self._tasks.append(self.loop.create_task(follower.run()))
+
     async def _publish_until_done(self) -> None:
         """Publishes this host in the store."""
         pause_s = following.FIRST_PAUSE_S
--- a/eelgrasshall/gateway/listening.py
+++ b/eelgrasshall/gateway/listening.py
@@ -57,7 +57,6 @@
       others: The other hosts that were heard a moment ago and are not leaving.
       count: Number of listeners.
     """
-    chosen = choose_listeners([own, *others], count)
-    if own in chosen:
+    if own in choose_listeners([own, *others], count):
         return True
-    return not any(each.reaches_store for each in chosen)
+    return not any(each.reaches_store for each in others)
--- a/eelgrasshall/gateway/model.py
+++ b/eelgrasshall/gateway/model.py
@@ -162,6 +162,8 @@
       callers: Where callers connect.
       control: Where other entry hosts fetch its belief over HTTP.
       peers: Where it receives datagrams of other entry hosts.
+      cores: Processor cores that it may use, as a number of full ones.
+      link_mbps: Bandwidth of its link, Mbit/s.
     """
 
     name: str
@@ -169,6 +171,8 @@
     callers: Address
     control: Address
     peers: Address
+    cores: float
+    link_mbps: float
 
 
 class HeaderNames(NamedTuple):
--- a/eelgrasshall/gateway/peers.py
+++ b/eelgrasshall/gateway/peers.py
@@ -2,8 +2,8 @@
 
 Each host tells others that it lives, in which state, and what it knows.  A
 small fleet hears every host directly.  In a large one a host tells a few
-random others in each period and passes on the heartbeats that it has heard,
-so that its cost does not grow with the fleet.
+random others in each period and passes on some of the heartbeats that it has
+heard, so that its cost does not grow with the fleet.
 """
 
 import asyncio
@@ -12,48 +12,64 @@
 import enum
 import json
 import random as random_module
+import struct
 from typing import NamedTuple
+import zlib
 
 from eelgrasshall.gateway import listening
 from eelgrasshall.gateway import model
+from eelgrasshall.gateway import working
 
-# Period of heartbeats: a dead host is noticed within a few of them.
-PERIOD_S = 0.25
 # Hosts up to which everyone is told directly.
 DIRECT_HOSTS = 16
-# Hosts that are told in each period in a larger fleet.
-FANOUT = 3
-# Silence after which a host counts as dead: several lost datagrams directly,
-# or the slowest spread through a larger fleet.
+# Period of heartbeats in a small fleet: a dead host is noticed within a few.
+DIRECT_PERIOD_S = 0.25
+# Silence after which a host counts as dead: several lost datagrams.
 DIRECT_SILENCE_S = 1.2
-SPREAD_SILENCE_S = 3.0
-# Largest datagram that passes every link in one piece.
-MAX_DATAGRAM = 1400
+# The same in a larger fleet, where news take a few periods to get around.
+SPREAD_PERIOD_S = 0.5
+SPREAD_SILENCE_S = 4.0
+# Heartbeats of others that one datagram passes on; more do not fit into one
+# packet with what else it carries.
+MAX_PASSED_ON = 60
 
+# Checksum of the name, start of the process in seconds, number of the beat,
+# state, whether the store answers, attempts a second.
+_ENTRY = struct.Struct("!IIHBBH")
+_MAX_RATE = 0xFFFF
+_BEATS = 0x10000
 
-class State(enum.Enum):
+
+class State(enum.IntEnum):
     """What a host says of itself; the value is its form on the wire."""
 
-    JOINING = "j"
-    READY = "r"
-    LEAVING = "l"
+    JOINING = 0
+    READY = 1
+    LEAVING = 2
 
 
-class Heard(NamedTuple):
-    """The newest heartbeat of a host.
+class Heartbeat(NamedTuple):
+    """What a host says of itself.
 
     Attributes:
-      incarnation: Start of its process, Unix milliseconds.
+      incarnation: Start of its process, Unix seconds.
       beat: Counts the heartbeats of this incarnation.
-      state: What it says of itself.
+      state: Whether it serves.
       reaches_store: Whether it watches the store and is answered.
-      at_s: When the news arrived here, monotonic seconds.
+      attempts_per_s: Attempts a second that it sends to backend servers.
     """
 
     incarnation: int
     beat: int
     state: State
     reaches_store: bool
+    attempts_per_s: int
+
+
+class _Heard(NamedTuple):
+    """A heartbeat and the monotonic time at which it came, in seconds."""
+
+    heartbeat: Heartbeat
     at_s: float
 
 
@@ -62,10 +78,11 @@
 
     Args:
       own: This host.
-      incarnation: Start of this process, Unix milliseconds.
+      incarnation: Start of this process, Unix seconds.
       loop: The event loop.
       random: The source of chance.
       reaches_store: Returns whether this host is answered by the store.
+      read_rate: Returns the attempts a second that this host makes.
       read_news: Returns what else each heartbeat carries.
       take_news: Takes what a heartbeat of a host carried.
       note_hosts: Is called when the hosts known have changed.
@@ -79,6 +96,7 @@
         loop: asyncio.AbstractEventLoop,
         random: random_module.Random,
         reaches_store: Callable[[], bool],
+        read_rate: Callable[[], float],
         read_news: Callable[[], list],
         take_news: Callable[[str, list], None],
         note_hosts: Callable[[], None],
@@ -89,11 +107,12 @@
         self._loop = loop
         self._random = random
         self._reaches_store = reaches_store
+        self._read_rate = read_rate
         self._read_news = read_news
         self._take_news = take_news
         self._note_hosts = note_hosts
         self._hosts: dict[str, model.Host] = {}
-        self._heard: dict[str, Heard] = {}
+        self._heard: dict[int, _Heard] = {}
         self._beat = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -122,12 +141,13 @@
             return
         self._hosts[host.name] = host
         self._note_hosts()
-        self._send_to([host])
+        if not self._is_large:
+            self._send_to([host])
 
     def remove_host(self, name: str) -> None:
         """Forgets a host."""
         self._hosts.pop(name, None)
-        self._heard.pop(name, None)
+        self._heard.pop(_hash_name(name), None)
         self._note_hosts()
 
     @property
@@ -135,31 +155,44 @@
         """Number of hosts known, alive or not, with this one."""
         return len(self._hosts) + 1
 
-    def list_alive(self, state: State | None = None) -> list[model.Host]:
+    def find(self, name: str) -> model.Host | None:
+        """Returns a host by its name."""
+        return self._hosts.get(name)
+
+    def list_hosts(self) -> list[model.Host]:
+        """Returns the other hosts known, alive or not."""
+        return list(self._hosts.values())
+
+    def list_alive(
+        self, state: State | None = None
+    ) -> list[tuple[model.Host, Heartbeat]]:
         """Returns the other hosts that were heard lately."""
-        direct = len(self._hosts) < DIRECT_HOSTS
-        silence_s = DIRECT_SILENCE_S if direct else SPREAD_SILENCE_S
+        silence_s = SPREAD_SILENCE_S if self._is_large else DIRECT_SILENCE_S
         oldest_s = self._loop.time() - silence_s
         return [
-            host
+            (host, heard.heartbeat)
             for name, host in self._hosts.items()
-            if (heard := self._heard.get(name)) is not None
+            if (heard := self._heard.get(_hash_name(name))) is not None
             and heard.at_s >= oldest_s
-            and (state is None or heard.state is state)
+            and (state is None or heard.heartbeat.state is state)
         ]
 
-    def find(self, name: str) -> model.Host | None:
-        """Returns a host by its name."""
-        return self._hosts.get(name)
-
     def list_candidates(self) -> list[listening.Candidate]:
         """Returns the other hosts that may listen to the store."""
         return [
-            listening.Candidate(
-                host.name, host.zone, self._heard[host.name].reaches_store
-            )
-            for host in self.list_alive(State.READY)
+            listening.Candidate(host.name, host.zone, heartbeat.reaches_store)
+            for host, heartbeat in self.list_alive(State.READY)
+        ]
+
+    def list_loads(self) -> list[working.Load]:
+        """Returns all hosts that are ready, with this one."""
+        loads = [
+            working.Load(host, heartbeat.attempts_per_s)
+            for host, heartbeat in self.list_alive(State.READY)
         ]
+        if self.state is State.READY:
+            loads.append(working.Load(self._own, self._read_rate()))
+        return loads
 
     def announce(self, state: State) -> None:
         """Changes this host's state and tells all hosts at once."""
@@ -182,99 +215,134 @@
         """Ignores that a datagram found nobody; silence shows it as well."""
 
     def datagram_received(self, data: bytes, address: tuple) -> None:
-        """Takes a heartbeat."""
+        """Takes a heartbeat; what cannot be read is no heartbeat."""
+        head, _, table = data.partition(b"\n")
         try:
-            message = json.loads(data)
-            name = message["n"]
-            known = self._heard.get(name)
-            if not self._note(name, *message["h"]):
-                return
-            for each, heartbeat in message.get("t", {}).items():
-                self._note(each, *heartbeat)
-            news = message["x"]
-            self._meet(name, message["a"])
-        except (ValueError, KeyError, TypeError, AttributeError):
+            name, fields, news = json.loads(head)
+            host = _parse_host(name, fields)
+            entries = list(_ENTRY.iter_unpack(table))
+            heartbeats = [(entry[0], _parse_entry(entry)) for entry in entries]
+        except (ValueError, TypeError, struct.error):
             return
-        if known is None or known.incarnation != message["h"][0]:
-            host = self._hosts.get(name)
-            if host is not None:
-                self._send_to([host])
-        self._take_news(name, news)
-
-    def _note(
-        self,
-        name: str,
-        incarnation: int,
-        beat: int,
-        state: str,
-        reaches_store: int,
-    ) -> bool:
-        """Keeps a heartbeat if it is newer than what was heard."""
-        if name == self._own.name:
-            return False
-        old = self._heard.get(name)
-        if old is not None and (incarnation, beat) <= (
-            old.incarnation,
-            old.beat,
-        ):
-            return False
-        self._heard[name] = Heard(
-            incarnation,
-            beat,
-            State(state),
-            bool(reaches_store),
-            self._loop.time(),
-        )
-        return True
-
-    def _meet(self, name: str, fields: list[str]) -> None:
-        """Learns of a host from its own heartbeat."""
-        if name == self._own.name:
+        if name == self._own.name or not heartbeats:
             return
-        zone, *addresses = fields
-        host = model.Host(name, zone, *map(model.parse_address, addresses))
+        known = self._heard.get(heartbeats[0][0])
+        for key, heartbeat in heartbeats:
+            self._note(key, heartbeat)
         if self._hosts.get(name) != host:
             self._hosts[name] = host
             self._note_hosts()
+        restarted = (
+            known is None
+            or known.heartbeat.incarnation != heartbeats[0][1].incarnation
+        )
+        if restarted and not self._is_large:
+            self._send_to([host])
+        self._take_news(name, news)
+
+    @property
+    def _is_large(self) -> bool:
+        """Whether there are too many hosts to tell each of them."""
+        return len(self._hosts) >= DIRECT_HOSTS
+
+    def _note(self, key: int, heartbeat: Heartbeat) -> None:
+        """Keeps a heartbeat if it is newer than what was heard."""
+        if key == _hash_name(self._own.name):
+            return
+        old = self._heard.get(key)
+        if old is not None and heartbeat[:2] <= old.heartbeat[:2]:
+            return
+        self._heard[key] = _Heard(heartbeat, self._loop.time())
 
     def _tick(self) -> None:
         """Sends the heartbeats of one period."""
         self._beat += 1
         self._send_to(self._choose_targets())
-        self._timer = self._loop.call_later(PERIOD_S, self._tick)
+        period_s = SPREAD_PERIOD_S if self._is_large else DIRECT_PERIOD_S
+        self._timer = self._loop.call_later(period_s, self._tick)
 
     def _choose_targets(self) -> list[model.Host]:
-        """Returns the hosts that are told in one period."""
+        """Returns the hosts that are told in one period.
+
+        In a large fleet it is one of the own zone, to which bytes are cheap,
+        and one of all.
+        """
         hosts = list(self._hosts.values())
-        if len(hosts) >= DIRECT_HOSTS:
-            return self._random.sample(hosts, FANOUT)
-        return hosts
+        if not self._is_large:
+            return hosts
+        near = [host for host in hosts if host.zone == self._own.zone]
+        return [self._random.choice(each) for each in (near, hosts) if each]
 
     def _send_to(self, hosts: Iterable[model.Host]) -> None:
-        """Sends this host's heartbeat."""
+        """Sends this host's heartbeat, and in a large fleet some others."""
         if self._transport is None:
             return
-        message = {
-            "n": self._own.name,
-            "h": (
-                self._incarnation,
-                self._beat,
-                self.state.value,
-                int(self._reaches_store()),
-            ),
-            "a": (self._own.zone, *map(str, self._own[2:])),
-            "x": self._read_news(),
-        }
-        if len(self._hosts) >= DIRECT_HOSTS:
-            message["t"] = {
-                name: (
-                    heard.incarnation,
-                    heard.beat,
-                    heard.state.value,
-                    int(heard.reaches_store),
-                )
-                for name, heard in self._heard.items()
-            }
-        data = json.dumps(message, separators=(",", ":")).encode()
+        head = (self._own.name, _encode_host(self._own), self._read_news())
+        rate = min(int(self._read_rate()), _MAX_RATE)
+        own = Heartbeat(
+            self._incarnation,
+            self._beat % _BEATS,
+            self.state,
+            self._reaches_store(),
+            rate,
+        )
+        table = [_encode_entry(_hash_name(self._own.name), own)]
+        if self._is_large:
+            count = min(MAX_PASSED_ON, len(self._heard))
+            for key in self._random.sample(list(self._heard), count):
+                table.append(_encode_entry(key, self._heard[key].heartbeat))
+        text = json.dumps(head, separators=(",", ":")).encode()
+        data = text + b"\n" + b"".join(table)
         for host in hosts:
             self._transport.sendto(data, tuple(host.peers))
+
+
+def _hash_name(name: str) -> int:
+    """Returns the short form of a host's name."""
+    return zlib.crc32(name.encode())
+
+
+def _encode_entry(key: int, heartbeat: Heartbeat) -> bytes:
+    """Returns a heartbeat in its compact form."""
+    return _ENTRY.pack(key, *heartbeat)
+
+
+def _parse_entry(entry: tuple[int, ...]) -> Heartbeat:
+    """Reads a heartbeat.
+
+    Raises:
+      ValueError: It names an unknown state.
+    """
+    _, incarnation, beat, state, reaches_store, rate = entry
+    return Heartbeat(incarnation, beat, State(state), bool(reaches_store), rate)
+
+
+def _encode_host(host: model.Host) -> list:
+    """Returns what a host says of itself, without its name."""
+    return [
+        host.zone,
+        str(host.callers),
+        str(host.control),
+        str(host.peers),
+        host.cores,
+        host.link_mbps,
+    ]
+
+
+def _parse_host(name: str, fields: list) -> model.Host:
+    """Reads what a host says of itself.
+
+    Raises:
+      ValueError: It has another form.
+      TypeError: It has another form.
+    """
+    zone, callers, control, own_peers, cores, link_mbps = fields
+    return model.Host(
+        name=name,
+        zone=zone,
+        callers=model.parse_address(callers),
+        control=model.parse_address(control),
+        peers=model.parse_address(own_peers),
+        cores=float(cores),
+        link_mbps=float(link_mbps),
+    )
--- a/eelgrasshall/gateway/placement.py
+++ b/eelgrasshall/gateway/placement.py
@@ -15,6 +15,10 @@
 OTHER_ZONE_S = 0.003
 # Failures cost about this many usual latencies.
 ERROR_COST = 12.0
+# A refusal costs about this many usual latencies while extra attempts are
+# plenty, and so many more when none are left to try elsewhere.
+SHED_COST = 2.0
+SCARCE_COST = 20.0
 # An attempt this many usual latencies old is overdue.
 OVERDUE_FACTOR = 2.5
 # What an overdue attempt adds, in usual latencies.
@@ -27,7 +31,12 @@
 
 
 def estimate_s(
-    backend: upstream.Backend, *, expected_s: float, zone: str, now: float
+    backend: upstream.Backend,
+    *,
+    expected_s: float,
+    zone: str,
+    now: float,
+    scarcity: float,
 ) -> float:
     """Returns the expected time of an attempt at a backend server, seconds.
 
@@ -36,6 +45,7 @@
       expected_s: Usual latency of such a request.
       zone: The availability zone of this host.
       now: Monotonic time.
+      scarcity: Used share of the service's extra attempts, from 0 to 1.
     """
     server = backend.server
     load = len(backend.pending) * IN_FLIGHT_WEIGHT / max(server.slots, 1)
@@ -43,6 +53,11 @@
     if server.zone != zone:
         time_s += OTHER_ZONE_S
     time_s += backend.error_rate(now) * ERROR_COST * expected_s
+    time_s += (
+        backend.shed_rate(now)
+        * (SHED_COST + SCARCE_COST * scarcity)
+        * expected_s
+    )
     age_s = now - backend.oldest_start_s()
     if age_s > OVERDUE_FACTOR * expected_s * max(backend.slowness, 1.0):
         time_s += OVERDUE_COST * expected_s
@@ -55,13 +70,20 @@
     expected_s: float,
     zone: str,
     now: float,
+    scarcity: float,
     random: random_module.Random,
 ) -> upstream.Backend | None:
     """Returns the candidate that should answer first, or None."""
     best = None
     least_s = 0.0
     for backend in candidates:
-        time_s = estimate_s(backend, expected_s=expected_s, zone=zone, now=now)
+        time_s = estimate_s(
+            backend,
+            expected_s=expected_s,
+            zone=zone,
+            now=now,
+            scarcity=scarcity,
+        )
         time_s *= 1.0 + CHANCE * random.random()
         if best is None or time_s < least_s:
             best, least_s = backend, time_s
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -345,6 +345,8 @@
         self.pending: dict[Attempt, None] = {}
         self._error_rate = 0.0
         self._error_time_s = 0.0
+        self._shed_rate = 0.0
+        self._shed_time_s = 0.0
         self._idle: list[Connection] = []
         self._open: set[Connection] = set()
         self._opening = 0
@@ -404,6 +406,13 @@
         age_s = now - self._error_time_s
         return self._error_rate * math.exp(-age_s / ERROR_FADE_S)
 
+    def shed_rate(self, now: float) -> float:
+        """Returns the recent share of refusals, fading with time."""
+        if self._shed_rate < 0.01:
+            return 0.0
+        age_s = now - self._shed_time_s
+        return self._shed_rate * math.exp(-age_s / ERROR_FADE_S)
+
     def oldest_start_s(self) -> float:
         """Returns when the oldest attempt in flight started, or infinity."""
         for attempt in self.pending:
@@ -492,6 +501,12 @@
             self.slowness += (ratio - self.slowness) * LATENCY_WEIGHT
             self._error_rate = self.error_rate(now) * (1 - ERROR_WEIGHT)
             self._error_time_s = now
+            self._shed_rate = self.shed_rate(now) * (1 - ERROR_WEIGHT)
+            self._shed_time_s = now
+        elif reply.not_run:
+            rate = self.shed_rate(now)
+            self._shed_rate = rate + (1 - rate) * ERROR_WEIGHT
+            self._shed_time_s = now
         elif reply.status >= 500:
             self._note_error(now)
 
--- /dev/null
+++ b/eelgrasshall/gateway/working.py
@@ -0,0 +1,76 @@
+"""Which entry hosts carry the callers' requests at present.
+
+A host that gets many requests keeps its connections warm, knows how quick
+each backend server is and sees more of what waits there.  So only as many
+hosts are named to callers as the load needs, the largest first, spread over
+the zones; the others stand by and join as soon as load or losses ask for it.
+Every host works the set out for itself from the heartbeats that it hears.
+"""
+
+from collections.abc import Sequence
+import math
+from typing import NamedTuple
+import zlib
+
+from eelgrasshall.gateway import model
+
+# Fewest hosts that carry requests: two in each of three zones, so that one
+# loss leaves a zone a host and callers an address to turn to.
+LEAST_HOSTS = 6
+# Attempts a second that one core makes at full load: about 350 us for each,
+# measured with `fleetbench run` on the small deployments.
+ATTEMPTS_PER_CORE = 2800.0
+# Bytes on the host's link for each attempt, both ways, with heads.
+ATTEMPT_BYTES = 2000.0
+# Share of a host's capacity that is planned with, so that a doubled load for
+# some seconds and the loss of some hosts find room.
+PLANNED_SHARE = 0.25
+
+
+class Load(NamedTuple):
+    """A host that is ready, and what it does.
+
+    Attributes:
+      host: The host.
+      attempts_per_s: Attempts a second that it sends to backend servers.
+    """
+
+    host: model.Host
+    attempts_per_s: float
+
+
+def estimate_capacity(host: model.Host) -> float:
+    """Returns the attempts a second that a host is planned to make."""
+    by_core = host.cores * ATTEMPTS_PER_CORE
+    by_link = host.link_mbps * 1e6 / 8.0 / ATTEMPT_BYTES
+    return min(by_core, by_link) * PLANNED_SHARE
+
+
+def choose_working(loads: Sequence[Load]) -> list[model.Host]:
+    """Returns the hosts that should carry requests.
+
+    Args:
+      loads: The hosts that are ready.
+    """
+    needed = sum(load.attempts_per_s for load in loads)
+    ordered = sorted(
+        (load.host for load in loads),
+        key=lambda host: (
+            -math.floor(estimate_capacity(host)),
+            zlib.crc32(host.name.encode()),
+            host.name,
+        ),
+    )
+    chosen: list[model.Host] = []
+    capacity = 0.0
+    while len(chosen) < len(ordered):
+        zones: set[str] = set()
+        for host in ordered:
+            if host in chosen or host.zone in zones:
+                continue
+            if len(chosen) >= LEAST_HOSTS and capacity >= needed:
+                return chosen
+            zones.add(host.zone)
+            chosen.append(host)
+            capacity += estimate_capacity(host)
+    return chosen
--- a/eelgrasshall/platform/program.py
+++ b/eelgrasshall/platform/program.py
@@ -54,7 +54,7 @@
         source=store,
         decode=records.decode,
         publish=store.publish,
-        incarnation=int(time.time() * 1000),
+        incarnation=int(time.time()),
         random=random_module.Random(),
         log=events.EventLog(name=settings.host.name),
     )
--- a/eelgrasshall/platform/records.py
+++ b/eelgrasshall/platform/records.py
@@ -50,6 +50,8 @@
         "callers": str(host.callers),
         "control": str(host.control),
         "peers": str(host.peers),
+        "cores": host.cores,
+        "linkMbps": host.link_mbps,
     }
 
 
@@ -61,6 +63,8 @@
         callers=model.parse_address(spec["callers"]),
         control=model.parse_address(spec["control"]),
         peers=model.parse_address(spec["peers"]),
+        cores=float(spec["cores"]),
+        link_mbps=float(spec["linkMbps"]),
     )
 
 
--- a/eelgrasshall/platform/settings.py
+++ b/eelgrasshall/platform/settings.py
@@ -85,6 +85,7 @@
     """
     listen = document["listen"]
     bounds = document["bounds"]
+    limits = document["limits"]
     ip = document["ip"]
     first_port = int(document["innerPorts"][0])
     return Settings(
@@ -94,6 +95,9 @@
             callers=model.parse_address(listen["front"]),
             control=model.parse_address(listen["controlAddr"]),
             peers=model.Address(ip, first_port + _PEERS_PORT),
+            # The share is that of one core, of which there may be several.
+            cores=float(limits["cpuShare"]) * float(limits["cores"]),
+            link_mbps=float(limits["linkMbps"]),
         ),
         region=document["region"],
         directory=model.parse_address(listen["directory"]),
