Heartbeats: a table of all hosts, no clocks; extra attempts survive a reload

Cause 1: a host of a fleet of 400 took others for dead. Each datagram passed on 60 of the heartbeats heard, drawn by lot, so that one grew by a factor of 1.3 in a period and reached the last of 400 hosts after some 11 s, while silence meant death after 4 s. A dead host of a fleet of 40 or 100 stayed alive for others for more than 6 s. Cause 2: a heartbeat was newer if the start of its process and its number were higher. A host that came back while its clock was set back, or within the second of its last start, was ignored as long as its former life had lasted; numbers wrapped after 4.5 hours with the same result. Cause 3: reading the settings again cleared the allowances of extra attempts, and each got its starting share anew: a host that had used all of them could use more than half again within the same window.

Ruled out: ages instead of numbers (a host that was frozen would revive dead ones from the datagrams that waited for it); more named entries (8.8 KB a second at 400 hosts); only the youngest entries (a host's heartbeat then stops spreading at some 30 hosts).

Change: two bytes a host in the order of the names, a checksum of the names guards the order, names go with the entries while hosts differ; the period follows the size so that the traffic stays under 5 KB a second. A host that reads a higher number of itself goes on from there. The wire format is a module of its own. Allowances are resized on reload. Latencies of routes that are gone are dropped; a header name that nothing read is removed.

--- a/eelgrasshall/gateway/events_test.py
+++ b/eelgrasshall/gateway/events_test.py
@@ -32,12 +32,10 @@
     for number in range(5000):
         log.record("server", number=number, text="x" * 200)
     assert log.dropped > 0
-    while True:
-        lines = _read(reading)
+    while log._pending:
+        _read(reading)
         log.flush()
-        if lines and lines[-1]["number"] >= 0 and not log._pending:
-            break
-    lines = _read(reading) if log._pending else lines
+    _read(reading)
     log.record("after")
     assert _read(reading)[-1]["dropped"] > 0
 
--- a/eelgrasshall/gateway/hedging.py
+++ b/eelgrasshall/gateway/hedging.py
@@ -78,18 +78,32 @@
     """
 
     def __init__(self, *, bound: ExtraBound, hosts: int):
-        self._ratio = bound.ratio * USED_SHARE
-        self._fixed = bound.fixed * USED_SHARE
-        self._capacity = self._fixed / max(hosts, 1)
+        self._bound = bound
+        self._hosts = hosts
+        self._capacity = self._compute_capacity()
         self._tokens = self._capacity * START_SHARE
 
     def set_hosts(self, hosts: int) -> None:
-        """Changes the number of hosts that share the fixed part.
+        """Changes the number of hosts that share the fixed part."""
+        self._hosts = hosts
+        self._resize()
+
+    def set_bound(self, bound: ExtraBound) -> None:
+        """Changes the bound for all hosts."""
+        self._bound = bound
+        self._resize()
+
+    def _compute_capacity(self) -> float:
+        """Returns this host's part of what all may use without requests."""
+        return self._bound.fixed * USED_SHARE / max(self._hosts, 1)
+
+    def _resize(self) -> None:
+        """Adapts to another capacity.
 
         The used share stays as it is, so that all hosts together hold no more
         than before.
         """
-        capacity = self._fixed / max(hosts, 1)
+        capacity = self._compute_capacity()
         if self._capacity > 0.0:
             self._tokens *= capacity / self._capacity
         self._capacity = capacity
@@ -102,7 +116,8 @@
 
     def earn(self) -> None:
         """Counts a request for the service."""
-        self._tokens = min(self._capacity, self._tokens + self._ratio)
+        earned = self._bound.ratio * USED_SHARE
+        self._tokens = min(self._capacity, self._tokens + earned)
 
     def take(self, *, reserve: float = 0.0) -> bool:
         """Takes one extra attempt.
--- a/eelgrasshall/gateway/hedging_test.py
+++ b/eelgrasshall/gateway/hedging_test.py
@@ -102,3 +102,16 @@
         while allowance.take():
             taken += 1
     assert taken <= bound.fixed
+
+
+def test_settings_that_are_read_again_give_nothing_that_was_used_back():
+    bound = hedging.ExtraBound(ratio=0.2, fixed=54.0)
+    allowance = hedging.ExtraAllowance(bound=bound, hosts=1)
+    taken = 0
+    for _ in range(5):
+        while allowance.take():
+            taken += 1
+        allowance.set_bound(bound)
+    assert taken <= bound.fixed
+    allowance.set_bound(bound._replace(fixed=20.0))
+    assert not allowance.take()
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -18,6 +18,7 @@
 from eelgrasshall.gateway import events
 from eelgrasshall.gateway import exchange
 from eelgrasshall.gateway import following
+from eelgrasshall.gateway import heartbeats
 from eelgrasshall.gateway import hedging
 from eelgrasshall.gateway import listener
 from eelgrasshall.gateway import listening
@@ -87,7 +88,7 @@
       decode: Turns a document of the store into a value of the model; raises
         ValueError for one that cannot be read.
       publish: Publishes this host in the store.
-      incarnation: Start of this process, Unix seconds.
+      incarnation: A number that no earlier process of this host had.
       random: The source of chance.
       log: The structured log.
     """
@@ -187,7 +188,7 @@
         """Leaves: callers go elsewhere and all in flight is finished."""
         started_s = self._loop.time()
         self._log.record("leaving", in_flight=self._callers.busy)
-        self._peers.announce(peers.State.LEAVING)
+        self._peers.announce(heartbeats.State.LEAVING)
         self._callers.begin_closing()
         await asyncio.sleep(LEAVE_AFTER_S)
         latest_s = started_s + self._options.grace_s - STOP_MARGIN_S
@@ -230,7 +231,7 @@
         """Answers the platform and callers that ask for addresses."""
         path = request.path
         if path == self._options.readiness_path:
-            ready = self._peers.state is peers.State.READY
+            ready = self._peers.state is heartbeats.State.READY
             return listener.Response(200 if ready else 503, [], b"")
         if path == self._options.directory_path:
             return self._answer_directory()
@@ -371,8 +372,8 @@
 
     def _become_ready(self) -> None:
         """Takes callers once there is something to serve."""
-        if self._peers.state is peers.State.JOINING:
-            self._peers.announce(peers.State.READY)
+        if self._peers.state is heartbeats.State.JOINING:
+            self._peers.announce(heartbeats.State.READY)
 
     def _spread(self) -> None:
         """Tells other hosts that there is something new here."""
--- a/eelgrasshall/gateway/host_test.py
+++ b/eelgrasshall/gateway/host_test.py
@@ -170,3 +170,24 @@
         document = json.loads(data.partition(b"\r\n\r\n")[2])
         assert status == 200 and document["s"]["revision"] == 4
         assert (await call(f"{exchange.BELIEF_PATH}?x", 1))[0] == 400
+
+
+async def test_reloading_gives_no_extra_attempts_back():
+    async with _run(_Source(), port=19400) as (made, _):
+        allowance = made._serving.find_allowance("orders")
+        while allowance.take():
+            pass
+        made.reload(made._options)
+        assert not made._serving.find_allowance("orders").take()
+
+
+async def test_latencies_of_routes_that_are_gone_are_forgotten():
+    async with _run(_Source(), port=19420) as (made, _):
+        serving = made._serving
+        gone = standins.make_route(name="gone")
+        kept = standins.make_route(name="kept")
+        serving.adopt(standins.make_configuration(1, routes=(gone, kept)))
+        for route in (gone, kept):
+            serving.find_latencies(route)
+        serving.adopt(standins.make_configuration(2, routes=(kept,)))
+        assert list(serving._latencies) == ["kept"]
--- a/eelgrasshall/gateway/model.py
+++ b/eelgrasshall/gateway/model.py
@@ -190,7 +190,6 @@
       not_run: Present if the backend server did not run the request.
       retry_after: Seconds after which a caller may come back.
       server_id: The backend server that gave a response.
-      cold_left: Milliseconds for which a backend server stays cold.
       part_seals: Signatures of the parts in a search's answer.
       parts_missing: Number of shards that are not in it.
     """
@@ -202,6 +201,5 @@
     not_run: bytes
     retry_after: bytes
     server_id: bytes
-    cold_left: bytes
     part_seals: bytes
     parts_missing: bytes
--- a/eelgrasshall/gateway/peers.py
+++ b/eelgrasshall/gateway/peers.py
@@ -2,20 +2,24 @@
 
 Each host tells others that it lives, in which state, and what it knows.  A
 small fleet hears every host directly.  In a large one a host tells a few
-random others in each period and passes on some of the heartbeats that it has
-heard, so that its cost does not grow with the fleet.
+random others in each period and passes on the heartbeats that it has heard of
+all hosts, two bytes for each, in the order of their names.  Hosts that know
+different hosts give the names with them, of as many as fit.
+
+A heartbeat counts as news if its number is a newer one.  A host that reads a
+higher number than its own of itself, from before it was restarted, goes on
+from there; clocks have no part in it.
 """
 
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
-import enum
-import json
 import random as random_module
 import struct
 from typing import NamedTuple
 import zlib
 
+from eelgrasshall.gateway import heartbeats
 from eelgrasshall.gateway import listening
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import working
@@ -26,51 +30,33 @@
 DIRECT_PERIOD_S = 0.25
 # Silence after which a host counts as dead: several lost datagrams.
 DIRECT_SILENCE_S = 1.2
-# The same in a larger fleet, where news take a few periods to get around.
-SPREAD_PERIOD_S = 0.5
-SPREAD_SILENCE_S = 4.0
-# Heartbeats of others that one datagram passes on; more do not fit into one
-# packet with what else it carries.
-MAX_PASSED_ON = 60
-
-# Checksum of the name, start of the process in seconds, number of the beat,
-# state, whether the store answers, attempts a second.
-_ENTRY = struct.Struct("!IIHBBH")
-_MAX_RATE = 0xFFFF
-_BEATS = 0x10000
-
-
-class State(enum.IntEnum):
-    """What a host says of itself; the value is its form on the wire."""
+# The period in a larger fleet, for each host known: both datagrams of a period
+# stay below 5 KB a second, the target for control traffic.
+SPREAD_PERIOD_PER_HOST_S = 0.00125
+SHORTEST_SPREAD_PERIOD_S = 0.25
+# Silence there, in periods: news reach the last of 400 hosts after about seven.
+SPREAD_SILENCE_PERIODS = 8
+SHORTEST_SPREAD_SILENCE_S = 2.5
+# After hosts were seen to differ in whom they know, names go with heartbeats
+# for this time: a host that comes or goes is known everywhere before that.
+DIFFERENT_ROLLS_S = 1.0
+# Heartbeats with names that one datagram passes on: with the news it then fits
+# into one packet of 1,400 bytes.
+MAX_NAMED = 150
 
-    JOINING = 0
-    READY = 1
-    LEAVING = 2
 
-
-class Heartbeat(NamedTuple):
-    """What a host says of itself.
+class _Heard(NamedTuple):
+    """A heartbeat of a host.
 
     Attributes:
-      incarnation: Start of its process, Unix seconds.
-      beat: Counts the heartbeats of this incarnation.
-      state: Whether it serves.
-      reaches_store: Whether it watches the store and is answered.
-      attempts_per_s: Attempts a second that it sends to backend servers.
+      heartbeat: The heartbeat.
+      at_s: Monotonic time at which it came, seconds.
+      incarnation: What its host last told directly; None before that.
     """
 
-    incarnation: int
-    beat: int
-    state: State
-    reaches_store: bool
-    attempts_per_s: int
-
-
-class _Heard(NamedTuple):
-    """A heartbeat and the monotonic time at which it came, in seconds."""
-
-    heartbeat: Heartbeat
+    heartbeat: heartbeats.Heartbeat
     at_s: float
+    incarnation: int | None
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -78,7 +64,7 @@
 
     Args:
       own: This host.
-      incarnation: Start of this process, Unix seconds.
+      incarnation: A number that no earlier process of this host had.
       loop: The event loop.
       random: The source of chance.
       reaches_store: Returns whether this host is answered by the store.
@@ -101,7 +87,7 @@
         take_news: Callable[[str, list], None],
         note_hosts: Callable[[], None],
     ):
-        self.state = State.JOINING
+        self.state = heartbeats.State.JOINING
         self._own = own
         self._incarnation = incarnation
         self._loop = loop
@@ -112,8 +98,10 @@
         self._take_news = take_news
         self._note_hosts = note_hosts
         self._hosts: dict[str, model.Host] = {}
-        self._heard: dict[int, _Heard] = {}
+        self._heard: dict[str, _Heard] = {}
         self._beat = 0
+        self._known_roll: _Roll | None = None
+        self._differs_until_s = 0.0
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
 
@@ -139,15 +127,15 @@
         """Learns of a host; it counts as alive once it has been heard."""
         if host.name == self._own.name or self._hosts.get(host.name) == host:
             return
-        self._hosts[host.name] = host
-        self._note_hosts()
+        self._keep(host)
         if not self._is_large:
             self._send_to([host])
 
     def remove_host(self, name: str) -> None:
         """Forgets a host."""
         self._hosts.pop(name, None)
-        self._heard.pop(_hash_name(name), None)
+        self._heard.pop(name, None)
+        self._known_roll = None
         self._note_hosts()
 
     @property
@@ -164,15 +152,14 @@
         return list(self._hosts.values())
 
     def list_alive(
-        self, state: State | None = None
-    ) -> list[tuple[model.Host, Heartbeat]]:
+        self, state: heartbeats.State | None = None
+    ) -> list[tuple[model.Host, heartbeats.Heartbeat]]:
         """Returns the other hosts that were heard lately."""
-        silence_s = SPREAD_SILENCE_S if self._is_large else DIRECT_SILENCE_S
-        oldest_s = self._loop.time() - silence_s
+        oldest_s = self._loop.time() - self.silence_s
         return [
             (host, heard.heartbeat)
             for name, host in self._hosts.items()
-            if (heard := self._heard.get(_hash_name(name))) is not None
+            if (heard := self._heard.get(name)) is not None
             and heard.at_s >= oldest_s
             and (state is None or heard.heartbeat.state is state)
         ]
@@ -181,29 +168,45 @@
         """Returns the other hosts that may listen to the store."""
         return [
             listening.Candidate(host.name, host.zone, heartbeat.reaches_store)
-            for host, heartbeat in self.list_alive(State.READY)
+            for host, heartbeat in self.list_alive(heartbeats.State.READY)
         ]
 
     def list_loads(self) -> list[working.Load]:
         """Returns all hosts that are ready, with this one."""
         loads = [
             working.Load(host, heartbeat.attempts_per_s)
-            for host, heartbeat in self.list_alive(State.READY)
+            for host, heartbeat in self.list_alive(heartbeats.State.READY)
         ]
-        if self.state is State.READY:
+        if self.state is heartbeats.State.READY:
             loads.append(working.Load(self._own, self._read_rate()))
         return loads
 
-    def announce(self, state: State) -> None:
+    @property
+    def silence_s(self) -> float:
+        """Seconds without a heartbeat after which a host counts as dead."""
+        if not self._is_large:
+            return DIRECT_SILENCE_S
+        silence_s = SPREAD_SILENCE_PERIODS * self._period_s
+        return max(silence_s, SHORTEST_SPREAD_SILENCE_S)
+
+    @property
+    def _period_s(self) -> float:
+        """Seconds between two heartbeats."""
+        if not self._is_large:
+            return DIRECT_PERIOD_S
+        period_s = self.known * SPREAD_PERIOD_PER_HOST_S
+        return max(period_s, SHORTEST_SPREAD_PERIOD_S)
+
+    def announce(self, state: heartbeats.State) -> None:
         """Changes this host's state and tells all hosts at once."""
         self.state = state
-        self._beat += 1
+        self._advance()
         self._send_to(self._hosts.values())
 
     def spread(self) -> None:
         """Tells others at once that there is something new here."""
-        self._beat += 1
-        self._send_to(self._choose_targets())
+        self._advance()
+        self._send_to(self._choose_targets(), with_table=self._is_large)
 
     # Callbacks of the event loop.
 
@@ -218,48 +221,125 @@
         """Takes a heartbeat; what cannot be read is no heartbeat."""
         head, _, table = data.partition(b"\n")
         try:
-            name, fields, news = json.loads(head)
-            host = _parse_host(name, fields)
-            entries = list(_ENTRY.iter_unpack(table))
-            heartbeats = [(entry[0], _parse_entry(entry)) for entry in entries]
+            message = heartbeats.parse_head(head)
+            passed_on = self._read_table(message, table)
         except (ValueError, TypeError, struct.error):
             return
-        if name == self._own.name or not heartbeats:
+        name = message.host.name
+        if name == self._own.name:
             return
-        known = self._heard.get(heartbeats[0][0])
-        for key, heartbeat in heartbeats:
-            self._note(key, heartbeat)
-        if self._hosts.get(name) != host:
-            self._hosts[name] = host
-            self._note_hosts()
-        restarted = (
-            known is None
-            or known.heartbeat.incarnation != heartbeats[0][1].incarnation
-        )
+        known = self._heard.get(name)
+        restarted = known is None or known.incarnation != message.incarnation
+        if restarted or heartbeats.is_newer(
+            message.heartbeat.beat, known.heartbeat.beat
+        ):
+            self._hear(name, message.heartbeat, message.incarnation)
+        for other, heartbeat in passed_on:
+            self._note(other, heartbeat)
+        if self._hosts.get(name) != message.host:
+            self._keep(message.host)
         if restarted and not self._is_large:
-            self._send_to([host])
-        self._take_news(name, news)
+            self._send_to([message.host])
+        self._take_news(name, message.news)
 
     @property
     def _is_large(self) -> bool:
         """Whether there are too many hosts to tell each of them."""
         return len(self._hosts) >= DIRECT_HOSTS
 
-    def _note(self, key: int, heartbeat: Heartbeat) -> None:
-        """Keeps a heartbeat if it is newer than what was heard."""
-        if key == _hash_name(self._own.name):
+    @property
+    def _roll(self) -> "_Roll":
+        """The names of all hosts known, with this one."""
+        if self._known_roll is None:
+            self._known_roll = _Roll((self._own.name, *self._hosts))
+            for name, heard in self._heard.items():
+                self._known_roll.write(name, heard.heartbeat)
+        return self._known_roll
+
+    def _keep(self, host: model.Host) -> None:
+        """Adds a host to those known, or changes what is known of it."""
+        self._hosts[host.name] = host
+        self._known_roll = None
+        self._note_hosts()
+
+    def _read_table(
+        self, message: heartbeats.Message, table: bytes
+    ) -> list[tuple[str, heartbeats.Heartbeat]]:
+        """Reads the newer ones of the heartbeats that a datagram passes on.
+
+        Raises:
+          ValueError: A state is unknown.
+          struct.error: They have another form.
+        """
+        roll = self._roll
+        if message.digest != roll.digest:
+            self._differs_until_s = self._loop.time() + DIFFERENT_ROLLS_S
+        if message.named:
+            entries = [
+                (roll.names[key], beat, rest)
+                for key, beat, rest in heartbeats.NAMED_ENTRY.iter_unpack(table)
+                if key in roll.names
+            ]
+        elif message.digest == roll.digest:
+            beats = zip(table[::2], roll.table[::2], strict=False)
+            entries = [
+                (roll.order[index], beat, table[2 * index + 1])
+                for index, (beat, known) in enumerate(beats)
+                if beat != known
+            ]
+        else:
+            entries = []
+        return [
+            (name, heartbeats.parse_entry(beat, rest))
+            for name, beat, rest in entries
+            if self._is_news(name, beat)
+        ]
+
+    def _is_news(self, name: str, beat: int) -> bool:
+        """Returns whether a number of a host is newer than what was heard."""
+        if name == self._own.name:
+            return heartbeats.is_newer(beat, self._beat)
+        heard = self._heard.get(name)
+        return heard is None or heartbeats.is_newer(beat, heard.heartbeat.beat)
+
+    def _note(self, name: str, heartbeat: heartbeats.Heartbeat) -> None:
+        """Takes a newer heartbeat that was passed on."""
+        if heartbeat.state is heartbeats.State.UNHEARD:
             return
-        old = self._heard.get(key)
-        if old is not None and heartbeat[:2] <= old.heartbeat[:2]:
+        if name == self._own.name:
+            self._beat = heartbeat.beat
+            self._advance()
             return
-        self._heard[key] = _Heard(heartbeat, self._loop.time())
+        old = self._heard.get(name)
+        incarnation = old.incarnation if old is not None else None
+        self._hear(name, heartbeat, incarnation)
+
+    def _hear(
+        self,
+        name: str,
+        heartbeat: heartbeats.Heartbeat,
+        incarnation: int | None,
+    ) -> None:
+        """Keeps a heartbeat of another host."""
+        self._heard[name] = _Heard(heartbeat, self._loop.time(), incarnation)
+        self._roll.write(name, heartbeat)
+
+    def _advance(self) -> None:
+        """Counts a heartbeat of this host."""
+        self._beat = (self._beat + 1) % heartbeats.BEATS
+
+    def _make_own(self) -> heartbeats.Heartbeat:
+        """Returns this host's heartbeat."""
+        rate = min(int(self._read_rate()), heartbeats.MAX_RATE)
+        return heartbeats.Heartbeat(
+            self._beat, self.state, self._reaches_store(), rate
+        )
 
     def _tick(self) -> None:
         """Sends the heartbeats of one period."""
-        self._beat += 1
-        self._send_to(self._choose_targets())
-        period_s = SPREAD_PERIOD_S if self._is_large else DIRECT_PERIOD_S
-        self._timer = self._loop.call_later(period_s, self._tick)
+        self._advance()
+        self._send_to(self._choose_targets(), with_table=self._is_large)
+        self._timer = self._loop.call_later(self._period_s, self._tick)
 
     def _choose_targets(self) -> list[model.Host]:
         """Returns the hosts that are told in one period.
@@ -273,76 +353,71 @@
         near = [host for host in hosts if host.zone == self._own.zone]
         return [self._random.choice(each) for each in (near, hosts) if each]
 
-    def _send_to(self, hosts: Iterable[model.Host]) -> None:
-        """Sends this host's heartbeat, and in a large fleet some others."""
+    def _send_to(
+        self, hosts: Iterable[model.Host], *, with_table: bool = False
+    ) -> None:
+        """Sends this host's heartbeat, and the others' on demand."""
         if self._transport is None:
             return
-        head = (self._own.name, _encode_host(self._own), self._read_news())
-        rate = min(int(self._read_rate()), _MAX_RATE)
-        own = Heartbeat(
-            self._incarnation,
-            self._beat % _BEATS,
-            self.state,
-            self._reaches_store(),
-            rate,
+        named = self._loop.time() < self._differs_until_s
+        own = self._make_own()
+        head = heartbeats.encode_head(
+            heartbeats.Message(
+                host=self._own,
+                incarnation=self._incarnation,
+                heartbeat=own,
+                news=self._read_news(),
+                digest=self._roll.digest,
+                named=named,
+            )
         )
-        table = [_encode_entry(_hash_name(self._own.name), own)]
-        if self._is_large:
-            count = min(MAX_PASSED_ON, len(self._heard))
-            for key in self._random.sample(list(self._heard), count):
-                table.append(_encode_entry(key, self._heard[key].heartbeat))
-        text = json.dumps(head, separators=(",", ":")).encode()
-        data = text + b"\n" + b"".join(table)
+        table = b""
+        if with_table and named:
+            table = self._encode_named()
+        elif with_table:
+            self._roll.write(self._own.name, own)
+            table = bytes(self._roll.table)
         for host in hosts:
-            self._transport.sendto(data, tuple(host.peers))
-
-
-def _hash_name(name: str) -> int:
-    """Returns the short form of a host's name."""
-    return zlib.crc32(name.encode())
-
-
-def _encode_entry(key: int, heartbeat: Heartbeat) -> bytes:
-    """Returns a heartbeat in its compact form."""
-    return _ENTRY.pack(key, *heartbeat)
+            self._transport.sendto(head + b"\n" + table, tuple(host.peers))
+
+    def _encode_named(self) -> bytes:
+        """Returns the heartbeats of some hosts with checksums of the names."""
+        count = min(MAX_NAMED, len(self._heard))
+        return b"".join(
+            heartbeats.NAMED_ENTRY.pack(
+                _hash_name(name),
+                *heartbeats.encode_entry(self._heard[name].heartbeat),
+            )
+            for name in self._random.sample(list(self._heard), count)
+        )
 
 
-def _parse_entry(entry: tuple[int, ...]) -> Heartbeat:
-    """Reads a heartbeat.
+class _Roll:
+    """All hosts known, in the order of their names.
 
-    Raises:
-      ValueError: It names an unknown state.
+    Args:
+      names: The names.
     """
-    _, incarnation, beat, state, reaches_store, rate = entry
-    return Heartbeat(incarnation, beat, State(state), bool(reaches_store), rate)
 
+    def __init__(self, names: Iterable[str]):
+        self.order = sorted(names)
+        self.names = {_hash_name(name): name for name in self.order}
+        self.digest = _hash_name("\n".join(self.order))
+        unheard = heartbeats.ENTRY.pack(
+            *heartbeats.encode_entry(heartbeats.UNHEARD)
+        )
+        # The heartbeats of all, as they are passed on.
+        self.table = bytearray(unheard * len(self.order))
+        self._places = {name: 2 * i for i, name in enumerate(self.order)}
 
-def _encode_host(host: model.Host) -> list:
-    """Returns what a host says of itself, without its name."""
-    return [
-        host.zone,
-        str(host.callers),
-        str(host.control),
-        str(host.peers),
-        host.cores,
-        host.link_mbps,
-    ]
-
+    def write(self, name: str, heartbeat: heartbeats.Heartbeat) -> None:
+        """Puts a heartbeat into the table, if its host is one of those."""
+        place = self._places.get(name)
+        if place is not None:
+            entry = heartbeats.encode_entry(heartbeat)
+            self.table[place : place + 2] = heartbeats.ENTRY.pack(*entry)
 
-def _parse_host(name: str, fields: list) -> model.Host:
-    """Reads what a host says of itself.
 
-    Raises:
-      ValueError: It has another form.
-      TypeError: It has another form.
-    """
-    zone, callers, control, own_peers, cores, link_mbps = fields
-    return model.Host(
-        name=name,
-        zone=zone,
-        callers=model.parse_address(callers),
-        control=model.parse_address(control),
-        peers=model.parse_address(own_peers),
-        cores=float(cores),
-        link_mbps=float(link_mbps),
-    )
+def _hash_name(name: str) -> int:
+    """Returns the short form of a host's name."""
+    return zlib.crc32(name.encode())
--- a/eelgrasshall/gateway/serving.py
+++ b/eelgrasshall/gateway/serving.py
@@ -82,6 +82,12 @@
     def adopt(self, configuration: model.Configuration) -> None:
         """Puts a configuration in force."""
         self._table = routing.RouteTable(configuration=configuration)
+        routes = {route.name for route in configuration.routes}
+        self._latencies = {
+            name: latencies
+            for name, latencies in self._latencies.items()
+            if name in routes
+        }
         self.registry.set_services(configuration.services)
 
     def read_limits(self) -> model.CallerLimits:
@@ -106,7 +112,8 @@
     def set_extra_bound(self, bound: hedging.ExtraBound) -> None:
         """Changes the bound on attempts beyond the first."""
         self._extra_bound = bound
-        self._allowances.clear()
+        for allowance in self._allowances.values():
+            allowance.set_bound(bound)
 
     async def answer(self, request: messages.Request) -> listener.Response:
         """Answers a caller's request."""
@@ -197,6 +204,8 @@
         """Returns the allowance of extra attempts at a service."""
         allowance = self._allowances.get(service)
         if allowance is None:
+            # Kept for good: a service that comes back must not get anew what
+            # was used within the window of the bound.
             allowance = self._allowances[service] = hedging.ExtraAllowance(
                 bound=self._extra_bound, hosts=self._sharing
             )
--- a/eelgrasshall/gateway/standins.py
+++ b/eelgrasshall/gateway/standins.py
@@ -19,7 +19,6 @@
     not_run=b"x-not-run",
     retry_after=b"retry-after",
     server_id=b"x-server",
-    cold_left=b"x-cold",
     part_seals=b"x-parts",
     parts_missing=b"x-missing",
 )
--- a/eelgrasshall/platform/names.py
+++ b/eelgrasshall/platform/names.py
@@ -11,7 +11,6 @@
     not_run=b"x-not-executed",
     retry_after=b"retry-after",
     server_id=b"x-instance-id",
-    cold_left=b"x-cold-remaining",
     part_seals=b"x-part-seals",
     parts_missing=b"x-parts-missing",
 )
--- a/eelgrasshall/platform/program.py
+++ b/eelgrasshall/platform/program.py
@@ -45,7 +45,7 @@
         source=store,
         decode=records.decode,
         publish=store.publish,
-        incarnation=int(time.time()),
+        incarnation=time.time_ns(),
         random=random_module.Random(),
         log=log,
     )
