The tool's forwarder finds the owner of a connection by both its ends

Cause of the flaky measure/latency_test.py (failed once on a crowded machine): the forwarder looked in the kernel's table for the first connected socket with the caller's port. Connections to different places may share a port; if another process's came first, the owner was unknown, a cut missed its direction, and the byte that should have been held passed. Shown with two sockets on one port: the old look-up finds the first one for both.

Test: connections that share a port are told apart.

--- a/measure/latency.py
+++ b/measure/latency.py
@@ -11,15 +11,22 @@
 import collections
 import contextlib
 import os
+import socket
+import struct
 from typing import Any
 from typing import NamedTuple
 
 from eelgrasshall.fakes import process
 
-PROC_TCP = "/proc/net/tcp"
 UNKNOWN = "unknown"
-# The state of an established connection in that table.
-ESTABLISHED = "01"
+# The kernel's socket diagnosis, sock_diag(7): protocol, message type, bytes of
+# a message's head, offset of the inode in the answer.
+_NETLINK_SOCK_DIAG = 4
+_SOCK_DIAG_BY_FAMILY = 20
+_HEAD_BYTES = 16
+_INODE_OFFSET = 68
+# No socket cookie, and all states.
+_U32 = 0xFFFFFFFF
 
 
 class Route(NamedTuple):
@@ -157,8 +164,10 @@
     def find_source(self) -> None:
         if self.source != UNKNOWN:
             return
-        port = self.transport.get_extra_info("peername")[1]
-        self.source = self._network.owners.find(port)
+        self.source = self._network.owners.find(
+            self.transport.get_extra_info("peername"),
+            self.transport.get_extra_info("sockname"),
+        )
         if self.other is not None:
             self.other.target = self.source
 
@@ -189,13 +198,14 @@
         self.pids: dict[str, int] = {}
         self._names: dict[str, str] = {}
 
-    def find(self, port: int) -> str:
-        """Returns the name of the process that holds a TCP port's socket.
+    def find(self, local: tuple[str, int], remote: tuple[str, int]) -> str:
+        """Returns the name of the process that holds a TCP socket.
 
         Args:
-          port: The local port of the socket.
+          local: The socket's own address and port.
+          remote: Address and port that it is connected to.
         """
-        inode = _find_inode(port)
+        inode = _find_inode(local, remote)
         if inode is None:
             return UNKNOWN
         link = f"socket:[{inode}]"
@@ -210,15 +220,29 @@
                 self._names[link] = name
 
 
-def _find_inode(port: int) -> str | None:
-    """Returns the inode of the connected socket with a local port."""
-    wanted = f":{port:04X}"
-    with open(PROC_TCP, encoding="ascii") as table:
-        for line in table:
-            fields = line.split()
-            if fields[1].endswith(wanted) and fields[3] == ESTABLISHED:
-                return fields[9]
-    return None
+def _find_inode(local: tuple[str, int], remote: tuple[str, int]) -> int | None:
+    """Returns the inode of a connected socket, asked for by both its ends.
+
+    A port alone does not tell: connections to different places may share it.
+    The kernel looks the socket up in its hash table, whatever their number.
+    """
+    ends = struct.pack("!HH", local[1], remote[1])
+    for host, _ in (local, remote):
+        ends += socket.inet_aton(host).ljust(16, b"\0")
+    request = struct.pack("=BBBxI", socket.AF_INET, socket.IPPROTO_TCP, 0, _U32)
+    request += ends + struct.pack("=III", 0, _U32, _U32)
+    head = struct.pack(
+        "=IHHII", _HEAD_BYTES + len(request), _SOCK_DIAG_BY_FAMILY, 1, 0, 0
+    )
+    with socket.socket(
+        socket.AF_NETLINK, socket.SOCK_RAW, _NETLINK_SOCK_DIAG
+    ) as asking:
+        asking.send(head + request)
+        answer = asking.recv(4096)
+    kind = struct.unpack_from("=IH", answer)[1]
+    if kind != _SOCK_DIAG_BY_FAMILY:
+        return None
+    return struct.unpack_from("=I", answer, _HEAD_BYTES + _INODE_OFFSET)[0]
 
 
 def _read_sockets(pid: int) -> list[str]:
--- a/measure/latency_test.py
+++ b/measure/latency_test.py
@@ -1,5 +1,7 @@
 import asyncio
+import contextlib
 import os
+import socket
 
 import pytest
 
@@ -65,3 +67,35 @@
     with pytest.raises(TimeoutError):
         async with asyncio.timeout(0.1):
             await reader.readexactly(1)
+
+
+def test_connections_that_share_a_port_are_told_apart():
+    """Owners went by the port alone, and a cut then missed its direction."""
+    owners = latency.Owners()
+    owners.pids = {"own": os.getpid()}
+    with contextlib.ExitStack() as stack:
+        listening, connected = [], []
+        for _ in range(2):
+            each = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+            listening.append(each)
+        port = 0
+        for each in listening:
+            out = stack.enter_context(socket.socket())
+            out.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            out.bind(("127.0.0.1", port))
+            out.connect(each.getsockname())
+            port = out.getsockname()[1]
+            connected.append(out)
+        found = [
+            latency._find_inode(out.getsockname(), out.getpeername())
+            for out in connected
+        ]
+        held = [os.fstat(out.fileno()).st_ino for out in connected]
+        assert found == held
+        for out in connected:
+            name = owners.find(out.getsockname(), out.getpeername())
+            assert name == "own"
+
+
+def test_a_connection_that_is_not_there_has_no_owner():
+    assert latency._find_inode(("127.0.0.1", 1), ("127.0.0.1", 2)) is None
