The fleet of the soak takes any number of hosts; tests of turning away

Cause: ports were laid out for fourteen hosts, so that the soak could not play a fleet large enough for the heartbeats that hosts pass on. Now the servers' ports follow the hosts'.

Tests on a whole host: a request whose turn does not come gets 503 and a time to come back; turns of services that are gone are forgotten.

--- a/eelgrasshall/gateway/host_test.py
+++ b/eelgrasshall/gateway/host_test.py
@@ -191,3 +191,27 @@
             serving.find_latencies(route)
         serving.adopt(standins.make_configuration(2, routes=(kept,)))
         assert list(serving._latencies) == ["kept"]
+
+
+async def test_a_request_whose_turn_does_not_come_is_turned_away():
+    source = _Source()
+    source.write(_CONFIGURATION, "main", 5, _configure(7, "/new/"))
+    async with _run(source, port=19440) as (made, call):
+        await asyncio.sleep(0.1)
+        serving = made._serving
+        route = serving._table.find("orders.example", "/new/x")
+        serving._find_turns(("orders",), route).gate.running = 99
+        status, data = await call("/new/x")
+        assert status == 503 and b"retry-after: " in data
+        assert made.dump()["counters"]["turned_away"] == 1
+
+
+async def test_turns_of_services_that_are_gone_are_forgotten():
+    async with _run(_Source(), port=19460) as (made, _):
+        serving = made._serving
+        serving.adopt(standins.make_configuration(1))
+        route = standins.make_route()
+        serving._find_turns(("orders",), route)
+        serving._find_turns(("gone",), route)
+        serving.adopt(standins.make_configuration(2))
+        assert list(serving._turns) == [("orders",)]
--- a/eelgrasshall/platform/fleet.py
+++ b/eelgrasshall/platform/fleet.py
@@ -22,11 +22,8 @@
 
 _ZONES = ("a", "b", "c")
 _PORTS_PER_HOST = 8
-# Offsets of ports: of a host's way to the store from the host's first port, of
-# the first server from the fleet's, of a server's proxy from the server's.
+# Offset of the port of a host's way to the store from the host's first port.
 _STORE_PROXY_PORT = 7
-_FIRST_SERVER_PORT = 120
-_SERVER_PROXY_PORT = 40
 _SETTINGS = """
 nodeName = "{name}"
 ip = "127.0.0.1"
@@ -107,7 +104,8 @@
 
     Args:
       folder: Where settings and logs are kept.
-      port: The first port to use; each fleet uses two hundred.
+      port: The first port to use; a fleet uses eight for each host and two
+        for each server beyond it.
       hosts: Number of entry hosts.
       shards: Number of services that a search asks.
       replicas: Backend servers of each.
@@ -131,7 +129,7 @@
         self._addresses: dict[str, model.Address] = {}
         self.server_proxies: dict[str, proxy.Proxy] = {}
         self.store_proxies: dict[str, proxy.Proxy] = {}
-        server_port = port + _FIRST_SERVER_PORT
+        server_port = port + 1 + hosts * _PORTS_PER_HOST
         for shard in self.shards:
             for replica in range(replicas):
                 name = f"{shard}-{replica}"
@@ -313,7 +311,7 @@
     def _find_proxy(self, name: str) -> model.Address:
         """Returns where the hosts reach a server."""
         target = self._addresses[name]
-        return target._replace(port=target.port + _SERVER_PROXY_PORT)
+        return target._replace(port=target.port + len(self.servers))
 
     def _open_log(self, name: str) -> BinaryIO:
         """Opens the log of a host to add to it."""
