--- a/eelgrasshall/platform/standins.py
+++ b/eelgrasshall/platform/standins.py
@@ -69,6 +69,10 @@
         self._forgotten = self._revision
         self._events.clear()
 
+    def find(self, kind: str, name: str) -> Any:
+        """Returns what an object holds."""
+        return self._objects[kind][name]["spec"]
+
     def names(self, kind: str) -> list[str]:
         """Returns the names of a kind's objects."""
         return sorted(self._objects.get(kind, {}))
--- /dev/null
+++ b/eelgrasshall/platform/traffic_test.py
@@ -0,0 +1,22 @@
+"""Tests of the measurement of traffic, as far as it needs no quiet machine."""
+
+import pytest
+
+from eelgrasshall.platform import traffic
+
+_COUNTERS = """\
+Inter-|   Receive                        |  Transmit
+ face |bytes packets errs drop fifo frame compressed multicast|bytes packets
+  eth0: 1 2 0 0 0 0 0 0 3 4 0 0 0 0 0 0
+    lo: 500 2 0 0 0 0 0 0 700 4 0 0 0 0 0 0
+"""
+
+
+def test_the_loopback_interface_is_read():
+    assert traffic.parse_sent(_COUNTERS) == 700
+    assert traffic.parse_sent(traffic.COUNTERS.read_text()) >= 0
+
+
+def test_counters_without_a_loopback_interface_are_an_error():
+    with pytest.raises(ValueError, match="no loopback"):
+        traffic.parse_sent("eth0: 1 2")
