--- a/eelgrasshall/gateway/admission_test.py
+++ b/eelgrasshall/gateway/admission_test.py
@@ -133,6 +133,29 @@
     assert [ticket.number for ticket in ordered] == [2, 1, 3]
 
 
+def test_an_urgent_one_that_is_late_waits_for_others_that_are_not():
+    late = _make_ticket(1, priority=0, arrived_s=-0.3, returned=True)
+    ordinary = _make_ticket(2, priority=2)
+    ordered = admission.order_waiting([late, ordinary], 0.0, fair=False)
+    assert ordered == [ordinary, late]
+
+
+def test_every_second_start_goes_to_the_newest_of_any_kind():
+    gate = admission.Gate(typical_s=0.1)
+    gate.set_capacity([1], 1)
+    for number in range(gate.limit):
+        gate.enter(_make_ticket(number))
+    urgent = [_make_ticket(10 + i, priority=0) for i in range(4)]
+    others = [_make_ticket(20 + i, priority=2, arrived_s=0.01) for i in (0, 1)]
+    for ticket in urgent + others:
+        gate.enter(ticket)
+    started = []
+    for _ in range(4):
+        gate.leave(0.02, took_s=0.1, in_time=True)
+        started.append(gate.start_next(0.02).priority)
+    assert sorted(started) == [0, 0, 2, 2]
+
+
 def test_who_has_come_back_waits_longer():
     gate = admission.Gate(typical_s=0.1)
     gate.set_capacity([1], 1)
--- a/eelgrasshall/gateway/host_test.py
+++ b/eelgrasshall/gateway/host_test.py
@@ -11,6 +11,7 @@
 from eelgrasshall.gateway import events
 from eelgrasshall.gateway import exchange
 from eelgrasshall.gateway import following
+from eelgrasshall.gateway import heartbeats
 from eelgrasshall.gateway import hedging
 from eelgrasshall.gateway import host as hosts
 from eelgrasshall.gateway import messages
@@ -215,3 +216,34 @@
         serving._find_turns(("gone",), route)
         serving.adopt(standins.make_configuration(2))
         assert list(serving._turns) == [("orders",)]
+
+
+async def test_a_shorter_timeout_makes_nobody_one_who_has_come_back():
+    async with _run(_Source(), port=19480) as (made, _):
+        serving = made._serving
+        request = standins.make_request("/find/x")
+        route = standins.make_route(timeout_s=2.0)
+        serving.adopt(standins.make_configuration(1, routes=(route,)))
+        serving._make_ticket(request, route, 2.0)
+        shorter = route._replace(timeout_s=0.5)
+        serving.adopt(standins.make_configuration(2, routes=(shorter,)))
+        ticket = serving._make_ticket(request, shorter, 0.5)
+        waits_s = ticket.leave_s - ticket.arrived_s
+        assert waits_s < route.objective_s / 2
+
+
+async def test_the_directory_follows_what_is_heard_and_this_hosts_own_state():
+    source = _Source()
+    source.write(_CONFIGURATION, "main", 5, _configure(7, "/new/"))
+    async with _run(source, port=19500) as (made, call):
+        await asyncio.sleep(0.1)
+        assert (await call("/addresses", 3))[1].count(b"127.0.0.1:") == 1
+        other = standins.make_host("h2", zone="b", port=19590)
+        made._peers.add_host(other)
+        said = heartbeats.Heartbeat(1, heartbeats.State.READY, True, 0)
+        made._peers._hear("h2", said, 1)
+        await asyncio.sleep(hosts.VIEW_S + 0.02)
+        assert (await call("/addresses", 3))[1].count(b"127.0.0.1:") == 2
+        made._announce(heartbeats.State.LEAVING)
+        _, data = await call("/addresses", 3)
+        assert b"127.0.0.1:19590" in data and b"127.0.0.1:19500" not in data
--- a/eelgrasshall/gateway/turns_test.py
+++ b/eelgrasshall/gateway/turns_test.py
@@ -40,6 +40,19 @@
     assert not made.gate.waiting
 
 
+async def test_one_whose_turn_is_too_far_off_is_refused_at_once():
+    made = _make()
+    made.gate.typical_s = 10.0
+    assert await made.enter(_make_ticket(1))
+    waiting = [
+        asyncio.create_task(made.enter(_make_ticket(number, waits_s=5.0)))
+        for number in (2, 3)
+    ]
+    done, pending = await asyncio.wait(waiting, timeout=0.1)
+    assert [task.result() for task in done] == [False] and len(pending) == 1
+    pending.pop().cancel()
+
+
 async def test_a_caller_that_leaves_frees_its_place():
     made = _make()
     assert await made.enter(_make_ticket(1))
