--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -364,8 +364,7 @@
             self._sharer.cancel()
             self._sharer = None
         carrying = len(self._list_working())
-        # Hosts that this one does not hear may carry requests as well.
-        sharing = min(self._peers.known, max(carrying, working.LEAST_HOSTS))
+        sharing = working.count_sharing(self._peers.known, carrying)
         own = self._options.host.name
         names = [own, *(host.name for host in self._peers.list_hosts())]
         self._serving.set_hosts(sharing, tuple(sorted(names)))
--- a/eelgrasshall/gateway/serving.py
+++ b/eelgrasshall/gateway/serving.py
@@ -77,7 +77,7 @@
         self._dealer = routing.Dealer()
         self._allowances: dict[str, hedging.ExtraAllowance] = {}
         self._latencies: dict[str, hedging.Latencies] = {}
-        self._sharing = working.LEAST_HOSTS
+        self._sharing = working.LEAST_HOSTS + working.SPARE_HOSTS
         self._carrying = working.LEAST_HOSTS
         self._turns: dict[tuple[str, ...], turns.Turns] = {}
         self._longest_s: dict[str, float] = {}
--- a/eelgrasshall/gateway/working.py
+++ b/eelgrasshall/gateway/working.py
@@ -15,17 +15,23 @@
 
 from eelgrasshall.gateway import model
 
-# Fewest hosts that carry requests: two in each of three zones, so that one
-# loss leaves a zone a host and callers an address to turn to.
-LEAST_HOSTS = 6
+# Fewest hosts that carry requests: one in each of three zones.  The fewer they
+# are, the more each sees of what waits at the backend servers: on scale-1 of
+# trapeza-search, with three seeds, worth 0.757 with one, 0.744 with two, 0.728
+# with three and 0.695 with six.
+LEAST_HOSTS = 3
+# Hosts that may carry requests beside those: callers keep addresses, and one
+# that has replaced another shares limits with it for a while.
+SPARE_HOSTS = 1
 # Attempts a second that one core makes at full load: about 350 us for each,
 # measured with `fleetbench run` on the small deployments.
 ATTEMPTS_PER_CORE = 2800.0
 # Bytes on the host's link for each attempt, both ways, with heads.
 ATTEMPT_BYTES = 2000.0
-# Share of a host's capacity that is planned with, so that a doubled load for
-# some seconds and the loss of some hosts find room.
-PLANNED_SHARE = 0.25
+# Shares of a host's capacity that are planned with.  A link that is full delays
+# everything, so that twice the load must fit on two hosts of three.
+PLANNED_CORE_SHARE = 0.6
+PLANNED_LINK_SHARE = 0.3
 
 
 class Load(NamedTuple):
@@ -42,9 +48,9 @@
 
 def estimate_capacity(host: model.Host) -> float:
     """Returns the attempts a second that a host is planned to make."""
-    by_core = host.cores * ATTEMPTS_PER_CORE
-    by_link = host.link_mbps * 1e6 / 8.0 / ATTEMPT_BYTES
-    return min(by_core, by_link) * PLANNED_SHARE
+    by_core = host.cores * ATTEMPTS_PER_CORE * PLANNED_CORE_SHARE
+    by_link = host.link_mbps * 1e6 / 8.0 / ATTEMPT_BYTES * PLANNED_LINK_SHARE
+    return min(by_core, by_link)
 
 
 def choose_working(loads: Sequence[Load]) -> list[model.Host]:
@@ -69,6 +75,16 @@
     return chosen
 
 
+def count_sharing(known: int, carrying: int) -> int:
+    """Returns among how many hosts limits are divided.
+
+    Args:
+      known: Number of hosts known, alive or not.
+      carrying: Number of hosts heard that should carry requests.
+    """
+    return min(known, max(carrying, LEAST_HOSTS) + SPARE_HOSTS)
+
+
 def _rank(host: model.Host) -> tuple[int, int, str]:
     """Returns the order of hosts: the largest first, then as by lot."""
     capacity = math.floor(estimate_capacity(host))
--- a/eelgrasshall/platform/fleet.py
+++ b/eelgrasshall/platform/fleet.py
@@ -1,7 +1,9 @@
 """A small fleet for tests and the soak: stand-ins and real processes.
 
 The store and the backend servers are stand-ins in this process; the entry
-hosts are processes of the real program, each with its own settings file.
+hosts are processes of the real program, each with its own settings file.  The
+hosts reach the store each through a proxy of its own, and each server through
+one that they share.
 """
 
 import asyncio
@@ -15,10 +17,16 @@
 from eelgrasshall.gateway import listener
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import model
+from eelgrasshall.platform import proxy
 from eelgrasshall.platform import standins
 
 _ZONES = ("a", "b", "c")
 _PORTS_PER_HOST = 8
+# Offsets of ports: of a host's way to the store from the host's first port, of
+# the first server from the fleet's, of a server's proxy from the server's.
+_STORE_PROXY_PORT = 7
+_FIRST_SERVER_PORT = 120
+_SERVER_PROXY_PORT = 40
 _SETTINGS = """
 nodeName = "{name}"
 ip = "127.0.0.1"
@@ -117,17 +125,24 @@
         self._folder = folder
         self._port = port
         self.store = standins.Store()
+        self._store_address = model.Address("127.0.0.1", port)
         self.shards = [f"shard{i}" for i in range(shards)]
         self.servers: dict[str, BackendServer] = {}
         self._addresses: dict[str, model.Address] = {}
-        server_port = port + 120
+        self.server_proxies: dict[str, proxy.Proxy] = {}
+        self.store_proxies: dict[str, proxy.Proxy] = {}
+        server_port = port + _FIRST_SERVER_PORT
         for shard in self.shards:
             for replica in range(replicas):
                 name = f"{shard}-{replica}"
                 self.servers[name] = BackendServer(server_id=name)
-                self._addresses[name] = model.Address("127.0.0.1", server_port)
+                target = model.Address("127.0.0.1", server_port)
+                self.server_proxies[name] = proxy.Proxy(target=target)
+                self._addresses[name] = target
                 server_port += 1
         self.names = [f"host{i}" for i in range(hosts)]
+        for name in self.names:
+            self.store_proxies[name] = proxy.Proxy(target=self._store_address)
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self._started: list[asyncio.subprocess.Process] = []
         self.version = 0
@@ -135,9 +150,13 @@
     async def start(self) -> None:
         """Starts everything."""
         self._folder.mkdir(parents=True, exist_ok=True)
-        await self.store.start(model.Address("127.0.0.1", self._port))
+        await self.store.start(self._store_address)
+        for name, each in self.store_proxies.items():
+            port = self.find_port(name, _STORE_PROXY_PORT)
+            await each.start(model.Address("127.0.0.1", port))
         for name, server in self.servers.items():
             await server.start(self._addresses[name])
+            await self.server_proxies[name].start(self._find_proxy(name))
             self.register(name)
         self.configure()
         for name in self.names:
@@ -150,16 +169,22 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
                 await process.wait()
+        for each in self.list_proxies():
+            each.stop()
         for server in self.servers.values():
             server.stop()
         self.store.stop()
 
+    def list_proxies(self) -> list[proxy.Proxy]:
+        """Returns all proxies."""
+        return [*self.store_proxies.values(), *self.server_proxies.values()]
+
     def register(self, name: str, *, state: str = "ready") -> None:
         """Writes a server's entry."""
         index = int(name.rpartition("-")[2])
         spec = {
             "service": name.rpartition("-")[0],
-            "address": str(self._addresses[name]),
+            "address": str(self._find_proxy(name)),
             "zone": _ZONES[index % 3],
             "slots": 6,
             "state": state,
@@ -285,6 +310,11 @@
             return False
         return status == 200
 
+    def _find_proxy(self, name: str) -> model.Address:
+        """Returns where the hosts reach a server."""
+        target = self._addresses[name]
+        return target._replace(port=target.port + _SERVER_PROXY_PORT)
+
     def _open_log(self, name: str) -> BinaryIO:
         """Opens the log of a host to add to it."""
         return (self._folder / f"{name}.log").open("ab")
@@ -303,7 +333,7 @@
             inner=first + 4,
             inner_last=first + 6,
             seeds=str(seeds).replace("'", '"'),
-            store=self._port,
+            store=first + _STORE_PROXY_PORT,
         )
 
 
--- a/eelgrasshall/platform/soak.py
+++ b/eelgrasshall/platform/soak.py
@@ -2,11 +2,13 @@
 
 `python -m eelgrasshall.platform.soak --seeds 5 --seconds 20` plays seeds one
 after the other.  Each draws faults in series and overlapping: processes are
-paused, killed, stopped and started again by signals, the store refuses,
-swallows calls or drops its history, backend servers drain, lapse, hang and
-return, and configurations change.  Callers go on all the while and keep open
-connections until the process is gone.  What callers and backend servers see is
-checked; each breach names its promise, and the logs stay in the folder.
+paused, killed, stopped and started again by signals, connections to the store
+and to backend servers are delayed, reset, cut one way or silenced by proxies,
+the store refuses, swallows calls or drops its history, backend servers drain,
+lapse, hang and return, and configurations change.  Callers go on all the while
+and keep open connections until the process is gone.  What callers and backend
+servers see is checked; each breach names its promise, and the logs stay in the
+folder.
 """
 
 import argparse
@@ -22,6 +24,7 @@
 from typing import NamedTuple
 
 from eelgrasshall.platform import fleet as fleets
+from eelgrasshall.platform import proxy as proxies
 
 # Rates and bounds of the soak, seconds.
 CALL_PAUSE_S = 0.02
@@ -222,6 +225,8 @@
                 await process.wait()
             if process.returncode is not None:
                 await self.fleet.start_host(name)
+        for proxy in self.fleet.list_proxies():
+            proxy.restore()
         self.draining.clear()
         for name, server in self.fleet.servers.items():
             server.work_s = 0.005
@@ -284,6 +289,50 @@
     soak.disturb()
 
 
+def _choose_proxy(soak: Soak) -> proxies.Proxy:
+    """Returns a host's way to the store, or the way to a server."""
+    groups = (soak.fleet.store_proxies, soak.fleet.server_proxies)
+    group = soak.random.choice(groups)
+    return group[soak.random.choice(sorted(group))]
+
+
+@register_fault
+async def delay_connections(soak: Soak) -> None:
+    """Bytes on one way take longer for a while."""
+    proxy = _choose_proxy(soak)
+    soak.disturb()
+    proxy.delay_s = soak.random.uniform(0.01, 0.5)
+    await asyncio.sleep(soak.random.uniform(0.5, 3.0))
+    proxy.restore()
+    soak.disturb()
+
+
+@register_fault
+async def cut_one_way(soak: Soak) -> None:
+    """Nothing passes in one direction for a while."""
+    proxy = _choose_proxy(soak)
+    soak.disturb()
+    proxy.cut.add(soak.random.choice(list(proxies.Direction)))
+    await asyncio.sleep(soak.random.uniform(0.5, 4.0))
+    proxy.restore()
+    soak.disturb()
+
+
+@register_fault
+async def reset_connections(soak: Soak) -> None:
+    """The open connections of one way are reset."""
+    soak.disturb()
+    _choose_proxy(soak).reset()
+
+
+@register_fault
+async def silence_connections(soak: Soak) -> None:
+    """The open connections of some ways go silent for good."""
+    soak.disturb()
+    for _ in range(soak.random.randint(1, 4)):
+        _choose_proxy(soak).silence()
+
+
 @register_fault
 async def forget_history(soak: Soak) -> None:
     """The store drops its history."""
