--- a/eelgrasshall/gateway/admission.py
+++ b/eelgrasshall/gateway/admission.py
@@ -21,26 +21,29 @@
 # under six times their usual load (`fleetbench run` of worst-load, both sites).
 MOST_PER_SLOT = 6.0
 LEAST_PER_SLOT = 2.5
-# The number is judged by requests that ended within this time.
+# The number is judged anew after this time and so many requests: about two
+# objectives of the users' searches, and enough for a share in tenths.
 JUDGE_EVERY_S = 0.2
 JUDGE_LEAST = 10
 # Shares answered in time above and below which it is raised or lowered.  It
 # is lowered as far as the share is too small, since a queue grows fast, but by
-# no more than the least factor in one step, and raised slowly.
+# no more than the least factor in one step, and raised slowly (proportional
+# steps against steps of 0.85: 0.655 and 0.643 on worst-load, trapeza-search).
 GOOD_SHARE = 0.9
 BAD_SHARE = 0.75
 RAISE_FACTOR = 1.05
 LEAST_FACTOR = 0.6
-# Fewest requests that one host runs at once.
+# Fewest requests that one host runs at once: one that hangs must not stop all.
 LEAST_RUNNING = 2
 # Share of the objective for which a request waits to begin: one that waits
 # longer is late in all likelihood, and its caller may come back instead.
 WAIT_SHARE = 0.2
-# Share of its time for which one waits whose caller has come back.
+# Share of its time for which one waits whose caller has come back: less than
+# half, so that a caller who is refused again can still turn elsewhere.
 RETURN_WAIT_SHARE = 0.4
 # Every so many starts the kinds' priorities do not count, so that none starves.
 FAIR_EVERY = 2
-# Weight of the newest duration in the moving average.
+# Weight of the newest duration in the moving average, as for the servers'.
 DURATION_WEIGHT = 0.1
 # Share of its time left that a caller is asked to stay away at most; callers
 # wait for a third of it.
--- a/eelgrasshall/gateway/heartbeats.py
+++ b/eelgrasshall/gateway/heartbeats.py
@@ -14,7 +14,8 @@
 
 from eelgrasshall.gateway import model
 
-# Number of the beat, packed rest; the second form has a checksum of the name.
+# An entry of a table: number of the beat, packed rest.  The second form begins
+# with a checksum of the name.
 ENTRY = struct.Struct("!BB")
 NAMED_ENTRY = struct.Struct("!IBB")
 MAX_RATE = 0xFFFF
@@ -149,6 +150,9 @@
         link_mbps=float(link_mbps),
     )
     heartbeat = Heartbeat(
-        int(beat) % BEATS, State(state), bool(reaches_store), int(rate)
+        int(beat) % BEATS,
+        State(state),
+        bool(reaches_store),
+        min(max(int(rate), 0), MAX_RATE),
     )
     return Message(host, incarnation, heartbeat, news, digest, bool(named))
--- a/eelgrasshall/gateway/peers_test.py
+++ b/eelgrasshall/gateway/peers_test.py
@@ -292,6 +292,16 @@
         assert min(rate, 32768) / 1.2 <= read.attempts_per_s <= rate * 1.2
 
 
+def test_a_rate_that_cannot_be_is_brought_into_range():
+    host = standins.make_host()
+    for rate, expected in ((-5, 0), (10**9, heartbeats.MAX_RATE)):
+        said = heartbeats.Heartbeat(1, heartbeats.State.READY, True, rate)
+        message = heartbeats.Message(host, 1, said, [], 0, False)
+        read = heartbeats.parse_head(heartbeats.encode_head(message))
+        assert read.heartbeat.attempts_per_s == expected
+        heartbeats.encode_entry(read.heartbeat)
+
+
 @given(data=strategies.binary(max_size=200))
 def test_bytes_that_are_no_heartbeat_change_nothing(data):
     async def receive():
--- a/eelgrasshall/gateway/registry.py
+++ b/eelgrasshall/gateway/registry.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Sequence
+import hashlib
 import math
 from typing import Any
 
@@ -26,6 +27,12 @@
 CONNECTIONS_PER_SLOT = 2.0
 # A host needs a second one while the first is held by a request that is slow.
 LEAST_CONNECTIONS = 2
+# Servers of a service that a host uses at least, though that is more than its
+# part: one may be slow and one lost.
+LEAST_OWN = 2
+# Share of a server's connections that are handed out where hosts use servers by
+# lot: some servers are drawn by a third more hosts than others.
+LOT_SHARE = 0.7
 # Pauses between health checks of a server that cannot be reached.
 FIRST_PROBE_S = 0.25
 LONGEST_PROBE_S = 1.0
@@ -52,6 +59,7 @@
         self._servers: dict[str, model.Server] = {}
         self._backends: dict[str, upstream.Backend] = {}
         self._candidates: dict[str, list[upstream.Backend]] = {}
+        self._own_candidates: dict[str, list[upstream.Backend]] = {}
         self._services: dict[str, model.Service] = {}
         self._evacuated: set[str] = set()
         self._hosts = 1
@@ -69,7 +77,10 @@
 
     def find_candidates(self, service: str) -> Sequence[upstream.Backend]:
         """Returns the backend servers of a service that may get work."""
-        return self._candidates.get(service, ())
+        own = self._own_candidates.get(service)
+        if own is None:
+            own = self._own_candidates[service] = self._choose_own(service)
+        return own
 
     def count_servers(self) -> int:
         """Returns the number of servers that may get work."""
@@ -78,6 +89,7 @@
     def set_services(self, services: dict[str, model.Service]) -> None:
         """Takes over what a configuration says of the services."""
         self._services = services
+        self._own_candidates.clear()
         for backend in self._backends.values():
             service = services.get(backend.server.service)
             if service is not None:
@@ -95,6 +107,7 @@
         """
         if working != self._hosts:
             self._hosts = working
+            self._own_candidates.clear()
             self._share_connections()
         if names != self._host_names:
             self._host_names = names
@@ -266,6 +279,7 @@
         self._candidates.setdefault(server.service, []).append(
             self._backends[server.id]
         )
+        self._own_candidates.pop(server.service, None)
 
     def _remove(self, server_id: str) -> None:
         """Takes a server from the candidates."""
@@ -274,6 +288,23 @@
             return
         backend.close()
         self._candidates[backend.server.service].remove(backend)
+        self._own_candidates.pop(backend.server.service, None)
+
+    def _choose_own(self, service: str) -> list[upstream.Backend]:
+        """Returns the servers of a service that this host uses.
+
+        They are as if drawn by lot, another lot for each host, so that each
+        server is used by about as many hosts as it has connections for.
+        """
+        backends = self._candidates.get(service, [])
+        limit = self._services[service].max_connections if backends else 0
+        count = count_own(len(backends), limit, self._hosts)
+        if count >= len(backends):
+            return list(backends)
+        return sorted(
+            backends,
+            key=lambda backend: _draw(self._own, backend.server.id),
+        )[:count]
 
     def _chill(self, server_id: str, cold_s: float | None = None) -> None:
         """Treats a server as cold, if its service states what it bears then.
@@ -316,6 +347,30 @@
             backend.max_open = self._share(backend.server, backend.service)
 
 
+def count_own(servers: int, max_connections: int, hosts: int) -> int:
+    """Returns how many servers of a service one host uses.
+
+    Args:
+      servers: Servers of the service.
+      max_connections: Connections that each of them accepts.
+      hosts: Number of hosts that share them.
+    """
+    per_host = max_connections * CONNECTION_SHARE / max(hosts, 1)
+    if per_host >= 1.0:
+        return servers
+    return max(LEAST_OWN, int(servers * per_host * LOT_SHARE))
+
+
+def _draw(host: str, server_id: str) -> bytes:
+    """Returns a lot that a host draws for a server, always the same.
+
+    A checksum would do for one host, but orders servers alike for hosts with
+    similar names.
+    """
+    text = f"{host} {server_id}"
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+
 class _Waiter:
     """Lets a task await the outcome of an attempt."""
 
