Attempts that would be late wait until a server has nothing else to do

A search may miss two shards of 42, so nearly all become late, though the fleet is not overloaded.

Change: gateway/send_queue.py: an attempt that can still be answered in time goes before one that cannot; the time that a server needs is measured from the send, not from the moment at which the attempt was queued here. Admission is lowered to 3 requests a slot instead of 2.5.

--- a/eelgrasshall/gateway/admission.py
+++ b/eelgrasshall/gateway/admission.py
@@ -20,7 +20,7 @@
 # shard.  Servers with two slots need about six to be busy; servers with six
 # slots need about three to answer in time at six times their usual load.
 MAX_REQUESTS_PER_SLOT = 6.0
-MIN_REQUESTS_PER_SLOT = 2.5
+MIN_REQUESTS_PER_SLOT = 3.0
 # The concurrency is adjusted once both this time has passed (about two search
 # objectives) and so many requests have ended (a share in steps of a tenth).
 ADJUST_INTERVAL_S = 0.2
--- a/eelgrasshall/gateway/attempts.py
+++ b/eelgrasshall/gateway/attempts.py
@@ -1,6 +1,7 @@
 """Attempts: a caller's request as sent to one backend server."""
 
 from collections.abc import Callable
+import math
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -34,6 +35,8 @@
         the deadline and the server's id.
       deadline_s: Monotonic time until which the backend server may work.
       expected_latency_s: Usual latency of such requests, seconds.
+      due_s: Monotonic time by which a response counts as in time; infinity if
+        any time before the deadline does.
       needs_new_connection: Whether the request may only be sent on a newly
         opened connection.
       compute_fingerprint: Returns a hash of the request that is the same when
@@ -46,12 +49,14 @@
         "connection",
         "deadline_s",
         "done",
+        "due_s",
         "encode",
         "expected_latency_s",
         "needs_new_connection",
         "owner",
         "request_id",
         "sent",
+        "sent_s",
         "started_s",
         "tag",
     )
@@ -66,6 +71,7 @@
         deadline_s: float,
         expected_latency_s: float,
         needs_new_connection: bool,
+        due_s: float = math.inf,
         compute_fingerprint: Callable[[], str] | None = None,
     ):
         self.compute_fingerprint = compute_fingerprint
@@ -74,10 +80,12 @@
         self.request_id = request_id
         self.encode = encode
         self.deadline_s = deadline_s
+        self.due_s = due_s
         self.expected_latency_s = expected_latency_s
         self.needs_new_connection = needs_new_connection
         self.backend: upstream.Backend | None = None
         self.connection: connections.Connection | None = None
         self.started_s = 0.0
         self.sent = False
+        self.sent_s = 0.0
         self.done = False
--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -311,6 +311,7 @@
             request_id=self._request_id,
             encode=self._encode_attempt,
             deadline_s=self._deadline_s,
+            due_s=self._partial_due_s,
             expected_latency_s=self._median_latency_s,
             needs_new_connection=not self._route.idempotent,
             compute_fingerprint=self._compute_fingerprint,
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -9,7 +9,6 @@
 """
 
 import asyncio
-import collections
 from collections.abc import Callable
 import math
 from typing import NamedTuple
@@ -20,6 +19,7 @@
 from eelgrasshall.gateway import connections
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import model
+from eelgrasshall.gateway import send_queue
 
 # Several round trips to another zone; after that the server is unreachable.
 CONNECT_TIMEOUT_S = 0.4
@@ -32,8 +32,8 @@
 COLD_LATENCY_RATIO = 1.6
 # Upper bound on the latency ratio of one attempt; a higher one means a stall.
 MAX_LATENCY_RATIO = 20.0
-# Most attempts that wait for a connection to one backend server.
-MAX_QUEUED_ATTEMPTS = 64
+# An attempt with no more time than this cannot be answered and is not sent.
+MIN_REMAINING_S = 0.001
 
 
 class Observer(Protocol):
@@ -93,6 +93,8 @@
         self.latency_ratio = (
             COLD_LATENCY_RATIO if server.cold_remaining_s > 0 else 1.0
         )
+        # The same as the latency ratio, without the time in the queue here.
+        self.service_time_ratio = self.latency_ratio
         self.unreachable = False
         self.closed = False
         # Used as an ordered set: the oldest attempt is first.
@@ -104,7 +106,7 @@
         self._idle: list[connections.Connection] = []
         self._open: set[connections.Connection] = set()
         self._connecting = 0
-        self._queue: collections.deque[attempts.Attempt] = collections.deque()
+        self._queue = send_queue.SendQueue()
         self._tasks: set[asyncio.Task] = set()
 
     def can_accept(self, now: float) -> bool:
@@ -132,12 +134,11 @@
                     self._send(connection, attempt)
                     return
                 self.close_connection(connection)
-        if len(self._queue) >= MAX_QUEUED_ATTEMPTS:
+        if not self._queue.append(attempt):
             self._report_outcome(
                 attempt, messages.Failure(messages.FailureKind.NOT_SENT)
             )
             return
-        self._queue.append(attempt)
         if (
             attempt.needs_new_connection
             and self._idle
@@ -227,7 +228,7 @@
         if connection in self._idle:
             self._idle.remove(connection)
         if (
-            self._queue
+            self._queue.has_waiting()
             and not self.closed
             and not self._is_at_connection_limit()
         ):
@@ -275,11 +276,15 @@
             self.environment.observer.on_misdirected(self)
             return
         if reply.succeeded:
-            ratio = (now - attempt.started_s) / max(
-                attempt.expected_latency_s, 0.001
-            )
+            expected_s = max(attempt.expected_latency_s, 0.001)
+            ratio = (now - attempt.started_s) / expected_s
             ratio = min(ratio, MAX_LATENCY_RATIO)
             self.latency_ratio += (ratio - self.latency_ratio) * LATENCY_WEIGHT
+            ratio = (now - attempt.sent_s) / expected_s
+            ratio = min(ratio, MAX_LATENCY_RATIO)
+            self.service_time_ratio += (
+                ratio - self.service_time_ratio
+            ) * LATENCY_WEIGHT
             self._error_rate = self.get_error_rate(now) * (1 - ERROR_WEIGHT)
             self._error_time_s = now
             self._refusal_rate = self.get_refusal_rate(now) * (1 - ERROR_WEIGHT)
@@ -301,28 +306,42 @@
         self, connection: connections.Connection, attempt: attempts.Attempt
     ) -> None:
         """Sends an attempt on a free connection, unless it is too late."""
-        remaining_s = attempt.deadline_s - self.environment.loop.time()
-        if remaining_s <= 0.001:
+        now = self.environment.loop.time()
+        remaining_s = attempt.deadline_s - now
+        if remaining_s <= MIN_REMAINING_S:
             self._idle.append(connection)
             self._report_outcome(
                 attempt, messages.Failure(messages.FailureKind.NOT_SENT)
             )
             return
+        attempt.sent_s = now
         connection.send(attempt, attempt.encode(remaining_s, self.server.id))
         self.environment.count("attempts_sent")
 
+    def _send_next(
+        self, connection: connections.Connection, *, new_connection: bool
+    ) -> bool:
+        """Sends the next queued attempt; returns False if none can be sent."""
+        now = self.environment.loop.time()
+        while True:
+            attempt = self._queue.take_next(
+                now, self.service_time_ratio, new_connection=new_connection
+            )
+            if attempt is None:
+                return False
+            if attempt.deadline_s - now > MIN_REMAINING_S:
+                self._send(connection, attempt)
+                return True
+            self._report_outcome(
+                attempt, messages.Failure(messages.FailureKind.NOT_SENT)
+            )
+
     def _release_connection(self, connection: connections.Connection) -> None:
         """Sends the next queued attempt on a connection, or keeps it idle.
 
         It is closed if this host holds more connections than it may.
         """
-        while self._queue:
-            if self._queue[0].done:
-                self._queue.popleft()
-                continue
-            if self._queue[0].needs_new_connection:
-                break
-            self._send(connection, self._queue.popleft())
+        if self._send_next(connection, new_connection=False):
             return
         if self.closed or len(self._open) > self.connection_limit:
             self.close_connection(connection)
@@ -361,11 +380,8 @@
     def add_connection(self, connection: connections.Connection) -> None:
         """Adds a newly opened connection and sends the next attempt on it."""
         self._open.add(connection)
-        while self._queue:
-            attempt = self._queue.popleft()
-            if not attempt.done:
-                self._send(connection, attempt)
-                return
+        if self._send_next(connection, new_connection=True):
+            return
         connection.idle_since_s = self.environment.loop.time()
         self._release_connection(connection)
 
@@ -374,9 +390,7 @@
         self.unreachable = True
         self._record_error(self.environment.loop.time())
         self.environment.observer.on_unreachable(self)
-        queued = list(self._queue)
-        self._queue.clear()
-        for attempt in queued:
+        for attempt in self._queue.take_all():
             self._report_outcome(
                 attempt, messages.Failure(messages.FailureKind.NOT_SENT)
             )
--- a/eelgrasshall/gateway/upstream_test.py
+++ b/eelgrasshall/gateway/upstream_test.py
@@ -154,3 +154,48 @@
 
 def test_address_is_formatted_as_ip_and_port():
     assert str(model.Address("10.0.0.1", 80)) == "10.0.0.1:80"
+
+
+async def test_waiting_attempt_in_time_goes_before_late_one():
+    connected = fakes.ConnectedBackend(connection_limit=1)
+    connected.send("a1")
+    owner = fakes.OutcomeRecorder()
+    late = fakes.make_attempt(owner, "a2")
+    late.due_s = asyncio.get_running_loop().time()
+    in_time = fakes.make_attempt(owner, "a3")
+    for attempt in (late, in_time):
+        connected.backend.submit(attempt)
+    connected.feed(fakes.encode_reply("a1", b""))
+    assert connected.connection.attempt is in_time
+    connected.feed(fakes.encode_reply("a3", b""))
+    assert connected.connection.attempt is late
+    connected.feed(fakes.encode_reply("a2", b""))
+    assert owner.get_reply(late).status == 200
+
+
+async def test_time_in_the_queue_does_not_count_as_service_time():
+    connected = fakes.ConnectedBackend(connection_limit=1)
+    connected.send("a1")
+    waiting = fakes.make_attempt(fakes.OutcomeRecorder(), "a2")
+    connected.backend.submit(waiting)
+    await asyncio.sleep(0.05)
+    connected.feed(fakes.encode_reply("a1", b""))
+    latency_ratio = connected.backend.latency_ratio
+    service_time_ratio = connected.backend.service_time_ratio
+    # Answered at once when it is sent, after 50 ms in the queue.
+    connected.feed(fakes.encode_reply("a2", b""))
+    assert connected.backend.latency_ratio > latency_ratio
+    assert connected.backend.service_time_ratio < service_time_ratio
+
+
+async def test_expired_attempt_does_not_keep_the_connection_from_others():
+    connected = fakes.ConnectedBackend(connection_limit=1)
+    connected.send("a1")
+    owner = fakes.OutcomeRecorder()
+    expired = fakes.make_attempt(owner, "a2", remaining_s=0.0)
+    waiting = fakes.make_attempt(owner, "a3")
+    for attempt in (expired, waiting):
+        connected.backend.submit(attempt)
+    connected.feed(fakes.encode_reply("a1", b""))
+    assert owner.get_failure(expired) is messages.FailureKind.NOT_SENT
+    assert connected.connection.attempt is waiting
