Few hosts try while no host reaches the store, twice as many each second

Change: nine hosts try at once, as many as a small fleet has, then twice as many each second, so that all of 195 try after 5 s if the watchers alone are cut off. Hosts that reach the store are elected first and keep watching.

--- a/eelgrasshall/gateway/election.py
+++ b/eelgrasshall/gateway/election.py
@@ -2,9 +2,10 @@
 
 Every call to the store is charged, and a waiting watch counts as a call, so
 only a few hosts watch and pass changes on to the others.  Each host works out
-for itself which hosts watch, from the hosts whose heartbeats it receives.  A
-host that receives none from a host that reaches the store watches by itself,
-so an incorrect view of the fleet costs calls but nothing else.
+for itself which hosts watch, from the hosts whose heartbeats it receives.
+While a host hears of none that reaches the store, more hosts try, and the
+longer that lasts the more of them: the watchers may be cut off, but if the
+store is down, calls of the whole fleet are of no use.
 """
 
 from collections.abc import Sequence
@@ -14,6 +15,13 @@
 # Hosts in the fleet that watch: with three, two can be cut off at the same time
 # without a gap.
 WATCHER_COUNT = 3
+# Hosts that try once none reaches the store: all hosts of a small fleet.
+FALLBACK_WATCHER_COUNT = 9
+# Interval after which twice as many hosts try: several calls of each host, and
+# long enough for heartbeats to spread the news of one that succeeded.
+FALLBACK_DOUBLING_S = 1.0
+# With so many doublings, every host of a fleet of 9,000 tries.
+MAX_DOUBLINGS = 10
 
 
 class Candidate(NamedTuple):
@@ -34,9 +42,18 @@
 def elect_watchers(
     candidates: Sequence[Candidate], count: int = WATCHER_COUNT
 ) -> list[Candidate]:
-    """Returns the hosts that should watch, spread over the zones."""
+    """Returns the hosts that should watch, spread over the zones.
+
+    Hosts that reach the store come first, so that they keep watching until the
+    others do.
+    """
     ordered = sorted(
-        candidates, key=lambda each: (zlib.crc32(each.name.encode()), each.name)
+        candidates,
+        key=lambda each: (
+            not each.reaches_store,
+            zlib.crc32(each.name.encode()),
+            each.name,
+        ),
     )
     elected: list[Candidate] = []
     while len(elected) < min(count, len(ordered)):
@@ -50,16 +67,30 @@
     return elected
 
 
+def choose_fallback_count(unreached_s: float) -> int:
+    """Returns how many hosts should try to watch while none reaches the store.
+
+    Args:
+      unreached_s: Time for which none has reached it, seconds.
+    """
+    doublings = min(int(unreached_s / FALLBACK_DOUBLING_S), MAX_DOUBLINGS)
+    return FALLBACK_WATCHER_COUNT << doublings
+
+
 def should_watch(
-    own: Candidate, others: Sequence[Candidate], count: int = WATCHER_COUNT
+    own: Candidate, others: Sequence[Candidate], unreached_s: float = 0.0
 ) -> bool:
     """Returns whether this host should watch the store.
 
     Args:
       own: This host.
       others: The other hosts that are alive and ready.
-      count: The number of hosts that watch.
+      unreached_s: Time for which no host has reached the store, seconds;
+        ignored if one does.
     """
-    if own in elect_watchers([own, *others], count):
-        return True
-    return not any(each.reaches_store for each in others)
+    candidates = [own, *others]
+    if any(each.reaches_store for each in candidates):
+        count = WATCHER_COUNT
+    else:
+        count = choose_fallback_count(unreached_s)
+    return own in elect_watchers(candidates, count)
