Hosts in zones with many backend servers are active first

Cause: the shards of the large deployment have servers in three of five zones, and the three active hosts stood in any of the five.

Change: zones with at least half of the servers of the largest zone go first. The bound is well below 1, so that servers that come and go do not move the callers.

--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -168,6 +168,8 @@
         self._active_hosts_time_s = -VIEW_TTL_S
         self._watch_elected = True
         self._watch_elected_time_s = -VIEW_TTL_S
+        # When this host or another one was last known to reach the store.
+        self._store_reached_s = self._loop.time()
         self._attempts_per_s = 0.0
         self._last_attempts_sent = 0
 
@@ -465,7 +467,7 @@
         now = self._loop.time()
         if now - self._active_hosts_time_s >= VIEW_TTL_S:
             self._active_hosts = active_hosts.choose_active_hosts(
-                self._peers.list_loads()
+                self._peers.list_loads(), self._registry.servers_by_zone
             )
             self._active_hosts_time_s = now
         return self._active_hosts
@@ -498,7 +500,11 @@
                 host.name, host.zone, self._reaches_store()
             )
             others = self._peers.list_candidates()
-            self._watch_elected = election.should_watch(own, others)
+            if any(each.reaches_store for each in (own, *others)):
+                self._store_reached_s = now
+            self._watch_elected = election.should_watch(
+                own, others, now - self._store_reached_s
+            )
             self._watch_elected_time_s = now
         return self._watch_elected
 
