--- a/eelgrasshall/gateway/events.py
+++ b/eelgrasshall/gateway/events.py
@@ -2,8 +2,8 @@
 
 Each line is an event, usually a decision with its inputs.  Events of single
 requests are rate-limited, with a reserve for failures and rejections; changes
-of the state of the process are not.  The next line that is written reports
-that lines were dropped, with a lower bound of their number.
+of the state of the process are not.  The next line that is written reports how
+many lines were dropped before it.
 """
 
 import collections
@@ -63,6 +63,9 @@
 
     def _write_event(self, event: str, fields: dict[str, Any]) -> None:
         """Formats a line and writes what standard output accepts at once."""
+        if len(self._pending) >= MAX_PENDING_LINES:
+            self.dropped += 1
+            return
         line: dict[str, Any] = {
             "time": round(time.time(), 3),
             "host": self._name,
@@ -71,9 +74,6 @@
         }
         if self.dropped:
             line["dropped"], self.dropped = self.dropped, 0
-        if len(self._pending) >= MAX_PENDING_LINES:
-            self.dropped += 1
-            return
         self._pending.append(json.dumps(line, default=str).encode() + b"\n")
         self.flush()
 
--- a/eelgrasshall/gateway/events_test.py
+++ b/eelgrasshall/gateway/events_test.py
@@ -40,6 +40,21 @@
     assert _read(reader)[-1]["dropped"] > 0
 
 
+def test_all_lines_dropped_while_the_reader_stalls_are_counted():
+    log, reader = _open_log()
+    count = 5000
+    for _ in range(count):
+        log.record("server", text="x" * 200)
+    kept = b""
+    while log._pending:
+        kept += os.read(reader, 1 << 20)
+        log.flush()
+    kept += os.read(reader, 1 << 20)
+    log.record("after")
+    dropped = _read(reader)[-1]["dropped"]
+    assert kept.count(b"\n") + dropped == count
+
+
 def test_failures_have_a_reserve_in_the_rate_limit():
     log, _ = _open_log()
     while log.allow_request_line(failed=False):
