--- a/eelgrasshall/gateway/overload_test.py
+++ b/eelgrasshall/gateway/overload_test.py
@@ -12,8 +12,10 @@
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import load_model
 from eelgrasshall.gateway import send_queue
+from eelgrasshall.gateway import simulated_server
+from eelgrasshall.gateway import virtual_time
 
-_BURST = load_model.Burst(2.0, 5.0, 1.6)
+_BURST = simulated_server.Span(2.0, 5.0, 1.6)
 
 
 def _make_kinds(
@@ -45,7 +47,7 @@
 @pytest.fixture
 def loop():
     """An event loop in virtual time."""
-    loop = load_model.VirtualTimeLoop()
+    loop = virtual_time.VirtualTimeLoop()
     yield loop
     loop.close()
 
@@ -73,7 +75,7 @@
             simulation.remove_server(server_id)
     left = sorted(simulation.servers.keys() - set(gone))
     for server_id in rng.sample(left, 16):
-        slowdown = load_model.Slowdown(0.5, 6.0, 8.0)
+        slowdown = simulated_server.Span(0.5, 6.0, 8.0)
         simulation.servers[server_id].slowdowns.append(slowdown)
     simulation.run(6.0)
     return load_model.summarize(
@@ -90,7 +92,7 @@
         kinds=_make_kinds(shards, 90.0, min_share=0.89),
         shards=shards,
         slots=6,
-        bursts=[load_model.Burst(1.0, 3.0, 6.0)],
+        bursts=[simulated_server.Span(1.0, 3.0, 6.0)],
     )
     simulation.run(4.0)
     return load_model.summarize(simulation.results, 1.0, 3.0)
@@ -105,7 +107,7 @@
 def test_burst_on_few_good_replicas_is_answered_in_time(loop, monkeypatch):
     summary = _replay_few_good_replicas(loop)
     monkeypatch.setattr(send_queue, "choose_next", _send_in_order_of_arrival)
-    other_loop = load_model.VirtualTimeLoop()
+    other_loop = virtual_time.VirtualTimeLoop()
     before = _replay_few_good_replicas(other_loop)
     other_loop.close()
     assert summary.requests == before.requests
@@ -119,7 +121,7 @@
     summary = _replay_six_times_the_load(loop)
     monkeypatch.setattr(admission, "MIN_REQUESTS_PER_SLOT", 2.5)
     monkeypatch.setattr(send_queue, "choose_next", _send_in_order_of_arrival)
-    other_loop = load_model.VirtualTimeLoop()
+    other_loop = virtual_time.VirtualTimeLoop()
     before = _replay_six_times_the_load(other_loop)
     other_loop.close()
     assert summary.credit > before.credit
@@ -143,7 +145,7 @@
 def test_same_seed_gives_the_same_results():
     results = []
     for _ in range(2):
-        loop = load_model.VirtualTimeLoop()
+        loop = virtual_time.VirtualTimeLoop()
         shards = ("a", "b", "c")
         simulation = load_model.Simulation(
             loop=loop,
