--- a/eelgrasshall/gateway/active_hosts.py
+++ b/eelgrasshall/gateway/active_hosts.py
@@ -4,12 +4,10 @@
 each backend server and sees more of the queues there.  Callers are therefore
 given only as many hosts as the load needs, the largest first, spread over the
 zones; the others are on standby and become active when the load rises or
-hosts are lost.  Zones with many backend servers go before others: a search
-collects far more bytes from the servers than it returns to its caller.  Each
-host computes the set from the heartbeats that it receives.
+hosts are lost.  Each host computes the set from the heartbeats that it
+receives.
 """
 
-from collections.abc import Mapping
 from collections.abc import Sequence
 import itertools
 import math
@@ -32,9 +30,6 @@
 # hosts must be able to carry twice the load.
 PLANNED_CORE_SHARE = 0.6
 PLANNED_LINK_SHARE = 0.3
-# A zone with at least this share of the servers of the largest zone has many;
-# well below 1, so that servers that come and go do not change the active hosts.
-MANY_SERVERS_SHARE = 0.5
 
 
 class HostLoad(NamedTuple):
@@ -58,21 +53,12 @@
     return min(by_core, by_link)
 
 
-def choose_active_hosts(
-    loads: Sequence[HostLoad], servers_by_zone: Mapping[str, int]
-) -> list[model.Host]:
+def choose_active_hosts(loads: Sequence[HostLoad]) -> list[model.Host]:
     """Returns the hosts that should be active.
 
     Args:
       loads: The hosts that are ready.
-      servers_by_zone: Number of backend servers in each zone that has any.
     """
-    many = max(servers_by_zone.values(), default=0) * MANY_SERVERS_SHARE
-
-    def get_rank(host: model.Host) -> tuple[bool, int, int, str]:
-        has_many = servers_by_zone.get(host.zone, 0) >= many
-        return not has_many, *_sort_key(host)
-
     needed = sum(load.attempts_per_s for load in loads)
     zones: dict[str, list[model.Host]] = {}
     for host in sorted((load.host for load in loads), key=_sort_key):
@@ -81,7 +67,7 @@
     capacity = 0.0
     # In each round, the largest remaining host of every zone.
     for round_hosts in itertools.zip_longest(*zones.values()):
-        for host in sorted(filter(None, round_hosts), key=get_rank):
+        for host in sorted(filter(None, round_hosts), key=_sort_key):
             if len(chosen) >= MIN_ACTIVE_HOSTS and capacity >= needed:
                 return chosen
             chosen.append(host)
--- a/eelgrasshall/gateway/active_hosts_test.py
+++ b/eelgrasshall/gateway/active_hosts_test.py
@@ -24,72 +24,53 @@
     return [active_hosts.HostLoad(host, rate) for host in hosts]
 
 
-def _choose(loads, servers_by_zone=None):
-    return active_hosts.choose_active_hosts(loads, servers_by_zone or {})
-
-
 def test_largest_hosts_are_active_at_low_load():
-    chosen = _choose(_make_loads(large=6, small=68))
+    chosen = active_hosts.choose_active_hosts(_make_loads(large=6, small=68))
     assert {host.name for host in chosen} <= {f"large-{i}" for i in range(6)}
     assert len(chosen) == active_hosts.MIN_ACTIVE_HOSTS
 
 
 def test_each_zone_has_an_active_host():
-    chosen = _choose(_make_loads(large=6, small=68))
+    chosen = active_hosts.choose_active_hosts(_make_loads(large=6, small=68))
     assert {host.zone for host in chosen} == set(_ZONES)
 
 
 def test_higher_load_activates_more_hosts():
-    low_load = _choose(_make_loads(large=6, small=68, rate=10.0))
-    high_load = _choose(_make_loads(large=6, small=68, rate=600.0))
+    low_load = active_hosts.choose_active_hosts(
+        _make_loads(large=6, small=68, rate=10.0)
+    )
+    high_load = active_hosts.choose_active_hosts(
+        _make_loads(large=6, small=68, rate=600.0)
+    )
     assert len(high_load) > len(low_load)
     capacity = sum(active_hosts.estimate_capacity(host) for host in high_load)
     assert capacity >= 600.0 * 74 or len(high_load) == 74
 
 
-def test_zones_with_many_servers_come_first():
-    # Shards have servers in three of five zones; hosts in the other two would
-    # get every part from another zone.
-    hosts = [
-        fakes.make_host(f"{zone}-{i}", zone=zone)
-        for zone in "abcde"
-        for i in range(3)
-    ]
-    loads = [active_hosts.HostLoad(host, 0.0) for host in hosts]
-    servers = {"a": 45, "b": 30, "c": 44, "d": 3, "e": 2}
-    assert {host.zone for host in _choose(loads, servers)} == set("abc")
-
-
-def test_zones_without_servers_serve_when_the_others_are_lost():
-    hosts = [fakes.make_host(f"{zone}-0", zone=zone) for zone in "de"]
-    loads = [active_hosts.HostLoad(host, 0.0) for host in hosts]
-    assert len(_choose(loads, {"a": 45, "b": 45, "d": 3})) == 2
-
-
-def test_servers_that_come_and_go_do_not_change_the_active_hosts():
-    loads = _make_loads(large=6, small=68)
-    expected = _choose(loads, {"a": 30, "b": 30, "c": 30})
-    assert _choose(loads, {"a": 30, "b": 16, "c": 25}) == expected
-
-
 def test_small_fleet_is_active_as_a_whole():
-    assert len(_choose(_make_loads(large=0, small=2))) == 2
+    assert (
+        len(active_hosts.choose_active_hosts(_make_loads(large=0, small=2)))
+        == 2
+    )
 
 
 def test_lost_hosts_are_replaced_at_once():
     loads = _make_loads(large=6, small=68)
     remaining = [load for load in loads if load.host.zone != "a"]
-    chosen = _choose(remaining)
+    chosen = active_hosts.choose_active_hosts(remaining)
     assert len(chosen) >= active_hosts.MIN_ACTIVE_HOSTS
     assert all(host.zone != "a" for host in chosen)
 
 
 def test_choice_does_not_depend_on_the_order_of_hosts():
     loads = _make_loads(large=6, small=68)
-    expected = directory.select_hosts(_choose(loads))
+    expected = directory.select_hosts(active_hosts.choose_active_hosts(loads))
     for seed in range(10):
         random.Random(seed).shuffle(loads)
-        assert directory.select_hosts(_choose(loads)) == expected
+        assert (
+            directory.select_hosts(active_hosts.choose_active_hosts(loads))
+            == expected
+        )
 
 
 def test_directory_is_empty_while_no_host_is_ready():
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -467,7 +467,7 @@
         now = self._loop.time()
         if now - self._active_hosts_time_s >= VIEW_TTL_S:
             self._active_hosts = active_hosts.choose_active_hosts(
-                self._peers.list_loads(), self._registry.servers_by_zone
+                self._peers.list_loads()
             )
             self._active_hosts_time_s = now
         return self._active_hosts
--- a/eelgrasshall/gateway/registry.py
+++ b/eelgrasshall/gateway/registry.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import collections
 from collections.abc import Sequence
 import hashlib
 import math
@@ -49,10 +48,6 @@
       log: The log for changes.
       own: The name of this host.
       cold_start_bound: Requests allowed beyond a cold server's stated rate.
-
-    Attributes:
-      servers_by_zone: Number of registered servers in each zone, whatever their
-        state.
     """
 
     def __init__(
@@ -67,7 +62,6 @@
         self._cold_start_bound = cold_start_bound
         self._host_names: tuple[str, ...] = (own,)
         self._environment: upstream.Environment | None = None
-        self.servers_by_zone: collections.Counter[str] = collections.Counter()
         self._servers: dict[str, model.Server] = {}
         self._backends: dict[str, upstream.Backend] = {}
         self._candidates: dict[str, list[upstream.Backend]] = {}
@@ -162,7 +156,6 @@
             if old is None:
                 return
             del self._servers[server_id]
-            self.servers_by_zone[old.zone] -= 1
             self._remove(server_id)
             state = "gone"
         else:
@@ -171,9 +164,6 @@
             if old is not None and _is_other_instance(old, server):
                 self._remove(server_id)
             self._servers[server_id] = server
-            self.servers_by_zone[server.zone] += 1
-            if old is not None:
-                self.servers_by_zone[old.zone] -= 1
             self._update_candidate(server)
             if server.cold_remaining_s > 0:
                 self._mark_cold(server_id, server.cold_remaining_s)
--- a/eelgrasshall/gateway/registry_test.py
+++ b/eelgrasshall/gateway/registry_test.py
@@ -222,14 +222,3 @@
     for hosts in (1, 4, 39):
         registry.set_hosts(hosts, ("h1",))
         assert len(_list_names(registry)) == 32
-
-
-async def test_servers_are_counted_by_zone():
-    servers, _ = _make_registry()
-    servers.set_server("s1", fakes.make_server("s1", zone="a"), 1)
-    servers.set_server("s2", fakes.make_server("s2", zone="b"), 2)
-    servers.set_server("s2", fakes.make_server("s2", zone="b"), 3)
-    servers.set_server("s3", fakes.make_server("s3", zone="b"), 4)
-    servers.set_server("s3", None, 5)
-    servers.set_server("s3", None, 6)
-    assert +servers.servers_by_zone == {"a": 1, "b": 1}
