At least 4 requests a slot run at once

The parametrized test of the adjustment started at 5 requests a slot, from which a step now ends at the bound; it sets the bound to 1 and checks the same steps, and a new test checks both bounds.

--- a/eelgrasshall/gateway/admission.py
+++ b/eelgrasshall/gateway/admission.py
@@ -17,10 +17,9 @@
 
 # Bounds of the concurrent requests per slot of a shard.  A search occupies a
 # slot of each shard for only part of its duration, as it waits for the slowest
-# shard.  Servers with two slots need about six to be busy; servers with six
-# slots need about three to answer in time at six times their usual load.
+# shard.  Below the lower one servers are idle while searches wait for others.
 MAX_REQUESTS_PER_SLOT = 6.0
-MIN_REQUESTS_PER_SLOT = 3.0
+MIN_REQUESTS_PER_SLOT = 4.0
 # The concurrency is adjusted once both this time has passed (about two search
 # objectives) and so many requests have ended (a share in steps of a tenth).
 ADJUST_INTERVAL_S = 0.2
--- a/eelgrasshall/gateway/admission_test.py
+++ b/eelgrasshall/gateway/admission_test.py
@@ -190,14 +190,31 @@
     ],
 )
 def test_concurrency_follows_share_of_requests_in_time(
-    share, saturated, expected
+    share, saturated, expected, monkeypatch
 ):
+    monkeypatch.setattr(admission, "MIN_REQUESTS_PER_SLOT", 1.0)
     adjusted = admission.adjust_requests_per_slot(
         5.0, in_time_share=share, saturated=saturated
     )
     assert adjusted == pytest.approx(expected)
 
 
+@pytest.mark.parametrize(
+    ("share", "bound"),
+    [
+        (0.0, admission.MIN_REQUESTS_PER_SLOT),
+        (1.0, admission.MAX_REQUESTS_PER_SLOT),
+    ],
+)
+def test_concurrency_stays_within_its_bounds(share, bound):
+    per_slot = 5.5
+    for _ in range(20):
+        per_slot = admission.adjust_requests_per_slot(
+            per_slot, in_time_share=share, saturated=True
+        )
+    assert per_slot == bound
+
+
 def test_rejected_callers_retry_at_different_times_within_their_timeout():
     rng = random.Random(1)
     delays = [admission.choose_retry_after(2.0, 0.1, rng) for _ in range(100)]
