Deletions are no longer lost after an exchange with a host that has just listed

A host that starts with a listing of the store has no record of earlier deletions. While the watchers defer a deletion (2.4 s), its revision is ahead of all others; they fetched from it, took over its revision, and were never sent the deletion afterwards, since it is older than what they claimed to have.

Change: the document of the exchange says since which revision its sender knows all deletions. A host that is behind that and has data of its own applies the objects but not the revision. If nobody else has more, the revision is taken over after 5 s. Documents without the field, of earlier versions, count as complete.

Shown by peer_sync_test (with the old rule the deleted server stays).

Also: a watch waits at most 1.8 s instead of 3.6 s of a bound of 6 s. Found by reading while the above was traced: swallowed watches took 4.2 s to notice, which with deferral and exchange is more than the bound.

--- a/eelgrasshall/gateway/object_cache.py
+++ b/eelgrasshall/gateway/object_cache.py
@@ -71,6 +71,7 @@
             collection: {} for collection in Collection
         }
         self._received = dict.fromkeys(Collection, 0)
+        self._complete_since = dict.fromkeys(Collection, 0)
         self._deferred: dict[Collection, dict[str, int]] = {
             collection: {} for collection in Collection
         }
@@ -87,6 +88,22 @@
             min(revision, min(deferred.values()) - 1) if deferred else revision
         )
 
+    def get_complete_since(self, collection: Collection) -> int:
+        """Returns the revision since which all deletions are known.
+
+        A host that starts with a listing does not know what was deleted before
+        it, so it cannot tell another host that still has such an object.
+        """
+        return self._complete_since[collection]
+
+    def start_at(self, collection: Collection, revision: int) -> None:
+        """Records that nothing is known of deletions up to a revision.
+
+        Has no effect unless this is the first data of the collection.
+        """
+        if not self._received[collection]:
+            self._complete_since[collection] = revision
+
     def defer(self, update: Update) -> None:
         """Records a received update that is to be applied later, if at all."""
         self._deferred[update.collection][update.name] = update.revision
--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -20,8 +20,11 @@
 FETCH_TIMEOUT_S = 1.0
 # Delay before a fetch, so that it covers several changes in quick succession.
 BATCH_DELAY_S = 0.01
-# Delay after a failed fetch.
+# Delay after a failed fetch, or one whose revision was not taken over.
 RETRY_DELAY_S = 0.2
+# Time after which the revision of a host that may lack deletions is taken over,
+# if no other host has more: longer than a watch and a deferred deletion take.
+ACCEPT_INCOMPLETE_DELAY_S = 5.0
 
 
 def encode_updates(
@@ -38,6 +41,7 @@
     return {
         collection.value: {
             "revision": cache.get_applied_revision(collection),
+            "since": cache.get_complete_since(collection),
             "news": [
                 (update.name, update.revision, update.document)
                 for update in cache.list_updates(collection)
@@ -49,10 +53,21 @@
 
 
 def apply_updates(
-    cache: object_cache.ObjectCache, document: dict[str, Any]
+    cache: object_cache.ObjectCache,
+    document: dict[str, Any],
+    *,
+    accept_incomplete: bool = False,
 ) -> int:
     """Applies the updates that another host has sent.
 
+    The sender's revision is not taken over if the sender may lack deletions
+    that this host has not seen either; they come from another host.
+
+    Args:
+      cache: The cache to update.
+      document: The document of the other host.
+      accept_incomplete: Whether to take over the revision all the same.
+
     Returns:
       The number of updates that changed the cache.
 
@@ -67,7 +82,15 @@
         for name, revision, value in part["news"]:
             update = object_cache.Update(collection, name, revision, value)
             changed += cache.apply(update)
-        cache.advance(collection, part["revision"])
+        # Hosts of an earlier version do not send it.
+        since = part.get("since", 0)
+        cache.start_at(collection, since)
+        if (
+            accept_incomplete
+            or not cache.get_received_revision(collection)
+            or cache.get_applied_revision(collection) >= since
+        ):
+            cache.advance(collection, part["revision"])
     return changed
 
 
@@ -95,6 +118,9 @@
         self._cache = cache
         self._log = log
         self._task: asyncio.Task | None = None
+        # When the first of the latest fetches was incomplete; None if the
+        # latest one was not.
+        self._incomplete_since_s: float | None = None
 
     def handle_revisions(
         self, name: str, address: model.Address, revisions: Sequence[int]
@@ -152,7 +178,7 @@
             )
             if response.status != 200:
                 raise client.CallError(f"status {response.status}")
-            changed = apply_updates(self._cache, response.document)
+            changed = self._apply(response.document)
         except (client.CallError, KeyError, TypeError, ValueError) as error:
             self._log.record("exchange_failed", peer=name, reason=str(error))
             return False
@@ -162,6 +188,27 @@
             self._log.record("exchange", peer=name, changed=changed)
         return True
 
+    def _apply(self, document: dict[str, Any]) -> int:
+        """Applies a document and notes whether it was incomplete."""
+        now = asyncio.get_running_loop().time()
+        started_s = self._incomplete_since_s
+        changed = apply_updates(
+            self._cache,
+            document,
+            accept_incomplete=started_s is not None
+            and now - started_s >= ACCEPT_INCOMPLETE_DELAY_S,
+        )
+        incomplete = any(
+            document[each.value]["revision"]
+            > self._cache.get_received_revision(each)
+            for each in object_cache.Collection
+        )
+        if not incomplete:
+            self._incomplete_since_s = None
+        elif started_s is None:
+            self._incomplete_since_s = now
+        return changed
+
     def stop(self) -> None:
         """Cancels a fetch that is in progress."""
         if self._task is not None:
@@ -170,5 +217,6 @@
     async def _fetch_batch(self, name: str, address: model.Address) -> None:
         """Fetches after a delay, and waits before a retry is allowed."""
         await asyncio.sleep(BATCH_DELAY_S)
-        if not await self.fetch(name, address):
+        fetched = await self.fetch(name, address)
+        if not fetched or self._incomplete_since_s is not None:
             await asyncio.sleep(RETRY_DELAY_S)
--- a/eelgrasshall/gateway/peer_sync_test.py
+++ b/eelgrasshall/gateway/peer_sync_test.py
@@ -82,6 +82,86 @@
         assert local.get_applied_revision(_SERVERS) == 9
 
 
+def _make_fresh_cache(revision: int, *updates) -> object_cache.ObjectCache:
+    """Returns the cache of a host that has just listed the store."""
+    cache = _make_cache()
+    for collection in object_cache.Collection:
+        cache.start_at(collection, revision)
+    for update in updates:
+        cache.apply(update)
+    for collection in object_cache.Collection:
+        cache.advance(collection, revision)
+    return cache
+
+
+def _exchange(source, target, **kwargs) -> None:
+    """Lets a host fetch from another one."""
+    have = {e: target.get_applied_revision(e) for e in object_cache.Collection}
+    document = json.loads(json.dumps(peer_sync.encode_updates(source, have)))
+    peer_sync.apply_updates(target, document, **kwargs)
+
+
+def _is_live(cache: object_cache.ObjectCache, name: str) -> bool:
+    return any(
+        update.name == name and update.document is not None
+        for update in cache.list_updates(_SERVERS)
+    )
+
+
+def test_deletion_arrives_after_an_exchange_with_a_host_that_does_not_know_it():
+    # A host that has just listed the store knows nothing of a server that was
+    # deleted before.  While the watchers deferred that deletion, its revision
+    # was taken over by the others, which then never got the deletion
+    # (inc-f889: requests reached the server 6 s after it had left).
+    local = _make_fresh_cache(5, _make_update("a", 3, "x"))
+    fresh = _make_fresh_cache(9, _make_update("b", 8, "y"))
+    watching = _make_fresh_cache(5, _make_update("a", 3, "x"))
+    watching.apply(_make_update("a", 7))
+    watching.apply(_make_update("b", 8, "y"))
+    watching.advance(_SERVERS, 9)
+    _exchange(fresh, local)
+    assert _is_live(local, "b")
+    assert local.get_applied_revision(_SERVERS) == 5
+    _exchange(watching, local)
+    assert not _is_live(local, "a")
+    assert local.get_applied_revision(_SERVERS) == 9
+
+
+def test_host_without_data_takes_over_what_its_source_does_not_know():
+    fresh = _make_fresh_cache(9, _make_update("b", 8, "y"))
+    local = _make_cache()
+    _exchange(fresh, local)
+    assert local.get_applied_revision(_SERVERS) == 9
+    older = _make_fresh_cache(5, _make_update("a", 3, "x"))
+    _exchange(local, older)
+    assert older.get_applied_revision(_SERVERS) == 5
+
+
+def test_document_of_an_earlier_version_is_complete():
+    fresh = _make_fresh_cache(9)
+    have = dict.fromkeys(object_cache.Collection, 5)
+    document = peer_sync.encode_updates(fresh, have)
+    for part in document.values():
+        del part["since"]
+    local = _make_fresh_cache(5)
+    peer_sync.apply_updates(local, document)
+    assert local.get_applied_revision(_SERVERS) == 9
+
+
+async def test_revision_is_taken_over_if_no_other_host_has_it(monkeypatch):
+    monkeypatch.setattr(peer_sync, "ACCEPT_INCOMPLETE_DELAY_S", 0.1)
+    monkeypatch.setattr(peer_sync, "RETRY_DELAY_S", 0.05)
+    fresh, local = _make_fresh_cache(9), _make_fresh_cache(5)
+    sync = peer_sync.PeerSync(cache=local, log=fakes.Log())
+    async with _serve(fresh, 19106) as queries:
+        address = model.Address("127.0.0.1", 19106)
+        for _ in range(40):
+            sync.handle_revisions("h2", address, [9, 9, 9, 9])
+            await asyncio.sleep(0.01)
+    assert local.get_applied_revision(_SERVERS) == 9
+    assert 2 <= len(queries) <= 6
+
+
 async def test_a_failing_seed_is_logged_and_the_next_one_asked():
     remote, local = _make_cache(), _make_cache()
     for collection in object_cache.Collection:
--- a/eelgrasshall/gateway/watcher.py
+++ b/eelgrasshall/gateway/watcher.py
@@ -18,6 +18,9 @@
 # must be in force.  The store may lose a call and recover a moment later;
 # changes in between are seen only after the wait has timed out.
 WATCH_TIMEOUT_SHARE = 0.6
+# Longest wait of one watch call.  A watcher that is cut off notices it when the
+# wait has timed out; then others must find out, watch and pass changes on.
+MAX_WATCH_WAIT_S = 1.8
 # Delay after a failed call, doubled with each failure up to the maximum.
 MIN_BACKOFF_S = 0.15
 MAX_BACKOFF_S = 1.0
@@ -114,7 +117,7 @@
         self._log = log
         self._random = random
         self._should_watch = should_watch
-        self._wait_s = bound_s * WATCH_TIMEOUT_SHARE
+        self._wait_s = min(bound_s * WATCH_TIMEOUT_SHARE, MAX_WATCH_WAIT_S)
         self._failures = 0
         self._grace_start_s = -DELETION_GRACE_S
         self._listed = False
@@ -183,6 +186,7 @@
             # Entries learned from other hosts may have expired while the store
             # was unreachable.
             self._grace_start_s = asyncio.get_running_loop().time()
+        self._cache.start_at(self._collection, listing.revision)
         for update in listing.updates:
             self._apply_or_defer(update)
         for update in self._cache.infer_deletions(listing, self._collection):
--- a/eelgrasshall/gateway/watcher_test.py
+++ b/eelgrasshall/gateway/watcher_test.py
@@ -19,6 +19,7 @@
         self.listings = list(listings)
         self.answers = list(answers)
         self.calls: list[str] = []
+        self.waits_s: list[float] = []
 
     async def read_all(self, collection):
         self.calls.append("list")
@@ -28,6 +29,7 @@
 
     async def wait_for_changes(self, collection, revision, wait_s):
         self.calls.append(f"watch {revision}")
+        self.waits_s.append(wait_s)
         if not self.answers:
             await asyncio.Event().wait()
         return self.answers.pop(0)
@@ -48,7 +50,7 @@
 class _WatcherRun:
     """A watcher under test and the values that its updates led to."""
 
-    def __init__(self, store, *, should_watch=lambda: True):
+    def __init__(self, store, *, should_watch=lambda: True, bound_s=_BOUND_S):
         self.values: dict[str, object] = {}
         self.log = fakes.Log()
         self.cache = object_cache.ObjectCache(
@@ -62,7 +64,7 @@
             log=self.log,
             random=random.Random(1),
             should_watch=should_watch,
-            bound_s=_BOUND_S,
+            bound_s=bound_s,
         )
 
     def _on_update(self, update, value):
@@ -86,6 +88,16 @@
     assert watcher.DELETION_GRACE_S + watcher.MAX_BATCH_DELAY_S < _BOUND_S
 
 
+async def test_watch_leaves_others_most_of_the_bound_to_take_over():
+    # A watcher whose calls are swallowed notices it when the wait has timed
+    # out.  In a large fleet heartbeats, the fallback and the exchange between
+    # hosts then need some seconds: with a wait of 3.6 s, servers got requests
+    # 6.02 s after they had begun to drain (inc-f889).
+    store = _Store(listings=[_make_listing(5)], answers=[])
+    await _WatcherRun(store, bound_s=6.0).run_for(0.05)
+    assert store.waits_s and max(store.waits_s) < 6.0 / 3
+
+
 async def test_watches_continue_from_the_listing(monkeypatch):
     _override(monkeypatch, MIN_BATCH_DELAY_S=0.0, DELETION_GRACE_S=0.0)
     store = _Store(
@@ -235,3 +247,20 @@
     assert (
         watcher.choose_batch_delay_s(delay_s, 1.8) == watcher.MIN_BATCH_DELAY_S
     )
+
+
+async def test_listing_of_a_new_host_states_since_when_deletions_are_known():
+    run = _WatcherRun(_Store(listings=[_make_listing(5)], answers=[]))
+    await run.run_for(0.05)
+    assert run.cache.get_complete_since(_SERVERS) == 5
+
+
+async def test_later_listing_does_not_change_since_when_deletions_are_known():
+    store = _Store(
+        listings=[_make_listing(5), _make_listing(9)],
+        answers=[watcher.HistoryGone()],
+    )
+    run = _WatcherRun(store)
+    await run.run_for(0.05)
+    assert store.calls.count("list") == 2
+    assert run.cache.get_complete_since(_SERVERS) == 5
