The delay for incomplete fetches starts anew once the changes have arrived

If none was needed for some seconds, the next host without earlier deletions was believed at once. The test fails on the code before.

--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Sequence
 from typing import Any
+from typing import NamedTuple
 
 from eelgrasshall.gateway import client
 from eelgrasshall.gateway import events
@@ -104,6 +105,18 @@
     return dict(zip(object_cache.Collection, numbers, strict=False))
 
 
+class _Incomplete(NamedTuple):
+    """Fetches whose revision was not taken over.
+
+    Attributes:
+      since_s: Monotonic time of the first one.
+      revisions: The revisions of the latest one.
+    """
+
+    since_s: float
+    revisions: dict[object_cache.Collection, int]
+
+
 class PeerSync:
     """Fetches updates from other hosts.
 
@@ -118,9 +131,7 @@
         self._cache = cache
         self._log = log
         self._task: asyncio.Task | None = None
-        # When the first of the latest fetches was incomplete; None if the
-        # latest one was not.
-        self._incomplete_since_s: float | None = None
+        self._incomplete: _Incomplete | None = None
 
     def handle_revisions(
         self, name: str, address: model.Address, revisions: Sequence[int]
@@ -191,24 +202,32 @@
     def _apply(self, document: dict[str, Any]) -> int:
         """Applies a document and notes whether it was incomplete."""
         now = asyncio.get_running_loop().time()
-        started_s = self._incomplete_since_s
+        if self._incomplete and self._has_all(self._incomplete.revisions):
+            # Another host has sent what was missing.
+            self._incomplete = None
+        since_s = self._incomplete.since_s if self._incomplete else now
         changed = apply_updates(
             self._cache,
             document,
-            accept_incomplete=started_s is not None
-            and now - started_s >= ACCEPT_INCOMPLETE_DELAY_S,
+            accept_incomplete=now - since_s >= ACCEPT_INCOMPLETE_DELAY_S,
         )
-        incomplete = any(
-            document[each.value]["revision"]
-            > self._cache.get_received_revision(each)
+        revisions = {
+            each: document[each.value]["revision"]
             for each in object_cache.Collection
-        )
-        if not incomplete:
-            self._incomplete_since_s = None
-        elif started_s is None:
-            self._incomplete_since_s = now
+        }
+        if self._has_all(revisions):
+            self._incomplete = None
+        else:
+            self._incomplete = _Incomplete(since_s, revisions)
         return changed
 
+    def _has_all(self, revisions: dict[object_cache.Collection, int]) -> bool:
+        """Returns whether all changes up to these revisions were received."""
+        return all(
+            self._cache.get_received_revision(collection) >= revision
+            for collection, revision in revisions.items()
+        )
+
     def stop(self) -> None:
         """Cancels a fetch that is in progress."""
         if self._task is not None:
@@ -218,5 +237,5 @@
         """Fetches after a delay, and waits before a retry is allowed."""
         await asyncio.sleep(BATCH_DELAY_S)
         fetched = await self.fetch(name, address)
-        if not fetched or self._incomplete_since_s is not None:
+        if not fetched or self._incomplete is not None:
             await asyncio.sleep(RETRY_DELAY_S)
--- a/eelgrasshall/gateway/peer_sync_test.py
+++ b/eelgrasshall/gateway/peer_sync_test.py
@@ -162,6 +162,24 @@
     assert 2 <= len(queries) <= 6
 
 
+async def test_delay_starts_anew_once_the_missing_changes_have_arrived(
+    monkeypatch,
+):
+    monkeypatch.setattr(peer_sync, "ACCEPT_INCOMPLETE_DELAY_S", 0.1)
+    local = _make_fresh_cache(5, _make_update("a", 3, "x"))
+    sync = peer_sync.PeerSync(cache=local, log=fakes.Log())
+    address = model.Address("127.0.0.1", 19107)
+    async with _serve(_make_fresh_cache(9), 19107):
+        assert await sync.fetch("h2", address)
+    for collection in object_cache.Collection:
+        local.advance(collection, 9)
+    await asyncio.sleep(0.15)
+    async with _serve(_make_fresh_cache(20), 19108):
+        address = model.Address("127.0.0.1", 19108)
+        assert await sync.fetch("h3", address)
+    assert local.get_applied_revision(_SERVERS) == 9
+
+
 async def test_a_failing_seed_is_logged_and_the_next_one_asked():
     remote, local = _make_cache(), _make_cache()
     for collection in object_cache.Collection:
--- a/eelgrasshall/gateway/send_queue.py
+++ b/eelgrasshall/gateway/send_queue.py
@@ -5,8 +5,8 @@
 of arrival every attempt would soon wait too long, and the searches would miss
 that shard although the server is busy all the time.  Attempts that can still be
 answered in time therefore go first, in the order of arrival; those that cannot
-are sent when no other attempt waits.  This module does no I/O
-and reads no clock.
+are sent when no other attempt waits.  This module does no I/O and reads no
+clock.
 """
 
 from collections.abc import Sequence
