Exchange between hosts: log how long a fetch took and how much arrived

The events exchange and exchange_failed now carry took_ms and received_bytes. No decision is changed. Tests: failed and successful fetches state both; neither field existed before.

--- a/eelgrasshall/gateway/client.py
+++ b/eelgrasshall/gateway/client.py
@@ -26,14 +26,24 @@
     Attributes:
       status: The HTTP status code.
       document: The decoded JSON body; None if the body is empty.
+      received_bytes: Size of the body as it was sent.
     """
 
     status: int
     document: Any
+    received_bytes: int
 
 
 class CallError(Exception):
-    """A request got no valid response; it may still have been executed."""
+    """A request got no valid response; it may still have been executed.
+
+    Attributes:
+      received_bytes: Size of the part of the body that arrived.
+    """
+
+    def __init__(self, message: str, *, received_bytes: int = 0):
+        super().__init__(message)
+        self.received_bytes = received_bytes
 
 
 class JsonClient:
@@ -78,15 +88,25 @@
                     await self._connect()
                 status, data = await self._connection.send(head.encode() + body)
         except (OSError, TimeoutError) as error:
+            received_bytes = (
+                self._connection.body_bytes if self._connection else 0
+            )
             self.close()
-            raise CallError(f"{type(error).__name__}: {error}") from error
+            raise CallError(
+                f"{type(error).__name__}: {error}",
+                received_bytes=received_bytes,
+            ) from error
         except BaseException:
             self.close()
             raise
         try:
-            return Response(status, json.loads(data) if data else None)
+            document = json.loads(data) if data else None
         except ValueError as error:
-            raise CallError(f"invalid JSON in the response: {error}") from error
+            raise CallError(
+                f"invalid JSON in the response: {error}",
+                received_bytes=len(data),
+            ) from error
+        return Response(status, document, len(data))
 
     def close(self) -> None:
         """Closes the connection."""
@@ -109,6 +129,7 @@
 
     def __init__(self):
         self.closed = False
+        self.body_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._response_future: asyncio.Future[tuple[int, bytes]] | None = None
 
@@ -117,7 +138,7 @@
         self._response_future = asyncio.get_running_loop().create_future()
         self._parser = httptools.HttpResponseParser(self)
         self._body: list[bytes] = []
-        self._body_bytes = 0
+        self.body_bytes = 0
         self._transport.write(data)
         return self._response_future
 
@@ -157,8 +178,8 @@
         Raises:
           ValueError: The body exceeds the limit.
         """
-        self._body_bytes += len(data)
-        if self._body_bytes > MAX_BODY_BYTES:
+        self.body_bytes += len(data)
+        if self.body_bytes > MAX_BODY_BYTES:
             raise ValueError("response too large")
         self._body.append(data)
 
--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -182,21 +182,37 @@
             str(self._cache.get_applied_revision(each))
             for each in object_cache.Collection
         )
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        received_bytes = changed = 0
+        failure: Exception | None = None
         peer_client = client.JsonClient(address=address)
         try:
             response = await peer_client.call(
                 "GET", f"{UPDATES_PATH}?{revisions}", timeout_s=FETCH_TIMEOUT_S
             )
+            received_bytes = response.received_bytes
             if response.status != 200:
                 raise client.CallError(f"status {response.status}")
             changed = self._apply(response.document)
-        except (client.CallError, KeyError, TypeError, ValueError) as error:
-            self._log.record("exchange_failed", peer=name, reason=str(error))
-            return False
+        except client.CallError as error:
+            failure = error
+            received_bytes = max(received_bytes, error.received_bytes)
+        except (KeyError, TypeError, ValueError) as error:
+            failure = error
         finally:
             peer_client.close()
+        cost = {
+            "took_ms": round((loop.time() - started_s) * 1000),
+            "received_bytes": received_bytes,
+        }
+        if failure is not None:
+            self._log.record(
+                "exchange_failed", peer=name, reason=str(failure), **cost
+            )
+            return False
         if changed:
-            self._log.record("exchange", peer=name, changed=changed)
+            self._log.record("exchange", peer=name, changed=changed, **cost)
         return True
 
     def _apply(self, document: dict[str, Any]) -> int:
--- a/eelgrasshall/gateway/peer_sync_test.py
+++ b/eelgrasshall/gateway/peer_sync_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 
 from eelgrasshall.gateway import fakes
@@ -203,6 +204,43 @@
     assert len(queries) >= 2
 
 
+async def test_log_tells_slow_sources_from_sources_that_hang(monkeypatch):
+    # Without duration and size, failed fetches all looked alike (inc1).
+    monkeypatch.setattr(peer_sync, "FETCH_TIMEOUT_S", 0.1)
+
+    async def answer(reader, writer, *, begins: bool):
+        await reader.readuntil(b"\r\n\r\n")
+        if begins:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{")
+        await asyncio.sleep(0.3)
+        writer.close()
+
+    log = fakes.Log()
+    sync = peer_sync.PeerSync(cache=_make_cache(), log=log)
+    for port, begins in ((19109, True), (19110, False)):
+        server = await asyncio.start_server(
+            functools.partial(answer, begins=begins), "127.0.0.1", port
+        )
+        address = model.Address("127.0.0.1", port)
+        assert not await sync.fetch(f"h{port}", address)
+        server.close()
+    failures = log.list_events("exchange_failed")
+    assert [each["received_bytes"] for each in failures] == [1, 0]
+    assert all(each["took_ms"] >= 100 for each in failures)
+
+
+async def test_log_of_a_fetch_states_its_size():
+    remote = _make_cache()
+    remote.apply(_make_update("a", 4, "x" * 5000))
+    remote.advance(_SERVERS, 4)
+    log = fakes.Log()
+    sync = peer_sync.PeerSync(cache=_make_cache(), log=log)
+    async with _serve(remote, 19111):
+        assert await sync.fetch("h2", model.Address("127.0.0.1", 19111))
+    (line,) = log.list_events("exchange")
+    assert line["received_bytes"] > 5000 and line["changed"] == 1
+
+
 async def test_malformed_answer_changes_nothing():
     async def answer(request):
         return listener.Response(200, [], b'{"s": 5}')
