--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -261,7 +261,7 @@
         if path == self._options.directory_path:
             return self._answer_directory()
         if path == peer_sync.UPDATES_PATH:
-            return self._answer_updates(request)
+            return peer_sync.answer_request(self._object_cache, request)
         if path == "/metrics":
             return listener.Response(200, [], self._render_metrics())
         return listener.Response(404, [], b"")
@@ -277,16 +277,6 @@
         }
         return listener.Response(200, _JSON, json.dumps(body).encode())
 
-    def _answer_updates(self, request: messages.Request) -> listener.Response:
-        """Returns the objects of the store that another host lacks."""
-        query = request.target.partition(b"?")[2].decode("latin-1")
-        try:
-            have = peer_sync.parse_revisions(query)
-        except ValueError:
-            return listener.Response(400, [], b"")
-        body = json.dumps(peer_sync.encode_updates(self._object_cache, have))
-        return listener.Response(200, _JSON, body.encode())
-
     def _render_metrics(self) -> bytes:
         """Returns the metrics in the Prometheus text format."""
         return self._metrics.render(
--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -8,11 +8,14 @@
 
 import asyncio
 from collections.abc import Sequence
+import json
 from typing import Any
 from typing import NamedTuple
 
 from eelgrasshall.gateway import client
 from eelgrasshall.gateway import events
+from eelgrasshall.gateway import listener
+from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import object_cache
 
@@ -27,6 +30,8 @@
 # if no other host has more: longer than a watch and a deferred deletion take.
 ACCEPT_INCOMPLETE_DELAY_S = 5.0
 
+_JSON = [(b"Content-Type", b"application/json")]
+
 
 def encode_updates(
     cache: object_cache.ObjectCache,
@@ -95,6 +100,19 @@
     return changed
 
 
+def answer_request(
+    cache: object_cache.ObjectCache, request: messages.Request
+) -> listener.Response:
+    """Answers another host's request for the updates that it lacks."""
+    query = request.target.partition(b"?")[2].decode("latin-1")
+    try:
+        revisions = parse_revisions(query)
+    except ValueError:
+        return listener.Response(400, [], b"")
+    body = json.dumps(encode_updates(cache, revisions)).encode()
+    return listener.Response(200, _JSON, body)
+
+
 def parse_revisions(query: str) -> dict[object_cache.Collection, int]:
     """Parses the comma-separated revisions in a host's query.
 
--- a/eelgrasshall/gateway/peer_sync_test.py
+++ b/eelgrasshall/gateway/peer_sync_test.py
@@ -33,12 +33,8 @@
     queries: list[str] = []
 
     async def answer(request):
-        query = request.target.partition(b"?")[2].decode()
-        queries.append(query)
-        document = peer_sync.encode_updates(
-            remote, peer_sync.parse_revisions(query)
-        )
-        return listener.Response(200, [], json.dumps(document).encode())
+        queries.append(request.target.partition(b"?")[2].decode())
+        return peer_sync.answer_request(remote, request)
 
     server = listener.Listener(handler=answer, get_limits=model.CallerLimits)
     await server.start(model.Address("127.0.0.1", port))
