Large changes reach all hosts in time: fetches no longer end each other

Cause: a fetch from another host was limited to 1 s as a whole, whatever its size, and sent the configuration as plain JSON. 816 KB take 0.5 s over a link of 13 Mbit/s. Two hosts that fetched from the same source both ran out of time, threw away what had arrived and began anew, there or elsewhere, while the links were full with transfers that could not end. Class of fault: a time-out of the whole for work that grows with its input, so that load makes more load.

Ruled out: a source that hangs (nothing would have arrived), a slow store (no store_lost, no failed call), busy processors (31% at most).

Change: the time-out of a call ends at the first byte of the response. From then on it is given up when nothing arrives for 1 s, or after 4 s in all. Answers of 1,400 bytes and more are compressed for hosts that accept it; hosts of an earlier version get plain JSON. The client of the store is the same, so listings and watches that bring a large configuration over a slow link are no longer given up half way either.

--- a/eelgrasshall/gateway/client.py
+++ b/eelgrasshall/gateway/client.py
@@ -8,6 +8,7 @@
 import json
 from typing import Any
 from typing import NamedTuple
+import zlib
 
 import httptools
 
@@ -16,9 +17,17 @@
 
 # Several round trips; a longer wait means that the address is unreachable.
 CONNECT_TIMEOUT_S = 0.7
+# Longest time without data once a response has begun.  The transfer as a whole
+# may take longer: it depends on its size and on who else uses the link.
+STALL_TIMEOUT_S = 1.0
+# Longest duration of a transfer, against peers that send next to nothing.
+MAX_TRANSFER_S = 4.0
 # Maximum size of a response; a full page of the store is about 1 MB.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
+# Selects the gzip format in zlib.
+_GZIP_WBITS = 16 + zlib.MAX_WBITS
+
 
 class Response(NamedTuple):
     """The response to a request.
@@ -51,10 +60,12 @@
 
     Args:
       address: The address of the server.
+      accepts_gzip: Whether the server may compress its responses.
     """
 
-    def __init__(self, *, address: model.Address):
+    def __init__(self, *, address: model.Address, accepts_gzip: bool = False):
         self._address = address
+        self._accepted = "Accept-Encoding: gzip\r\n" if accepts_gzip else ""
         self._connection: _Connection | None = None
 
     async def call(
@@ -71,7 +82,7 @@
           method: The HTTP method.
           target: Path and query.
           document: The JSON body; None for an empty body.
-          timeout_s: Time-out of the whole call, seconds.
+          timeout_s: Time until the first byte of the response, seconds.
 
         Raises:
           CallError: There was no valid response.
@@ -79,14 +90,16 @@
         body = b"" if document is None else json.dumps(document).encode()
         head = (
             f"{method} {target} HTTP/1.1\r\nHost: {self._address}\r\n"
-            "Content-Type: application/json\r\n"
+            f"Content-Type: application/json\r\n{self._accepted}"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as timeout:
                 if self._connection is None or self._connection.closed:
                     await self._connect()
-                status, data = await self._connection.send(head.encode() + body)
+                status, data = await self._connection.send(
+                    head.encode() + body, timeout
+                )
         except (OSError, TimeoutError) as error:
             received_bytes = (
                 self._connection.body_bytes if self._connection else 0
@@ -100,8 +113,9 @@
             self.close()
             raise
         try:
-            document = json.loads(data) if data else None
-        except ValueError as error:
+            text = _decompress(data) if self._connection.compressed else data
+            document = json.loads(text) if text else None
+        except (ValueError, zlib.error) as error:
             raise CallError(
                 f"invalid JSON in the response: {error}",
                 received_bytes=len(data),
@@ -129,13 +143,25 @@
 
     def __init__(self):
         self.closed = False
+        self.compressed = False
         self.body_bytes = 0
+        self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._response_future: asyncio.Future[tuple[int, bytes]] | None = None
 
-    def send(self, data: bytes) -> asyncio.Future[tuple[int, bytes]]:
-        """Sends a request; the result is the response's status and body."""
-        self._response_future = asyncio.get_running_loop().create_future()
+    def send(
+        self, data: bytes, timeout: asyncio.Timeout
+    ) -> asyncio.Future[tuple[int, bytes]]:
+        """Sends a request; the result is the response's status and body.
+
+        Args:
+          data: The encoded request.
+          timeout: Extended while the response arrives.
+        """
+        self.compressed = False
+        self._timeout = timeout
+        self._transfer_end_s: float | None = None
+        self._response_future = self._loop.create_future()
         self._parser = httptools.HttpResponseParser(self)
         self._body: list[bytes] = []
         self.body_bytes = 0
@@ -158,6 +184,7 @@
         if self._response_future is None or self._response_future.done():
             self.close()
             return
+        self._extend_timeout()
         try:
             self._parser.feed_data(data)
         except (
@@ -172,6 +199,11 @@
         self.closed = True
         self._fail(ConnectionError("connection lost"))
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Notes whether the body is compressed."""
+        if name.lower() == b"content-encoding":
+            self.compressed = value.strip().lower() == b"gzip"
+
     def on_body(self, data: bytes) -> None:
         """Appends a fragment of the body.
 
@@ -194,6 +226,17 @@
         ):
             self._response_future.set_result((status, b"".join(self._body)))
 
+    def _extend_timeout(self) -> None:
+        """Allows more time for a response of which a part has arrived."""
+        if self._timeout.expired():
+            return
+        now = self._loop.time()
+        if self._transfer_end_s is None:
+            self._transfer_end_s = now + MAX_TRANSFER_S
+        self._timeout.reschedule(
+            min(now + STALL_TIMEOUT_S, self._transfer_end_s)
+        )
+
     def _fail(self, error: Exception) -> None:
         """Fails the request that is waiting for a response, if any."""
         if (
@@ -201,3 +244,17 @@
             and not self._response_future.done()
         ):
             self._response_future.set_exception(error)
+
+
+def _decompress(data: bytes) -> bytes:
+    """Returns the content of a gzip body.
+
+    Raises:
+      ValueError: It is incomplete or exceeds the limit.
+      zlib.error: It is malformed.
+    """
+    decompressor = zlib.decompressobj(wbits=_GZIP_WBITS)
+    text = decompressor.decompress(data, MAX_BODY_BYTES)
+    if not decompressor.eof:
+        raise ValueError("compressed body incomplete or too large")
+    return text
--- /dev/null
+++ b/eelgrasshall/gateway/client_test.py
@@ -0,0 +1,107 @@
+"""Tests of the JSON client, against scripted responses."""
+
+import asyncio
+import contextlib
+import gzip
+import json
+
+import pytest
+
+from eelgrasshall.gateway import client
+from eelgrasshall.gateway import model
+
+_DOCUMENT = {"items": ["x" * 400]}
+
+
+@contextlib.asynccontextmanager
+async def _serve(port: int, pieces: list[bytes], pause_s: float = 0.0):
+    """Sends pieces of a response with pauses between, to each request."""
+
+    async def answer(reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            for piece in pieces:
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(pause_s)
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", port)
+    try:
+        yield client.JsonClient(
+            address=model.Address("127.0.0.1", port), accepts_gzip=True
+        )
+    finally:
+        server.close()
+
+
+def _encode(body: bytes, header: bytes = b"") -> bytes:
+    return b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s" % (
+        header,
+        len(body),
+        body,
+    )
+
+
+def _split(data: bytes, count: int) -> list[bytes]:
+    size = len(data) // count + 1
+    return [data[at : at + size] for at in range(0, len(data), size)]
+
+
+async def test_response_that_keeps_arriving_outlasts_the_time_out():
+    # A large configuration over a crowded link took longer than the whole
+    # call was allowed, each time anew (inc1).
+    pieces = _split(_encode(json.dumps(_DOCUMENT).encode()), 8)
+    async with _serve(19301, pieces, pause_s=0.04) as json_client:
+        response = await json_client.call("GET", "/", timeout_s=0.1)
+        assert response.document == _DOCUMENT
+
+
+async def test_response_that_stops_arriving_is_given_up(monkeypatch):
+    monkeypatch.setattr(client, "STALL_TIMEOUT_S", 0.05)
+    pieces = _split(_encode(json.dumps(_DOCUMENT).encode()), 2)
+    async with _serve(19302, pieces, pause_s=0.5) as json_client:
+        with pytest.raises(client.CallError, match="TimeoutError") as caught:
+            await json_client.call("GET", "/", timeout_s=1.0)
+        assert 0 < caught.value.received_bytes < 400
+
+
+async def test_response_that_trickles_is_given_up(monkeypatch):
+    monkeypatch.setattr(client, "MAX_TRANSFER_S", 0.2)
+    pieces = _split(_encode(json.dumps(_DOCUMENT).encode()), 40)
+    async with _serve(19303, pieces, pause_s=0.02) as json_client:
+        with pytest.raises(client.CallError, match="TimeoutError"):
+            await json_client.call("GET", "/", timeout_s=1.0)
+
+
+async def test_response_that_does_not_begin_is_given_up():
+    async with _serve(19304, [b"", b"x"], pause_s=0.5) as json_client:
+        with pytest.raises(client.CallError, match="TimeoutError") as caught:
+            await json_client.call("GET", "/", timeout_s=0.05)
+        assert caught.value.received_bytes == 0
+
+
+async def test_compressed_response_is_decoded():
+    body = gzip.compress(json.dumps(_DOCUMENT).encode())
+    pieces = [_encode(body, b"Content-Encoding: gzip\r\n")]
+    async with _serve(19305, pieces) as json_client:
+        response = await json_client.call("GET", "/", timeout_s=1.0)
+        assert response.document == _DOCUMENT
+        assert response.received_bytes == len(body) < 400
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        gzip.compress(json.dumps(_DOCUMENT).encode())[:-9],
+        gzip.compress(b" " * 2000),
+        b"not compressed",
+    ],
+    ids=["cut", "too large", "malformed"],
+)
+async def test_invalid_compressed_response_is_an_error(monkeypatch, body):
+    monkeypatch.setattr(client, "MAX_BODY_BYTES", 1000)
+    pieces = [_encode(body, b"Content-Encoding: gzip\r\n")]
+    async with _serve(19306, pieces) as json_client:
+        with pytest.raises(client.CallError):
+            await json_client.call("GET", "/", timeout_s=1.0)
--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Sequence
+import gzip
 import json
 from typing import Any
 from typing import NamedTuple
@@ -20,7 +21,7 @@
 from eelgrasshall.gateway import object_cache
 
 UPDATES_PATH = "/-/peer/belief"
-# Time-out of one fetch.
+# Time until the response to a fetch begins.
 FETCH_TIMEOUT_S = 1.0
 # Delay before a fetch, so that it covers several changes in quick succession.
 BATCH_DELAY_S = 0.01
@@ -29,6 +30,8 @@
 # Time after which the revision of a host that may lack deletions is taken over,
 # if no other host has more: longer than a watch and a deferred deletion take.
 ACCEPT_INCOMPLETE_DELAY_S = 5.0
+# Smallest body that is compressed; a smaller one fits into one packet.
+MIN_COMPRESSED_BYTES = 1400
 
 _JSON = [(b"Content-Type", b"application/json")]
 
@@ -110,7 +113,13 @@
     except ValueError:
         return listener.Response(400, [], b"")
     body = json.dumps(encode_updates(cache, revisions)).encode()
-    return listener.Response(200, _JSON, body)
+    accepted = request.get_header(b"accept-encoding") or b""
+    if b"gzip" not in accepted or len(body) < MIN_COMPRESSED_BYTES:
+        return listener.Response(200, _JSON, body)
+    # Level 1: configurations shrink to an eighth, higher levels save little.
+    return listener.Response(
+        200, [*_JSON, (b"Content-Encoding", b"gzip")], gzip.compress(body, 1)
+    )
 
 
 def parse_revisions(query: str) -> dict[object_cache.Collection, int]:
@@ -204,7 +213,7 @@
         started_s = loop.time()
         received_bytes = changed = 0
         failure: Exception | None = None
-        peer_client = client.JsonClient(address=address)
+        peer_client = client.JsonClient(address=address, accepts_gzip=True)
         try:
             response = await peer_client.call(
                 "GET", f"{UPDATES_PATH}?{revisions}", timeout_s=FETCH_TIMEOUT_S
