Backend servers that leave or ask for a pause get no requests

Neither header was read: a server that left without an entry in the store was found by its failures, and the next attempt went to one that had just asked for a pause.

Leaving: any complete response with the header, also a refusal, an error, a late one or that of a lost hedge, takes the server out at once, but not a 421, which is another server's. Its entry may say ready and be written again; only another start of the server brings it back. If its service has no other server it is used for 1.5 s more, which is half of the shortest drain.

Pause: nothing is sent until it is over, health checks included.

Attempts that wait for a connection to a server that leaves, drains, is evacuated or asks for a pause are placed anew. They were still sent to it before, however long they had waited. As they have reached no server, the next attempt takes nothing from the budget of extra attempts; before it did, after a failure to connect as well.

Weighed: sending a last attempt to a server that pauses when a part would be missing otherwise (the rule allows two). Not done: it will most likely be turned away again, and which host of many may do so is not known.

test_request_that_is_not_admitted_is_rejected had no server, so that it is now refused before it waits; it has one, and a new test checks the case without.

--- a/eelgrasshall/gateway/connections.py
+++ b/eelgrasshall/gateway/connections.py
@@ -163,8 +163,8 @@
         """
         attempt, self.attempt = self.attempt, None
         names = self.backend.environment.names
-        response_id = seal = None
-        not_run = False
+        response_id = seal = retry_after = None
+        not_run = leaving = False
         for key, value in self._headers:
             name = key.lower()
             if name == names.request_id:
@@ -173,6 +173,10 @@
                 seal = value
             elif name == names.not_run:
                 not_run = True
+            elif name == names.leaving:
+                leaving = value.strip() == b"1"
+            elif name == names.retry_after:
+                retry_after = value
             elif name == b"keep-alive":
                 self._parse_keep_alive(value)
         status = self._parser.get_status_code()
@@ -193,6 +197,8 @@
             body=b"".join(self._body),
             seal=seal,
             not_run=not_run or status == 421,
+            leaving=leaving,
+            retry_after=retry_after,
         )
         # If the response arrived before the request was sent completely, the
         # rest of the request is still to follow, so the connection cannot be
--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -18,6 +18,7 @@
     target=b"x-target",
     not_run=b"x-not-run",
     retry_after=b"retry-after",
+    leaving=b"x-leaving",
     server_id=b"x-server",
     part_seals=b"x-parts",
     parts_missing=b"x-missing",
@@ -115,6 +116,8 @@
         self.lost: list[attempts.Attempt] = []
         self.unreachable: list[upstream.Backend] = []
         self.misdirected: list[upstream.Backend] = []
+        self.leaving: list[upstream.Backend] = []
+        self.pauses_s: list[float] = []
 
     def on_connection_lost(
         self, backend: upstream.Backend, attempt: attempts.Attempt
@@ -130,6 +133,14 @@
         """Records a server at whose address another one answered."""
         self.misdirected.append(backend)
 
+    def on_leaving(self, backend: upstream.Backend) -> None:
+        """Records a server that is about to stop."""
+        self.leaving.append(backend)
+
+    def on_paused(self, backend: upstream.Backend, pause_s: float) -> None:
+        """Records a pause that a server asked for."""
+        self.pauses_s.append(pause_s)
+
 
 class OutcomeRecorder:
     """An owner of attempts that records their outcomes."""
--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -23,6 +23,7 @@
 from eelgrasshall.gateway import merging
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import model
+from eelgrasshall.gateway import pauses
 from eelgrasshall.gateway import upstream
 
 # Quantiles of a route's latency after which a hedge is sent.
@@ -50,10 +51,54 @@
 RETRY_AFTER_REFUSAL_S = 0.1
 RETRY_AFTER_NO_SERVER_S = 0.4
 
+TOO_FEW_SERVERS = "too few shards have an available server"
+
 # Statuses from which a caller may conclude that the request did not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
+def find_return_s(
+    context: "Context", route: model.Route, services: Sequence[str]
+) -> float | None:
+    """Returns when the caller should come back if no answer is possible now.
+
+    Args:
+      context: The state of this entry host.
+      route: The route of the request.
+      services: The services to query.
+
+    Returns:
+      Seconds; None if enough services have a server that may be sent to.
+    """
+    now = context.loop.time()
+    min_share = route.min_share if route.shards else 1.0
+    waits_s = [_find_wait_s(context, service, now) for service in services]
+    available = sum(1 for wait_s in waits_s if wait_s == 0.0)
+    if merging.meets_coverage(available, len(services), min_share):
+        return None
+    return pauses.choose_return_s(
+        waits_s,
+        merging.count_required(len(services), min_share),
+        RETRY_AFTER_NO_SERVER_S,
+        context.random,
+    )
+
+
+def _find_wait_s(context: "Context", service: str, now: float) -> float | None:
+    """Returns the seconds until a service has a server that may be sent to.
+
+    Returns None if that does not follow from pauses alone.
+    """
+    waits_s = []
+    for backend in context.find_candidates(service):
+        if backend.can_accept(now):
+            return 0.0
+        pause_s = backend.get_pause_s(now)
+        if pause_s and not backend.unreachable:
+            waits_s.append(pause_s)
+    return min(waits_s, default=None)
+
+
 class Verdict(enum.Enum):
     """The result of a request, as logged and counted."""
 
@@ -202,8 +247,10 @@
         Cancellation, when the caller has left, abandons all attempts.  Those
         of an idempotent request are aborted.
         """
-        if not self._has_enough_servers():
-            return self._reject("too few shards have an available server")
+        services = [shard.service for shard in self._shards]
+        wait_s = find_return_s(self._context, self._route, services)
+        if wait_s is not None:
+            return self._reject(TOO_FEW_SERVERS, wait_s)
         for shard in self._shards:
             self._context.find_extra_attempt_budget(shard.service).deposit()
             self._send_attempt(shard)
@@ -267,19 +314,6 @@
             f"{description} after {took_s * 1000:.0f} ms"
         )
 
-    def _has_enough_servers(self) -> bool:
-        """Returns whether enough shards have an available server."""
-        min_share = self._route.min_share if self._route.shards else 1.0
-        now = self._context.loop.time()
-        available = sum(
-            any(
-                backend.can_accept(now)
-                for backend in self._context.find_candidates(shard.service)
-            )
-            for shard in self._shards
-        )
-        return merging.meets_coverage(available, len(self._shards), min_share)
-
     def _send_attempt(self, shard: ShardState) -> bool:
         """Sends an attempt to a server of a shard not tried before.
 
@@ -348,6 +382,9 @@
             return
         if shard.active:
             return
+        # What was not sent reached no server, so that the next attempt is not
+        # an extra one.
+        unsent = outcome == messages.Failure(messages.FailureKind.NOT_SENT)
         may_run = shard.attempt_count < self._route.max_attempts
         may_send = (
             len(shard.tried) < self._route.max_attempts + MAX_REFUSED_SENDS
@@ -355,9 +392,12 @@
         if (
             self._result.done()
             or not (may_run and may_send)
-            or not self._context.find_extra_attempt_budget(
-                shard.service
-            ).try_withdraw()
+            or not (
+                unsent
+                or self._context.find_extra_attempt_budget(
+                    shard.service
+                ).try_withdraw()
+            )
             or not self._send_attempt(shard)
         ):
             self._fail_shard(shard, outcome)
@@ -498,13 +538,22 @@
             return Outcome(Verdict.TIMED_OUT, 504, [], b"", 0, "deadline")
         return None
 
-    def _reject(self, reason: str) -> Outcome:
-        """Returns a refusal, or a failure if the request may have run."""
+    def _reject(self, reason: str, wait_s: float | None = None) -> Outcome:
+        """Returns a refusal, or a failure if the request may have run.
+
+        Args:
+          reason: The reason, for the log.
+          wait_s: Seconds after which the caller may retry; None if that depends
+            on the servers that are available now.
+        """
         if any(shard.may_have_run or shard.active for shard in self._shards):
             return Outcome(Verdict.FAILED, 502, [], b"", 0, reason)
-        sent = any(shard.tried for shard in self._shards)
-        wait_s = RETRY_AFTER_REFUSAL_S if sent else RETRY_AFTER_NO_SERVER_S
-        headers = [(self._context.names.retry_after, b"%.1f" % wait_s)]
+        if wait_s is None:
+            services = [shard.service for shard in self._shards]
+            wait_s = find_return_s(self._context, self._route, services)
+        if wait_s is None:
+            wait_s = RETRY_AFTER_REFUSAL_S
+        headers = [(self._context.names.retry_after, b"%.2f" % wait_s)]
         return Outcome(Verdict.REFUSED, 503, headers, b"", 0, reason)
 
     def _abandon_attempts(self, *, abort: bool) -> None:
--- a/eelgrasshall/gateway/fanout_test.py
+++ b/eelgrasshall/gateway/fanout_test.py
@@ -256,3 +256,46 @@
     assert "x-target: orders-0" in head_lines
     context.send_reply("orders", b"x")
     await task
+
+
+def _encode_pause(retry_after: str) -> bytes:
+    return (
+        f"HTTP/1.1 503 X\r\nX-Id: a1\r\nX-Not-Run: 1\r\n"
+        f"Retry-After: {retry_after}\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+
+
+async def test_search_that_pauses_make_unservable_is_rejected_with_their_end():
+    context = fakes.Context(SHARDS, replicas=1)
+    route = fakes.make_route(shards=SHARDS)
+    _, task = _start(context, route)
+    await _run_ready_tasks()
+    for shard, retry_after in zip(SHARDS, ("0.3", "0.9", "0.6"), strict=False):
+        context.list_busy(shard)[0].feed(_encode_pause(retry_after))
+    context.send_reply(SHARDS[3], _encode(1))
+    await task
+    busy = sum(len(context.list_busy(shard)) for shard in SHARDS)
+    _, task = _start(context, route)
+    outcome = await asyncio.wait_for(task, 0.1)
+    assert outcome.status == 503 and outcome.reason == fanout.TOO_FEW_SERVERS
+    # Three of the four shards are needed, and the second pause ends at 0.6 s.
+    assert 0.5 < float(_get_header(outcome, b"retry-after")) < 0.9
+    assert sum(len(context.list_busy(shard)) for shard in SHARDS) == busy
+
+
+async def test_attempt_that_was_not_sent_is_placed_anew_without_budget():
+    # Attempts that wait for a server when it leaves have reached no server.
+    bound = hedging.ExtraAttemptBound(0.0, 0.0)
+    context = fakes.Context(("orders",), replicas=2, bound=bound)
+    fuller, other = context.backends["orders"]
+    fuller.backend.connection_limit = 1
+    fuller.send("a0")
+    other.backend.unreachable = True
+    _, task = _start(context, fakes.make_route())
+    await _run_ready_tasks()
+    assert len(fuller.backend.pending) == 2
+    other.backend.unreachable = False
+    fuller.backend.close()
+    other.feed(fakes.encode_reply("a1", b"x"))
+    outcome = await asyncio.wait_for(task, 0.1)
+    assert outcome.status == 200 and outcome.body == b"x"
--- a/eelgrasshall/gateway/host_test.py
+++ b/eelgrasshall/gateway/host_test.py
@@ -205,6 +205,9 @@
 async def test_request_that_is_not_admitted_is_rejected():
     store = _FakeStore()
     store.write(_CONFIGURATION, "main", 5, _make_configuration(7, "/new/"))
+    store.write(
+        object_cache.Collection.SERVERS, "s1", 6, fakes.make_server("s1")
+    )
     async with _run_host(store, port=19440) as (host, call):
         await asyncio.sleep(0.1)
         handler = host._request_handler
@@ -215,6 +218,20 @@
         assert host.dump()["counters"]["turned_away"] == 1
 
 
+async def test_unservable_request_is_rejected_without_waiting():
+    # It waited for admission first, although no server could answer it.
+    store = _FakeStore()
+    store.write(_CONFIGURATION, "main", 5, _make_configuration(7, "/new/"))
+    async with _run_host(store, port=19450) as (host, call):
+        await asyncio.sleep(0.1)
+        handler = host._request_handler
+        route = handler._route_table.find("orders.example", "/new/x")
+        handler._find_queue(("orders",), route).limiter.running = 99
+        status, data = await call("/new/x")
+        assert status == 503 and b"retry-after: 0.40" in data
+        assert "turned_away" not in host.dump()["counters"]
+
+
 async def test_admission_queues_of_removed_services_are_discarded():
     async with _run_host(_FakeStore(), port=19460) as (host, _):
         handler = host._request_handler
--- a/eelgrasshall/gateway/merging.py
+++ b/eelgrasshall/gateway/merging.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 import heapq
+import math
 
 RECORD_BYTES = 16
 # Tolerance for rounding errors when shares are compared.
@@ -28,6 +29,16 @@
     return b"".join(heapq.nlargest(top, records))
 
 
+def count_required(shards: int, min_share: float) -> int:
+    """Returns how many shards an answer must cover.
+
+    Args:
+      shards: Number of shards searched.
+      min_share: Least share of the shards that an answer must cover.
+    """
+    return max(math.ceil(min_share * shards - _EPSILON), 1)
+
+
 def meets_coverage(answered: int, shards: int, min_share: float) -> bool:
     """Returns whether enough shards are covered for a successful answer.
 
@@ -36,4 +47,4 @@
       shards: Number of shards searched.
       min_share: Least share of the shards that an answer must cover.
     """
-    return answered > 0 and answered >= min_share * shards - _EPSILON
+    return answered >= count_required(shards, min_share)
--- a/eelgrasshall/gateway/messages.py
+++ b/eelgrasshall/gateway/messages.py
@@ -90,6 +90,8 @@
       body: The body.
       seal: The server's signature, or None.
       not_run: Whether the server states that it did not run the request.
+      leaving: Whether the server states that it is about to stop.
+      retry_after: The value of its Retry-After header, or None.
     """
 
     status: int
@@ -97,6 +99,8 @@
     body: bytes
     seal: bytes | None
     not_run: bool
+    leaving: bool = False
+    retry_after: bytes | None = None
 
     @property
     def succeeded(self) -> bool:
--- a/eelgrasshall/gateway/model.py
+++ b/eelgrasshall/gateway/model.py
@@ -188,7 +188,9 @@
       seal: A backend server's signature of its response.
       target: The only backend server that may execute the request.
       not_run: Present if the backend server did not execute the request.
-      retry_after: Seconds after which a caller may retry.
+      retry_after: Seconds after which a caller may retry; in a 503 of a backend
+        server, seconds for which it wants no further request.
+      leaving: "1" in all responses of a backend server that is about to stop.
       server_id: The backend server that sent a response.
       part_seals: Signatures of the shards' parts in the answer to a search.
       parts_missing: Number of shards that are missing from that answer.
@@ -200,6 +202,7 @@
     target: bytes
     not_run: bytes
     retry_after: bytes
+    leaving: bytes
     server_id: bytes
     part_seals: bytes
     parts_missing: bytes
--- a/eelgrasshall/gateway/overload_test.py
+++ b/eelgrasshall/gateway/overload_test.py
@@ -12,6 +12,7 @@
 from eelgrasshall.gateway import admission
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import load_model
+from eelgrasshall.gateway import pauses
 from eelgrasshall.gateway import send_queue
 from eelgrasshall.gateway import simulated_server
 from eelgrasshall.gateway import virtual_time
@@ -142,6 +143,54 @@
     assert summary.served > before.served
 
 
+def _replay_shedding(seed: int) -> tuple[load_model.Summary, int]:
+    """Replays servers that turn everything away for a second or two.
+
+    At any time about a third of the 60 servers do.
+
+    Returns:
+      The summary and the number of requests that the servers turned away.
+    """
+    loop = virtual_time.VirtualTimeLoop()
+    shards = tuple(f"p{i}" for i in range(20))
+    simulation = load_model.Simulation(
+        loop=loop,
+        seed=seed,
+        kinds=_make_kinds(shards, 55.0, min_share=0.95),
+        shards=shards,
+        replicas=_REPLICAS,
+    )
+    rng = random.Random(seed)
+    for start_s in (0.5, 2.0, 3.5):
+        for server_id in _choose_spread(rng, sorted(simulation.servers), 20):
+            end_s = start_s + rng.uniform(1.0, 2.0)
+            simulation.servers[server_id].shedding.append(
+                simulated_server.Span(start_s, end_s, 1.0)
+            )
+    simulation.run(6.0)
+    loop.close()
+    turned_away = sum(
+        server.turned_away_count for server in simulation.servers.values()
+    )
+    return load_model.summarize(simulation.results, 0.5, 5.5), turned_away
+
+
+def test_servers_that_ask_for_a_pause_are_spared(monkeypatch):
+    seeds = (5, 6, 7)
+    replays = [_replay_shedding(seed) for seed in seeds]
+    monkeypatch.setattr(pauses, "parse_pause_s", lambda text: None)
+    before = [_replay_shedding(seed) for seed in seeds]
+    for (_, turned_away), (_, turned_away_before) in zip(
+        replays, before, strict=True
+    ):
+        assert turned_away < turned_away_before / 2
+    # Callers fare no worse.
+    for name in ("credit", "served"):
+        assert sum(getattr(summary, name) for summary, _ in replays) >= sum(
+            getattr(summary, name) for summary, _ in before
+        )
+
+
 def test_usual_load_is_served_in_full(loop):
     shards = tuple(f"p{i}" for i in range(20))
     simulation = load_model.Simulation(
--- a/eelgrasshall/gateway/registry.py
+++ b/eelgrasshall/gateway/registry.py
@@ -41,6 +41,13 @@
 PROBE_TIMEOUT_S = 0.5
 
 
+# How long a server that is about to stop is still used while its service has no
+# other one: less than any server serves on after it has said so.
+LAST_RESORT_S = 1.5
+# Most announcements of servers that stop which are remembered.
+MAX_LEAVING = 1000
+
+
 class Registry:
     """Tracks the backend servers of each service and selects candidates.
 
@@ -71,6 +78,9 @@
         self._sharing_host_count = 1
         self._active_host_count = 1
         self._probes: dict[str, asyncio.Task] = {}
+        # Start times of the servers that have announced that they stop.
+        self._leaving: dict[str, int] = {}
+        self._last_resorts: dict[str, asyncio.TimerHandle] = {}
 
     def set_environment(self, environment: upstream.Environment) -> None:
         """Sets the environment that all backend servers share."""
@@ -183,6 +193,50 @@
             self._remove(backend.server.id)
             self._log.record("server_misdirected", server=backend.server.id)
 
+    def mark_leaving(self, backend: upstream.Backend) -> None:
+        """Stops the use of a server that has announced that it stops.
+
+        If its service has no other server, it is used for a short time more.
+        """
+        server = backend.server
+        if self._backends.get(server.id) is not backend or (
+            self._leaving.get(server.id) == server.started_at_ms
+        ):
+            return
+        self._leaving[server.id] = server.started_at_ms
+        if len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        is_only = all(
+            each is backend or each.server.id in self._last_resorts
+            for each in self._candidates[server.service]
+        )
+        self._log.record(
+            "server_leaving",
+            server=server.id,
+            service=server.service,
+            last_resort=is_only,
+        )
+        if is_only:
+            self._last_resorts[server.id] = self._environment.loop.call_later(
+                LAST_RESORT_S, self._end_last_resort, server.id
+            )
+        else:
+            self._remove(server.id)
+
+    def _end_last_resort(self, server_id: str) -> None:
+        """Stops the use of a server that was the last one of its service."""
+        timer = self._last_resorts.pop(server_id, None)
+        if timer is not None:
+            timer.cancel()
+            self._remove(server_id)
+
+    def _is_leaving(self, server: model.Server) -> bool:
+        """Returns whether this process of a server has said that it stops."""
+        return (
+            self._leaving.get(server.id) == server.started_at_ms
+            and server.id not in self._last_resorts
+        )
+
     def start_probe(self, backend: upstream.Backend) -> None:
         """Starts to probe the health endpoint of an unreachable server."""
         server_id = backend.server.id
@@ -205,6 +259,7 @@
                 "errors": round(backend.get_error_rate(now), 2),
                 "refusals": round(backend.get_refusal_rate(now), 2),
                 "unreachable": backend.unreachable,
+                "pause_s": round(backend.get_pause_s(now), 2),
                 "cold": backend.cold_start.is_cold(now),
             }
             for server_id, backend in self._backends.items()
@@ -219,6 +274,8 @@
         """Cancels all probes and closes the connections of all candidates."""
         for task in list(self._probes.values()):
             task.cancel()
+        for timer in self._last_resorts.values():
+            timer.cancel()
         for backend in self._backends.values():
             backend.close()
 
@@ -227,7 +284,8 @@
         server_id = backend.server.id
         delay_s = MIN_PROBE_DELAY_S
         while not backend.closed:
-            await asyncio.sleep(delay_s)
+            pause_s = backend.get_pause_s(self._environment.loop.time())
+            await asyncio.sleep(max(delay_s, pause_s))
             delay_s = min(delay_s * 2, MAX_PROBE_DELAY_S)
             waiter = _OutcomeWaiter(loop=self._environment.loop)
             now = self._environment.loop.time()
@@ -274,6 +332,7 @@
             not server.draining
             and server.zone not in self._evacuated_zones
             and server.service in self._services
+            and not self._is_leaving(server)
         )
         if not usable:
             self._remove(server.id)
@@ -289,19 +348,24 @@
             environment=self._environment,
             connection_limit=self._compute_connection_limit(server, service),
         )
-        self._candidates.setdefault(server.service, []).append(
-            self._backends[server.id]
-        )
+        candidates = self._candidates.setdefault(server.service, [])
+        candidates.append(self._backends[server.id])
         self._subsets.pop(server.service, None)
+        for each in list(candidates):
+            self._end_last_resort(each.server.id)
 
     def _remove(self, server_id: str) -> None:
         """Removes a server from the candidates and closes its connections."""
         backend = self._backends.pop(server_id, None)
         if backend is None:
             return
-        backend.close()
+        timer = self._last_resorts.pop(server_id, None)
+        if timer is not None:
+            timer.cancel()
         self._candidates[backend.server.service].remove(backend)
         self._subsets.pop(backend.server.service, None)
+        # Last, as attempts that wait there are placed anew.
+        backend.close()
 
     def _choose_subset(self, service: str) -> list[upstream.Backend]:
         """Returns the servers of a service that this host uses.
--- a/eelgrasshall/gateway/registry_test.py
+++ b/eelgrasshall/gateway/registry_test.py
@@ -222,3 +222,75 @@
     for hosts in (1, 4, 39):
         registry.set_hosts(hosts, ("h1",))
         assert len(_list_names(registry)) == 32
+
+
+def _find_backend(registry, server_id: str) -> upstream.Backend:
+    (backend,) = [
+        each
+        for each in registry.find_candidates("orders")
+        if each.server.id == server_id
+    ]
+    return backend
+
+
+async def test_server_that_announces_its_stop_gets_nothing_more():
+    registry, log = _make_registry()
+    for name in ("s1", "s2"):
+        registry.set_server(name, fakes.make_server(name), 1)
+    leaving = _find_backend(registry, "s1")
+    registry.mark_leaving(leaving)
+    assert _list_names(registry) == ["s2"] and leaving.closed
+    # Its entry may still be ready, and be written again.
+    registry.set_server("s1", fakes.make_server("s1", slots=9), 2)
+    assert _list_names(registry) == ["s2"]
+    registry.mark_leaving(leaving)
+    assert len(log.list_events("server_leaving")) == 1
+
+
+async def test_next_start_of_a_server_that_stopped_is_used():
+    registry, _ = _make_registry()
+    for name in ("s1", "s2"):
+        registry.set_server(name, fakes.make_server(name), 1)
+    before = _find_backend(registry, "s1")
+    registry.mark_leaving(before)
+    registry.set_server("s1", fakes.make_server("s1", started_at_ms=2), 2)
+    assert set(_list_names(registry)) == {"s1", "s2"}
+    # A late response of the process before says nothing of this one.
+    registry.mark_leaving(before)
+    assert set(_list_names(registry)) == {"s1", "s2"}
+
+
+async def test_only_server_is_used_for_a_short_time_after_its_announcement(
+    monkeypatch,
+):
+    monkeypatch.setattr(registry_module, "LAST_RESORT_S", 0.05)
+    registry, log = _make_registry()
+    registry.set_server("s1", fakes.make_server("s1"), 1)
+    registry.mark_leaving(_find_backend(registry, "s1"))
+    registry.set_server("s1", fakes.make_server("s1", slots=9), 2)
+    assert _list_names(registry) == ["s1"]
+    await asyncio.sleep(0.1)
+    assert _list_names(registry) == []
+    (line,) = log.list_events("server_leaving")
+    assert line["last_resort"] is True
+
+
+async def test_new_server_replaces_those_that_are_a_last_resort():
+    registry, _ = _make_registry()
+    for name in ("s1", "s2"):
+        registry.set_server(name, fakes.make_server(name), 1)
+    for name in ("s1", "s2"):
+        registry.mark_leaving(_find_backend(registry, name))
+    assert _list_names(registry) == ["s2"]
+    registry.set_server("s3", fakes.make_server("s3"), 2)
+    assert _list_names(registry) == ["s3"]
+
+
+async def test_announcements_are_remembered_for_a_bounded_number(monkeypatch):
+    monkeypatch.setattr(registry_module, "MAX_LEAVING", 2)
+    registry, _ = _make_registry()
+    registry.set_server("kept", fakes.make_server("kept"), 1)
+    for name in ("s1", "s2", "s3"):
+        registry.set_server(name, fakes.make_server(name), 1)
+        registry.mark_leaving(_find_backend(registry, name))
+    assert list(registry._leaving) == ["s2", "s3"]
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -193,6 +193,11 @@
         services = route.shards or (
             self._round_robin.choose_service(route.name, route.split),
         )
+        wait_s = fanout.find_return_s(self, route, services)
+        if wait_s is not None:
+            return self._reject(
+                503, fanout.TOO_FEW_SERVERS, wait_s, route=route
+            )
         timeout_s = self._compute_timeout(request, route)
         queue = self._find_queue(services, route)
         if not await queue.wait_for_admission(
@@ -268,11 +273,12 @@
                 limiter=limiter, loop=self.loop
             )
             self._queues[tuple(services)] = queue
+        now = self.loop.time()
         slots = [
             sum(
                 backend.server.slots
                 for backend in self.find_candidates(service)
-                if not backend.unreachable
+                if not backend.unreachable and not backend.get_pause_s(now)
             )
             for service in services
         ]
@@ -380,3 +386,17 @@
     def on_misdirected(self, backend: upstream.Backend) -> None:
         """Removes a server whose address another server answers at."""
         self.registry.remove_misdirected(backend)
+
+    def on_leaving(self, backend: upstream.Backend) -> None:
+        """Stops the use of a server that has announced that it stops."""
+        self.registry.mark_leaving(backend)
+
+    def on_paused(self, backend: upstream.Backend, pause_s: float) -> None:
+        """Logs the pause that a server asked for."""
+        self.count("pauses")
+        self._log.record(
+            "server_paused",
+            server=backend.server.id,
+            service=backend.server.service,
+            pause_s=pause_s,
+        )
--- a/eelgrasshall/gateway/simulated_server.py
+++ b/eelgrasshall/gateway/simulated_server.py
@@ -1,7 +1,8 @@
 """Simulated backend servers in virtual time, for tests of decisions under load.
 
-A server has slots, a bounded queue, regular pauses and spans in which it is
-slower.  Its responses are those that a gateway expects.
+A server has slots, a bounded queue, regular pauses, spans in which it is slower
+and spans in which it turns all requests away.  Its responses are those that a
+gateway expects.
 """
 
 import asyncio
@@ -129,6 +130,9 @@
         self.server = server
         self._handshake_s = handshake_s
         self.slowdowns = list(slowdowns)
+        # Spans in which all requests are turned away; the factor is not used.
+        self.shedding: list[Span] = []
+        self.turned_away_count = 0
         self._random = random
         self._service_times_s = service_times_s
         self._speed = speed
@@ -147,6 +151,12 @@
     def receive(self, transport: ServerTransport, data: bytes) -> None:
         """Runs a request, queues it, or refuses it if the queue is full."""
         work = self._parse(transport, data)
+        now = self.loop.time()
+        for span in self.shedding:
+            if span.start_s <= now < span.end_s:
+                self.turned_away_count += 1
+                self._refuse(work, retry_after_s=span.end_s - now)
+                return
         if self._running < self.server.slots:
             self._run(work)
         elif len(self._queue) < self._queue_limit:
@@ -212,8 +222,13 @@
                 continue
             self._run(waiting)
 
-    def _refuse(self, work: _Work) -> None:
+    def _refuse(
+        self, work: _Work, *, retry_after_s: float | None = None
+    ) -> None:
+        pause = b""
+        if retry_after_s is not None:
+            pause = b"Retry-After: %.3f\r\n" % retry_after_s
         work.transport.deliver(
-            b"HTTP/1.1 503 Busy\r\nX-Id: %s\r\nX-Not-Run: 1\r\n"
-            b"Content-Length: 0\r\n\r\n" % work.request_id
+            b"HTTP/1.1 503 Busy\r\nX-Id: %s\r\nX-Not-Run: 1\r\n%s"
+            b"Content-Length: 0\r\n\r\n" % (work.request_id, pause)
         )
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -19,6 +19,7 @@
 from eelgrasshall.gateway import connections
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import model
+from eelgrasshall.gateway import pauses
 from eelgrasshall.gateway import send_queue
 
 # Several round trips to another zone; after that the server is unreachable.
@@ -50,6 +51,12 @@
     def on_misdirected(self, backend: "Backend") -> None:
         """Handles an answer of another backend server at the address."""
 
+    def on_leaving(self, backend: "Backend") -> None:
+        """Handles an answer of a server that is about to stop."""
+
+    def on_paused(self, backend: "Backend", pause_s: float) -> None:
+        """Handles a server's wish for no request for some seconds."""
+
 
 class Environment(NamedTuple):
     """Objects that all backend servers of a host share.
@@ -97,6 +104,7 @@
         self.service_time_ratio = self.latency_ratio
         self.unreachable = False
         self.closed = False
+        self._paused_until_s = 0.0
         # Used as an ordered set: the oldest attempt is first.
         self.pending: dict[attempts.Attempt, None] = {}
         self._error_rate = 0.0
@@ -111,7 +119,15 @@
 
     def can_accept(self, now: float) -> bool:
         """Returns whether an attempt may be sent to this server now."""
-        return not self.unreachable and self.cold_start.may_send(now)
+        return (
+            not self.unreachable
+            and self.get_pause_s(now) <= 0.0
+            and self.cold_start.may_send(now)
+        )
+
+    def get_pause_s(self, now: float) -> float:
+        """Returns for how long the server wants no request; 0 if it does."""
+        return max(self._paused_until_s - now, 0.0)
 
     def submit(self, attempt: attempts.Attempt) -> None:
         """Sends an attempt, or queues it until a connection is available.
@@ -254,10 +270,14 @@
                 self.close_connection(connection)
 
     def close(self) -> None:
-        """Closes idle connections; those in use close after their response."""
+        """Closes idle connections; those in use close after their response.
+
+        Attempts that wait for a connection fail, so that they are placed anew.
+        """
         self.closed = True
         for connection in list(self._idle):
             self.close_connection(connection)
+        self._fail_queued()
 
     @property
     def open_connections(self) -> int:
@@ -271,10 +291,14 @@
     def _record_response(
         self, attempt: attempts.Attempt, reply: messages.Reply, now: float
     ) -> None:
-        """Updates the latency ratio and the error and refusal rates."""
+        """Updates what is known of the server after a response."""
         if reply.status == 421:
             self.environment.observer.on_misdirected(self)
             return
+        if reply.status == 503 and reply.retry_after is not None:
+            self._pause(reply.retry_after, now)
+        if reply.leaving:
+            self.environment.observer.on_leaving(self)
         if reply.succeeded:
             expected_s = max(attempt.expected_latency_s, 0.001)
             ratio = (now - attempt.started_s) / expected_s
@@ -296,6 +320,18 @@
         elif reply.status >= 500:
             self._record_error(now)
 
+    def _pause(self, retry_after: bytes, now: float) -> None:
+        """Sends nothing for as long as the server asks."""
+        pause_s = pauses.parse_pause_s(retry_after)
+        if pause_s is None:
+            self.environment.count("malformed_pauses")
+            return
+        if now + pause_s <= self._paused_until_s or not pause_s:
+            return
+        self._paused_until_s = now + pause_s
+        self.environment.observer.on_paused(self, pause_s)
+        self._fail_queued()
+
     def _record_error(self, now: float) -> None:
         """Adds a failure to the error rate."""
         rate = self.get_error_rate(now)
@@ -371,7 +407,7 @@
             )
         except (OSError, TimeoutError):
             self._connecting -= 1
-            self._fail_queued()
+            self._mark_unreachable()
             return
         self._connecting -= 1
         self.unreachable = False
@@ -385,11 +421,15 @@
         connection.idle_since_s = self.environment.loop.time()
         self._release_connection(connection)
 
-    def _fail_queued(self) -> None:
+    def _mark_unreachable(self) -> None:
         """Marks the server as unreachable and fails all queued attempts."""
         self.unreachable = True
         self._record_error(self.environment.loop.time())
         self.environment.observer.on_unreachable(self)
+        self._fail_queued()
+
+    def _fail_queued(self) -> None:
+        """Fails all queued attempts; none of them was sent."""
         for attempt in self._queue.take_all():
             self._report_outcome(
                 attempt, messages.Failure(messages.FailureKind.NOT_SENT)
--- a/eelgrasshall/gateway/upstream_test.py
+++ b/eelgrasshall/gateway/upstream_test.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import model
@@ -199,3 +201,96 @@
     connected.feed(fakes.encode_reply("a1", b""))
     assert owner.get_failure(expired) is messages.FailureKind.NOT_SENT
     assert connected.connection.attempt is waiting
+
+
+def _encode_pause(request_id: str, retry_after: str) -> bytes:
+    return (
+        f"HTTP/1.1 503 X\r\nX-Id: {request_id}\r\nX-Not-Run: 1\r\n"
+        f"Retry-After: {retry_after}\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+
+
+async def test_server_that_asks_for_a_pause_gets_nothing_until_it_is_over():
+    connected = fakes.ConnectedBackend(connection_limit=1)
+    connected.send("a1")
+    owner = fakes.OutcomeRecorder()
+    waiting = fakes.make_attempt(owner, "a2")
+    connected.backend.submit(waiting)
+    written = len(connected.transport.written)
+    connected.feed(_encode_pause("a1", "0.5"))
+    # It is placed anew by its owner.
+    assert owner.get_failure(waiting) is messages.FailureKind.NOT_SENT
+    assert len(connected.transport.written) == written
+    now = asyncio.get_running_loop().time()
+    assert not connected.backend.can_accept(now + 0.4)
+    assert connected.backend.can_accept(now + 0.6)
+    assert connected.observer.pauses_s == [0.5]
+
+
+async def test_shorter_pause_does_not_end_a_longer_one():
+    connected = fakes.ConnectedBackend()
+    for request_id, retry_after in (("a1", "2"), ("a2", "0.1"), ("a3", "0")):
+        connected.send(request_id)
+        connected.feed(_encode_pause(request_id, retry_after))
+    now = asyncio.get_running_loop().time()
+    assert connected.backend.get_pause_s(now) > 1.5
+
+
+async def test_malformed_pause_is_counted_and_ignored():
+    connected = fakes.ConnectedBackend()
+    connected.send("a1")
+    connected.feed(_encode_pause("a1", "Fri, 04 Dec 2026 07:00:00 GMT"))
+    assert connected.backend.can_accept(asyncio.get_running_loop().time())
+    assert "malformed_pauses" in connected.counts
+
+
+async def test_only_a_refusal_asks_for_a_pause():
+    connected = fakes.ConnectedBackend()
+    connected.send("a1")
+    connected.feed(
+        b"HTTP/1.1 500 X\r\nX-Id: a1\r\nRetry-After: 5\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    )
+    assert connected.backend.can_accept(asyncio.get_running_loop().time())
+
+
+@pytest.mark.parametrize("abandoned", [False, True])
+@pytest.mark.parametrize(
+    "response",
+    [
+        b"HTTP/1.1 200 OK\r\nX-Id: a1\r\nX-Seal: s\r\n",
+        b"HTTP/1.1 503 X\r\nX-Id: a1\r\nX-Not-Run: 1\r\n",
+        b"HTTP/1.1 500 X\r\nX-Id: a1\r\n",
+    ],
+    ids=["success", "refusal", "error"],
+)
+async def test_any_response_of_a_leaving_server_says_so(response, abandoned):
+    connected = fakes.ConnectedBackend()
+    attempt, _ = connected.send("a1")
+    if abandoned:
+        connected.backend.abandon(attempt, abort=False)
+    connected.feed(response + b"X-Leaving: 1\r\nContent-Length: 0\r\n\r\n")
+    assert connected.observer.leaving == [connected.backend]
+
+
+async def test_another_server_at_the_address_does_not_speak_for_this_one():
+    connected = fakes.ConnectedBackend()
+    connected.send("a1")
+    connected.feed(
+        b"HTTP/1.1 421 X\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+    assert connected.observer.leaving == []
+
+
+async def test_closed_server_gets_no_waiting_attempts():
+    # They were sent to servers that drained or were evacuated, however long
+    # they had waited.
+    connected = fakes.ConnectedBackend(connection_limit=1)
+    connected.send("a1")
+    owner = fakes.OutcomeRecorder()
+    waiting = fakes.make_attempt(owner, "a2")
+    connected.backend.submit(waiting)
+    connected.backend.close()
+    assert owner.get_failure(waiting) is messages.FailureKind.NOT_SENT
+    connected.feed(fakes.encode_reply("a1", b""))
+    assert len(connected.transport.written) == 1
--- a/eelgrasshall/platform/wire_names.py
+++ b/eelgrasshall/platform/wire_names.py
@@ -10,6 +10,7 @@
     target=b"x-target-instance",
     not_run=b"x-not-executed",
     retry_after=b"retry-after",
+    leaving=b"server-leaving",
     server_id=b"x-instance-id",
     part_seals=b"x-part-seals",
     parts_missing=b"x-parts-missing",
