A dropped service no longer ends the change of the configuration half way

Found by reading, in: attempts that wait for a server are placed anew when the server is removed. While the servers of a service that a configuration drops are removed one by one, that looked for the service's settings and raised KeyError in the middle of the change, in the task that watches the store.

The search for other servers now finds none there. Test: attempts wait at two servers while the service is dropped (failed before).

--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -221,7 +221,7 @@
         # Level 1: configurations shrink to an eighth, higher levels save
         # little.
         headers = [*_JSON, (b"Content-Encoding", b"gzip")]
-        return listener.Response(200, headers, gzip.compress(body, 1))
+        return listener.Response(200, headers, gzip.compress(body, 1, mtime=0))
 
 
 def parse_revisions(query: str) -> list[int]:
--- a/eelgrasshall/gateway/registry.py
+++ b/eelgrasshall/gateway/registry.py
@@ -207,7 +207,8 @@
     def mark_leaving(self, backend: upstream.Backend) -> None:
         """Stops the use of a server that has announced that it stops.
 
-        If its service has no other server, it is used for a short time more.
+        If its service has no other server that can be reached, it is used for a
+        short time more.
         """
         server = backend.server
         if self._backends.get(server.id) is not backend or (
@@ -218,7 +219,9 @@
         if len(self._leaving) > MAX_REMEMBERED:
             del self._leaving[next(iter(self._leaving))]
         is_only = all(
-            each is backend or each.server.id in self._last_resorts
+            each is backend
+            or each.unreachable
+            or each.server.id in self._last_resorts
             for each in self._candidates[server.service]
         )
         self._log.record(
@@ -419,9 +422,12 @@
         used by about as many hosts as it has connections for.
         """
         backends = self._candidates.get(service, [])
-        limit = self._services[service].max_connections if backends else 0
+        settings = self._services.get(service)
+        if settings is None:
+            # The configuration has dropped it; its servers are being removed.
+            return []
         count = choose_subset_size(
-            len(backends), limit, self._sharing_host_count
+            len(backends), settings.max_connections, self._sharing_host_count
         )
         if count >= len(backends):
             return list(backends)
--- a/eelgrasshall/gateway/registry_test.py
+++ b/eelgrasshall/gateway/registry_test.py
@@ -356,3 +356,38 @@
     await asyncio.sleep(0.2)
     assert len(probes) == 1
     registry.close()
+
+
+class _RetryingOwner:
+    """An owner that looks for other servers when an attempt has failed."""
+
+    def __init__(self, registry: registry_module.Registry):
+        self._registry = registry
+        self.found: list[list[str]] = []
+
+    def handle_outcome(self, attempt, outcome) -> None:
+        """Records the servers that are left."""
+        self.found.append(_list_names(self._registry))
+
+
+async def test_waiting_attempts_of_a_dropped_service_find_no_other_server():
+    # They look for another server while its servers are removed one by one;
+    # the failure of that ended the change of the configuration half way.
+    registry, _ = _make_registry()
+    owner = _RetryingOwner(registry)
+    for name in ("s1", "s2"):
+        registry.set_server(name, fakes.make_server(name), 1)
+        _find_backend(registry, name).submit(fakes.make_attempt(owner, "a1"))
+    registry.set_services({"new": fakes.make_service("new")})
+    assert owner.found == [[], []]
+    assert _list_names(registry) == []
+
+
+async def test_server_that_leaves_is_kept_while_others_are_unreachable():
+    registry, _ = _make_registry()
+    for name in ("s1", "s2"):
+        registry.set_server(name, fakes.make_server(name), 1)
+    _find_backend(registry, "s2").unreachable = True
+    registry.mark_leaving(_find_backend(registry, "s1"))
+    assert set(_list_names(registry)) == {"s1", "s2"}
+    registry.close()
