The head of a response does not shorten the wait for its body

Found by reading, in: the first bytes of a response set its time-out to 1 s from then, also where the call may take longer. A store that answers a watch with the head at once and the body 1.8 s later would have lost every watch.

The time-out is now extended only, never shortened; a stall is noticed after 1 s or at the end of the call's own time.

Also: an era of more than nine digits is malformed; int() refuses very long ones with an error that nothing caught.

--- a/eelgrasshall/gateway/client.py
+++ b/eelgrasshall/gateway/client.py
@@ -84,7 +84,8 @@
           method: The HTTP method.
           target: Path and query.
           document: The JSON body; None for an empty body.
-          timeout_s: Time until the first byte of the response, seconds.
+          timeout_s: Time-out of the call, seconds; extended while a response
+            arrives.
 
         Raises:
           CallError: There was no valid response.
@@ -164,6 +165,7 @@
         """
         self.headers = {}
         self._timeout = timeout
+        self._call_end_s = timeout.when()
         self._transfer_end_s: float | None = None
         self._response_future = self._loop.create_future()
         self._parser = httptools.HttpResponseParser(self)
@@ -236,9 +238,8 @@
         now = self._loop.time()
         if self._transfer_end_s is None:
             self._transfer_end_s = now + MAX_TRANSFER_S
-        self._timeout.reschedule(
-            min(now + STALL_TIMEOUT_S, self._transfer_end_s)
-        )
+        stall_end_s = min(now + STALL_TIMEOUT_S, self._transfer_end_s)
+        self._timeout.reschedule(max(stall_end_s, self._call_end_s))
 
     def _fail(self, error: Exception) -> None:
         """Fails the request that is waiting for a response, if any."""
--- a/eelgrasshall/gateway/registry.py
+++ b/eelgrasshall/gateway/registry.py
@@ -40,8 +40,6 @@
 MIN_PROBE_DELAY_S = 0.25
 MAX_PROBE_DELAY_S = 1.0
 PROBE_TIMEOUT_S = 0.5
-
-
 # How long a server that is about to stop is still used while its service has no
 # other one: less than any server serves on after it has said so.
 LAST_RESORT_S = 1.5
--- a/eelgrasshall/platform/store.py
+++ b/eelgrasshall/platform/store.py
@@ -16,6 +16,8 @@
 # Time that a watch may take beyond the wait that it asks for.
 WATCH_TIMEOUT_MARGIN_S = 0.6
 
+_MAX_ERA_DIGITS = 9
+
 _OK = 200
 _CREATED = 201
 _CONFLICT = 409
@@ -176,7 +178,9 @@
 def _read_era(response: client.Response) -> int | None:
     """Returns the era that the store states, or None."""
     text = response.headers.get(wire_names.ERA_HEADER, b"")
-    return int(text) if text.isdigit() else None
+    if not text.isdigit() or len(text) > _MAX_ERA_DIGITS:
+        return None
+    return int(text)
 
 
 def _parse_objects(
