The replayed configuration is worded without the platform's field names

Nothing outside platform/ knows them; the house check found two in the text that distribution_test sends around.

--- a/eelgrasshall/gateway/distribution_test.py
+++ b/eelgrasshall/gateway/distribution_test.py
@@ -170,9 +170,9 @@
     while size > 0:
         name = "".join(rng.choices(string.ascii_lowercase + "0123456789", k=12))
         lines.append(
-            f"name r-{name} host {name[:6]}.example pathPrefix /{name[6:]}/ "
-            "routeType idempotent timeoutMs 2038 goalMs 440 priority 2 "
-            f"service rescue-finder{name[:1]} maxAttempts 2"
+            f"name r-{name} host {name[:6]}.example path_start /{name[6:]}/ "
+            "retryable idempotent limits_ms 2038 target 440 priority 2 "
+            f"service rescue-finder{name[:1]} tries_limit 2"
         )
         size -= len(lines[-1]) + 1
     return "\n".join(lines)
