--- /dev/null
+++ b/eelgrasshall/platform/crash_request_test.py
@@ -0,0 +1,77 @@
+"""Tests of requests that crash the backend servers that run them.
+
+The entry hosts are processes of the real program; the callers send the same
+request again, at any of them.
+"""
+
+import asyncio
+import time
+
+import pytest
+
+from eelgrasshall.platform import fleet as fleet_module
+
+# Time without a disturbance after which the bounds hold.
+_CONTACT_S = 4.0
+# Number of crashed servers from which on a request counts as harmful, and of
+# tries that may reach a server later.
+_CRASHES_ALLOWED = 3
+_TRIES_ALLOWED = 3
+
+
+async def _send_repeatedly(fleet, target, *, tries: int, interval_s: float):
+    """Sends a request again and again, each time to the next host.
+
+    Returns:
+      The id and the time of each try.
+    """
+    sent = []
+    for number in range(tries):
+        name = fleet.host_names[number % len(fleet.host_names)]
+        request_id = f"try{number}"
+        sent.append((request_id, time.monotonic()))
+        try:
+            await fleet.send_request(name, target, request_id)
+        except (OSError, TimeoutError):
+            pass
+        await asyncio.sleep(interval_s)
+    return sent
+
+
+def _list_late_tries(fleet, sent) -> list[str]:
+    """Returns the tries that reached a server although they were harmful."""
+    crash_times = sorted(at for _, at in fleet.crashes)
+    assert len(crash_times) >= _CRASHES_ALLOWED
+    known_s = crash_times[_CRASHES_ALLOWED - 1] + _CONTACT_S
+    reached = {
+        request_id
+        for server in fleet.servers.values()
+        for request_id, _ in server.executed
+    }
+    return [
+        request_id
+        for request_id, at in sent
+        if at > known_s and request_id in reached
+    ]
+
+
+@pytest.mark.parametrize(
+    ("port", "kind"), [(22800, "search"), (23400, "single"), (25000, "once")]
+)
+async def test_repeated_request_that_crashes_servers_is_stopped(
+    tmp_path, port, kind
+):
+    fleet = fleet_module.Fleet(
+        folder=tmp_path, port=port, hosts=4, shards=3, replicas=3
+    )
+    try:
+        await fleet.start()
+        for name in fleet.host_names:
+            await fleet.wait_ready(name)
+        sent = await _send_repeatedly(
+            fleet, f"/{kind}/crash", tries=18, interval_s=1.3
+        )
+        late = _list_late_tries(fleet, sent)
+        assert len(late) <= _TRIES_ALLOWED, (late, fleet.crashes)
+    finally:
+        await fleet.stop()
--- a/eelgrasshall/platform/fleet.py
+++ b/eelgrasshall/platform/fleet.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import os
 import pathlib
 import signal
@@ -23,6 +24,8 @@
 
 _ZONES = ("a", "b", "c")
 _PORTS_PER_HOST = 8
+# A request with this in its target crashes each server that begins to run it.
+CRASH_MARKER = b"/crash"
 # Offset of the port of a host's store proxy from the host's first port.
 _STORE_PROXY_PORT_OFFSET = 7
 _SETTINGS = """
@@ -67,6 +70,7 @@
       paused_until_s: Monotonic time until which it turns all requests away and
         states for how long.
       paused_count: Number of requests that it turned away so.
+      on_crash: Called when a request crashes the server.
 
     Args:
       server_id: The id of the server.
@@ -81,6 +85,7 @@
         self.leaving = False
         self.paused_until_s = 0.0
         self.paused_count = 0
+        self.on_crash: Callable[[str], None] | None = None
         self._listener = listener.Listener(
             handler=self._handle, get_limits=model.CallerLimits
         )
@@ -121,6 +126,9 @@
         if request.get_header(b"x-target-instance") != self.server_id.encode():
             return listener.Response(421, identity, b"")
         self.executed.append((request_id, request.target + request.body))
+        if CRASH_MARKER in request.target and self.on_crash is not None:
+            self.on_crash(self.server_id)
+            await asyncio.Event().wait()
         await asyncio.sleep(self.service_time_s)
         seal = f"{self.server_id}.{request_id}".encode()
         headers = [
@@ -143,6 +151,8 @@
       store_proxies: The fault proxies to the store, by host name.
       processes: The newest process of each host, by host name.
       version: Version of the newest configuration, 0 before the first.
+      crash_duration_s: Time after which a crashed server is back, seconds.
+      crashes: Server and monotonic time of each crash.
 
     Args:
       folder: Directory for settings files and logs.
@@ -187,6 +197,9 @@
             self.store_proxies[name] = fault_proxy.FaultProxy(
                 target=self._store_address
             )
+        self.crash_duration_s = 1.0
+        self.crashes: list[tuple[str, float]] = []
+        self._crashed: dict[str, asyncio.Task] = {}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self._all_processes: list[asyncio.subprocess.Process] = []
         self.version = 0
@@ -203,6 +216,7 @@
             port = self.find_port(name, _STORE_PROXY_PORT_OFFSET)
             await each.start(model.Address("127.0.0.1", port))
         for name, server in self.servers.items():
+            server.on_crash = self.crash_server
             await server.start(self._addresses[name])
             await self.server_proxies[name].start(
                 self._find_proxy_address(name)
@@ -219,6 +233,8 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
                 await process.wait()
+        for task in self._crashed.values():
+            task.cancel()
         for each in self.list_proxies():
             each.stop()
         for server in self.servers.values():
@@ -243,6 +259,26 @@
         }
         self.store.put("servers", name, spec)
 
+    def crash_server(self, name: str) -> None:
+        """Lets a backend server crash; it restarts after a while.
+
+        All of its connections are reset, and it refuses new ones meanwhile.
+        """
+        if name in self._crashed:
+            return
+        self.crashes.append((name, time.monotonic()))
+        self.server_proxies[name].stop()
+        loop = asyncio.get_running_loop()
+        self._crashed[name] = loop.create_task(self._restart_server(name))
+
+    async def _restart_server(self, name: str) -> None:
+        """Starts a crashed server again, as a new process."""
+        await asyncio.sleep(self.crash_duration_s)
+        self.servers[name].started_at_ms += 1
+        await self.server_proxies[name].start(self._find_proxy_address(name))
+        del self._crashed[name]
+        self.register_server(name)
+
     def publish_configuration(self, **changes: Any) -> None:
         """Writes the next configuration version to the store.
 
@@ -263,6 +299,15 @@
             "minShare": 0.5,
             **changes,
         }
+        single = {
+            **route,
+            "name": "single",
+            "pathPrefix": "/single/",
+            "routeType": "idempotent",
+            "timeoutMs": 2000,
+            "service": self.shards[-1],
+            "maxAttempts": 2,
+        }
         once = {
             **route,
             "name": "once",
@@ -284,7 +329,7 @@
         }
         spec = {
             "version": self.version,
-            "routes": [search, once],
+            "routes": [search, single, once],
             "services": services,
             "limits": limits,
         }
