Requests that crash servers are found out without further traffic

Cause, from the logs of the reproduction: a lost request became a crash report only if a new connection to its server failed within 1 s, and nothing opened one unless attempts waited. With few requests for each host and server no report was ever made (no `blamed` line on any host).

Change: - The pool itself opens a connection after a loss or a time-out of an attempt and so finds out whether the server is down. Attempts without an answer stay suspects for 5 s, also aborted ones and those that a silent server let time out, until the server has answered something sent later. A server that answers for another one confirms a crash as well. - Evidence: three crashes in two runs that followed each other. A run that began after another server had crashed under the same request follows it; servers that fail together crash under runs that overlap, however many tries there were. This replaces the number of tries: one try whose retries end three servers one after the other is enough, and two tries that run when many servers fail at once no longer are (they were). A silent server may have been down since it was last heard of, so such a run begins there. - Reports and verdicts go in datagrams of their own, least sent first, as long as they hold, so that hosts that start, wake up or heal later get them. Ages instead of times: no clocks need to agree. Hosts of the build before ignore them; during an upgrade hosts of two builds share no reports. - A request that is answered without a failed attempt is cleared.

Also: log events `quarantined` and `malformed_datagram`, `took_ms` of `blamed`, verdicts and suspects in the state dump.

--- a/eelgrasshall/gateway/connections.py
+++ b/eelgrasshall/gateway/connections.py
@@ -113,7 +113,11 @@
         """Fails the attempt in flight and leaves the pool."""
         self.must_close = True
         if self.attempt is not None:
-            self._fail_attempt(messages.FailureKind.CONNECTION_LOST)
+            self._fail_attempt(
+                messages.FailureKind.CONNECTION_LOST,
+                silent=error is not None
+                and not isinstance(error, ConnectionError),
+            )
         self.backend.remove_connection(self)
 
     # Callbacks of the parser.
@@ -214,11 +218,15 @@
         if found and digits.isdigit():
             self.idle_timeout_s = int(digits) * IDLE_TIMEOUT_SHARE
 
-    def _fail_attempt(self, kind: messages.FailureKind) -> None:
+    def _fail_attempt(
+        self, kind: messages.FailureKind, *, silent: bool = False
+    ) -> None:
         """Fails the attempt in flight and closes the connection."""
         attempt, self.attempt = self.attempt, None
         self.must_close = True
-        self.backend.complete_attempt(self, attempt, messages.Failure(kind))
+        self.backend.complete_attempt(
+            self, attempt, messages.Failure(kind, silent)
+        )
 
 
 def set_keepalive(transport: asyncio.Transport) -> None:
--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -113,17 +113,27 @@
     """An observer that records the events of backend servers."""
 
     def __init__(self):
-        self.lost: list[attempts.Attempt] = []
+        self.unanswered: list[attempts.Attempt] = []
+        self.began_s: list[float] = []
+        self.alive: list[upstream.Backend] = []
         self.unreachable: list[upstream.Backend] = []
         self.misdirected: list[upstream.Backend] = []
         self.leaving: list[upstream.Backend] = []
         self.pauses_s: list[float] = []
 
-    def on_connection_lost(
-        self, backend: upstream.Backend, attempt: attempts.Attempt
+    def on_unanswered(
+        self,
+        backend: upstream.Backend,
+        attempt: attempts.Attempt,
+        began_s: float,
     ) -> None:
-        """Records an attempt whose connection was lost."""
-        self.lost.append(attempt)
+        """Records an attempt that ended without an answer."""
+        self.unanswered.append(attempt)
+        self.began_s.append(began_s)
+
+    def on_alive(self, backend: upstream.Backend, sent_s: float) -> None:
+        """Records that a server answered after an unanswered attempt."""
+        self.alive.append(backend)
 
     def on_unreachable(self, backend: upstream.Backend) -> None:
         """Records a server that could not be reached."""
--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -52,6 +52,7 @@
 RETRY_AFTER_NO_SERVER_S = 0.4
 
 TOO_FEW_SERVERS = "too few shards have an available server"
+QUARANTINED = "quarantined: the request crashes backend servers"
 
 # Statuses from which a caller may conclude that the request did not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -283,6 +284,13 @@
             self._retry(shard, outcome)
         self._check_completion()
 
+    @property
+    def is_flawless(self) -> bool:
+        """Whether all shards have answered and no attempt has failed."""
+        return not self._failures and all(
+            shard.reply is not None for shard in self._shards
+        )
+
     def get_log_fields(self) -> dict[str, Any]:
         """Returns the attempts and failures of the request as log fields."""
         sent_to = [b.server.id for shard in self._shards for b in shard.tried]
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -14,6 +14,7 @@
 
 from eelgrasshall.gateway import active_hosts
 from eelgrasshall.gateway import cold_start
+from eelgrasshall.gateway import crash_gossip
 from eelgrasshall.gateway import directory
 from eelgrasshall.gateway import election
 from eelgrasshall.gateway import events
@@ -169,6 +170,8 @@
             get_gossip=self._build_gossip,
             on_gossip=self._handle_gossip,
             on_hosts_changed=self._schedule_share_update,
+            get_crash_datagram=self._build_crash_datagram,
+            on_crash_datagram=self._handle_crash_datagram,
         )
         self._caller_listener = self._make_listener(self._handle_request)
         self._extra_listeners: list[listener.Listener] = []
@@ -326,6 +329,9 @@
             },
             "evacuated": sorted(self._registry.evacuated_zones),
             "servers": self._registry.dump(),
+            "quarantine": self._request_handler.quarantine.dump(
+                self._loop.time()
+            ),
             "counters": dict(self._metrics.counters),
         }
 
@@ -493,24 +499,40 @@
         self._peers.send_now()
 
     def _build_gossip(self) -> list:
-        """Returns the gossip of this host: revisions and crash reports."""
-        return [
-            peer_sync.list_revisions(self._object_cache),
-            self._request_handler.quarantine.list_gossip(self._loop.time()),
-        ]
+        """Returns the gossip of this host: revisions.
+
+        Hosts of earlier versions expect a list behind them.
+        """
+        return [peer_sync.list_revisions(self._object_cache), []]
 
     def _handle_gossip(self, sender: str, gossip: list) -> None:
-        """Adds another host's crash reports and fetches newer objects."""
-        revisions, crash_reports = gossip
-        self._request_handler.quarantine.add_gossip(
-            crash_reports, self._loop.time()
-        )
+        """Fetches newer objects from another host."""
+        revisions = gossip[0]
         host = self._peers.find_host(sender)
         if host is not None:
             self._peer_sync.handle_revisions(
                 sender, host.control_address, revisions
             )
 
+    def _build_crash_datagram(self) -> bytes | None:
+        """Returns crash reports for other hosts, or None if there are none."""
+        now = self._loop.time()
+        entries = self._request_handler.quarantine.list_gossip(
+            now, crash_gossip.MAX_ENTRIES
+        )
+        return crash_gossip.encode(entries, now) if entries else None
+
+    def _handle_crash_datagram(self, datagram: bytes) -> None:
+        """Adds another host's crash reports; ignores a malformed datagram."""
+        now = self._loop.time()
+        try:
+            entries = crash_gossip.decode(datagram, now)
+        except (ValueError, TypeError) as error:
+            self._metrics.count("malformed_datagrams")
+            self._log.record("malformed_datagram", reason=str(error))
+            return
+        self._request_handler.add_crash_gossip(entries)
+
     def _list_active_hosts(self) -> list[model.Host]:
         """Returns the active hosts, recomputed after `VIEW_TTL_S`."""
         now = self._loop.time()
--- a/eelgrasshall/gateway/messages.py
+++ b/eelgrasshall/gateway/messages.py
@@ -121,9 +121,15 @@
 
 
 class Failure(NamedTuple):
-    """An attempt that ended without a complete response."""
+    """An attempt that ended without a complete response.
+
+    Attributes:
+      kind: Why it ended.
+      silent: Whether the server did not close the lost connection itself.
+    """
 
     kind: FailureKind
+    silent: bool = False
 
     @property
     def not_run(self) -> bool:
--- a/eelgrasshall/gateway/peers.py
+++ b/eelgrasshall/gateway/peers.py
@@ -21,6 +21,7 @@
 import zlib
 
 from eelgrasshall.gateway import active_hosts
+from eelgrasshall.gateway import crash_gossip
 from eelgrasshall.gateway import election
 from eelgrasshall.gateway import heartbeats
 from eelgrasshall.gateway import model
@@ -79,6 +80,9 @@
       on_gossip: Called with the sender's name and the data that a heartbeat
         carried.
       on_hosts_changed: Called when the set of known hosts has changed.
+      get_crash_datagram: Returns the datagram with crash reports that is sent
+        with the heartbeats of a period, or None.
+      on_crash_datagram: Called with such a datagram of another host.
     """
 
     def __init__(
@@ -93,6 +97,8 @@
         get_gossip: Callable[[], list],
         on_gossip: Callable[[str, list], None],
         on_hosts_changed: Callable[[], None],
+        get_crash_datagram: Callable[[], bytes | None],
+        on_crash_datagram: Callable[[bytes], None],
     ):
         self.state = heartbeats.State.JOINING
         self._own = own
@@ -104,6 +110,8 @@
         self._get_gossip = get_gossip
         self._on_gossip = on_gossip
         self._on_hosts_changed = on_hosts_changed
+        self._get_crash_datagram = get_crash_datagram
+        self._on_crash_datagram = on_crash_datagram
         self._hosts: dict[str, model.Host] = {}
         self._records: dict[str, _HeartbeatRecord] = {}
         self._beat = 0
@@ -232,6 +240,9 @@
 
     def datagram_received(self, data: bytes, address: tuple) -> None:
         """Processes a datagram, or ignores it if it is malformed."""
+        if data.startswith(crash_gossip.PREFIX):
+            self._on_crash_datagram(data)
+            return
         head, _, table = data.partition(b"\n")
         try:
             header = heartbeats.decode_header(head)
@@ -359,9 +370,19 @@
     def _tick(self) -> None:
         """Sends the heartbeats of one period and schedules the next one."""
         self._increment_beat()
-        self._send_to(self._choose_targets(), with_table=self._is_large)
+        targets = self._choose_targets()
+        self._send_to(targets, with_table=self._is_large)
+        self._send_crash_datagram(targets)
         self._timer = self._loop.call_later(self._period_s, self._tick)
 
+    def _send_crash_datagram(self, hosts: Iterable[model.Host]) -> None:
+        """Sends crash reports, if there are any."""
+        datagram = self._get_crash_datagram()
+        if datagram is None or self._transport is None:
+            return
+        for host in hosts:
+            self._transport.sendto(datagram, tuple(host.peer_address))
+
     def _choose_targets(self) -> list[model.Host]:
         """Returns the hosts to send to in one period.
 
--- a/eelgrasshall/gateway/peers_test.py
+++ b/eelgrasshall/gateway/peers_test.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 import pytest
 
+from eelgrasshall.gateway import crash_gossip
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import heartbeats
 from eelgrasshall.gateway import peers
@@ -25,6 +26,8 @@
         get_attempt_rate=lambda: 12.0,
         get_gossip=lambda: [1, 2, 3, 4],
         on_gossip=lambda name, gossip: received.append((name, gossip)),
+        get_crash_datagram=lambda: None,
+        on_crash_datagram=lambda datagram: None,
         on_hosts_changed=lambda: None,
     )
     return protocol, received
@@ -196,6 +199,8 @@
             get_attempt_rate=lambda: 12.0,
             get_gossip=lambda: [[1, 2, 3, 4], []],
             on_gossip=lambda name, gossip: None,
+            get_crash_datagram=lambda: None,
+            on_crash_datagram=lambda datagram: None,
             on_hosts_changed=lambda: None,
         )
         self.protocols[tuple(host.peer_address)] = protocol
@@ -310,3 +315,32 @@
         assert protocol.host_count == 1 and not received
 
     asyncio.run(receive())
+
+
+async def test_crash_datagrams_reach_other_hosts_with_the_heartbeats():
+    first, second = _make_hosts(2, port=18900)
+    received = []
+    datagram = crash_gossip.PREFIX + b"[]"
+    protocols = [
+        peers.HeartbeatProtocol(
+            own=host,
+            incarnation=1,
+            loop=asyncio.get_running_loop(),
+            random=random.Random(1),
+            reaches_store=lambda: True,
+            get_attempt_rate=lambda: 0.0,
+            get_gossip=lambda: [[], []],
+            on_gossip=lambda name, gossip: None,
+            get_crash_datagram=lambda: datagram,
+            on_crash_datagram=received.append,
+            on_hosts_changed=lambda: None,
+        )
+        for host in (first, second)
+    ]
+    for protocol in protocols:
+        await protocol.start()
+    protocols[0].add_host(second)
+    await asyncio.sleep(0.4)
+    for protocol in protocols:
+        protocol.stop()
+    assert received and set(received) == {datagram}
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -61,7 +61,7 @@
         self.zone = own.zone
         self.random = random
         self.loop = asyncio.get_running_loop()
-        self.quarantine = quarantine.Quarantine()
+        self.quarantine = quarantine.Quarantine(on_verdict=self._log_verdict)
         self.registry = registry.Registry(
             log=log, own=own.name, cold_start_bound=cold_start_bound
         )
@@ -141,6 +141,12 @@
         for budget in self._budgets.values():
             budget.set_bound(bound)
 
+    def add_crash_gossip(
+        self, entries: Sequence[quarantine.CrashReport | quarantine.Verdict]
+    ) -> None:
+        """Adds the crash reports and verdicts of another host."""
+        self.quarantine.add_gossip(entries, self.loop.time())
+
     async def handle(self, request: messages.Request) -> listener.Response:
         """Answers a caller's request and logs it."""
         outcome, route, log_fields = await self._process(request)
@@ -180,16 +186,9 @@
         request_id = request.get_header(self.names.request_id)
         if not request_id:
             return self._reject(400, "request id header missing", route=route)
-        if self.quarantine.has_reports() and self.quarantine.is_quarantined(
-            messages.compute_fingerprint(request), self.loop.time()
-        ):
-            wait_s = quarantine.REPORT_RETENTION_S
-            return self._reject(
-                503,
-                "quarantined: the request crashes backend servers",
-                wait_s,
-                route=route,
-            )
+        wait_s = self._get_quarantine_s(request)
+        if wait_s:
+            return self._reject(503, fanout.QUARANTINED, wait_s, route=route)
         services = route.shards or (
             self._round_robin.choose_service(route.name, route.split),
         )
@@ -233,10 +232,22 @@
                     version=self.version,
                     **queue.limiter.get_log_fields(),
                 )
+        if self.quarantine.has_reports() and request_fanout.is_flawless:
+            self.quarantine.record_success(
+                messages.compute_fingerprint(request)
+            )
         waited_ms = round((started_s - request.received_s) * 1000)
         log_fields = {"waited_ms": waited_ms, **request_fanout.get_log_fields()}
         return outcome, route, log_fields
 
+    def _get_quarantine_s(self, request: messages.Request) -> float:
+        """Returns for how long a request must not run; 0 if it may."""
+        if not self.quarantine.has_verdicts():
+            return 0.0
+        return self.quarantine.get_remaining_s(
+            messages.compute_fingerprint(request), self.loop.time()
+        )
+
     def _make_queue_entry(
         self, request: messages.Request, route: model.Route, timeout_s: float
     ) -> admission.QueueEntry:
@@ -356,35 +367,37 @@
 
     # Implementation of upstream.Observer.
 
-    def on_connection_lost(
-        self, backend: upstream.Backend, attempt: attempts.Attempt
+    def on_unanswered(
+        self,
+        backend: upstream.Backend,
+        attempt: attempts.Attempt,
+        began_s: float,
     ) -> None:
-        """Records the request that ran on a lost connection."""
-        self.count("connections_lost")
-        if attempt.compute_fingerprint is not None:
-            self.quarantine.record_lost_request(
-                backend.server.id,
+        """Records a request that may have crashed its server."""
+        if attempt.compute_fingerprint is None:
+            return
+        self.quarantine.record_unanswered(
+            backend.server.id,
+            quarantine.Suspect(
                 attempt.compute_fingerprint(),
                 attempt.request_id.decode("latin-1"),
+                began_s,
                 self.loop.time(),
-            )
+            ),
+        )
+
+    def on_alive(self, backend: upstream.Backend, sent_s: float) -> None:
+        """Clears the requests that have not crashed the server."""
+        self.quarantine.record_alive(backend.server.id, sent_s)
 
     def on_unreachable(self, backend: upstream.Backend) -> None:
-        """Logs the requests that may have crashed a server and probes it."""
-        reports = self.quarantine.record_unreachable(
-            backend.server.id, self.loop.time()
-        )
-        for report in reports:
-            self._log.record(
-                "blamed",
-                id=report.request_id,
-                fingerprint=report.fingerprint,
-                server=report.server_id,
-            )
+        """Reports the requests that may have crashed a server; probes it."""
+        self._record_crash(backend)
         self.registry.start_probe(backend)
 
     def on_misdirected(self, backend: upstream.Backend) -> None:
         """Removes a server whose address another server answers at."""
+        self._record_crash(backend)
         self.registry.remove_misdirected(backend)
 
     def on_leaving(self, backend: upstream.Backend) -> None:
@@ -400,3 +413,32 @@
             service=backend.server.service,
             pause_s=pause_s,
         )
+
+    def _log_verdict(
+        self,
+        verdict: quarantine.Verdict,
+        reports: Sequence[quarantine.CrashReport],
+    ) -> None:
+        """Logs that a request is quarantined, and the tries that led to it."""
+        self.count("verdicts")
+        self._log.record(
+            "quarantined",
+            fingerprint=verdict.fingerprint,
+            left_s=round(verdict.until_s - self.loop.time()),
+            ids=[report.request_id for report in reports],
+            servers=[report.server_id for report in reports],
+        )
+
+    def _record_crash(self, backend: upstream.Backend) -> None:
+        """Logs the requests that may have crashed a server."""
+        reports = self.quarantine.record_crash(
+            backend.server.id, self.loop.time()
+        )
+        for report in reports:
+            self._log.record(
+                "blamed",
+                id=report.request_id,
+                fingerprint=report.fingerprint,
+                server=report.server_id,
+                took_ms=round((report.crashed_s - report.began_s) * 1000),
+            )
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -35,15 +35,29 @@
 MAX_LATENCY_RATIO = 20.0
 # An attempt with no more time than this cannot be answered and is not sent.
 MIN_REMAINING_S = 0.001
+# How long before a silent loss the server may have been down already.
+SILENT_LOOKBACK_S = 5.0
+# Delay before a connection is opened to find out whether a server is down: a
+# process that ends closes its connections before its listening socket.
+VERIFICATION_DELAY_S = 0.02
 
 
 class Observer(Protocol):
     """Receives events of backend servers."""
 
-    def on_connection_lost(
-        self, backend: "Backend", attempt: attempts.Attempt
+    def on_unanswered(
+        self, backend: "Backend", attempt: attempts.Attempt, began_s: float
     ) -> None:
-        """Handles the loss of a connection with a request in flight."""
+        """Handles the end of an attempt that was sent and not answered.
+
+        Args:
+          backend: The server.
+          attempt: The attempt.
+          began_s: Monotonic time before which the server was certainly up.
+        """
+
+    def on_alive(self, backend: "Backend", sent_s: float) -> None:
+        """Handles an answer to what was sent after an unanswered attempt."""
 
     def on_unreachable(self, backend: "Backend") -> None:
         """Handles a failure to open a connection."""
@@ -105,6 +119,10 @@
         self.unreachable = False
         self.closed = False
         self._paused_until_s = 0.0
+        # When the server was last known to be up, and when an attempt last
+        # ended without an answer.
+        self._alive_s = -math.inf
+        self._unanswered_s = math.inf
         # Used as an ordered set: the oldest attempt is first.
         self.pending: dict[attempts.Attempt, None] = {}
         self._error_rate = 0.0
@@ -118,6 +136,7 @@
             send_queue.SendQueue()
         )
         self._tasks: set[asyncio.Task] = set()
+        self._verification: asyncio.TimerHandle | None = None
 
     def can_accept(self, now: float) -> bool:
         """Returns whether an attempt may be sent to this server now."""
@@ -185,6 +204,7 @@
                 attempt, messages.Failure(messages.FailureKind.NOT_SENT)
             )
         elif abort:
+            self._record_unanswered(attempt, silent=True)
             self._report_outcome(attempt, None)
             attempt.connection.attempt = None
             self.close_connection(attempt.connection)
@@ -227,7 +247,9 @@
         else:
             self._record_error(now)
             if outcome.kind is messages.FailureKind.CONNECTION_LOST:
-                environment.observer.on_connection_lost(self, attempt)
+                environment.count("connections_lost")
+                self._record_unanswered(attempt, silent=outcome.silent)
+                self._schedule_verification()
         connection.idle_since_s = now
         if connection.must_close:
             self.close_connection(connection)
@@ -264,8 +286,10 @@
             )
             if attempt.sent:
                 self._record_error(now)
+                self._record_unanswered(attempt, silent=True)
                 attempt.connection.attempt = None
                 self.close_connection(attempt.connection)
+                self._schedule_verification()
             self._report_outcome(attempt, failure)
         for connection in list(self._idle):
             if now - connection.idle_since_s >= connection.idle_timeout_s:
@@ -277,6 +301,8 @@
         Attempts that wait for a connection fail, so that they are placed anew.
         """
         self.closed = True
+        if self._verification is not None:
+            self._verification.cancel()
         for connection in list(self._idle):
             self.close_connection(connection)
         self._fail_queued()
@@ -297,6 +323,10 @@
         if reply.status == 421:
             self.environment.observer.on_misdirected(self)
             return
+        self._alive_s = now
+        if attempt.sent_s > self._unanswered_s:
+            self._unanswered_s = math.inf
+            self.environment.observer.on_alive(self, attempt.sent_s)
         if reply.status == 503 and reply.retry_after is not None:
             self._pause(reply.retry_after, now)
         if reply.leaving:
@@ -334,6 +364,36 @@
         self.environment.observer.on_paused(self, pause_s)
         self._fail_queued()
 
+    def _record_unanswered(
+        self, attempt: attempts.Attempt, *, silent: bool
+    ) -> None:
+        """Reports an attempt that ended without an answer.
+
+        Args:
+          attempt: The attempt.
+          silent: Whether the server has not closed the connection.  It may have
+            been down before the attempt was sent then.
+        """
+        self._unanswered_s = self.environment.loop.time()
+        began_s = attempt.sent_s
+        if silent:
+            oldest_s = began_s - SILENT_LOOKBACK_S
+            began_s = min(began_s, max(self._alive_s, oldest_s))
+        self.environment.observer.on_unanswered(self, attempt, began_s)
+
+    def _schedule_verification(self) -> None:
+        """Opens a connection soon to find out whether the server is down."""
+        if self._verification is None and not self.closed:
+            self._verification = self.environment.loop.call_later(
+                VERIFICATION_DELAY_S, self._verify
+            )
+
+    def _verify(self) -> None:
+        """Opens a connection, unless one is being opened already."""
+        self._verification = None
+        if not self._connecting and not self._is_at_connection_limit():
+            self._open_connection()
+
     def _record_error(self, now: float) -> None:
         """Adds a failure to the error rate."""
         rate = self.get_error_rate(now)
@@ -413,6 +473,7 @@
             return
         self._connecting -= 1
         self.unreachable = False
+        self._alive_s = self.environment.loop.time()
         self.add_connection(connection)
 
     def add_connection(self, connection: connections.Connection) -> None:
--- a/eelgrasshall/gateway/upstream_test.py
+++ b/eelgrasshall/gateway/upstream_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from eelgrasshall.gateway import connections
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import model
@@ -294,3 +295,80 @@
     assert owner.get_failure(waiting) is messages.FailureKind.NOT_SENT
     connected.feed(fakes.encode_reply("a1", b""))
     assert len(connected.transport.written) == 1
+
+
+async def _settle() -> None:
+    """Waits until a verification that was due has ended."""
+    await asyncio.sleep(upstream.VERIFICATION_DELAY_S + 0.05)
+
+
+async def test_crash_is_noticed_although_nobody_sends_to_the_server_again():
+    # The server's address refuses connections, as after the end of a process.
+    connected = fakes.ConnectedBackend()
+    attempt, _ = connected.send("a1")
+    connected.connection.connection_lost(ConnectionResetError())
+    await _settle()
+    assert connected.observer.unanswered == [attempt]
+    assert connected.observer.unreachable == [connected.backend]
+    assert connected.observer.began_s == [attempt.sent_s]
+
+
+async def test_server_that_falls_silent_is_verified_after_the_time_out():
+    connected = fakes.ConnectedBackend()
+    attempt, _ = connected.send("a1", remaining_s=0.01)
+    await asyncio.sleep(0.02)
+    connected.backend.sweep(asyncio.get_running_loop().time())
+    await _settle()
+    assert connected.observer.unanswered == [attempt]
+    assert connected.observer.unreachable == [connected.backend]
+
+
+async def test_silent_loss_may_have_begun_before_the_attempt_was_sent():
+    connected = fakes.ConnectedBackend()
+    attempt, _ = connected.send("a1")
+    connected.connection.connection_lost(TimeoutError())
+    (began_s,) = connected.observer.began_s
+    assert began_s == attempt.sent_s - upstream.SILENT_LOOKBACK_S
+
+
+async def test_silent_loss_began_after_the_last_answer():
+    connected = fakes.ConnectedBackend()
+    connected.send("a1")
+    connected.feed(fakes.encode_reply("a1", b"body"))
+    answered_s = asyncio.get_running_loop().time()
+    await asyncio.sleep(0.02)
+    connected.send("a2")
+    connected.connection.connection_lost(TimeoutError())
+    (began_s,) = connected.observer.began_s
+    assert began_s == pytest.approx(answered_s, abs=0.01)
+
+
+async def test_attempt_that_its_caller_aborts_may_have_crashed_the_server():
+    connected = fakes.ConnectedBackend()
+    attempt, _ = connected.send("a1")
+    connected.backend.abandon(attempt, abort=True)
+    assert connected.observer.unanswered == [attempt]
+    assert not connected.observer.alive
+
+
+async def test_answer_to_a_later_attempt_shows_that_the_server_is_up():
+    connected = fakes.ConnectedBackend()
+    attempt, _ = connected.send("a1")
+    connected.backend.abandon(attempt, abort=True)
+    await asyncio.sleep(0.01)
+    connection = connections.Connection(backend=connected.backend)
+    connection.connection_made(fakes.Transport())
+    connected.backend.add_connection(connection)
+    later = fakes.make_attempt(fakes.OutcomeRecorder(), "a2")
+    connected.backend.submit(later)
+    connection.data_received(fakes.encode_reply("a2", b"body"))
+    assert connected.observer.alive == [connected.backend]
+
+
+async def test_verification_spares_a_server_that_is_closed():
+    connected = fakes.ConnectedBackend()
+    connected.send("a1")
+    connected.connection.connection_lost(ConnectionResetError())
+    connected.backend.close()
+    await _settle()
+    assert "connections_opened" not in connected.counts
