A request found out while it waits is no longer sent

What servers saw: attempts of a request that crashes servers arrived after it had been found out.

Cause: the quarantine was asked once, before admission. Attempts that waited for admission or for a connection, hedges and retries were not checked.

Change: the fan-out asks before each attempt, and the pool before each send, so that queued attempts are covered as well. A request of which nothing was sent is refused with 503, the rest of the quarantine as Retry-After; one that may have run fails with 502. Searches that have enough parts are still answered.

The five new tests of fanout_test and upstream_test fail with the product code before (run with fanout.py and upstream.py put back). Without verdicts the check is one look at an empty dictionary.

--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -116,6 +116,7 @@
         self.unanswered: list[attempts.Attempt] = []
         self.began_s: list[float] = []
         self.alive: list[upstream.Backend] = []
+        self.blocked: set[attempts.Attempt] = set()
         self.unreachable: list[upstream.Backend] = []
         self.misdirected: list[upstream.Backend] = []
         self.leaving: list[upstream.Backend] = []
@@ -131,6 +132,10 @@
         self.unanswered.append(attempt)
         self.began_s.append(began_s)
 
+    def is_blocked(self, attempt: attempts.Attempt) -> bool:
+        """Returns whether a test has blocked the attempt."""
+        return attempt in self.blocked
+
     def on_alive(self, backend: upstream.Backend, sent_s: float) -> None:
         """Records that a server answered after an unanswered attempt."""
         self.alive.append(backend)
@@ -376,6 +381,11 @@
             for shard in shards
         }
         self._latencies: dict[str, hedging.LatencyWindow] = {}
+        self.quarantine_s = 0.0
+
+    def get_quarantine_s(self, request: messages.Request) -> float:
+        """Returns the duration that a test has set."""
+        return self.quarantine_s
 
     def find_candidates(self, service: str) -> list[upstream.Backend]:
         """Returns all backend servers of a service."""
--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -138,6 +138,9 @@
     random: random_module.Random
     zone: str
 
+    def get_quarantine_s(self, request: messages.Request) -> float:
+        """Returns for how long a request must not run; 0 if it may."""
+
     def find_candidates(self, service: str) -> Sequence[upstream.Backend]:
         """Returns the backend servers of a service that may get requests."""
 
@@ -249,6 +252,8 @@
         of an idempotent request are aborted.
         """
         services = [shard.service for shard in self._shards]
+        if self._context.get_quarantine_s(self._request):
+            return self._reject(QUARANTINED)
         wait_s = find_return_s(self._context, self._route, services)
         if wait_s is not None:
             return self._reject(TOO_FEW_SERVERS, wait_s)
@@ -326,8 +331,11 @@
         """Sends an attempt to a server of a shard not tried before.
 
         Returns:
-          False if no such server is available.
+          False if no such server is available or the request must not run.
         """
+        if self._context.get_quarantine_s(self._request):
+            shard.failed = not shard.active
+            return False
         now = self._context.loop.time()
         candidates = [
             backend
@@ -433,7 +441,11 @@
         Sends none while requests wait for admission: all latencies are high
         then, and a hedge would occupy a slot that a waiting request needs.
         """
-        if not self._route.idempotent or self._has_waiting():
+        if (
+            not self._route.idempotent
+            or self._has_waiting()
+            or self._context.get_quarantine_s(self._request)
+        ):
             return
         for shard in self._shards:
             if not shard.is_pending or len(shard.active) != 1:
@@ -554,6 +566,9 @@
           wait_s: Seconds after which the caller may retry; None if that depends
             on the servers that are available now.
         """
+        quarantine_s = self._context.get_quarantine_s(self._request)
+        if quarantine_s:
+            reason, wait_s = QUARANTINED, quarantine_s
         if any(shard.may_have_run or shard.active for shard in self._shards):
             return Outcome(Verdict.FAILED, 502, [], b"", 0, reason)
         if wait_s is None:
--- a/eelgrasshall/gateway/fanout_test.py
+++ b/eelgrasshall/gateway/fanout_test.py
@@ -299,3 +299,37 @@
     other.feed(fakes.encode_reply("a1", b"x"))
     outcome = await asyncio.wait_for(task, 0.1)
     assert outcome.status == 200 and outcome.body == b"x"
+
+
+async def test_request_quarantined_while_it_waited_is_refused_as_not_run():
+    context = fakes.Context(SHARDS)
+    context.quarantine_s = 30.0
+    _, task = _start(context, fakes.make_route(shards=SHARDS))
+    outcome = await task
+    assert outcome.status == 503 and outcome.reason == fanout.QUARANTINED
+    assert _get_header(outcome, b"retry-after") == b"30.00"
+    assert not any(context.list_busy(shard) for shard in SHARDS)
+
+
+async def test_quarantined_request_is_not_retried():
+    context = fakes.Context(("orders",))
+    _, task = _start(context, fakes.make_route(max_attempts=3))
+    await _run_ready_tasks()
+    (busy,) = context.list_busy("orders")
+    context.quarantine_s = 30.0
+    busy.connection.connection_lost(ConnectionResetError())
+    outcome = await task
+    # It may have run, so that the caller must not conclude that it has not.
+    assert outcome.status == 502 and outcome.reason == fanout.QUARANTINED
+    assert not context.list_busy("orders")
+
+
+async def test_quarantined_request_is_not_hedged():
+    context = fakes.Context(("orders",))
+    _, task = _start(context, fakes.make_route())
+    await _run_ready_tasks()
+    context.quarantine_s = 30.0
+    await asyncio.sleep(0.08)
+    assert len(context.list_busy("orders")) == 1
+    assert "hedges" not in context.counts
+    task.cancel()
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -186,7 +186,7 @@
         request_id = request.get_header(self.names.request_id)
         if not request_id:
             return self._reject(400, "request id header missing", route=route)
-        wait_s = self._get_quarantine_s(request)
+        wait_s = self.get_quarantine_s(request)
         if wait_s:
             return self._reject(503, fanout.QUARANTINED, wait_s, route=route)
         services = route.shards or (
@@ -240,14 +240,6 @@
         log_fields = {"waited_ms": waited_ms, **request_fanout.get_log_fields()}
         return outcome, route, log_fields
 
-    def _get_quarantine_s(self, request: messages.Request) -> float:
-        """Returns for how long a request must not run; 0 if it may."""
-        if not self.quarantine.has_verdicts():
-            return 0.0
-        return self.quarantine.get_remaining_s(
-            messages.compute_fingerprint(request), self.loop.time()
-        )
-
     def _make_queue_entry(
         self, request: messages.Request, route: model.Route, timeout_s: float
     ) -> admission.QueueEntry:
@@ -335,6 +327,14 @@
 
     # Implementation of fanout.Context.
 
+    def get_quarantine_s(self, request: messages.Request) -> float:
+        """Returns for how long a request must not run; 0 if it may."""
+        if not self.quarantine.has_verdicts():
+            return 0.0
+        return self.quarantine.get_remaining_s(
+            messages.compute_fingerprint(request), self.loop.time()
+        )
+
     def find_candidates(self, service: str) -> Sequence[upstream.Backend]:
         """Returns the backend servers of a service that may get requests."""
         return self.registry.find_candidates(service)
@@ -386,6 +386,17 @@
             ),
         )
 
+    def is_blocked(self, attempt: attempts.Attempt) -> bool:
+        """Returns whether the request of an attempt is quarantined."""
+        return (
+            self.quarantine.has_verdicts()
+            and attempt.compute_fingerprint is not None
+            and self.quarantine.get_remaining_s(
+                attempt.compute_fingerprint(), self.loop.time()
+            )
+            > 0.0
+        )
+
     def on_alive(self, backend: upstream.Backend, sent_s: float) -> None:
         """Clears the requests that have not crashed the server."""
         self.quarantine.record_alive(backend.server.id, sent_s)
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -56,6 +56,9 @@
           began_s: Monotonic time before which the server was certainly up.
         """
 
+    def is_blocked(self, attempt: attempts.Attempt) -> bool:
+        """Returns whether an attempt must not be sent any more."""
+
     def on_alive(self, backend: "Backend", sent_s: float) -> None:
         """Handles an answer to what was sent after an unanswered attempt."""
 
@@ -406,7 +409,7 @@
         """Sends an attempt on a free connection, unless it is too late."""
         now = self.environment.loop.time()
         remaining_s = attempt.deadline_s - now
-        if remaining_s <= MIN_REMAINING_S:
+        if not self._may_send(attempt, now):
             self._idle.append(connection)
             self._report_outcome(
                 attempt, messages.Failure(messages.FailureKind.NOT_SENT)
@@ -416,6 +419,13 @@
         connection.send(attempt, attempt.encode(remaining_s, self.server.id))
         self.environment.count("attempts_sent")
 
+    def _may_send(self, attempt: attempts.Attempt, now: float) -> bool:
+        """Returns whether an attempt has time left and is not blocked."""
+        return (
+            attempt.deadline_s - now > MIN_REMAINING_S
+            and not self.environment.observer.is_blocked(attempt)
+        )
+
     def _send_next(
         self, connection: connections.Connection, *, new_connection: bool
     ) -> bool:
@@ -427,7 +437,7 @@
             )
             if attempt is None:
                 return False
-            if attempt.deadline_s - now > MIN_REMAINING_S:
+            if self._may_send(attempt, now):
                 self._send(connection, attempt)
                 return True
             self._report_outcome(
--- a/eelgrasshall/gateway/upstream_test.py
+++ b/eelgrasshall/gateway/upstream_test.py
@@ -372,3 +372,28 @@
     connected.backend.close()
     await _settle()
     assert "connections_opened" not in connected.counts
+
+
+async def test_attempt_that_is_blocked_while_it_waits_is_not_sent():
+    connected = fakes.ConnectedBackend(connection_limit=1)
+    connected.send("a1")
+    owner = fakes.OutcomeRecorder()
+    waiting = [fakes.make_attempt(owner, name) for name in ("a2", "a3")]
+    for attempt in waiting:
+        connected.backend.submit(attempt)
+    connected.observer.blocked.add(waiting[0])
+    connected.feed(fakes.encode_reply("a1", b"body"))
+    assert owner.get_failure(waiting[0]) is messages.FailureKind.NOT_SENT
+    assert not waiting[0].sent
+    assert waiting[1].sent
+
+
+async def test_blocked_attempt_leaves_the_idle_connection_to_others():
+    connected = fakes.ConnectedBackend(connection_limit=1)
+    owner = fakes.OutcomeRecorder()
+    attempt = fakes.make_attempt(owner, "a1")
+    connected.observer.blocked.add(attempt)
+    connected.backend.submit(attempt)
+    assert owner.get_failure(attempt) is messages.FailureKind.NOT_SENT
+    assert not connected.transport.written
+    connected.send("a2")
