Extra attempts: no share is spent twice after restarts or partitions

Cause: a budget began with 0.6 of its share, although the process before it may have spent the whole share in the same window; and the share was what this host saw: each side of a partition divided the whole fixed part among its own hosts, hosts that others took for lost kept theirs, and hosts that are not active had one as well. The class of fault: a limit that holds for a fleet, divided by a local view that may change without the others.

Change: - Only active hosts have a share, in proportion to the hosts that are heard of those that may serve; hosts that are gone for 15 minutes no longer count. - A share that rises takes effect after a whole window in which it was due, one that falls at once, and a process that starts has none. What a host may use at any time of a window is then at most its share at the window's beginning, so that it is enough that these add up to one. - What a host's own requests allow needs no share: it is earned as before; a tenth of it, or one attempt, may be carried over.

The load model's hosts have run for a window before the replay begins.

The length of the window is read from budgetWindowS.

--- a/eelgrasshall/gateway/active_hosts.py
+++ b/eelgrasshall/gateway/active_hosts.py
@@ -85,6 +85,25 @@
     return min(known, max(active, MIN_ACTIVE_HOSTS) + EXTRA_SHARING_HOSTS)
 
 
+def compute_extra_share(
+    *, is_active: bool, sharing: int, heard: int, missing: int
+) -> float:
+    """Returns this host's share of the fixed part of a fleet-wide limit.
+
+    Hosts that are not heard may serve on, cut off from this one.  They divide
+    what this side of the partition leaves, by the number of its hosts.
+
+    Args:
+      is_active: Whether this host is one of the active hosts.
+      sharing: Number of hosts among which the limit is divided.
+      heard: Number of hosts that are heard, including this one.
+      missing: Number of hosts that may serve though they are not heard.
+    """
+    if not is_active:
+        return 0.0
+    return heard / (heard + missing) / max(sharing, 1)
+
+
 def _sort_key(host: model.Host) -> tuple[int, int, str]:
     """Returns a key that sorts hosts by size, largest first, then by hash."""
     capacity = math.floor(estimate_capacity(host))
--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -377,7 +377,7 @@
         }
         bound = bound or hedging.ExtraAttemptBound(0.2, 50.0)
         self._budgets = {
-            shard: hedging.ExtraAttemptBudget(bound=bound, hosts=1)
+            shard: hedging.ExtraAttemptBudget(bound=bound, share=1.0)
             for shard in shards
         }
         self._latencies: dict[str, hedging.LatencyWindow] = {}
--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -258,7 +258,8 @@
         if wait_s is not None:
             return self._reject(TOO_FEW_SERVERS, wait_s)
         for shard in self._shards:
-            self._context.find_extra_attempt_budget(shard.service).deposit()
+            budget = self._context.find_extra_attempt_budget(shard.service)
+            budget.deposit(self._context.loop.time())
             self._send_attempt(shard)
         self._check_completion()
         self._schedule_timer()
--- a/eelgrasshall/gateway/hedging.py
+++ b/eelgrasshall/gateway/hedging.py
@@ -3,12 +3,19 @@
 A hedge is a second attempt sent while the first is still in flight, which
 masks a single paused server in a search over many shards.  It is sent once
 the first attempt has taken longer than a quantile of the route's latencies.
-Hedges and retries of a request draw on one budget per service.  The budgets
-of all hosts together keep the operator's bound in every time window, since
-each host has its share of the fixed part.
+Hedges and retries of a request draw on one budget per service.
+
+The operator bounds the extra attempts of all hosts in every time window, by a
+part for each request and a fixed part.  Each host spends what its own requests
+allow, and a share of the fixed part.  A larger share takes effect only after a
+whole window.  So what hosts spend in a window is at most what the shares allow
+that they had at its beginning, whoever was restarted, cut off or taken over
+from meanwhile.
 """
 
+import collections
 from collections.abc import Sequence
+import math
 from typing import NamedTuple
 
 # Number of latest latencies that are kept.
@@ -20,9 +27,14 @@
 # Share of the operator's bound that is used.  The rest covers what this host
 # does not know: callers' requests that it has not seen end, lost messages.
 USABLE_SHARE = 0.85
-# Share of the budget that a host starts with: it may have used the rest before
-# a restart.
-INITIAL_SHARE = 0.6
+# Share of what the requests of a window allow that may be spent in the next.
+CARRIED_SHARE = 0.1
+# Extra attempts that any host may save up, so that one with few requests can
+# retry.
+MIN_CAPACITY = 1.0
+# Time without an update of the share, for example while the process was
+# suspended, after which others may have taken the share over.
+MAX_UPDATE_INTERVAL_S = 3.0
 
 
 class ExtraAttemptBound(NamedTuple):
@@ -31,10 +43,12 @@
     Attributes:
       ratio: Extra attempts per request.
       fixed: Extra attempts in a window without requests.
+      window_s: Length of the window, seconds.
     """
 
     ratio: float
     fixed: float
+    window_s: float = 10.0
 
 
 class LatencyWindow:
@@ -75,53 +89,97 @@
         return self._sorted[index]
 
 
+class DelayedShare:
+    """A host's share of a fleet-wide limit, raised with a delay.
+
+    It is the least share of the last window.  A process that has just started
+    has no share: the one before it may have used it.
+
+    Args:
+      window_s: Length of the window, seconds.
+      now: Monotonic time.
+    """
+
+    def __init__(self, *, window_s: float, now: float):
+        self._window_s = window_s
+        self._updated_s = now
+        # Times until which a share counts, and the shares, which increase.
+        self._least: collections.deque[tuple[float, float]] = collections.deque(
+            [(now + window_s, 0.0)]
+        )
+
+    def update(self, share: float, now: float) -> float:
+        """Sets the share that is due now; returns the one that may be used."""
+        if now - self._updated_s > MAX_UPDATE_INTERVAL_S:
+            self._add(0.0, now)
+        self._updated_s = now
+        self._add(share, now)
+        while self._least[0][0] <= now:
+            self._least.popleft()
+        return self._least[0][1]
+
+    def _add(self, share: float, now: float) -> None:
+        """Adds a share, up to which the one before it has held.
+
+        Larger ones before it no longer matter.
+        """
+        _, held = self._least[-1]
+        self._least[-1] = (now + self._window_s, held)
+        while self._least and self._least[-1][1] >= share:
+            self._least.pop()
+        self._least.append((now + self._window_s, share))
+
+
 class ExtraAttemptBudget:
     """Token bucket of this host's extra attempts at one service.
 
     Args:
       bound: The bound for all hosts.
-      hosts: Number of hosts that share its fixed part.
+      share: This host's share of its fixed part.
     """
 
-    def __init__(self, *, bound: ExtraAttemptBound, hosts: int):
+    def __init__(self, *, bound: ExtraAttemptBound, share: float):
         self._bound = bound
-        self._hosts = hosts
-        self._capacity = self._compute_capacity()
-        self._tokens = self._capacity * INITIAL_SHARE
-
-    def set_hosts(self, hosts: int) -> None:
-        """Changes the number of hosts that share the fixed part."""
-        self._hosts = hosts
-        self._resize()
+        self._share = share
+        self._fixed = self._compute_fixed()
+        self._tokens = self._fixed
+        # Requests of about one window, decayed exponentially.
+        self._recent_requests = 0.0
+        self._recent_s = 0.0
+
+    def set_share(self, share: float) -> None:
+        """Changes the share of the fixed part, by a `DelayedShare`."""
+        self._share = share
+        old, self._fixed = self._fixed, self._compute_fixed()
+        self._tokens += max(self._fixed - old, 0.0)
+        self._tokens = min(self._tokens, self._capacity)
 
     def set_bound(self, bound: ExtraAttemptBound) -> None:
-        """Changes the bound for all hosts."""
+        """Changes the bound for all hosts; nothing is given back."""
         self._bound = bound
-        self._resize()
-
-    def _compute_capacity(self) -> float:
-        """Returns this host's share of the fixed part."""
-        return self._bound.fixed * USABLE_SHARE / max(self._hosts, 1)
+        self._fixed = self._compute_fixed()
+        self._tokens = min(self._tokens, self._capacity)
 
-    def _resize(self) -> None:
-        """Recomputes the capacity and scales the tokens with it.
+    @property
+    def _capacity(self) -> float:
+        """Most extra attempts that may be saved up."""
+        carried = self._bound.ratio * self._recent_requests * CARRIED_SHARE
+        return self._fixed + max(carried, MIN_CAPACITY)
 
-        The used share of the budget is kept, so that a change gives all hosts
-        together no more than they had.
-        """
-        capacity = self._compute_capacity()
-        if self._capacity > 0.0:
-            self._tokens *= capacity / self._capacity
-        self._capacity = capacity
+    def _compute_fixed(self) -> float:
+        """Returns this host's share of the fixed part."""
+        return self._bound.fixed * USABLE_SHARE * self._share
 
     def compute_used_share(self) -> float:
         """Returns the used share of the budget, from 0 to 1."""
-        if self._capacity <= 0.0:
-            return 1.0
-        return 1.0 - self._tokens / self._capacity
+        return 1.0 - min(self._tokens / self._capacity, 1.0)
 
-    def deposit(self) -> None:
+    def deposit(self, now: float) -> None:
         """Adds the extra attempts that one request allows."""
+        elapsed_s = max(now - self._recent_s, 0.0)
+        self._recent_s = now
+        self._recent_requests *= math.exp(-elapsed_s / self._bound.window_s)
+        self._recent_requests += 1.0
         earned = self._bound.ratio * USABLE_SHARE
         self._tokens = min(self._capacity, self._tokens + earned)
 
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -453,7 +453,8 @@
         if self._share_timer is not None:
             self._share_timer.cancel()
             self._share_timer = None
-        active_count = len(self._list_active_hosts())
+        active = self._list_active_hosts()
+        active_count = len(active)
         sharing_count = active_hosts.count_sharing_hosts(
             self._peers.host_count, active_count
         )
@@ -461,6 +462,14 @@
         names = [own, *(host.name for host in self._peers.list_hosts())]
         self._request_handler.set_hosts(sharing_count, tuple(sorted(names)))
         self._request_handler.set_active_host_count(active_count)
+        self._request_handler.set_extra_share(
+            active_hosts.compute_extra_share(
+                is_active=any(host.name == own for host in active),
+                sharing=sharing_count,
+                heard=len(self._peers.list_alive()) + 1,
+                missing=self._peers.count_missing(),
+            )
+        )
 
     def _apply_configuration(
         self, configuration: model.Configuration, revision: int
--- a/eelgrasshall/gateway/load_model.py
+++ b/eelgrasshall/gateway/load_model.py
@@ -34,6 +34,10 @@
 MAX_RETRY_DELAY_SHARE = 1 / 3
 # A caller with less time left than this gives up.
 MIN_RETRY_TIME_S = 0.02
+# The operator's bound on extra attempts, and the number of updates after which
+# hosts may use their shares of it.
+EXTRA_ATTEMPT_BOUND = hedging.ExtraAttemptBound(0.2, 430.0, window_s=10.0)
+SETTLE_STEPS = 4
 # Share of its worth that a late answer keeps.
 LATE_SHARE = 0.1
 # A refusal within this share of the objective comes early enough for the retry
@@ -164,7 +168,13 @@
             },
             limits=model.CallerLimits(),
         )
+        # The hosts have run for a while, so that they may use their shares.
+        loop.advance(-SETTLE_STEPS * hedging.MAX_UPDATE_INTERVAL_S)
         self.handlers = loop.run_until_complete(self._make_handlers(hosts))
+        for _ in range(SETTLE_STEPS):
+            loop.advance(hedging.MAX_UPDATE_INTERVAL_S)
+            for handler in self.handlers:
+                handler.set_extra_share(1.0 / (hosts + 1))
 
     async def _make_handlers(
         self, hosts: int
@@ -178,13 +188,14 @@
         handler = request_handler.RequestHandler(
             own=fakes.make_host(names[number], zone="abc"[number % 3]),
             names=fakes.NAMES,
-            extra_attempt_bound=hedging.ExtraAttemptBound(0.2, 430.0),
+            extra_attempt_bound=EXTRA_ATTEMPT_BOUND,
             cold_start_bound=cold_start.ColdStartBound(1.5, 5.0),
             random=random_module.Random(self.random.random()),
             log=_NoLog(),
             metrics=metrics.Metrics(),
         )
         handler.set_hosts(hosts + 1, names)
+        handler.set_extra_share(1.0 / (hosts + 1))
         handler.set_active_host_count(hosts)
         handler.apply_configuration(self._configuration)
         for server in self.servers.values():
--- a/eelgrasshall/gateway/peers.py
+++ b/eelgrasshall/gateway/peers.py
@@ -45,6 +45,8 @@
 # How long after a roster mismatch entries carry name checksums: a host that
 # joins or leaves is known everywhere within this time.
 ROSTER_MISMATCH_S = 1.0
+# How long a host that is not heard may still serve, cut off from this one.
+MISSING_RETENTION_S = 900.0
 # Most named entries in one datagram: together with the header it then fits into
 # one packet of 1,400 bytes.
 MAX_NAMED_ENTRIES = 150
@@ -114,6 +116,7 @@
         self._on_crash_datagram = on_crash_datagram
         self._hosts: dict[str, model.Host] = {}
         self._records: dict[str, _HeartbeatRecord] = {}
+        self._learned_s: dict[str, float] = {}
         self._beat = 0
         self._cached_roster: _Roster | None = None
         self._mismatch_until_s = 0.0
@@ -150,6 +153,7 @@
         """Removes a host and its heartbeat."""
         self._hosts.pop(name, None)
         self._records.pop(name, None)
+        self._learned_s.pop(name, None)
         self._cached_roster = None
         self._on_hosts_changed()
 
@@ -183,6 +187,25 @@
             and (state is None or record.heartbeat.state is state)
         ]
 
+    def count_missing(self) -> int:
+        """Returns the number of hosts that may serve though they are not heard.
+
+        They may be down or cut off from this host.  Those that have not been
+        heard of for long are taken for removed.
+        """
+        now = self._loop.time()
+        count = 0
+        for name in self._hosts:
+            record = self._records.get(name)
+            if record is None:
+                silent_s = now - self._learned_s[name]
+            else:
+                silent_s = now - record.received_s
+                if silent_s <= self.failure_timeout_s:
+                    continue
+            count += silent_s < MISSING_RETENTION_S
+        return count
+
     def list_candidates(self) -> list[election.Candidate]:
         """Returns the other hosts that may watch the store."""
         return [
@@ -282,6 +305,7 @@
 
     def _set_host(self, host: model.Host) -> None:
         """Adds or replaces a known host."""
+        self._learned_s.setdefault(host.name, self._loop.time())
         self._hosts[host.name] = host
         self._cached_roster = None
         self._on_hosts_changed()
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -77,9 +77,10 @@
         self._round_robin = routing.WeightedRoundRobin()
         self._budgets: dict[str, hedging.ExtraAttemptBudget] = {}
         self._latencies: dict[str, hedging.LatencyWindow] = {}
-        self._sharing_host_count = (
-            active_hosts.MIN_ACTIVE_HOSTS + active_hosts.EXTRA_SHARING_HOSTS
+        self._delayed_share = hedging.DelayedShare(
+            window_s=extra_attempt_bound.window_s, now=self.loop.time()
         )
+        self._extra_share = 0.0
         self._active_host_count = active_hosts.MIN_ACTIVE_HOSTS
         self._queues: dict[tuple[str, ...], admission_queue.AdmissionQueue] = {}
         self._longest_timeout_s: dict[str, float] = {}
@@ -125,10 +126,17 @@
           names: Names of all known hosts, alive or not, including this one.
         """
         self.registry.set_hosts(sharing_count, names)
-        if sharing_count != self._sharing_host_count:
-            self._sharing_host_count = sharing_count
+
+    def set_extra_share(self, share: float) -> None:
+        """Sets the share of the extra attempts that is due to this host.
+
+        Has to be called every second or so.
+        """
+        share = self._delayed_share.update(share, self.loop.time())
+        if share != self._extra_share:
+            self._extra_share = share
             for budget in self._budgets.values():
-                budget.set_hosts(sharing_count)
+                budget.set_share(share)
 
     def set_active_host_count(self, count: int) -> None:
         """Sets the number of active hosts, as seen from their heartbeats."""
@@ -348,7 +356,7 @@
             # Never deleted: a service that is removed and added again must not
             # get back what it has spent within the window of the bound.
             budget = self._budgets[service] = hedging.ExtraAttemptBudget(
-                bound=self._extra_attempt_bound, hosts=self._sharing_host_count
+                bound=self._extra_attempt_bound, share=self._extra_share
             )
         return budget
 
--- a/eelgrasshall/platform/settings.py
+++ b/eelgrasshall/platform/settings.py
@@ -129,6 +129,7 @@
         extra_attempt_bound=hedging.ExtraAttemptBound(
             ratio=float(bounds["budgetRatio"]),
             fixed=float(bounds["budgetExtra"]),
+            window_s=float(bounds.get("budgetWindowS", 10.0)),
         ),
         stabilization_s=bounds["contactMs"] / 1000.0,
         grace_s=float(bounds["graceS"]),
