A host that has just started may retry its first requests

A process begins with one attempt a service now, unless the operator allows no fixed part.

The bound holds while the processes started in one window are fewer than the attempts that the shares leave: 20 of 54 on seven hosts of which three are active.

settings_test reads the window as well.

--- a/eelgrasshall/gateway/hedging.py
+++ b/eelgrasshall/gateway/hedging.py
@@ -29,8 +29,8 @@
 USABLE_SHARE = 0.85
 # Share of what the requests of a window allow that may be spent in the next.
 CARRIED_SHARE = 0.1
-# Extra attempts that any host may save up, so that one with few requests can
-# retry.
+# Extra attempts that any host may save up and a new process starts with, so that
+# one with few requests can retry.
 MIN_CAPACITY = 1.0
 # Time without an update of the share, for example while the process was
 # suspended, after which others may have taken the share over.
@@ -142,7 +142,7 @@
         self._bound = bound
         self._share = share
         self._fixed = self._compute_fixed()
-        self._tokens = self._fixed
+        self._tokens = self._fixed + min(MIN_CAPACITY, bound.fixed)
         # Requests of about one window, decayed exponentially.
         self._recent_requests = 0.0
         self._recent_s = 0.0
@@ -164,7 +164,7 @@
     def _capacity(self) -> float:
         """Most extra attempts that may be saved up."""
         carried = self._bound.ratio * self._recent_requests * CARRIED_SHARE
-        return self._fixed + max(carried, MIN_CAPACITY)
+        return self._fixed + max(carried, min(MIN_CAPACITY, self._bound.fixed))
 
     def _compute_fixed(self) -> float:
         """Returns this host's share of the fixed part."""
@@ -172,6 +172,8 @@
 
     def compute_used_share(self) -> float:
         """Returns the used share of the budget, from 0 to 1."""
+        if not self._capacity:
+            return 1.0
         return 1.0 - min(self._tokens / self._capacity, 1.0)
 
     def deposit(self, now: float) -> None:
--- a/eelgrasshall/gateway/hedging_test.py
+++ b/eelgrasshall/gateway/hedging_test.py
@@ -221,6 +221,9 @@
 
 def test_host_with_few_requests_may_retry():
     budget = hedging.ExtraAttemptBudget(bound=_BOUND, share=0.0)
+    budget.deposit(0.0)
+    assert budget.try_withdraw()
+    assert not budget.try_withdraw()
     for number in range(6):
         budget.deposit(number * 2.0)
     assert budget.try_withdraw()
--- a/eelgrasshall/platform/settings_test.py
+++ b/eelgrasshall/platform/settings_test.py
@@ -34,6 +34,7 @@
 graceS = 6
 budgetRatio = 0.2
 budgetExtra = 54
+budgetWindowS = 12
 coldMultiplier = 1.5
 coldSlack = 5
 ttl_max_s = 5
@@ -55,7 +56,7 @@
     assert loaded.host.cores == 1.0
     assert loaded.host.peer_address == model.Address("10.1.0.39", 7740)
     assert loaded.metrics == model.Address("10.1.0.39", 7741)
-    assert loaded.extra_attempt_bound == (0.2, 54.0)
+    assert loaded.extra_attempt_bound == (0.2, 54.0, 12.0)
     assert len(loaded.seeds) == 2
 
 
