--- a/eelgrasshall/gateway/hedging.py
+++ b/eelgrasshall/gateway/hedging.py
@@ -29,8 +29,8 @@
 USABLE_SHARE = 0.85
 # Share of what the requests of a window allow that may be spent in the next.
 CARRIED_SHARE = 0.1
-# Extra attempts that any host may save up and a new process starts with, so that
-# one with few requests can retry.
+# Extra attempts that any host may save up and a new process starts with: one
+# with few requests can retry.
 MIN_CAPACITY = 1.0
 # Time without an update of the share, for example while the process was
 # suspended, after which others may have taken the share over.
--- a/eelgrasshall/gateway/load_model.py
+++ b/eelgrasshall/gateway/load_model.py
@@ -34,9 +34,9 @@
 MAX_RETRY_DELAY_SHARE = 1 / 3
 # A caller with less time left than this gives up.
 MIN_RETRY_TIME_S = 0.02
-# The operator's bound on extra attempts, and the number of updates after which
-# hosts may use their shares of it.
-EXTRA_ATTEMPT_BOUND = hedging.ExtraAttemptBound(0.2, 430.0, window_s=10.0)
+# The bound on extra attempts, and the number of updates after which hosts may
+# use their shares of it.
+EXTRA_ATTEMPT_BOUND = hedging.ExtraAttemptBound(0.2, 258.0, window_s=10.0)
 SETTLE_STEPS = 4
 # Share of its worth that a late answer keeps.
 LATE_SHARE = 0.1
