--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -113,17 +113,32 @@
     """An observer that records the events of backend servers."""
 
     def __init__(self):
-        self.lost: list[attempts.Attempt] = []
+        self.unanswered: list[attempts.Attempt] = []
+        self.began_s: list[float] = []
+        self.alive: list[upstream.Backend] = []
+        self.blocked: set[attempts.Attempt] = set()
         self.unreachable: list[upstream.Backend] = []
         self.misdirected: list[upstream.Backend] = []
         self.leaving: list[upstream.Backend] = []
         self.pauses_s: list[float] = []
 
-    def on_connection_lost(
-        self, backend: upstream.Backend, attempt: attempts.Attempt
+    def on_unanswered(
+        self,
+        backend: upstream.Backend,
+        attempt: attempts.Attempt,
+        began_s: float,
     ) -> None:
-        """Records an attempt whose connection was lost."""
-        self.lost.append(attempt)
+        """Records an attempt that ended without an answer."""
+        self.unanswered.append(attempt)
+        self.began_s.append(began_s)
+
+    def is_blocked(self, attempt: attempts.Attempt) -> bool:
+        """Returns whether a test has blocked the attempt."""
+        return attempt in self.blocked
+
+    def on_alive(self, backend: upstream.Backend, sent_s: float) -> None:
+        """Records that a server answered after an unanswered attempt."""
+        self.alive.append(backend)
 
     def on_unreachable(self, backend: upstream.Backend) -> None:
         """Records a server that could not be reached."""
@@ -362,10 +377,15 @@
         }
         bound = bound or hedging.ExtraAttemptBound(0.2, 50.0)
         self._budgets = {
-            shard: hedging.ExtraAttemptBudget(bound=bound, hosts=1)
+            shard: hedging.ExtraAttemptBudget(bound=bound, share=1.0)
             for shard in shards
         }
         self._latencies: dict[str, hedging.LatencyWindow] = {}
+        self.quarantine_s = 0.0
+
+    def get_quarantine_s(self, request: messages.Request) -> float:
+        """Returns the duration that a test has set."""
+        return self.quarantine_s
 
     def find_candidates(self, service: str) -> list[upstream.Backend]:
         """Returns all backend servers of a service."""
--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -52,6 +52,7 @@
 RETRY_AFTER_NO_SERVER_S = 0.4
 
 TOO_FEW_SERVERS = "too few shards have an available server"
+QUARANTINED = "quarantined: the request crashes backend servers"
 
 # Statuses from which a caller may conclude that the request did not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -137,6 +138,9 @@
     random: random_module.Random
     zone: str
 
+    def get_quarantine_s(self, request: messages.Request) -> float:
+        """Returns for how long a request must not run; 0 if it may."""
+
     def find_candidates(self, service: str) -> Sequence[upstream.Backend]:
         """Returns the backend servers of a service that may get requests."""
 
@@ -248,11 +252,14 @@
         of an idempotent request are aborted.
         """
         services = [shard.service for shard in self._shards]
+        if self._context.get_quarantine_s(self._request):
+            return self._reject(QUARANTINED)
         wait_s = find_return_s(self._context, self._route, services)
         if wait_s is not None:
             return self._reject(TOO_FEW_SERVERS, wait_s)
         for shard in self._shards:
-            self._context.find_extra_attempt_budget(shard.service).deposit()
+            budget = self._context.find_extra_attempt_budget(shard.service)
+            budget.deposit(self._context.loop.time())
             self._send_attempt(shard)
         self._check_completion()
         self._schedule_timer()
@@ -283,6 +290,13 @@
             self._retry(shard, outcome)
         self._check_completion()
 
+    @property
+    def is_flawless(self) -> bool:
+        """Whether all shards have answered and no attempt has failed."""
+        return not self._failures and all(
+            shard.reply is not None for shard in self._shards
+        )
+
     def get_log_fields(self) -> dict[str, Any]:
         """Returns the attempts and failures of the request as log fields."""
         sent_to = [b.server.id for shard in self._shards for b in shard.tried]
@@ -318,8 +332,11 @@
         """Sends an attempt to a server of a shard not tried before.
 
         Returns:
-          False if no such server is available.
+          False if no such server is available or the request must not run.
         """
+        if self._context.get_quarantine_s(self._request):
+            shard.failed = not shard.active
+            return False
         now = self._context.loop.time()
         candidates = [
             backend
@@ -425,7 +442,11 @@
         Sends none while requests wait for admission: all latencies are high
         then, and a hedge would occupy a slot that a waiting request needs.
         """
-        if not self._route.idempotent or self._has_waiting():
+        if (
+            not self._route.idempotent
+            or self._has_waiting()
+            or self._context.get_quarantine_s(self._request)
+        ):
             return
         for shard in self._shards:
             if not shard.is_pending or len(shard.active) != 1:
@@ -546,6 +567,9 @@
           wait_s: Seconds after which the caller may retry; None if that depends
             on the servers that are available now.
         """
+        quarantine_s = self._context.get_quarantine_s(self._request)
+        if quarantine_s:
+            reason, wait_s = QUARANTINED, quarantine_s
         if any(shard.may_have_run or shard.active for shard in self._shards):
             return Outcome(Verdict.FAILED, 502, [], b"", 0, reason)
         if wait_s is None:
--- a/eelgrasshall/gateway/peers.py
+++ b/eelgrasshall/gateway/peers.py
@@ -21,6 +21,7 @@
 import zlib
 
 from eelgrasshall.gateway import active_hosts
+from eelgrasshall.gateway import crash_gossip
 from eelgrasshall.gateway import election
 from eelgrasshall.gateway import heartbeats
 from eelgrasshall.gateway import model
@@ -44,6 +45,8 @@
 # How long after a roster mismatch entries carry name checksums: a host that
 # joins or leaves is known everywhere within this time.
 ROSTER_MISMATCH_S = 1.0
+# How long a host that is not heard may still serve, cut off from this one.
+MISSING_RETENTION_S = 900.0
 # Most named entries in one datagram: together with the header it then fits into
 # one packet of 1,400 bytes.
 MAX_NAMED_ENTRIES = 150
@@ -79,6 +82,9 @@
       on_gossip: Called with the sender's name and the data that a heartbeat
         carried.
       on_hosts_changed: Called when the set of known hosts has changed.
+      get_crash_datagram: Returns the datagram with crash reports that is sent
+        with the heartbeats of a period, or None.
+      on_crash_datagram: Called with such a datagram of another host.
     """
 
     def __init__(
@@ -93,6 +99,8 @@
         get_gossip: Callable[[], list],
         on_gossip: Callable[[str, list], None],
         on_hosts_changed: Callable[[], None],
+        get_crash_datagram: Callable[[], bytes | None],
+        on_crash_datagram: Callable[[bytes], None],
     ):
         self.state = heartbeats.State.JOINING
         self._own = own
@@ -104,8 +112,11 @@
         self._get_gossip = get_gossip
         self._on_gossip = on_gossip
         self._on_hosts_changed = on_hosts_changed
+        self._get_crash_datagram = get_crash_datagram
+        self._on_crash_datagram = on_crash_datagram
         self._hosts: dict[str, model.Host] = {}
         self._records: dict[str, _HeartbeatRecord] = {}
+        self._learned_s: dict[str, float] = {}
         self._beat = 0
         self._cached_roster: _Roster | None = None
         self._mismatch_until_s = 0.0
@@ -142,6 +153,7 @@
         """Removes a host and its heartbeat."""
         self._hosts.pop(name, None)
         self._records.pop(name, None)
+        self._learned_s.pop(name, None)
         self._cached_roster = None
         self._on_hosts_changed()
 
@@ -175,6 +187,25 @@
             and (state is None or record.heartbeat.state is state)
         ]
 
+    def count_missing(self) -> int:
+        """Returns the number of hosts that may serve though they are not heard.
+
+        They may be down or cut off from this host.  Those that have not been
+        heard of for long are taken for removed.
+        """
+        now = self._loop.time()
+        count = 0
+        for name in self._hosts:
+            record = self._records.get(name)
+            if record is None:
+                silent_s = now - self._learned_s[name]
+            else:
+                silent_s = now - record.received_s
+                if silent_s <= self.failure_timeout_s:
+                    continue
+            count += silent_s < MISSING_RETENTION_S
+        return count
+
     def list_candidates(self) -> list[election.Candidate]:
         """Returns the other hosts that may watch the store."""
         return [
@@ -232,6 +263,9 @@
 
     def datagram_received(self, data: bytes, address: tuple) -> None:
         """Processes a datagram, or ignores it if it is malformed."""
+        if data.startswith(crash_gossip.PREFIX):
+            self._on_crash_datagram(data)
+            return
         head, _, table = data.partition(b"\n")
         try:
             header = heartbeats.decode_header(head)
@@ -271,6 +305,7 @@
 
     def _set_host(self, host: model.Host) -> None:
         """Adds or replaces a known host."""
+        self._learned_s.setdefault(host.name, self._loop.time())
         self._hosts[host.name] = host
         self._cached_roster = None
         self._on_hosts_changed()
@@ -359,9 +394,19 @@
     def _tick(self) -> None:
         """Sends the heartbeats of one period and schedules the next one."""
         self._increment_beat()
-        self._send_to(self._choose_targets(), with_table=self._is_large)
+        targets = self._choose_targets()
+        self._send_to(targets, with_table=self._is_large)
+        self._send_crash_datagram(targets)
         self._timer = self._loop.call_later(self._period_s, self._tick)
 
+    def _send_crash_datagram(self, hosts: Iterable[model.Host]) -> None:
+        """Sends crash reports, if there are any."""
+        datagram = self._get_crash_datagram()
+        if datagram is None or self._transport is None:
+            return
+        for host in hosts:
+            self._transport.sendto(datagram, tuple(host.peer_address))
+
     def _choose_targets(self) -> list[model.Host]:
         """Returns the hosts to send to in one period.
 
