Responses without end are given up at a limit

What happened before: a response of a backend server was collected until the attempt's deadline, up to 8 s at the rate of the link; health checks use the same connections. The client for the store and for other hosts limited the body but neither the head nor chunk extensions and trailers. The listener limited the head and the body, not the extensions and trailers of a chunked one.

Change: limits on head (64 KB) and body (4 MB, framing included) of a backend server's response; with more than 64 MB arriving at the host a body may take 256 KB, so that many broken servers do not take the memory of all. The attempt fails as an invalid response and its connection is closed; counter oversized_responses. Head and framing are limited in the client (which also took an interim response for the final one) and in the listener.

A body in one-byte chunks and a large response that arrives with its head pass.

--- a/eelgrasshall/gateway/client.py
+++ b/eelgrasshall/gateway/client.py
@@ -23,6 +23,7 @@
 # Longest duration of a transfer, against peers that send next to nothing.
 MAX_TRANSFER_S = 4.0
 # Maximum size of a response; a full page of the store is about 1 MB.
+MAX_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
 # Selects the gzip format in zlib.
@@ -171,6 +172,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._body: list[bytes] = []
         self.body_bytes = 0
+        self._received_bytes = 0
+        self._head_complete = False
         self._transport.write(data)
         return self._response_future
 
@@ -191,6 +194,7 @@
             self.close()
             return
         self._extend_timeout()
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (
@@ -199,6 +203,10 @@
         ) as error:
             self._fail(ConnectionError(f"invalid response: {error}"))
             self.close()
+            return
+        if not self._response_future.done() and self._is_too_long():
+            self._fail(ConnectionError("response too large"))
+            self.close()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fails the request that is waiting for a response."""
@@ -209,6 +217,10 @@
         """Stores a header."""
         self.headers[name.lower()] = value.strip()
 
+    def on_headers_complete(self) -> None:
+        """Notes the end of the head, unless it is that of an interim one."""
+        self._head_complete = self._parser.get_status_code() >= 200
+
     def on_body(self, data: bytes) -> None:
         """Appends a fragment of the body.
 
@@ -221,8 +233,11 @@
         self._body.append(data)
 
     def on_message_complete(self) -> None:
-        """Delivers the complete response."""
+        """Delivers the complete response; skips interim ones."""
         status = self._parser.get_status_code()
+        if status < 200:
+            self.headers = {}
+            return
         if not self._parser.should_keep_alive():
             self.closed = True
         if (
@@ -231,6 +246,13 @@
         ):
             self._response_future.set_result((status, b"".join(self._body)))
 
+    def _is_too_long(self) -> bool:
+        """Returns whether the response exceeds a limit, framing included."""
+        limit = MAX_HEAD_BYTES
+        if self._head_complete:
+            limit += MAX_BODY_BYTES
+        return self._received_bytes > limit
+
     def _extend_timeout(self) -> None:
         """Allows more time for a response of which a part has arrived."""
         if self._timeout.expired():
--- a/eelgrasshall/gateway/client_test.py
+++ b/eelgrasshall/gateway/client_test.py
@@ -118,3 +118,40 @@
     async with _serve(19308, pieces, pause_s=0.02) as json_client:
         with pytest.raises(client.CallError, match="TimeoutError"):
             await json_client.call("GET", "/", timeout_s=0.4)
+
+
+@pytest.mark.parametrize(
+    ("port", "begin", "piece"),
+    [
+        (18910, b"HTTP/1.1 200 OK\r\nX-A: ", b"a" * 65536),
+        (18920, b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * 8192),
+        (18930, b"", b"HTTP/1.1 103 Early\r\n\r\n" * 4096),
+        (
+            18940,
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+            b"e" * 65536,
+        ),
+        (
+            18950,
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+            b"X-A: b\r\n" * 8192,
+        ),
+        (18960, b"HTTP/1.1 200 OK\r\n\r\n", b"b" * 65536),
+    ],
+)
+async def test_response_without_end_is_given_up(port, begin, piece):
+    pieces = [begin] + [piece] * 1000
+    async with _serve(port, pieces) as caller:
+        with pytest.raises(client.CallError) as raised:
+            await caller.call("GET", "/x", timeout_s=5.0)
+        assert "too large" in str(raised.value) or "invalid" in str(
+            raised.value
+        )
+        assert caller._connection is None
+
+
+async def test_interim_response_is_skipped():
+    interim = b"HTTP/1.1 103 Early\r\nX-A: b\r\n\r\n"
+    async with _serve(18970, [interim + _encode(b"[1]")]) as caller:
+        response = await caller.call("GET", "/x", timeout_s=5.0)
+        assert response.status == 200 and response.document == [1]
--- a/eelgrasshall/gateway/connections.py
+++ b/eelgrasshall/gateway/connections.py
@@ -22,11 +22,30 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 TCP_USER_TIMEOUT_MS = 2000
+# Limits on a response, against servers that send without end.  While many large
+# ones arrive at once, they are held to less.
+MAX_HEAD_BYTES = 64 * 1024
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_BODY_BYTES_CROWDED = 256 * 1024
+MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 # Share of the idle time-out announced by the server for which a connection is
 # reused.
 IDLE_TIMEOUT_SHARE = 0.7
 
 
+class ReceiveBuffer:
+    """Counts the bytes of all responses that a host is receiving."""
+
+    def __init__(self):
+        self.size = 0
+
+    def get_body_limit(self) -> int:
+        """Returns the maximum size of one response's body, bytes."""
+        if self.size <= MAX_BUFFERED_BYTES:
+            return MAX_BODY_BYTES
+        return MAX_BODY_BYTES_CROWDED
+
+
 class Connection(asyncio.Protocol):
     """A TCP connection to a backend server.
 
@@ -36,8 +55,10 @@
 
     __slots__ = (
         "_body",
+        "_head_bytes",
         "_headers",
         "_parser",
+        "_received_bytes",
         "_received_eof",
         "_response_complete",
         "attempt",
@@ -57,6 +78,8 @@
         self.idle_timeout_s = math.inf
         self._received_eof = False
         self._response_complete = False
+        self._received_bytes = 0
+        self._head_bytes: int | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport and enables keepalive."""
@@ -69,6 +92,9 @@
         attempt.connection = self
         attempt.sent = True
         self._response_complete = False
+        self._received_bytes = 0
+        # Bytes received up to the end of the head; None before that.
+        self._head_bytes = None
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._parser = httptools.HttpResponseParser(self)
@@ -77,6 +103,7 @@
     def close(self) -> None:
         """Closes the connection at once; unsent data is discarded."""
         self.must_close = True
+        self._release_buffer()
         if self.transport is not None:
             self.transport.abort()
 
@@ -98,6 +125,12 @@
             return
         if self._response_complete:
             self._complete_attempt()
+            return
+        self._received_bytes += len(data)
+        self.backend.environment.receive_buffer.size += len(data)
+        if self._is_too_long():
+            self.backend.environment.count("oversized_responses")
+            self._fail_attempt(messages.FailureKind.INVALID_RESPONSE)
 
     def eof_received(self) -> None:
         """Completes a response that ends with the connection."""
@@ -112,6 +145,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fails the attempt in flight and leaves the pool."""
         self.must_close = True
+        self._release_buffer()
         if self.attempt is not None:
             self._fail_attempt(
                 messages.FailureKind.CONNECTION_LOST,
@@ -127,6 +161,14 @@
         if not self._response_complete:
             self._headers.append((name, value))
 
+    def on_headers_complete(self) -> None:
+        """Notes the end of the head, unless it is that of an interim response.
+
+        The bytes that are being parsed count as part of the head.
+        """
+        if self._parser.get_status_code() >= 200:
+            self._head_bytes = self._received_bytes
+
     def on_body(self, data: bytes) -> None:
         """Stores a chunk of the response body."""
         if not self._response_complete:
@@ -149,6 +191,21 @@
         if self._response_complete:
             self.must_close = True
 
+    def _is_too_long(self) -> bool:
+        """Returns whether the response exceeds a limit.
+
+        What frames a body, such as chunk extensions, counts as well.
+        """
+        if self._head_bytes is None:
+            return self._received_bytes > MAX_HEAD_BYTES
+        limit = self.backend.environment.receive_buffer.get_body_limit()
+        return self._received_bytes - self._head_bytes > limit
+
+    def _release_buffer(self) -> None:
+        """Discounts the bytes of a response that is no longer received."""
+        self.backend.environment.receive_buffer.size -= self._received_bytes
+        self._received_bytes = 0
+
     def _is_close_delimited(self) -> bool:
         """Returns whether the response has a head but states no length."""
         try:
@@ -166,6 +223,7 @@
         A response whose id is not that of the request fails the attempt.
         """
         attempt, self.attempt = self.attempt, None
+        self._release_buffer()
         names = self.backend.environment.names
         response_id = seal = retry_after = None
         not_run = leaving = False
--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -234,6 +234,7 @@
                 names=NAMES,
                 observer=self.observer,
                 count=self.counts.append,
+                receive_buffer=connections.ReceiveBuffer(),
             ),
             connection_limit=connection_limit,
         )
--- a/eelgrasshall/gateway/listener.py
+++ b/eelgrasshall/gateway/listener.py
@@ -21,6 +21,8 @@
 MAX_PIPELINED = 32
 # Interval between checks of all connections for time-outs.
 SWEEP_INTERVAL_S = 0.5
+# Bytes that frame each byte of a body in the smallest chunks, rounded up.
+MAX_FRAMING_RATIO = 16
 
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -137,6 +139,7 @@
         "_loop",
         "_parser",
         "_queue",
+        "_received_body_bytes",
         "_receiving",
         "_request_started_s",
         "_target",
@@ -154,6 +157,7 @@
         self._receiving = False
         self._in_body = False
         self._header_bytes = 0
+        self._received_body_bytes = 0
         self._request_started_s = 0.0
         self._idle_since_s = self._loop.time()
 
@@ -197,6 +201,8 @@
             self._receiving = True
         if not self._in_body:
             self._header_bytes += len(data)
+        else:
+            self._received_body_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -212,9 +218,15 @@
             self._receiving
             and not self._in_body
             and self._header_bytes > limits.max_header_bytes
-        ):
+        ) or self._receiving and self._in_body and self._is_framing_too_long():
             self._reject(431)
 
+    def _is_framing_too_long(self) -> bool:
+        """Returns whether chunk extensions and trailers exceed their limit."""
+        limit = self._listener.get_limits().max_header_bytes
+        limit += MAX_FRAMING_RATIO * self._body_bytes
+        return self._received_body_bytes - self._body_bytes > limit
+
     def enforce_timeouts(self, now: float, limits: model.CallerLimits) -> None:
         """Closes the connection if the caller has exceeded a time-out.
 
@@ -276,6 +288,8 @@
         if self._error_status:
             raise ValueError("refused")
         self._in_body = True
+        # The body begins in the bytes that have arrived with the head.
+        self._received_body_bytes = max(self._header_bytes - size, 0)
 
     def on_body(self, data: bytes) -> None:
         """Appends a fragment of the body.
@@ -294,6 +308,7 @@
         self._in_body = False
         self._receiving = False
         self._header_bytes = 0
+        self._received_body_bytes = 0
         if len(self._queue) >= MAX_PIPELINED:
             self._error_status = 400
             return
--- a/eelgrasshall/gateway/listener_test.py
+++ b/eelgrasshall/gateway/listener_test.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+import pytest
+
 from eelgrasshall.gateway import listener
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import model
@@ -168,3 +170,37 @@
         while chunk := await _read(reader):
             data += chunk
         assert data.startswith(b"HTTP/1.1 200") and b"HTTP/1.1 400" in data
+
+
+@pytest.mark.parametrize(
+    ("begin", "piece"),
+    [
+        (b"1;", b"e" * 4096),
+        (b"0\r\n", b"X-A: b\r\n" * 512),
+        (b"0\r\nX-A: ", b"b" * 4096),
+    ],
+)
+async def test_chunk_extension_or_trailer_without_end_is_refused(begin, piece):
+    async with _open_connection() as (_, reader, writer, received):
+        writer.write(
+            b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        writer.write(begin)
+        # More than the limit on headers, and far less than that on the body.
+        for _ in range(8):
+            writer.write(piece)
+        data = await _read(reader)
+        assert int(data.split()[1]) in (400, 413, 431)
+        assert not received
+
+
+async def test_body_in_the_smallest_chunks_is_accepted():
+    async with _open_connection() as (_, reader, writer, received):
+        writer.write(
+            b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        for _ in range(20_000):
+            writer.write(b"1\r\nb\r\n")
+        writer.write(b"0\r\n\r\n")
+        assert b" 200 " in await _read(reader)
+        assert len(received[0].body) == 20_000
--- a/eelgrasshall/gateway/registry_test.py
+++ b/eelgrasshall/gateway/registry_test.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import collections
+import contextlib
+
+import pytest
 
 from eelgrasshall.gateway import cold_start
+from eelgrasshall.gateway import connections
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import object_cache
 from eelgrasshall.gateway import registry as registry_module
@@ -23,6 +27,7 @@
             names=fakes.NAMES,
             observer=fakes.Observer(),
             count=lambda name: None,
+            receive_buffer=connections.ReceiveBuffer(),
         )
     )
     registry.set_services({"orders": fakes.make_service()})
@@ -391,3 +396,32 @@
     registry.mark_leaving(_find_backend(registry, "s1"))
     assert set(_list_names(registry)) == {"s1", "s2"}
     registry.close()
+
+
+@pytest.mark.parametrize(
+    "piece", [b"b" * 65536, b"HTTP/1.1 200 OK\r\n" + b"X-A: " + b"b" * 65536]
+)
+async def test_health_check_whose_response_has_no_end_fails(monkeypatch, piece):
+    monkeypatch.setattr(registry_module, "MIN_PROBE_DELAY_S", 0.01)
+    sent = []
+
+    async def answer(reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            while True:
+                writer.write(piece)
+                sent.append(len(piece))
+                await writer.drain()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 18990)
+    registry, _ = _make_registry()
+    registry.set_server("s1", fakes.make_server("s1", port=18990), 1)
+    (backend,) = registry.find_candidates("orders")
+    backend.unreachable = True
+    registry.start_probe(backend)
+    await asyncio.sleep(0.3)
+    assert backend.unreachable
+    # What the kernel buffers is sent as well.
+    assert sent and sum(sent) < 64 * 1024 * 1024
+    registry.close()
+    server.close()
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -14,6 +14,7 @@
 from eelgrasshall.gateway import admission_queue
 from eelgrasshall.gateway import attempts
 from eelgrasshall.gateway import cold_start
+from eelgrasshall.gateway import connections
 from eelgrasshall.gateway import events
 from eelgrasshall.gateway import fanout
 from eelgrasshall.gateway import hedging
@@ -67,7 +68,11 @@
         )
         self.registry.set_environment(
             upstream.Environment(
-                loop=self.loop, names=names, observer=self, count=metrics.count
+                loop=self.loop,
+                names=names,
+                observer=self,
+                count=metrics.count,
+                receive_buffer=connections.ReceiveBuffer(),
             )
         )
         self._log = log
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -83,12 +83,14 @@
       names: The header names.
       observer: Receives events.
       count: Increments a named counter.
+      receive_buffer: Counts the bytes of the responses that arrive.
     """
 
     loop: asyncio.AbstractEventLoop
     names: model.HeaderNames
     observer: Observer
     count: Callable[[str], None]
+    receive_buffer: connections.ReceiveBuffer
 
 
 class Backend:
--- a/eelgrasshall/gateway/upstream_test.py
+++ b/eelgrasshall/gateway/upstream_test.py
@@ -397,3 +397,83 @@
     assert owner.get_failure(attempt) is messages.FailureKind.NOT_SENT
     assert not connected.transport.written
     connected.send("a2")
+
+
+_ENDLESS = {
+    "bytes that are no line": (b"", b"HTTP/1.1 200 OK" + b"x" * 4096),
+    "one header": (b"HTTP/1.1 200 OK\r\nX-A: ", b"a" * 4096),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * 512),
+    "interim responses": (b"", b"HTTP/1.1 103 Early\r\nX-A: b\r\n\r\n" * 128),
+    "body to the end": (
+        b"HTTP/1.1 200 OK\r\nX-Id: a1\r\nX-Seal: s\r\n\r\n",
+        b"b" * 65536,
+    ),
+    "body of a length": (
+        b"HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n",
+        b"b" * 65536,
+    ),
+    "chunks": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"1000\r\n" + b"b" * 4096 + b"\r\n",
+    ),
+    "chunk extension": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+        b"e" * 65536,
+    ),
+    "trailers": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-A: b\r\n" * 8192,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", sorted(_ENDLESS))
+async def test_response_without_end_is_given_up(name):
+    begin, piece = _ENDLESS[name]
+    connected = fakes.ConnectedBackend()
+    attempt, owner = connected.send("a1")
+    connected.feed(begin or piece)
+    sent = 0
+    limit = connections.MAX_HEAD_BYTES + connections.MAX_BODY_BYTES
+    while not connected.transport.closed and sent <= limit:
+        connected.feed(piece)
+        sent += len(piece)
+    assert sent <= limit
+    assert owner.get_failure(attempt) is messages.FailureKind.INVALID_RESPONSE
+    assert connected.backend.environment.receive_buffer.size == 0
+
+
+async def test_large_response_in_one_piece_with_its_head_is_accepted():
+    connected = fakes.ConnectedBackend()
+    attempt, owner = connected.send("a1")
+    body = b"b" * (3 * connections.MAX_HEAD_BYTES)
+    data = fakes.encode_reply("a1", body)
+    connected.feed(data[: 2 * connections.MAX_HEAD_BYTES])
+    connected.feed(data[2 * connections.MAX_HEAD_BYTES :])
+    assert owner.get_reply(attempt).body == body
+    assert connected.backend.environment.receive_buffer.size == 0
+
+
+async def test_largest_responses_are_given_up_first_while_many_arrive():
+    connected = fakes.ConnectedBackend()
+    buffer = connected.backend.environment.receive_buffer
+    buffer.size = connections.MAX_BUFFERED_BYTES
+    small, small_owner = connected.send("a1")
+    connected.feed(fakes.encode_reply("a1", b"b" * 200_000))
+    assert small_owner.get_reply(small)
+    large, large_owner = connected.send("a2")
+    data = fakes.encode_reply("a2", b"b" * 1_000_000)
+    connected.feed(data[:10])
+    connected.feed(data[10:400_000])
+    assert large_owner.get_failure(large)
+    assert buffer.size == connections.MAX_BUFFERED_BYTES
+
+
+async def test_lost_and_abandoned_responses_no_longer_count_as_buffered():
+    connected = fakes.ConnectedBackend()
+    buffer = connected.backend.environment.receive_buffer
+    connected.send("a1")
+    connected.feed(fakes.encode_reply("a1", b"b" * 1000)[:-1])
+    assert buffer.size > 1000
+    connected.connection.connection_lost(None)
+    assert buffer.size == 0
