The daemon's connections read bodies up to a limit

The same fault in the query daemon: aiohttp limits heads and trailers (a trial with eight endless forms: heads and trailers end after what the kernel buffers), but a body was read until the deadline; 60 MB in 2 s. Interim responses and chunk extensions without end take no memory there and end with the time-out of the request.

--- a/eelgrasshall/commands/client.py
+++ b/eelgrasshall/commands/client.py
@@ -15,6 +15,7 @@
 import aiohttp
 
 from eelgrasshall import errors
+from eelgrasshall.transport import bodies
 
 HTTP_OK = 200
 HTTP_SERVER_ERROR = 500
@@ -147,7 +148,7 @@
             method, url + path, params=params, headers=headers, data=body
         ) as response,
     ):
-        data = await response.read()
+        data = await bodies.read(response, bodies.MAX_DOCUMENT_BYTES)
         return Reply(url, response.status, data, _decode(data))
 
 
--- a/eelgrasshall/gateway/listener.py
+++ b/eelgrasshall/gateway/listener.py
@@ -215,10 +215,15 @@
             return
         limits = self._listener.get_limits()
         if (
-            self._receiving
-            and not self._in_body
-            and self._header_bytes > limits.max_header_bytes
-        ) or self._receiving and self._in_body and self._is_framing_too_long():
+            (
+                self._receiving
+                and not self._in_body
+                and self._header_bytes > limits.max_header_bytes
+            )
+            or self._receiving
+            and self._in_body
+            and self._is_framing_too_long()
+        ):
             self._reject(431)
 
     def _is_framing_too_long(self) -> bool:
--- a/eelgrasshall/transport/connection.py
+++ b/eelgrasshall/transport/connection.py
@@ -12,6 +12,8 @@
 
 import aiohttp
 
+from eelgrasshall.transport import bodies
+
 CONNECT_TIMEOUT_S = 0.5
 # Effectively unlimited, as the pool decides when to close a connection.
 KEEPALIVE_S = 3600.0
@@ -91,7 +93,7 @@
             timeout=timeout,
             allow_redirects=False,
         ) as response:
-            received = await response.read()
+            received = await bodies.read(response)
             closes = response.headers.get("Connection", "").lower() == "close"
             self.reusable = not closes
             return response.status, response.headers, received
--- a/eelgrasshall/transport/platform.py
+++ b/eelgrasshall/transport/platform.py
@@ -21,6 +21,7 @@
 from eelgrasshall import clock as clock_module
 from eelgrasshall import errors
 from eelgrasshall.protocol import platform as protocol
+from eelgrasshall.transport import bodies
 from eelgrasshall.transport import pacing
 
 CALL_TIMEOUT_S = 2.0
@@ -317,7 +318,10 @@
                     middlewares=middlewares,
                 ) as response,
             ):
-                reply = _Response(response.status, await response.read())
+                reply = _Response(
+                    response.status,
+                    await bodies.read(response, bodies.MAX_DOCUMENT_BYTES),
+                )
         except aiohttp.ClientConnectorError:
             return _FailedCall(
                 False, _describe_unavailable("The platform is unreachable.")
