Soak: crash requests, extra attempts over all hosts, checks that can fail

Nothing in the soak had a request that ends the servers which run it, none counted extra attempts in windows, and its checks on servers that leave or ask for a pause held only in spells without any disturbance, so that they did not fail with the mechanism taken out.

- send_crash_request: such a request, 12 to 24 times, at all hosts; crashed servers refuse connections and come back as new processes.
- Checks are plain functions in soak_checks.py with tests of their own: the bound on extra attempts in each window from what the servers saw; tries that crash servers later than 4 s after the third crash of which hosts could tell; pauses, host by host.
A check on a server that leaves is excused only by a restart or freeze of the host in question, not by any disturbance.
The older check on pauses, which counts health checks as well, stays.
- The settings of the soak allow few extra attempts (0.05 a request and 20).

--- a/eelgrasshall/platform/crash_request_test.py
+++ b/eelgrasshall/platform/crash_request_test.py
@@ -39,7 +39,7 @@
 
 def _list_late_tries(fleet, sent) -> list[str]:
     """Returns the tries that reached a server although they were harmful."""
-    crash_times = sorted(at for _, at in fleet.crashes)
+    crash_times = sorted(crash.at_s for crash in fleet.crashes)
     assert len(crash_times) >= _CRASHES_ALLOWED
     known_s = crash_times[_CRASHES_ALLOWED - 1] + _CONTACT_S
     reached = {
--- a/eelgrasshall/platform/fleet.py
+++ b/eelgrasshall/platform/fleet.py
@@ -15,6 +15,7 @@
 import time
 from typing import Any
 from typing import BinaryIO
+from typing import NamedTuple
 
 from eelgrasshall.gateway import listener
 from eelgrasshall.gateway import messages
@@ -50,8 +51,9 @@
 drainMs = 3000
 evacuateMs = 5000
 graceS = 6
-budgetRatio = 0.2
-budgetExtra = 54
+budgetRatio = {extra_ratio}
+budgetExtra = {extra_fixed}
+budgetWindowS = 10
 coldMultiplier = 1.5
 coldSlack = 5
 ttl_max_s = 5
@@ -60,6 +62,22 @@
 """
 
 
+class Crash(NamedTuple):
+    """A crash of a backend server under a request.
+
+    Attributes:
+      server_id: The server.
+      at_s: Monotonic time.
+      target: Target of the request.
+      request_id: Id of the try.
+    """
+
+    server_id: str
+    at_s: float
+    target: bytes
+    request_id: str
+
+
 class FakeBackendServer:
     """A fake backend server that records the requests that it executes.
 
@@ -70,7 +88,11 @@
       paused_until_s: Monotonic time until which it turns all requests away and
         states for how long.
       paused_count: Number of requests that it turned away so.
-      on_crash: Called when a request crashes the server.
+      on_crash: Called when a request crashes it.
+      arrivals: Monotonic time and id of each request, also of those that it
+        turned away.
+      pauses: Monotonic time, request id and end of the pause of each request
+        that it turned away because of a pause.
 
     Args:
       server_id: The id of the server.
@@ -85,7 +107,9 @@
         self.leaving = False
         self.paused_until_s = 0.0
         self.paused_count = 0
-        self.on_crash: Callable[[str], None] | None = None
+        self.on_crash: Callable[[Crash], None] | None = None
+        self.arrivals: list[tuple[float, str]] = []
+        self.pauses: list[tuple[float, str, float]] = []
         self._listener = listener.Listener(
             handler=self._handle, get_limits=model.CallerLimits
         )
@@ -113,9 +137,13 @@
         """Executes a request; one without a request id is a health check."""
         request_id = (request.get_header(b"x-attempt-id") or b"").decode()
         identity = [(b"X-Instance-Id", self.server_id.encode())]
-        pause_s = self.paused_until_s - time.monotonic()
+        now = time.monotonic()
+        if request_id:
+            self.arrivals.append((now, request_id))
+        pause_s = self.paused_until_s - now
         if pause_s > 0:
             self.paused_count += 1
+            self.pauses.append((now, request_id, self.paused_until_s))
             refusal = [(b"X-Not-Executed", b"1")]
             refusal.append((b"Retry-After", b"%.3f" % pause_s))
             return listener.Response(503, identity + refusal, b"")
@@ -127,7 +155,9 @@
             return listener.Response(421, identity, b"")
         self.executed.append((request_id, request.target + request.body))
         if CRASH_MARKER in request.target and self.on_crash is not None:
-            self.on_crash(self.server_id)
+            self.on_crash(
+                Crash(self.server_id, now, request.target, request_id)
+            )
             await asyncio.Event().wait()
         await asyncio.sleep(self.service_time_s)
         seal = f"{self.server_id}.{request_id}".encode()
@@ -152,7 +182,8 @@
       processes: The newest process of each host, by host name.
       version: Version of the newest configuration, 0 before the first.
       crash_duration_s: Time after which a crashed server is back, seconds.
-      crashes: Server and monotonic time of each crash.
+      crashes: All crashes of backend servers.
+      on_restart: Called with the id of a crashed server before it is back.
 
     Args:
       folder: Directory for settings files and logs.
@@ -161,6 +192,8 @@
       hosts: Number of entry hosts.
       shards: Number of services that a search fans out to.
       replicas: Number of backend servers of each service.
+      extra_attempts: The bound on extra attempts, for each request and beside
+        that.
     """
 
     def __init__(
@@ -171,8 +204,10 @@
         hosts: int = 2,
         shards: int = 3,
         replicas: int = 2,
+        extra_attempts: tuple[float, float] = (0.2, 54.0),
     ):
         self._folder = folder
+        self._extra_attempts = extra_attempts
         self._port = port
         self.store = fake_store.FakeStore()
         self._store_address = model.Address("127.0.0.1", port)
@@ -198,7 +233,8 @@
                 target=self._store_address
             )
         self.crash_duration_s = 1.0
-        self.crashes: list[tuple[str, float]] = []
+        self.crashes: list[Crash] = []
+        self.on_restart: Callable[[str], None] | None = None
         self._crashed: dict[str, asyncio.Task] = {}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self._all_processes: list[asyncio.subprocess.Process] = []
@@ -259,14 +295,15 @@
         }
         self.store.put("servers", name, spec)
 
-    def crash_server(self, name: str) -> None:
+    def crash_server(self, crash: Crash) -> None:
         """Lets a backend server crash; it restarts after a while.
 
         All of its connections are reset, and it refuses new ones meanwhile.
         """
+        name = crash.server_id
         if name in self._crashed:
             return
-        self.crashes.append((name, time.monotonic()))
+        self.crashes.append(crash)
         self.server_proxies[name].stop()
         loop = asyncio.get_running_loop()
         self._crashed[name] = loop.create_task(self._restart_server(name))
@@ -275,6 +312,8 @@
         """Starts a crashed server again, as a new process."""
         await asyncio.sleep(self.crash_duration_s)
         self.servers[name].started_at_ms += 1
+        if self.on_restart is not None:
+            self.on_restart(name)
         await self.server_proxies[name].start(self._find_proxy_address(name))
         del self._crashed[name]
         self.register_server(name)
@@ -442,6 +481,8 @@
             directory=first + 3,
             inner=first + 4,
             inner_last=first + 6,
+            extra_ratio=self._extra_attempts[0],
+            extra_fixed=self._extra_attempts[1],
             seeds=str(seeds).replace("'", '"'),
             store=first + _STORE_PROXY_PORT_OFFSET,
         )
--- a/eelgrasshall/platform/soak.py
+++ b/eelgrasshall/platform/soak.py
@@ -6,10 +6,10 @@
 silence the connections to the store and to backend servers, or block them in
 one direction; the store refuses calls, leaves them unanswered or drops its
 history or goes back to a copy; backend servers drain, announce that they leave,
-ask for pauses, hang or lose their registration, and recover; and configurations
-change.  Callers send requests throughout.  Invariants are
-checked on what callers and backend servers observe; each breach names its
-invariant, and the logs stay in the folder.
+ask for pauses, hang, crash under a request that is sent again, or lose their
+registration, and recover; and configurations change.  Callers send requests
+throughout.  Invariants are checked on what callers and backend servers observe;
+each breach names its invariant, and the logs stay in the folder.
 """
 
 import argparse
@@ -17,6 +17,7 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import pathlib
 import random as random_module
 import signal
@@ -26,6 +27,7 @@
 
 from eelgrasshall.platform import fault_proxy
 from eelgrasshall.platform import fleet as fleet_module
+from eelgrasshall.platform import soak_checks
 
 # Mean time between the requests of one caller, and between faults.
 MEAN_REQUEST_INTERVAL_S = 0.02
@@ -41,6 +43,16 @@
 # than this after it did.
 MAX_REQUESTS_IN_PAUSE = 2
 PAUSE_NOTICE_S = 0.5
+# Bound on extra attempts in the settings of the hosts; low, so that hosts that
+# ignore it exceed it.
+EXTRA_ATTEMPT_RATIO = 0.05
+EXTRA_ATTEMPTS = 20.0
+EXTRA_ATTEMPT_WINDOW_S = 10.0
+# Crashes under a request after which only some of its tries may reach a server,
+# and the time that hosts have to learn of them.
+MAX_CRASHES = 3
+MAX_LATE_TRIES = 3
+CRASH_NOTICE_S = 4.0
 _OK = 200
 # Statuses that say that the request was not executed.
 _NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
@@ -77,6 +89,10 @@
       statuses: Number of responses by status, and of errors by type name.
       faults: Number of injected faults by name.
       draining: Monotonic time at which each draining server began to drain.
+      tries: All tries of callers.
+      host_disturbances: Times at which each host was ended, started, frozen or
+        woken.
+      crash_count: Number of requests that crash servers.
       leaving: For each server that states that it leaves, the monotonic time at
         which each host first passed on an answer of it.
 
@@ -92,14 +108,23 @@
     ):
         self.random = random_module.Random(seed)
         self.fleet = fleet_module.Fleet(
-            folder=folder, port=port, hosts=hosts, shards=4, replicas=3
+            folder=folder,
+            port=port,
+            hosts=hosts,
+            shards=4,
+            replicas=3,
+            extra_attempts=(EXTRA_ATTEMPT_RATIO, EXTRA_ATTEMPTS),
         )
+        self.fleet.on_restart = self._forget_state
         self.breaches: list[Breach] = []
         self.statuses: collections.Counter[str] = collections.Counter()
         self.faults: collections.Counter[str] = collections.Counter()
         self.draining: dict[str, float] = {}
         self.leaving: dict[str, dict[str, float]] = {}
         self.last_disturbance_s = time.monotonic()
+        self.tries: list[soak_checks.Try] = []
+        self.host_disturbances: dict[str, list[float]] = {}
+        self.crash_count = 0
         self._request_count = 0
         self._terminating: set[str] = set()
 
@@ -122,12 +147,48 @@
             for task in callers:
                 task.cancel()
             self._check_executions()
+            self._check_extra_attempts()
+            self._check_crash_requests()
+            self._check_pauses()
         finally:
             await self.fleet.stop()
 
-    def note_disturbance(self) -> None:
-        """Suspends the time limits for the stabilization period."""
+    def note_disturbance(self, host: str | None = None) -> None:
+        """Suspends the time limits for the stabilization period.
+
+        Args:
+          host: The host that is ended, started, frozen or woken, if any is.
+        """
         self.last_disturbance_s = time.monotonic()
+        if host is not None:
+            self.host_disturbances.setdefault(host, []).append(
+                self.last_disturbance_s
+            )
+
+    def note_try(self, kind: str, request_id: str, host: str) -> None:
+        """Records a try of a caller that is about to be sent."""
+        services = {
+            "search": tuple(self.fleet.shards),
+            "single": (self.fleet.shards[-1],),
+            "once": (self.fleet.shards[0],),
+        }
+        self.tries.append(
+            soak_checks.Try(request_id, host, time.monotonic(), services[kind])
+        )
+
+    def list_arrivals(self) -> list[soak_checks.Arrival]:
+        """Returns all arrivals at backend servers."""
+        return [
+            soak_checks.Arrival(at_s, request_id, name.rpartition("-")[0], name)
+            for name, server in self.fleet.servers.items()
+            for at_s, request_id in server.arrivals
+        ]
+
+    def _forget_state(self, name: str) -> None:
+        """Forgets what a server that has crashed said of itself."""
+        self.fleet.servers[name].leaving = False
+        self.leaving.pop(name, None)
+        self.draining.pop(name, None)
 
     def record_breach(self, invariant: str, detail: str) -> None:
         """Records a breach of an invariant."""
@@ -154,6 +215,7 @@
             request_id = f"q{self._request_count}"
             kind = self.random.choice(("search", "search", "once"))
             name = self.random.choice(self.fleet.host_names)
+            self.note_try(kind, request_id, name)
             sent_s = time.monotonic()
             try:
                 status, headers, body = await self.fleet.send_request(
@@ -234,10 +296,12 @@
 
     def _check_leaving(self, host: str, request_id: str, sent_s: float) -> None:
         """Checks that no server that leaves got the request too late."""
-        if sent_s - self.last_disturbance_s < STABILIZATION_S:
-            return
+        disturbances = self.host_disturbances.get(host, ())
         for name, hosts in self.leaving.items():
-            if sent_s - hosts.get(host, sent_s) <= DRAIN_BOUND_S:
+            noted_s = hosts.get(host, sent_s)
+            if sent_s - noted_s <= DRAIN_BOUND_S:
+                continue
+            if any(noted_s <= at_s for at_s in disturbances):
                 continue
             if any(
                 executed_id == request_id
@@ -261,6 +325,54 @@
                     "at most once", f"{request_id} was executed {count} times"
                 )
 
+    def _check_extra_attempts(self) -> None:
+        """Checks the bound on extra attempts over all hosts."""
+        for service in soak_checks.find_excess(
+            self.list_arrivals(),
+            self.tries,
+            ratio=EXTRA_ATTEMPT_RATIO,
+            fixed=EXTRA_ATTEMPTS,
+            window_s=EXTRA_ATTEMPT_WINDOW_S,
+        ):
+            self.record_breach("extra attempts", service)
+
+    def _check_crash_requests(self) -> None:
+        """Checks that requests that crash servers are stopped everywhere."""
+        for target in {crash.target for crash in self.fleet.crashes}:
+            late = soak_checks.list_late_tries(
+                self.tries,
+                self.fleet.crashes,
+                self.host_disturbances,
+                target=target,
+                allowed_crashes=MAX_CRASHES,
+                notice_s=CRASH_NOTICE_S,
+            )
+            if len(late) > MAX_LATE_TRIES:
+                self.record_breach(
+                    "requests that crash servers are stopped",
+                    f"{target!r} {late}",
+                )
+
+    def _check_pauses(self) -> None:
+        """Checks that servers get the pauses that they ask for."""
+        hosts = {each.request_id: each.host for each in self.tries}
+        for name, server in self.fleet.servers.items():
+            turns = [
+                soak_checks.Turn(at_s, hosts[request_id], until_s)
+                for at_s, request_id, until_s in server.pauses
+                if request_id in hosts
+            ]
+            for host in soak_checks.find_ignored_pauses(
+                turns,
+                self.host_disturbances,
+                allowed=MAX_REQUESTS_IN_PAUSE,
+                notice_s=PAUSE_NOTICE_S,
+            ):
+                self.record_breach(
+                    "servers get the pauses that they ask for",
+                    f"{name} {host}",
+                )
+
     async def _check_recovered(self) -> None:
         """Checks that every host serves a new configuration in time."""
         path = f"v{self.fleet.version + 1}"
@@ -316,14 +428,14 @@
         process = self.fleet.processes[name]
         if process.returncode is not None:
             return
-        self.note_disturbance()
+        self.note_disturbance(name)
         self._terminating.add(name)
         self.fleet.signal_host(name, number)
         await process.wait()
         if self.fleet.processes[name] is process:
             await self.fleet.start_host(name)
         self._terminating.discard(name)
-        self.note_disturbance()
+        self.note_disturbance(name)
 
 
 @register_fault
@@ -346,11 +458,11 @@
 async def pause_host(soak: Soak) -> None:
     """Pauses the process of a host for a while."""
     name = soak.random.choice(soak.fleet.host_names)
-    soak.note_disturbance()
+    soak.note_disturbance(name)
     soak.fleet.signal_host(name, signal.SIGSTOP)
     await asyncio.sleep(soak.random.uniform(0.2, 3.0))
     soak.fleet.signal_host(name, signal.SIGCONT)
-    soak.note_disturbance()
+    soak.note_disturbance(name)
 
 
 @register_fault
@@ -478,7 +590,8 @@
     await asyncio.sleep(PAUSE_NOTICE_S)
     noticed_count = server.paused_count
     await asyncio.sleep(pause_s - PAUSE_NOTICE_S)
-    # A host learns of the pause by a request that it sends.
+    # A host learns of the pause by a request that it sends.  This counts health
+    # checks as well, of which the host is not known.
     allowed = (1 + MAX_REQUESTS_IN_PAUSE) * len(soak.fleet.host_names)
     if (
         server.paused_count - noticed_count > allowed
@@ -490,6 +603,25 @@
         )
 
 
+@register_fault
+async def send_crash_request(soak: Soak) -> None:
+    """Sends a request that crashes servers again and again, to all hosts."""
+    soak.crash_count += 1
+    number = soak.crash_count
+    kind = soak.random.choice(("search", "single", "once"))
+    target = f"/{kind}/crash{number}"
+    interval_s = soak.random.uniform(0.3, 0.8)
+    for attempt in range(soak.random.randint(12, 24)):
+        name = soak.random.choice(soak.fleet.host_names)
+        request_id = f"crash{number}-{attempt}"
+        soak.note_try(kind, request_id, name)
+        with contextlib.suppress(OSError, TimeoutError):
+            await soak.fleet.send_request(
+                name, target, request_id, budget_ms=1000
+            )
+        await asyncio.sleep(interval_s)
+
+
 @register_fault
 async def hang_server(soak: Soak) -> None:
     """Slows a backend server down for a while."""
--- /dev/null
+++ b/eelgrasshall/platform/soak_checks.py
@@ -0,0 +1,200 @@
+"""Checks of the soak on what callers and backend servers have seen.
+
+They are plain functions over recorded events, so that their own tests can show
+that they find a breach.
+"""
+
+import bisect
+from collections.abc import Iterable
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from eelgrasshall.platform import fleet
+
+# Time in which a host verifies a crash and tells the others of it.
+REPORT_TIME_S = 1.0
+
+
+class Arrival(NamedTuple):
+    """A request that arrived at a backend server.
+
+    Attributes:
+      at_s: Monotonic time.
+      request_id: Id of the caller's try.
+      service: The service of the server.
+      server_id: The server.
+    """
+
+    at_s: float
+    request_id: str
+    service: str
+    server_id: str
+
+
+class Try(NamedTuple):
+    """A try of a caller.
+
+    Attributes:
+      request_id: Its id.
+      host: The host that it was sent to.
+      sent_s: Monotonic time at which it was sent.
+      services: The services that it is about.
+    """
+
+    request_id: str
+    host: str
+    sent_s: float
+    services: tuple[str, ...]
+
+
+class Turn(NamedTuple):
+    """A request that a server turned away while it asked for a pause.
+
+    Attributes:
+      at_s: Monotonic time.
+      host: The host that sent it.
+      until_s: End of the pause that it asked for.
+    """
+
+    at_s: float
+    host: str
+    until_s: float
+
+
+def find_excess(
+    arrivals: Iterable[Arrival],
+    tries: Iterable[Try],
+    *,
+    ratio: float,
+    fixed: float,
+    window_s: float,
+) -> list[str]:
+    """Returns the services that got too many extra attempts in a window.
+
+    The first arrival of a try at a service is not extra.  Tries are counted in
+    the same window, the one before it, or the one half a window before it.
+
+    Args:
+      arrivals: All arrivals at backend servers.
+      tries: All tries of callers.
+      ratio: Extra attempts allowed for each try.
+      fixed: Extra attempts allowed beside these.
+      window_s: Length of the window, seconds.
+    """
+    requested: dict[str, list[float]] = {}
+    for each in sorted(tries, key=lambda each: each.sent_s):
+        for service in each.services:
+            requested.setdefault(service, []).append(each.sent_s)
+    seen: set[tuple[str, str]] = set()
+    extra: dict[str, list[float]] = {}
+    for arrival in sorted(arrivals):
+        first = (arrival.service, arrival.request_id)
+        if first in seen:
+            extra.setdefault(arrival.service, []).append(arrival.at_s)
+        seen.add(first)
+    found = []
+    for service, times in extra.items():
+        for end_s in times:
+            allowed = fixed + ratio * max(
+                _count(requested.get(service, []), end_s - back_s, window_s)
+                for back_s in (0.0, window_s / 2, window_s)
+            )
+            count = _count(times, end_s, window_s)
+            if count > allowed:
+                found.append(f"{service}: {count} of {allowed:.0f}")
+                break
+    return found
+
+
+def list_late_tries(
+    tries: Iterable[Try],
+    crashes: Sequence[fleet.Crash],
+    disturbances: dict[str, list[float]],
+    *,
+    target: bytes,
+    allowed_crashes: int,
+    notice_s: float,
+) -> list[str]:
+    """Returns the tries that crashed servers though they had been found out.
+
+    A host that was ended or frozen about the time of a crash may not have told
+    of it, and one that was just started or woken may not have been told.
+
+    Args:
+      tries: All tries of callers.
+      crashes: All crashes.
+      disturbances: Times at which hosts were ended, started, frozen or woken,
+        by host.
+      target: Target of the request that is checked.
+      allowed_crashes: Number of crashes that find it out.
+      notice_s: Time after these within which all hosts have to know of it.
+    """
+    by_id = {each.request_id: each for each in tries}
+    crashes = sorted(
+        (each for each in crashes if each.target == target),
+        key=lambda each: each.at_s,
+    )
+
+    def is_disturbed(crash: fleet.Crash, after_s: float) -> bool:
+        times = disturbances.get(by_id[crash.request_id].host, ())
+        return any(
+            crash.at_s - notice_s <= at_s <= crash.at_s + after_s
+            for at_s in times
+        )
+
+    told = [each for each in crashes if not is_disturbed(each, REPORT_TIME_S)]
+    if len(told) < allowed_crashes:
+        return []
+    known_s = told[allowed_crashes - 1].at_s + notice_s
+    return sorted(
+        {
+            crash.request_id
+            for crash in crashes
+            if by_id[crash.request_id].sent_s > known_s
+            and not is_disturbed(crash, 0.0)
+        }
+    )
+
+
+def find_ignored_pauses(
+    turns: Iterable[Turn],
+    excused: dict[str, list[float]],
+    *,
+    allowed: int,
+    notice_s: float,
+) -> list[str]:
+    """Returns the hosts that did not respect a pause, with their requests.
+
+    Args:
+      turns: What one server turned away.
+      excused: Times at which hosts were restarted or frozen, by host.
+      allowed: Requests of a host that may arrive in a pause.
+      notice_s: Time after an answer that states the pause, for the host to
+        take notice.
+    """
+    told: dict[str, list[Turn]] = {}
+    counts: dict[tuple[str, float], int] = {}
+    for turn in sorted(turns):
+        earlier = told.setdefault(turn.host, [])
+        for each in earlier:
+            if each.at_s + notice_s < turn.at_s < each.until_s and not any(
+                each.at_s <= at_s <= turn.at_s
+                for at_s in excused.get(turn.host, ())
+            ):
+                key = (turn.host, each.at_s)
+                counts[key] = counts.get(key, 0) + 1
+        earlier.append(turn)
+    return sorted(
+        {
+            f"{host}: {count}"
+            for (host, _), count in counts.items()
+            if count > allowed
+        }
+    )
+
+
+def _count(times: Sequence[float], end_s: float, window_s: float) -> int:
+    """Returns the number of sorted times in a window that ends at a time."""
+    return bisect.bisect_right(times, end_s) - bisect.bisect_right(
+        times, end_s - window_s
+    )
--- /dev/null
+++ b/eelgrasshall/platform/soak_checks_test.py
@@ -0,0 +1,92 @@
+"""Tests of the soak's checks: each finds its breach, and nothing else."""
+
+from eelgrasshall.platform import fleet
+from eelgrasshall.platform import soak_checks
+
+
+def _arrive(at_s: float, request_id: str, server: str = "s-0"):
+    return soak_checks.Arrival(at_s, request_id, "s", server)
+
+
+def _try(sent_s: float, request_id: str, host: str = "h0"):
+    return soak_checks.Try(request_id, host, sent_s, ("s",))
+
+
+def _find_excess(arrivals, tries):
+    return soak_checks.find_excess(
+        arrivals, tries, ratio=0.2, fixed=5.0, window_s=10.0
+    )
+
+
+def test_extra_attempts_beyond_the_bound_are_found():
+    tries = [_try(number / 10, f"q{number}") for number in range(50)]
+    first = [_arrive(number / 10, f"q{number}") for number in range(50)]
+    extra = [_arrive(6.0 + number / 10, f"q{number}") for number in range(15)]
+    assert not _find_excess([*first, *extra], tries)
+    extra.append(_arrive(8.0, "q0"))
+    assert _find_excess([*first, *extra], tries) == ["s: 16 of 15"]
+
+
+def test_extra_attempts_of_another_window_do_not_count():
+    extra = [_arrive(0.0, "q")] + [_arrive(float(at), "q") for at in range(5)]
+    extra += [_arrive(20.0 + at, "q") for at in range(5)]
+    assert not _find_excess(extra, [])
+
+
+def test_tries_of_the_window_before_count():
+    tries = [_try(1.0, f"q{number}") for number in range(50)]
+    arrivals = [_arrive(1.0, "q0")] + [
+        _arrive(11.5, f"q{number % 2}") for number in range(16)
+    ]
+    assert not _find_excess(arrivals, tries)
+
+
+def _list_late(count: int, disturbances=None) -> list[str]:
+    """Returns the late ones of tries that crash a server each second."""
+    return soak_checks.list_late_tries(
+        [_try(float(number), f"q{number}") for number in range(10)],
+        [
+            fleet.Crash(f"s{number}", number + 0.1, b"/x", f"q{number}")
+            for number in range(count)
+        ],
+        disturbances or {},
+        target=b"/x",
+        allowed_crashes=3,
+        notice_s=4.0,
+    )
+
+
+def test_tries_that_crash_servers_after_the_third_crash_are_found():
+    assert _list_late(10) == ["q7", "q8", "q9"]
+    assert not _list_late(7)
+
+
+def test_crash_that_an_ended_host_may_not_have_told_of_does_not_count():
+    assert _list_late(10, {"h0": [2.5]}) == []
+    assert _list_late(10, {"h1": [2.5]}) == ["q7", "q8", "q9"]
+
+
+def test_host_that_was_just_started_may_not_have_been_told():
+    assert _list_late(10, {"h0": [8.5]}) == ["q7", "q8"]
+
+
+def _find_ignored(turns, excused=None):
+    return soak_checks.find_ignored_pauses(
+        turns, excused or {}, allowed=2, notice_s=0.5
+    )
+
+
+def test_requests_in_a_pause_that_was_asked_for_are_found():
+    turns = [soak_checks.Turn(1.0 + at, "h0", 3.0) for at in (0, 0.6, 0.7, 0.8)]
+    assert _find_ignored(turns) == ["h0: 3"]
+    assert not _find_ignored(turns[:3])
+    # The other host was not told, or was restarted meanwhile.
+    other = [turns[0], *(each._replace(host="h1") for each in turns[1:])]
+    assert not _find_ignored(other)
+    assert not _find_ignored(turns, {"h0": [1.5]})
+    assert _find_ignored(turns, {"h0": [0.5], "h1": [1.5]}) == ["h0: 3"]
+
+
+def test_requests_before_a_host_has_taken_notice_are_allowed():
+    turns = [soak_checks.Turn(1.0 + at / 100, "h0", 3.0) for at in range(45)]
+    assert not _find_ignored(turns)
