Crash reports that all hosts have are sent seldom

Found by reading: reports and verdicts are kept for minutes, and each period carried as many as fit into a datagram, 1.3 KB four times a second to each target.

An entry that was sent eight times is sent once a second now, six at a time; new ones go at once as before. The new test of the interval fails before: 40 sends instead of 10.

--- a/eelgrasshall/gateway/quarantine.py
+++ b/eelgrasshall/gateway/quarantine.py
@@ -32,8 +32,11 @@
 MAX_SUSPECTS = 64
 # Share of the requests with reports that is dropped when there are too many.
 EVICTED_SHARE = 0.1
-# Sends after which an entry has reached a fleet and waits for its turn.
+# Sends after which an entry has reached a fleet.  It is then sent at an interval,
+# with few others, to hosts that join or hear of others again later.
 FRESH_SENDS = 8
+RESEND_INTERVAL_S = 1.0
+MAX_RESENT = 6
 
 
 class Suspect(NamedTuple):
@@ -236,8 +239,8 @@
     ) -> list[CrashReport | Verdict]:
         """Returns the entries to send to other hosts next.
 
-        These are the ones that were sent least, then those sent longest ago, so
-        that hosts that join later get all of them.
+        These are new ones, and a few of the others, those sent longest ago
+        first.
 
         Args:
           now: Monotonic time.
@@ -253,7 +256,16 @@
             for reports in self._reports.values()
             for report in reports
         )
-        chosen = sorted(entries, key=self._rank_gossip)[:count]
+        fresh = [key for key in entries if self._is_fresh(key)]
+        due = [
+            key
+            for key in entries
+            if not self._is_fresh(key)
+            and now - self._gossip[key].sent_s >= RESEND_INTERVAL_S
+        ]
+        due.sort(key=lambda key: self._gossip[key].sent_s)
+        fresh.sort(key=lambda key: self._gossip[key].count)
+        chosen = [*fresh, *due[:MAX_RESENT]][:count]
         for key in chosen:
             self._gossip[key].count += 1
             self._gossip[key].sent_s = now
@@ -280,10 +292,9 @@
             "suspects": sum(map(len, self._suspects.values())),
         }
 
-    def _rank_gossip(self, key: tuple) -> tuple[int, float]:
-        """Returns the sort key of an entry that may be sent."""
-        state = self._gossip[key]
-        return min(state.count, FRESH_SENDS), state.sent_s
+    def _is_fresh(self, key: tuple) -> bool:
+        """Returns whether an entry may not have reached all hosts yet."""
+        return self._gossip[key].count < FRESH_SENDS
 
     def _limit_reports(self) -> None:
         """Drops the requests with the least evidence if there are too many."""
--- a/eelgrasshall/gateway/quarantine_test.py
+++ b/eelgrasshall/gateway/quarantine_test.py
@@ -217,6 +217,18 @@
     assert "a1" in {getattr(entry, "request_id", None) for entry in sent}
 
 
+def test_old_entries_are_sent_seldom():
+    # They are kept for minutes, and control traffic is limited.
+    quarantine = _make()
+    quarantine.add_verdict(quarantine_module.Verdict("p", 500.0), 1.0)
+    for number in range(quarantine_module.FRESH_SENDS):
+        assert quarantine.list_gossip(2.0 + number / 4, 14)
+    sent = [
+        quarantine.list_gossip(10.0 + number / 4, 14) for number in range(40)
+    ]
+    assert sum(map(len, sent)) == 10
+
+
 def test_verdict_expires_on_all_hosts_at_once():
     hosts = [_make(), _make()]
     hosts[0].add_verdict(quarantine_module.Verdict("p", 100.0), 1.0)
