--- a/eelgrasshall/gateway/quarantine.py
+++ b/eelgrasshall/gateway/quarantine.py
@@ -32,8 +32,8 @@
 MAX_SUSPECTS = 64
 # Share of the requests with reports that is dropped when there are too many.
 EVICTED_SHARE = 0.1
-# Sends after which an entry has reached a fleet.  It is then sent at an interval
-# to hosts that join or hear of others again later, a few at a time.
+# Sends after which an entry has reached a fleet.  After that it is sent at an
+# interval, a few at a time, for hosts that join or hear of others again.
 FRESH_SENDS = 8
 RESEND_INTERVAL_S = 1.0
 MAX_RESENT = 6
