State machine of crash reports over four hosts

Hosts meet crashes of a harmful request, servers that fail together under an innocent one, lost datagrams and restarts; hosts agree after 3 s of exchanges, and the innocent request is never refused.

--- a/eelgrasshall/gateway/quarantine_test.py
+++ b/eelgrasshall/gateway/quarantine_test.py
@@ -2,6 +2,9 @@
 
 import itertools
 
+from hypothesis import stateful
+from hypothesis import strategies
+
 from eelgrasshall.gateway import quarantine as quarantine_module
 
 
@@ -289,3 +292,97 @@
         )
     quarantine.add_verdict(quarantine_module.Verdict("poison", 400.0), 9.0)
     assert [verdict.fingerprint for verdict in verdicts] == ["poison"]
+
+
+class CrashSync(stateful.RuleBasedStateMachine):
+    """Hosts that meet crashes, restart and lose datagrams.
+
+    One request crashes servers, each time a different one.  Innocent requests
+    run on servers that fail together.
+    """
+
+    host_count = 4
+    hosts = strategies.integers(0, host_count - 1)
+
+    def __init__(self):
+        super().__init__()
+        self.now = 1.0
+        self.crashes = 0
+        self.hosts = [_make() for _ in range(self.host_count)]
+
+    @stateful.rule(host=hosts)
+    def crash(self, host):
+        """The harmful request ends a server."""
+        self.crashes += 1
+        _crash(
+            self.hosts[host],
+            server=f"s{self.crashes}",
+            request_id=f"a{self.crashes}",
+            began_s=self.now,
+        )
+        self.now += 0.1
+
+    @stateful.rule(first=hosts, second=hosts)
+    def fail_together(self, first, second):
+        """Many servers fail at once under two tries of an innocent request."""
+        for number, host in enumerate((first, second)):
+            for server in range(4):
+                _crash(
+                    self.hosts[host],
+                    server=f"t{server}",
+                    request_id=f"b{number}",
+                    began_s=1.0 + number / 10,
+                    ended_s=1.5,
+                    fingerprint="innocent",
+                )
+
+    @stateful.rule(sender=hosts, receiver=hosts)
+    def exchange(self, sender, receiver):
+        """A datagram arrives."""
+        self.now += 0.25
+        _exchange(self.hosts[sender], self.hosts[receiver], self.now)
+
+    @stateful.rule(sender=hosts)
+    def lose(self, sender):
+        """A datagram is lost."""
+        self.now += 0.25
+        self.hosts[sender].list_gossip(self.now, 14)
+
+    @stateful.rule(host=hosts)
+    def restart(self, host):
+        """A host restarts and knows nothing."""
+        self.hosts[host] = _make()
+
+    @stateful.invariant()
+    def innocent_is_served(self):
+        """Servers that fail together prove nothing."""
+        for host in self.hosts:
+            assert not _is_quarantined(host, "innocent", self.now)
+
+    @stateful.invariant()
+    def three_crashes_are_needed(self):
+        """Nothing is quarantined without the evidence."""
+        if self.crashes < quarantine_module.MIN_CRASHES:
+            for host in self.hosts:
+                assert not _is_quarantined(host, "poison", self.now)
+
+    def teardown(self):
+        """After a while of exchanges, hosts agree, and one more crash or two
+        are enough for all."""
+        self._settle()
+        verdicts = [_is_quarantined(h, "poison", self.now) for h in self.hosts]
+        assert len(set(verdicts)) == 1
+        if not verdicts[0]:
+            for host in range(3):
+                self.crash(host)
+            self._settle()
+        assert all(_is_quarantined(h, "poison", self.now) for h in self.hosts)
+
+    def _settle(self):
+        for _ in range(12):
+            self.now += 0.25
+            for sender, receiver in itertools.permutations(self.hosts, 2):
+                _exchange(sender, receiver, self.now)
+
+
+TestCrashSync = CrashSync.TestCase
