State machine: configuration versions over a store that goes back

The machine of the store's eras now also runs over the configuration: the operator writes increasing versions and, after the store has gone back, the last one again; hosts list, watch, fetch from each other and restart. No host's version goes back, and all have the last one at the end.

--- a/eelgrasshall/gateway/object_cache_test.py
+++ b/eelgrasshall/gateway/object_cache_test.py
@@ -13,11 +13,12 @@
 class _Host:
     """A cache and the values that its updates led to."""
 
-    def __init__(self):
+    def __init__(self, **options):
         self.values: dict[str, object] = {}
         self.cache = object_cache.ObjectCache(
             decode=lambda collection, name, document: document,
             on_update=self._on_update,
+            **options,
         )
 
     def _on_update(self, update, value):
@@ -249,7 +250,8 @@
     """Hosts that follow a store which goes back to copies of itself."""
 
     host_count = 3
-    names = ("a", "b", "c")
+    names = strategies.sampled_from(("a", "b", "c"))
+    collection = _SERVERS
 
     def __init__(self):
         super().__init__()
@@ -260,25 +262,31 @@
         # For each era what the store began with, and the changes since.
         self.history = {0: ({}, [])}
         self.copy = (0, {})
-        self.hosts = [_Host() for _ in range(self.host_count)]
+        self.hosts = [self._make_host() for _ in range(self.host_count)]
+
+    def _make_host(self):
+        return _Host()
+
+    def _make_document(self):
+        self.writes += 1
+        return f"v{self.writes}"
 
     def _change(self, name, document):
         self.number += 1
         revision = object_cache.make_revision(self.era, self.number)
-        update = _make_update(name, revision, document)
+        update = object_cache.Update(self.collection, name, revision, document)
         self.history[self.era][1].append(update)
         if document is None:
             self.objects.pop(name, None)
         else:
             self.objects[name] = update
 
-    @stateful.rule(name=strategies.sampled_from(names))
+    @stateful.rule(name=names)
     def write(self, name):
         """An object is written."""
-        self.writes += 1
-        self._change(name, f"v{self.writes}")
+        self._change(name, self._make_document())
 
-    @stateful.rule(name=strategies.sampled_from(names))
+    @stateful.rule(name=names)
     def delete(self, name):
         """An object is deleted."""
         if name in self.objects:
@@ -310,18 +318,18 @@
         cache = self.hosts[host].cache
         revision = object_cache.make_revision(self.era, self.number)
         listing = object_cache.Listing(tuple(self.objects.values()), revision)
-        cache.start_at(_SERVERS, revision)
+        cache.start_at(self.collection, revision)
         for update in listing.updates:
             cache.apply(update)
-        for update in cache.infer_deletions(listing, _SERVERS):
+        for update in cache.infer_deletions(listing, self.collection):
             cache.apply(update)
-        cache.advance(_SERVERS, revision)
+        cache.advance(self.collection, revision)
 
     @stateful.rule(host=strategies.integers(0, host_count - 1))
     def watch(self, host):
         """A host that has the present era receives all changes since."""
         cache = self.hosts[host].cache
-        received = cache.get_received_revision(_SERVERS)
+        received = cache.get_received_revision(self.collection)
         if not received or object_cache.get_era(received) != self.era:
             self.list_store(host)
             return
@@ -329,7 +337,7 @@
             if update.revision > received:
                 cache.apply(update)
         cache.advance(
-            _SERVERS, object_cache.make_revision(self.era, self.number)
+            self.collection, object_cache.make_revision(self.era, self.number)
         )
 
     @stateful.rule(
@@ -349,14 +357,14 @@
     def give_up_unconfirmed(self, host):
         """The time in which writers write again is over at a host."""
         cache = self.hosts[host].cache
-        for update in cache.list_unconfirmed(_SERVERS):
+        for update in cache.list_unconfirmed(self.collection):
             cache.apply(update)
 
     @stateful.invariant()
     def has_what_the_era_has(self):
         """No object that a host should have is missing."""
         for host in self.hosts:
-            received = host.cache.get_received_revision(_SERVERS)
+            received = host.cache.get_received_revision(self.collection)
             if not received:
                 continue
             began, changes = self.history[object_cache.get_era(received)]
@@ -384,3 +392,63 @@
 
 
 TestEraSync = EraSync.TestCase
+
+
+class VersionSync(EraSync):
+    """Hosts whose configuration goes back with the store, but not in force.
+
+    The operator writes increasing versions, and the last one again when the
+    store has gone back.
+    """
+
+    collection = object_cache.Collection.CONFIGURATION
+
+    def __init__(self):
+        super().__init__()
+        self.in_force = [0] * self.host_count
+
+    def _make_host(self):
+        return _Host(supersedes=lambda collection, new, old: new >= old)
+
+    def _make_document(self):
+        self.writes += 1
+        return self.writes
+
+    # Configurations are neither deleted nor given up.
+    delete = None
+    give_up_unconfirmed = None
+
+    @stateful.rule()
+    def write(self):
+        """The operator writes the next version."""
+        self._change("main", self._make_document())
+
+    @stateful.rule()
+    def write_again(self):
+        """The operator writes the last version again."""
+        if self.writes:
+            self._change("main", self.writes)
+
+    @stateful.rule(host=strategies.integers(0, EraSync.host_count - 1))
+    def restart(self, host):
+        """A host restarts and knows nothing."""
+        self.hosts[host] = self._make_host()
+        self.in_force[host] = 0
+
+    @stateful.invariant()
+    def version_never_goes_back(self):
+        """A host that has put a version in force keeps it or a later one."""
+        for number, host in enumerate(self.hosts):
+            version = host.values.get("main", 0)
+            assert version >= self.in_force[number]
+            self.in_force[number] = version
+
+    def teardown(self):
+        """All hosts have the last version once it is written again."""
+        self.write_again()
+        for number, host in enumerate(self.hosts):
+            self.watch(number)
+            assert host.values.get("main", 0) == self.writes
+
+
+TestVersionSync = VersionSync.TestCase
