--- a/eelgrasshall/platform/soak.py
+++ b/eelgrasshall/platform/soak.py
@@ -101,10 +101,18 @@
       folder: Directory for settings files and logs.
       port: First port to use.
       hosts: Number of entry hosts.
+      interval_s: Mean time between the requests of one caller; with few
+        requests, hosts learn less from their traffic.
     """
 
     def __init__(
-        self, *, seed: int, folder: pathlib.Path, port: int, hosts: int = 4
+        self,
+        *,
+        seed: int,
+        folder: pathlib.Path,
+        port: int,
+        hosts: int = 4,
+        interval_s: float = MEAN_REQUEST_INTERVAL_S,
     ):
         self.random = random_module.Random(seed)
         self.fleet = fleet_module.Fleet(
@@ -125,6 +133,7 @@
         self.tries: list[soak_checks.Try] = []
         self.host_disturbances: dict[str, list[float]] = {}
         self.crash_count = 0
+        self._interval_s = interval_s
         self._request_count = 0
         self._terminating: set[str] = set()
 
@@ -208,9 +217,7 @@
     async def _send_requests(self) -> None:
         """Sends requests to random hosts, one at a time, and checks them."""
         while True:
-            await asyncio.sleep(
-                self.random.expovariate(1 / MEAN_REQUEST_INTERVAL_S)
-            )
+            await asyncio.sleep(self.random.expovariate(1 / self._interval_s))
             self._request_count += 1
             request_id = f"q{self._request_count}"
             kind = self.random.choice(("search", "search", "once"))
@@ -645,10 +652,22 @@
 
 
 async def run_seed(
-    *, seed: int, seconds: float, folder: pathlib.Path, port: int, hosts: int
+    *,
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path,
+    port: int,
+    hosts: int,
+    interval_s: float = MEAN_REQUEST_INTERVAL_S,
 ) -> Soak:
     """Runs the soak with one seed and returns it for its results."""
-    soak = Soak(seed=seed, folder=folder, port=port, hosts=hosts)
+    soak = Soak(
+        seed=seed,
+        folder=folder,
+        port=port,
+        hosts=hosts,
+        interval_s=interval_s,
+    )
     await soak.run(seconds)
     return soak
 
@@ -660,6 +679,9 @@
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--hosts", type=int, default=4)
+    parser.add_argument(
+        "--interval", type=float, default=MEAN_REQUEST_INTERVAL_S
+    )
     parser.add_argument("--port", type=int, default=24000)
     parser.add_argument("--folder", type=pathlib.Path, default="out/soak")
     args = parser.parse_args()
@@ -672,6 +694,7 @@
                 folder=args.folder / str(seed),
                 port=args.port,
                 hosts=args.hosts,
+                interval_s=args.interval,
             )
         )
         failed_seeds += bool(soak.breaches)
--- a/eelgrasshall/platform/soak_test.py
+++ b/eelgrasshall/platform/soak_test.py
@@ -13,3 +13,19 @@
     assert not soak.breaches
     assert soak.statuses["200"] > 100
     assert soak.faults
+
+
+@pytest.mark.parametrize("seed", [202])
+async def test_soak_with_few_requests_has_no_breaches(seed, tmp_path):
+    # Hosts that wait for their traffic to show a crash never know of it.
+    soak = await soak_module.run_seed(
+        seed=seed,
+        seconds=25.0,
+        folder=tmp_path,
+        port=23000,
+        hosts=4,
+        interval_s=1.0,
+    )
+    assert not soak.breaches
+    assert soak.fleet.crashes
+    assert soak.statuses["200"] > 20
