A request that crashes only some servers is sent on: a test that fails

Request handlers of the real program run in virtual time beside servers that crash and hosts that exchange the datagrams of the real program.

--- /dev/null
+++ b/eelgrasshall/gateway/request_handler_test.py
@@ -0,0 +1,305 @@
+"""Tests of request handlers under requests that crash backend servers.
+
+Request handlers run unchanged in virtual time, with simulated servers that
+crash; the hosts exchange the datagrams of the real program.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+import random as random_module
+from typing import NamedTuple
+
+from eelgrasshall.gateway import cold_start
+from eelgrasshall.gateway import crash_gossip
+from eelgrasshall.gateway import fakes
+from eelgrasshall.gateway import hedging
+from eelgrasshall.gateway import listener
+from eelgrasshall.gateway import messages
+from eelgrasshall.gateway import metrics
+from eelgrasshall.gateway import model
+from eelgrasshall.gateway import request_handler
+from eelgrasshall.gateway import simulated_server
+from eelgrasshall.gateway import virtual_time
+
+# The bound on harmful requests: tries that reach a server, sent later than
+# this after the third crash.
+_CONTACT_S = 4.0
+_CRASHES_ALLOWED = 3
+_TRIES_ALLOWED = 3
+_CRASH_DELAY_S = 0.002
+_DOWN_TIME_S = 2.0
+_HEARTBEAT_PERIOD_S = 0.25
+_SWEEP_INTERVAL_S = 0.1
+_SERVICE_TIME_S = 0.02
+_HARMFUL_TARGET = "/find/harmful"
+
+
+class _Log(fakes.Log):
+    """A log that records its events, without those of single requests."""
+
+    def allow_request_line(self, *, failed: bool) -> bool:
+        """Returns whether a request may be logged: never."""
+        del failed
+        return False
+
+
+class _Arrival(NamedTuple):
+    """A try that reached a server, and the time."""
+
+    at_s: float
+    request_id: str
+    server_id: str
+
+
+class _Server(simulated_server.Server):
+    """A simulated server that harmful requests crash; it is back later."""
+
+    def __init__(self, *, is_harmful: Callable[[str], bool], **kwargs):
+        super().__init__(**kwargs)
+        self.arrivals: list[_Arrival] = []
+        self.crashes_s: list[float] = []
+        self._is_harmful = is_harmful
+        self._down = False
+        self._transports: list[simulated_server.ServerTransport] = []
+
+    async def accept(
+        self, protocol: asyncio.Protocol
+    ) -> simulated_server.ServerTransport:
+        """Opens a connection.
+
+        Raises:
+          ConnectionRefusedError: The server is down.
+        """
+        if self._down:
+            await asyncio.sleep(2 * simulated_server.SERVER_DELAY_S)
+            raise ConnectionRefusedError
+        transport = await super().accept(protocol)
+        self._transports.append(transport)
+        return transport
+
+    def receive(
+        self, transport: simulated_server.ServerTransport, data: bytes
+    ) -> None:
+        """Runs a request, answers a health check, or crashes."""
+        if transport.closed or self._down:
+            return
+        head = data.decode("latin-1").split("\r\n")
+        target = head[0].split()[1]
+        if target == "/health":
+            transport.deliver(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            return
+        fields = dict(
+            line.lower().split(": ", 1) for line in head if ": " in line
+        )
+        request_id = fields[fakes.NAMES.request_id.decode()]
+        if target == _HARMFUL_TARGET:
+            arrival = _Arrival(self.loop.time(), request_id, self.server.id)
+            self.arrivals.append(arrival)
+            if self._is_harmful(self.server.id):
+                self.loop.call_later(_CRASH_DELAY_S, self.crash)
+                return
+        super().receive(transport, data)
+
+    def crash(self) -> None:
+        """Resets all connections and refuses new ones for a while."""
+        if self._down:
+            return
+        self._down = True
+        self.crashes_s.append(self.loop.time())
+        self._queue.clear()
+        self._running = 0
+        transports, self._transports = self._transports, []
+        for transport in transports:
+            if not transport.closed:
+                transport.closed = True
+                self.loop.call_later(
+                    simulated_server.SERVER_DELAY_S,
+                    transport.protocol.connection_lost,
+                    ConnectionResetError(),
+                )
+        self.loop.call_later(_DOWN_TIME_S, self._restart)
+
+    def _restart(self) -> None:
+        self._down = False
+
+    def _finish(self, work) -> None:
+        if not work.transport.closed:
+            super()._finish(work)
+
+
+class _Fleet:
+    """Hosts that exchange crash reports, and the servers of some services."""
+
+    def __init__(
+        self,
+        *,
+        loop: virtual_time.VirtualTimeLoop,
+        route: model.Route,
+        services: Sequence[str],
+        hosts: int,
+        replicas: int = 3,
+        seed: int = 1,
+        is_harmful: Callable[[str], bool] = lambda server_id: True,
+    ):
+        self.loop = loop
+        self.random = random_module.Random(seed)
+        self.log = _Log()
+        self.servers: list[_Server] = []
+        self.sent: list[tuple[str, float]] = []
+        self.statuses: list[int] = []
+        # Pairs of hosts of which the second does not hear the first.
+        self.cut: set[tuple[int, int]] = set()
+        self._route = route
+        self._services = services
+        for service in services:
+            for number in range(replicas):
+                registration = fakes.make_server(
+                    f"{service}-{number}",
+                    service=service,
+                    zone="abc"[number % 3],
+                    port=1000 + len(self.servers),
+                )
+                server = _Server(
+                    loop=loop,
+                    server=registration,
+                    random=self.random,
+                    service_times_s={b"/find": _SERVICE_TIME_S},
+                    is_harmful=is_harmful,
+                )
+                self.servers.append(server)
+                loop.add_endpoint(registration.address, server)
+        self.handlers: list[request_handler.RequestHandler] = []
+        self._names = tuple(f"h{i}" for i in range(hosts))
+
+    @property
+    def crashes_s(self) -> list[float]:
+        """The times of all crashes, in their order."""
+        return sorted(
+            at_s for server in self.servers for at_s in server.crashes_s
+        )
+
+    def run(self, play: Callable[["_Fleet"], object]) -> None:
+        """Runs a coroutine function on the fleet."""
+        self.loop.run_until_complete(self._run(play))
+
+    async def _run(self, play) -> None:
+        self.handlers = [self._make_handler(name) for name in self._names]
+        task = self.loop.create_task(self._serve())
+        await play(self)
+        task.cancel()
+        for handler in self.handlers:
+            handler.registry.close()
+
+    def _make_handler(self, name: str) -> request_handler.RequestHandler:
+        handler = request_handler.RequestHandler(
+            own=fakes.make_host(name),
+            names=fakes.NAMES,
+            extra_attempt_bound=hedging.ExtraAttemptBound(0.2, 258.0, 10.0),
+            cold_start_bound=cold_start.ColdStartBound(1.5, 5.0),
+            random=random_module.Random(self.random.random()),
+            log=self.log,
+            metrics=metrics.Metrics(),
+        )
+        handler.set_hosts(len(self._names), self._names)
+        handler.set_extra_share(1.0 / len(self._names))
+        handler.apply_configuration(
+            fakes.make_configuration(
+                routes=(self._route,), services=tuple(self._services)
+            )
+        )
+        for server in self.servers:
+            handler.registry.set_server(server.server.id, server.server, 1)
+        return handler
+
+    async def _serve(self) -> None:
+        """Does what hosts do from time to time."""
+        steps = round(_HEARTBEAT_PERIOD_S / 0.05)
+        count = 0
+        while True:
+            await asyncio.sleep(0.05)
+            now = self.loop.time()
+            count += 1
+            for number, handler in enumerate(self.handlers):
+                handler.registry.sweep(now)
+                if (count + number) % steps == 0:
+                    self._exchange(number, now)
+
+    def _exchange(self, sender: int, now: float) -> None:
+        entries = self.handlers[sender].quarantine.list_gossip(
+            now, crash_gossip.MAX_ENTRIES
+        )
+        if not entries:
+            return
+        datagram = crash_gossip.encode(entries, now)
+        for number, handler in enumerate(self.handlers):
+            if number != sender and (sender, number) not in self.cut:
+                handler.add_crash_gossip(crash_gossip.decode(datagram, now))
+
+    async def send(
+        self, host: int, request_id: str, target: str, budget_s: float = 2.0
+    ) -> listener.Response:
+        """Sends a request to a host and returns the response."""
+        request = messages.Request(
+            method=b"GET",
+            target=target.encode(),
+            headers=[
+                (b"Host", self._route.host.encode()),
+                (b"X-Id", request_id.encode()),
+                (b"X-Budget", b"%d" % round(budget_s * 1000)),
+            ],
+            body=b"",
+            received_s=self.loop.time(),
+        )
+        return await self.handlers[host].handle(request)
+
+    async def send_harmful(
+        self, *, tries: int, interval_s: float = 1.3
+    ) -> None:
+        """Sends the harmful request again and again, to one host after another.
+
+        The caller sends the next try only after the last one's answer.
+        """
+        for number in range(tries):
+            request_id = f"try{number}"
+            self.sent.append((request_id, self.loop.time()))
+            response = await self.send(
+                number % len(self.handlers), request_id, _HARMFUL_TARGET
+            )
+            self.statuses.append(response.status)
+            await asyncio.sleep(interval_s)
+
+    def list_late_tries(self) -> list[str]:
+        """Returns the tries that were harmful and reached a server too late."""
+        crashes_s = self.crashes_s
+        assert len(crashes_s) >= _CRASHES_ALLOWED
+        known_s = crashes_s[_CRASHES_ALLOWED - 1] + _CONTACT_S
+        reached = {
+            arrival.request_id
+            for server in self.servers
+            for arrival in server.arrivals
+        }
+        return [
+            request_id
+            for request_id, at_s in self.sent
+            if at_s > known_s and request_id in reached
+        ]
+
+
+def test_request_that_crashes_the_servers_of_one_service_is_stopped():
+    # A route over two services: one of them crashes, the other answers.
+    loop = virtual_time.VirtualTimeLoop()
+    services = ("old", "new")
+    route = fakes.make_route()._replace(
+        split=tuple(model.WeightedService(name, 1.0) for name in services)
+    )
+    fleet = _Fleet(
+        loop=loop,
+        route=route,
+        services=services,
+        hosts=1,
+        is_harmful=lambda server_id: server_id.startswith("new"),
+    )
+    fleet.run(lambda each: each.send_harmful(tries=30))
+    late = fleet.list_late_tries()
+    assert len(late) <= _TRIES_ALLOWED, late
