Tests of the real request handler's question before each send

Cause: `RequestHandler.is_blocked` could be made to return False and no test failed, since `upstream_test` asks a fake and the tests of the quarantine ask the module itself. A verdict that arrives while a request waits for its connection is noticed by this question only.

The tests run the real request handler in virtual time: idempotent and other requests that wait for a new connection, one that waits for a busy one, a request of another fingerprint, and one that comes again after the quarantine.

--- a/eelgrasshall/gateway/request_handler_test.py
+++ b/eelgrasshall/gateway/request_handler_test.py
@@ -10,6 +10,8 @@
 import random as random_module
 from typing import NamedTuple
 
+import pytest
+
 from eelgrasshall.gateway import cold_start
 from eelgrasshall.gateway import crash_gossip
 from eelgrasshall.gateway import fakes
@@ -18,6 +20,7 @@
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import metrics
 from eelgrasshall.gateway import model
+from eelgrasshall.gateway import quarantine
 from eelgrasshall.gateway import request_handler
 from eelgrasshall.gateway import simulated_server
 from eelgrasshall.gateway import virtual_time
@@ -120,6 +123,10 @@
                 )
         self.loop.call_later(_DOWN_TIME_S, self._restart)
 
+    def is_reached_by(self, request_id: str) -> bool:
+        """Returns whether a try of the harmful request has arrived."""
+        return any(each.request_id == request_id for each in self.arrivals)
+
     def _restart(self) -> None:
         self._down = False
 
@@ -186,10 +193,12 @@
     async def _run(self, play) -> None:
         self.handlers = [self._make_handler(name) for name in self._names]
         task = self.loop.create_task(self._serve())
-        await play(self)
-        task.cancel()
-        for handler in self.handlers:
-            handler.registry.close()
+        try:
+            await play(self)
+        finally:
+            task.cancel()
+            for handler in self.handlers:
+                handler.registry.close()
 
     def _make_handler(self, name: str) -> request_handler.RequestHandler:
         handler = request_handler.RequestHandler(
@@ -274,17 +283,16 @@
         crashes_s = self.crashes_s
         assert len(crashes_s) >= _CRASHES_ALLOWED
         known_s = crashes_s[_CRASHES_ALLOWED - 1] + _CONTACT_S
-        reached = {
-            arrival.request_id
-            for server in self.servers
-            for arrival in server.arrivals
-        }
         return [
             request_id
             for request_id, at_s in self.sent
-            if at_s > known_s and request_id in reached
+            if at_s > known_s and self.is_reached_by(request_id)
         ]
 
+    def is_reached_by(self, request_id: str) -> bool:
+        """Returns whether a try of the harmful request reached a server."""
+        return any(each.is_reached_by(request_id) for each in self.servers)
+
 
 def test_request_that_crashes_the_servers_of_one_service_is_stopped():
     # A route over two services: one of them crashes, the other answers.
@@ -303,3 +311,103 @@
     fleet.run(lambda each: each.send_harmful(tries=30))
     late = fleet.list_late_tries()
     assert len(late) <= _TRIES_ALLOWED, late
+
+
+def _make_fleet(
+    *,
+    hosts: int = 1,
+    replicas: int = 3,
+    is_harmful: Callable[[str], bool] = lambda server_id: True,
+    **changes: object,
+) -> _Fleet:
+    """Returns a fleet whose route goes to a single service."""
+    return _Fleet(
+        loop=virtual_time.VirtualTimeLoop(),
+        route=fakes.make_route(**changes),
+        services=("orders",),
+        hosts=hosts,
+        replicas=replicas,
+        is_harmful=is_harmful,
+    )
+
+
+async def _send_during_verdict(
+    fleet: _Fleet, *, target: str, verdict_s: float
+) -> listener.Response:
+    """Sends a request that is found out a while after its arrival."""
+    task = fleet.loop.create_task(fleet.send(0, "a1", target))
+    await asyncio.sleep(verdict_s)
+    fingerprint = messages.compute_fingerprint(
+        fakes.make_request(_HARMFUL_TARGET)
+    )
+    fleet.handlers[0].add_crash_gossip(
+        [quarantine.Verdict(fingerprint, fleet.loop.time() + 60.0)]
+    )
+    return await task
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_request_that_is_found_out_while_it_waits_to_be_sent_is_refused(
+    idempotent,
+):
+    # It waits for a connection, which takes longer to open than the verdict
+    # takes to arrive; nothing but the question before the send stops it.
+    fleet = _make_fleet(idempotent=idempotent)
+
+    async def play(fleet: _Fleet) -> None:
+        response = await _send_during_verdict(
+            fleet, target=_HARMFUL_TARGET, verdict_s=0.003
+        )
+        assert response.status == 503
+        retry_after = dict(response.headers)[fakes.NAMES.retry_after]
+        assert float(retry_after) > 50.0
+
+    fleet.run(play)
+    assert not fleet.is_reached_by("a1")
+
+
+def test_request_that_waits_for_a_busy_connection_is_refused_when_found_out():
+    # The only connections are in use by other requests.
+    fleet = _make_fleet(replicas=1)
+
+    async def play(fleet: _Fleet) -> None:
+        (backend,) = fleet.handlers[0].find_candidates("orders")
+        backend.connection_limit = 1
+        busy = fleet.loop.create_task(fleet.send(0, "b1", "/find/other"))
+        await asyncio.sleep(0.01)
+        response = await _send_during_verdict(
+            fleet, target=_HARMFUL_TARGET, verdict_s=0.002
+        )
+        assert response.status == 503
+        assert (await busy).status == 200
+
+    fleet.run(play)
+    assert not fleet.is_reached_by("a1")
+
+
+def test_verdict_stops_no_other_request():
+    fleet = _make_fleet()
+
+    async def play(fleet: _Fleet) -> None:
+        response = await _send_during_verdict(
+            fleet, target="/find/other", verdict_s=0.003
+        )
+        assert response.status == 200
+
+    fleet.run(play)
+
+
+def test_request_is_sent_again_after_its_quarantine():
+    fleet = _make_fleet(is_harmful=lambda server_id: False)
+
+    async def play(fleet: _Fleet) -> None:
+        await _send_during_verdict(
+            fleet, target=_HARMFUL_TARGET, verdict_s=0.003
+        )
+        await asyncio.sleep(61.0)
+        response = await fleet.send(0, "a2", _HARMFUL_TARGET)
+        assert response.status == 200
+
+    fleet.run(play)
+    assert not fleet.is_reached_by("a1")
+    assert fleet.is_reached_by("a2")
