Failing test: an error of the handler leaves a request without an answer

An exception in the handler ended the task of the connection. Nothing was written, the connection stayed open, and as requests that wait on a connection exempt it from time-outs, those behind it waited without end.

Seen: FAILED listener_test.py::test_error_of_the_handler_is_answered TimeoutError (no byte within 2 s); "Task exception was never retrieved"

--- a/eelgrasshall/gateway/listener_test.py
+++ b/eelgrasshall/gateway/listener_test.py
@@ -204,3 +204,18 @@
         writer.write(b"0\r\n\r\n")
         assert b" 200 " in await _read(reader)
         assert len(received[0].body) == 20_000
+
+
+async def test_error_of_the_handler_is_answered():
+    # The request got no answer, and those behind it on the connection waited
+    # without end.
+    async def handle(request):
+        if request.target == b"/1":
+            raise ValueError("broken")
+
+    async with _open_connection(handle) as (_, reader, writer, _):
+        writer.write(_GET.replace(b"/x", b"/1") + _GET.replace(b"/x", b"/2"))
+        data = b""
+        while data.count(b"HTTP/1.1") < 2:
+            data += await _read(reader)
+        assert data.startswith(b"HTTP/1.1 500 ") and data.endswith(b"/2")
