An error of the handler is logged and answered with 500

Cause: the task that processes a connection's requests had no except clause. An exception ended it without an answer and without a line in the log, and the requests behind it on the connection were never processed.

Change: the listener answers 500, which promises nothing, since the request may have run. It goes on with the next request, and the host logs `handler_error` with reason and traceback and counts it.

--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 import json
 import random as random_module
+import traceback
 from typing import Any
 from typing import NamedTuple
 
@@ -280,6 +281,23 @@
             return listener.Response(200, [], self._render_metrics())
         return listener.Response(404, [], b"")
 
+    def _log_handler_error(
+        self, request: messages.Request, error: Exception
+    ) -> None:
+        """Logs an error that ended a request."""
+        self._metrics.count("handler_errors")
+        if not self._log.allow_request_line(failed=True):
+            return
+        names = self._options.names
+        request_id = request.get_header(names.request_id) or b""
+        self._log.record(
+            "handler_error",
+            id=request_id.decode("latin-1"),
+            path=request.path,
+            reason=repr(error),
+            trace="".join(traceback.format_tb(error.__traceback__)),
+        )
+
     def _answer_directory(self) -> listener.Response:
         """Returns the addresses of the hosts that callers should use."""
         hosts = directory.select_hosts(self._list_active_hosts())
@@ -624,7 +642,9 @@
     def _make_listener(self, handler: listener.Handler) -> listener.Listener:
         """Creates a listener with the limits of the current configuration."""
         return listener.Listener(
-            handler=handler, get_limits=self._request_handler.get_caller_limits
+            handler=handler,
+            get_limits=self._request_handler.get_caller_limits,
+            on_error=self._log_handler_error,
         )
 
 
--- a/eelgrasshall/gateway/host_test.py
+++ b/eelgrasshall/gateway/host_test.py
@@ -10,6 +10,7 @@
 from eelgrasshall.gateway import crash_gossip
 from eelgrasshall.gateway import events
 from eelgrasshall.gateway import fakes
+from eelgrasshall.gateway import fanout
 from eelgrasshall.gateway import heartbeats
 from eelgrasshall.gateway import hedging
 from eelgrasshall.gateway import host as host_module
@@ -248,6 +249,31 @@
         assert "turned_away" not in host.dump()["counters"]
 
 
+async def test_error_in_a_request_is_answered_and_logged(monkeypatch):
+    # Such an error left the request without an answer and the log without a
+    # line.
+    store = _FakeStore()
+    store.write(_CONFIGURATION, "main", 5, _make_configuration(7, "/new/"))
+    async with _run_host(store, port=19470) as (host, call):
+        await asyncio.sleep(0.1)
+        lines = []
+        monkeypatch.setattr(
+            host._log,
+            "record",
+            lambda event, **fields: lines.append((event, fields)),
+        )
+        monkeypatch.setattr(
+            host._request_handler, "_compute_timeout", lambda *args: 1 / 0
+        )
+        monkeypatch.setattr(
+            fanout, "find_return_s", lambda *args, **kwargs: None
+        )
+        assert (await call("/new/x"))[0] == 500
+        (fields,) = [f for event, f in lines if event == "handler_error"]
+        assert fields["id"] == "a1" and "ZeroDivisionError" in fields["reason"]
+        assert host.dump()["counters"]["handler_errors"] == 1
+
+
 async def test_admission_queues_of_removed_services_are_discarded():
     async with _run_host(_FakeStore(), port=19460) as (host, _):
         handler = host._request_handler
--- a/eelgrasshall/gateway/listener.py
+++ b/eelgrasshall/gateway/listener.py
@@ -42,6 +42,7 @@
 
 
 Handler = Callable[[messages.Request], Awaitable[Response]]
+ErrorCallback = Callable[[messages.Request, Exception], None]
 
 
 class Listener:
@@ -50,6 +51,8 @@
     Args:
       handler: Coroutine function that answers a request.
       get_limits: Returns the limits in force.
+      on_error: Called with an error of the handler, and the request that is
+        answered with 500 for it; by default the event loop logs the error.
     """
 
     def __init__(
@@ -57,9 +60,11 @@
         *,
         handler: Handler,
         get_limits: Callable[[], model.CallerLimits],
+        on_error: ErrorCallback | None = None,
     ):
         self.handler = handler
         self.get_limits = get_limits
+        self._on_error = on_error
         self.draining = False
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -109,6 +114,22 @@
         if self._server is not None:
             self._server.close()
 
+    async def answer(self, request: messages.Request) -> Response:
+        """Returns the handler's response, or 500 after an error of it.
+
+        The request may have run, so the status promises nothing.
+        """
+        try:
+            return await self.handler(request)
+        except Exception as error:
+            if self._on_error is not None:
+                self._on_error(request, error)
+            else:
+                asyncio.get_running_loop().call_exception_handler(
+                    {"message": "error of a handler", "exception": error}
+                )
+            return Response(500, [], b"")
+
     def _sweep(self) -> None:
         """Closes the connections that have timed out."""
         loop = asyncio.get_running_loop()
@@ -336,7 +357,7 @@
         try:
             while self._queue and self._transport is not None:
                 request = self._queue.popleft()
-                response = await self._listener.handler(request)
+                response = await self._listener.answer(request)
                 self._idle_since_s = self._loop.time()
                 if self._transport is None:
                     return
