A time budget of any length is accepted

A time budget of more than 308 digits raised OverflowError, one of more than 4,300 ValueError, both inside the header limit: the request was read and got no answer. It now counts as no limit beside the time-out of the route.

Before: FAILED host_test.py::test_time_budget_of_any_length_is_accepted OverflowError: int too large to convert to float After: passes. The users' callers hardly send this; it is the one error of a handler that was found to be reachable from outside.

--- a/eelgrasshall/gateway/host_test.py
+++ b/eelgrasshall/gateway/host_test.py
@@ -403,3 +403,14 @@
         assert (
             handler._find_queue(("orders",), route).limiter.limit == limit / 2
         )
+
+
+async def test_time_budget_of_any_length_is_accepted():
+    # A number too large for a float, or of more digits than int() accepts,
+    # raised an error: the request got no answer.
+    async with _run_host(_FakeStore(), port=19600) as (host, _):
+        route = fakes.make_route(timeout_s=2.0)
+        for text in ("9" * 10, "9" * 400, "9" * 5000, "0" * 5000 + "9" * 5):
+            request = fakes.make_request(headers=(("X-Budget", text),))
+            timeout_s = host._request_handler._compute_timeout(request, route)
+            assert timeout_s == 2.0
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -32,6 +32,9 @@
 # Quantile of attempt latency taken as the duration of a request: a search ends
 # with the slowest of about ten shards, which is near this quantile.
 EXPECTED_QUANTILE = 0.95
+# Digits of a time budget in milliseconds above which it exceeds any time-out;
+# far more than that cannot be converted.
+MAX_TIME_BUDGET_DIGITS = 12
 
 
 class RequestHandler:
@@ -334,9 +337,14 @@
         the time-out of the route.
         """
         text = request.get_header(self.names.time_budget)
-        if text is not None and text.isdigit():
-            return min(int(text) / 1000.0, route.timeout_s)
-        return route.timeout_s
+        if (
+            text is None
+            or not text.isdigit()
+            or len(text.lstrip(b"0")) > MAX_TIME_BUDGET_DIGITS
+        ):
+            return route.timeout_s
+        # Zeros in front may still be more than can be converted.
+        return min(int(text.lstrip(b"0") or b"0") / 1000.0, route.timeout_s)
 
     # Implementation of fanout.Context.
 
