Fleet: cuts single hosts off from all backend servers

Weighed: - Finding the owner of an accepted connection by its socket (as measure/latency does): the proxy knows only after the kernel has accepted, so the host sees a connection that opens and breaks. It cannot tell then whether a request on it was received, and a test could not demand a refusal as not executed. - A source address for each host: needs a setting that the product lacks. - Other addresses in the store for each host: hosts exchange what they read. - An address translation in front of the program (chosen): linked_program runs the program on a loop that connects to ports of the host's own. The port of a link can be closed, which refuses connections, and its backlog be filled, which lets connecting hang: both happen before a connection is open.

Change: - FaultProxy listens on links beside its main address; cut and mend take a link. HANG: open connections are silent, connecting hangs. RESET: open ones are reset, connecting is refused. REFUSE_NEW: open ones work. A link stays cut over restore and over a restart of the proxy. - Fleet(links=True), cut_host, mend_host, count_sent. Without links the hosts run as before.

What a hang here does not show: data sent on an open connection is acknowledged by the proxy's kernel, so TCP_USER_TIMEOUT does not come into it.

--- a/eelgrasshall/platform/fault_proxy_test.py
+++ b/eelgrasshall/platform/fault_proxy_test.py
@@ -9,10 +9,14 @@
 from eelgrasshall.platform import fault_proxy
 
 _ADDRESS = model.Address("127.0.0.1", 22900)
+_LINKS = {
+    "cut": model.Address("127.0.0.1", 22901),
+    "uncut": model.Address("127.0.0.1", 22902),
+}
 
 
 @contextlib.asynccontextmanager
-async def _run():
+async def _run(*, links=None):
     """Runs a proxy in front of an echo server."""
 
     async def echo(reader, writer):
@@ -23,7 +27,7 @@
     server = await asyncio.start_server(echo, "127.0.0.1", 0)
     target = model.Address("127.0.0.1", server.sockets[0].getsockname()[1])
     proxy = fault_proxy.FaultProxy(target=target)
-    await proxy.start(_ADDRESS)
+    await proxy.start(_ADDRESS, links=links)
     try:
         yield proxy
     finally:
@@ -95,3 +99,92 @@
         assert await _exchange(other, b"three") == b"three"
         connection[1].close()
         other[1].close()
+
+
+@contextlib.asynccontextmanager
+async def _run_links():
+    """Runs a proxy with two links, each with an open connection."""
+    async with _run(links=_LINKS) as proxy:
+        connections = {
+            link: await asyncio.open_connection(*address)
+            for link, address in _LINKS.items()
+        }
+        for connection in connections.values():
+            assert await _exchange(connection, b"one") == b"one"
+        yield proxy, connections
+        for _, writer in connections.values():
+            writer.close()
+
+
+async def _check_uncut(connections) -> None:
+    """Checks that the link that was not cut works as before."""
+    assert await _exchange(connections["uncut"], b"two") == b"two"
+    other = await asyncio.open_connection(*_LINKS["uncut"])
+    assert await _exchange(other, b"three") == b"three"
+    other[1].close()
+
+
+async def test_hanging_link_holds_open_connections_and_accepts_none():
+    async with _run_links() as (proxy, connections):
+        for data in (b"two", b"three"):
+            proxy.cut("cut", fault_proxy.Cut.HANG)
+            assert await _exchange(connections["cut"], data) == b""
+            for _ in range(3):
+                with pytest.raises(TimeoutError):
+                    await asyncio.wait_for(
+                        asyncio.open_connection(*_LINKS["cut"]), 0.1
+                    )
+            await _check_uncut(connections)
+            proxy.restore()
+            assert await _exchange(connections["cut"], b"") == b""
+            proxy.mend("cut")
+            assert await _exchange(connections["cut"], b"") == data
+            other = await asyncio.open_connection(*_LINKS["cut"])
+            assert await _exchange(other, b"four") == b"four"
+            other[1].close()
+
+
+async def test_reset_link_resets_open_connections_and_refuses_new_ones():
+    async with _run_links() as (proxy, connections):
+        for _ in range(2):
+            proxy.cut("cut", fault_proxy.Cut.RESET)
+            with pytest.raises(ConnectionResetError):
+                await connections["cut"][0].readexactly(1)
+            with pytest.raises(ConnectionRefusedError):
+                await asyncio.open_connection(*_LINKS["cut"])
+            await _check_uncut(connections)
+            proxy.mend("cut")
+            connections["cut"] = await asyncio.open_connection(*_LINKS["cut"])
+            assert await _exchange(connections["cut"], b"two") == b"two"
+
+
+async def test_refusing_link_serves_only_open_connections():
+    async with _run_links() as (proxy, connections):
+        for _ in range(2):
+            proxy.cut("cut", fault_proxy.Cut.REFUSE_NEW)
+            assert await _exchange(connections["cut"], b"two") == b"two"
+            with pytest.raises(ConnectionRefusedError):
+                await asyncio.open_connection(*_LINKS["cut"])
+            await _check_uncut(connections)
+            proxy.mend("cut")
+            other = await asyncio.open_connection(*_LINKS["cut"])
+            assert await _exchange(other, b"three") == b"three"
+            other[1].close()
+
+
+@pytest.mark.parametrize("kind", list(fault_proxy.Cut))
+async def test_link_stays_cut_when_the_proxy_starts_again(kind):
+    async with _run_links() as (proxy, connections):
+        proxy.cut("cut", kind)
+        proxy.stop()
+        await proxy.start(_ADDRESS, links=_LINKS)
+        with pytest.raises((ConnectionRefusedError, TimeoutError)):
+            await asyncio.wait_for(asyncio.open_connection(*_LINKS["cut"]), 0.1)
+        connections["uncut"] = await asyncio.open_connection(*_LINKS["uncut"])
+        await _check_uncut(connections)
+
+
+async def test_sent_data_is_counted_for_each_link():
+    async with _run_links() as (proxy, connections):
+        assert await _exchange(connections["cut"], b"two") == b"two"
+        assert proxy.sent_counts == {"cut": 2, "uncut": 1}
--- a/eelgrasshall/platform/fleet.py
+++ b/eelgrasshall/platform/fleet.py
@@ -3,7 +3,9 @@
 The store and the backend servers are fakes in this process; the entry hosts
 are processes of the real program, each with its own settings file.  Each host
 reaches the store through a fault proxy of its own; each backend server has one
-fault proxy, which all hosts share.
+fault proxy, which all hosts share.  With links, each host connects to these
+proxies on ports of its own, so that single hosts can be cut off from all
+backend servers.
 """
 
 import asyncio
@@ -194,6 +196,8 @@
       replicas: Number of backend servers of each service.
       extra_attempts: The bound on extra attempts, for each request and beside
         that.
+      links: Whether each host has links of its own to the backend servers.
+        They take one more port for each pair.
     """
 
     def __init__(
@@ -205,9 +209,11 @@
         shards: int = 3,
         replicas: int = 2,
         extra_attempts: tuple[float, float] = (0.2, 54.0),
+        links: bool = False,
     ):
         self._folder = folder
         self._extra_attempts = extra_attempts
+        self._links = links
         self._port = port
         self.store = fake_store.FakeStore()
         self._store_address = model.Address("127.0.0.1", port)
@@ -254,9 +260,7 @@
         for name, server in self.servers.items():
             server.on_crash = self.crash_server
             await server.start(self._addresses[name])
-            await self.server_proxies[name].start(
-                self._find_proxy_address(name)
-            )
+            await self._start_server_proxy(name)
             self.register_server(name)
         self.publish_configuration()
         for name in self.host_names:
@@ -281,6 +285,22 @@
         """Returns the proxies to the store and to the backend servers."""
         return [*self.store_proxies.values(), *self.server_proxies.values()]
 
+    def cut_host(self, name: str, kind: fault_proxy.Cut) -> None:
+        """Cuts a host off from all backend servers; needs links."""
+        for proxy in self.server_proxies.values():
+            proxy.cut(name, kind)
+
+    def mend_host(self, name: str) -> None:
+        """Ends the cut of a host, if there is one."""
+        for proxy in self.server_proxies.values():
+            proxy.mend(name)
+
+    def count_sent(self, name: str) -> int:
+        """Returns how much a host has sent to servers, as pieces of data."""
+        return sum(
+            proxy.sent_counts[name] for proxy in self.server_proxies.values()
+        )
+
     def register_server(self, name: str, *, state: str = "ready") -> None:
         """Writes the registration of a backend server to the store."""
         index = int(name.rpartition("-")[2])
@@ -314,7 +334,7 @@
         self.servers[name].started_at_ms += 1
         if self.on_restart is not None:
             self.on_restart(name)
-        await self.server_proxies[name].start(self._find_proxy_address(name))
+        await self._start_server_proxy(name)
         del self._crashed[name]
         self.register_server(name)
 
@@ -390,7 +410,7 @@
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "eelgrasshall.platform.program",
+                *self._list_program_arguments(name),
                 stdout=log,
                 stderr=log,
                 env={**os.environ, "EELGRASSHALL_NODE_FILE": str(path)},
@@ -462,6 +482,30 @@
         target = self._addresses[name]
         return target._replace(port=target.port + len(self.servers))
 
+    async def _start_server_proxy(self, name: str) -> None:
+        """Starts the fault proxy of a backend server."""
+        address = self._find_proxy_address(name)
+        links = {}
+        if self._links:
+            for host in self.host_names:
+                port = address.port + self._find_link_shift(host)
+                links[host] = address._replace(port=port)
+        await self.server_proxies[name].start(address, links=links)
+
+    def _find_link_shift(self, host: str) -> int:
+        """Returns the distance from a server's port to that for a host."""
+        return (self.host_names.index(host) + 1) * len(self.servers)
+
+    def _list_program_arguments(self, name: str) -> list[str]:
+        """Returns the module that runs a host, and its arguments."""
+        if not self._links:
+            return ["eelgrasshall.platform.program"]
+        first = min(
+            self._find_proxy_address(each).port for each in self.servers
+        )
+        numbers = (first, len(self.servers), self._find_link_shift(name))
+        return ["eelgrasshall.platform.linked_program", *map(str, numbers)]
+
     def _open_log(self, name: str) -> BinaryIO:
         """Opens the log file of a host for appending."""
         return (self._folder / f"{name}.log").open("ab")
