A host notices that it has lost its links, says so, and is not used

Cause: a host took each server for down by itself and its heartbeat does not say that it reaches none; it stayed active, and the directory named it. The class of fault is a host that judges others by what it observes, without asking whether it can observe.

Heartbeats carry it (told to all hosts at once), active hosts are chosen among those with links, a host with little traffic checks its own links when another loses them, and single servers are not probed meanwhile but used again at once afterwards. In tables of heartbeats it is a combination that had no meaning, in headers a rate below 0, which hosts of earlier versions read as 0.

Weighed: the share of unreachable servers (servers that fail together look the same, and servers that are not used are not known); asking the other hosts whether they reach a server (a message and a wait for each); the silence of all servers (costs a look at every server ten times a second).

Callers who come to a cut host before they have new addresses are still refused; that is the next change.

--- a/eelgrasshall/gateway/active_hosts.py
+++ b/eelgrasshall/gateway/active_hosts.py
@@ -38,10 +38,12 @@
     Attributes:
       host: The host.
       attempts_per_s: Attempts per second that it sends to backend servers.
+      reaches_servers: Whether it reaches backend servers at all.
     """
 
     host: model.Host
     attempts_per_s: float
+    reaches_servers: bool = True
 
 
 def estimate_capacity(host: model.Host) -> float:
@@ -56,9 +58,13 @@
 def choose_active_hosts(loads: Sequence[HostLoad]) -> list[model.Host]:
     """Returns the hosts that should be active.
 
+    Hosts that reach no backend server are not, unless no host reaches one.
+
     Args:
       loads: The hosts that are ready.
     """
+    linked = [load for load in loads if load.reaches_servers]
+    loads = linked or loads
     needed = sum(load.attempts_per_s for load in loads)
     zones: dict[str, list[model.Host]] = {}
     for host in sorted((load.host for load in loads), key=_sort_key):
--- a/eelgrasshall/gateway/active_hosts_test.py
+++ b/eelgrasshall/gateway/active_hosts_test.py
@@ -47,6 +47,18 @@
     assert capacity >= 600.0 * 74 or len(high_load) == 74
 
 
+def test_hosts_on_standby_replace_those_that_reach_no_server():
+    loads = _make_loads(large=6, small=68)
+    before = active_hosts.choose_active_hosts(loads)
+    loads = [
+        load._replace(reaches_servers=load.host not in before) for load in loads
+    ]
+    chosen = active_hosts.choose_active_hosts(loads)
+    assert not set(chosen) & set(before)
+    assert len(chosen) >= active_hosts.MIN_ACTIVE_HOSTS
+    assert {host.zone for host in chosen} == set(_ZONES)
+
+
 def test_small_fleet_is_active_as_a_whole():
     assert (
         len(active_hosts.choose_active_hosts(_make_loads(large=0, small=2)))
--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -117,6 +117,7 @@
         self.began_s: list[float] = []
         self.alive: list[upstream.Backend] = []
         self.blocked: set[attempts.Attempt] = set()
+        self.connected: list[upstream.Backend] = []
         self.unreachable: list[upstream.Backend] = []
         self.misdirected: list[upstream.Backend] = []
         self.leaving: list[upstream.Backend] = []
@@ -140,6 +141,10 @@
         """Records that a server answered after an unanswered attempt."""
         self.alive.append(backend)
 
+    def on_connected(self, backend: upstream.Backend) -> None:
+        """Records a server to which a connection was opened."""
+        self.connected.append(backend)
+
     def on_unreachable(self, backend: upstream.Backend) -> None:
         """Records a server that could not be reached."""
         self.unreachable.append(backend)
--- a/eelgrasshall/gateway/heartbeats.py
+++ b/eelgrasshall/gateway/heartbeats.py
@@ -23,6 +23,11 @@
 # Highest rate level of a status byte.  Level n stands for a rate of
 # sqrt(2) ** (n - 1), and level 0 for a rate of 0.
 MAX_LEVEL = 31
+# A ready host that reaches no backend server has no rate.  A header states this
+# one, which hosts of earlier versions read as 0; in a table it has the
+# state of a host that was not heard, with this level.
+UNLINKED_RATE = -1
+UNLINKED_LEVEL = 1
 # Beats are counted modulo this.  A beat is newer than another one if it is less
 # than half of this ahead.
 BEAT_MODULUS = 0x100
@@ -46,12 +51,14 @@
       state: Whether the host serves requests.
       reaches_store: Whether it watches the store and gets answers.
       attempts_per_s: Attempts per second that it sends to backend servers.
+      reaches_servers: Whether it reaches backend servers at all.
     """
 
     beat: int
     state: State
     reaches_store: bool
     attempts_per_s: int
+    reaches_servers: bool = True
 
 
 class Header(NamedTuple):
@@ -96,25 +103,37 @@
 
 
 @functools.lru_cache(maxsize=4096)
-def _pack_status(state: State, reaches_store: bool, attempts_per_s: int) -> int:
+def _pack_status(
+    state: State,
+    reaches_store: bool,
+    attempts_per_s: int,
+    reaches_servers: bool,
+) -> int:
     """Packs all fields of a heartbeat but the beat into one byte."""
     level = 0
-    if attempts_per_s:
+    if state is State.READY and not reaches_servers:
+        state, level = State.UNHEARD, UNLINKED_LEVEL
+    elif attempts_per_s:
         level = min(round(2 * math.log2(attempts_per_s)) + 1, MAX_LEVEL)
     return state | reaches_store << 2 | level << 3
 
 
 @functools.lru_cache(maxsize=256)
-def _unpack_status(status: int) -> tuple[State, bool, int]:
+def _unpack_status(status: int) -> tuple[State, bool, int, bool]:
     """Unpacks a status byte."""
-    level = status >> 3
+    state, level = State(status & 3), status >> 3
+    if state is State.UNHEARD and level:
+        return State.READY, bool(status & 4), 0, False
     rate = round(2 ** ((level - 1) / 2)) if level else 0
-    return State(status & 3), bool(status & 4), rate
+    return state, bool(status & 4), rate, True
 
 
 def encode_header(header: Header) -> bytes:
     """Encodes the header of a datagram."""
     host = header.host
+    beat, state, reaches_store, rate, reaches_servers = header.heartbeat
+    if not reaches_servers:
+        rate = UNLINKED_RATE
     fields = [
         host.name,
         host.zone,
@@ -124,7 +143,7 @@
         host.cores,
         host.link_mbps,
         header.incarnation,
-        header.heartbeat,
+        [beat, state, reaches_store, rate],
         header.gossip,
         header.digest,
         header.named,
@@ -157,5 +176,6 @@
         State(state),
         bool(reaches_store),
         min(max(int(rate), 0), MAX_RATE),
+        int(rate) != UNLINKED_RATE,
     )
     return Header(host, incarnation, heartbeat, gossip, digest, bool(named))
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -138,6 +138,7 @@
             random=random,
             log=log,
             metrics=self._metrics,
+            on_links_changed=self._handle_links_changed,
         )
         self._registry = self._request_handler.registry
         self._object_cache = object_cache.ObjectCache(
@@ -165,12 +166,14 @@
             own=options.host,
             incarnation=incarnation,
             get_attempt_rate=self._get_attempt_rate,
+            reaches_servers=self._reaches_servers,
             loop=self._loop,
             random=random,
             reaches_store=self._reaches_store,
             get_gossip=self._build_gossip,
             on_gossip=self._handle_gossip,
             on_hosts_changed=self._schedule_share_update,
+            on_links_lost=self._request_handler.links.check_if_unproven,
             get_crash_datagram=self._build_crash_datagram,
             on_crash_datagram=self._handle_crash_datagram,
         )
@@ -249,7 +252,7 @@
         for extra in self._extra_listeners:
             extra.stop()
         self._peer_sync.stop()
-        self._registry.close()
+        self._request_handler.close()
         self._peers.stop()
         self._log.record("stopped", **self._metrics.counters)
 
@@ -318,6 +321,7 @@
                 "hosts_alive": len(self._peers.list_alive()) + 1,
                 "requests_in_flight": self._caller_listener.busy_count,
                 "store_reachable": int(self._reaches_store()),
+                "servers_reachable": int(self._reaches_servers()),
                 "log_lines_dropped": self._log.dropped,
             }
         )
@@ -341,6 +345,7 @@
                 for each in object_cache.Collection
             },
             "listens": self._reaches_store(),
+            "reaches_servers": self._reaches_servers(),
             "hosts": {
                 host.name: heartbeat._asdict()
                 for host, heartbeat in self._peers.list_alive()
@@ -589,6 +594,15 @@
         """Returns whether the watches of all collections are connected."""
         return all(each.connected for each in self._watchers)
 
+    def _reaches_servers(self) -> bool:
+        """Returns whether this host reaches backend servers."""
+        return not self._request_handler.links.lost
+
+    def _handle_links_changed(self) -> None:
+        """Tells all other hosts at once whether this one reaches servers."""
+        self._announce(self._peers.state)
+        self._update_shares()
+
     def _should_watch(self) -> bool:
         """Returns whether this host should watch the store."""
         now = self._loop.time()
--- a/eelgrasshall/gateway/peers.py
+++ b/eelgrasshall/gateway/peers.py
@@ -78,10 +78,13 @@
       reaches_store: Returns whether this host watches the store and gets
         answers.
       get_attempt_rate: Returns the attempts per second that this host sends.
+      reaches_servers: Returns whether this host reaches backend servers.
       get_gossip: Returns the further data that a heartbeat carries.
       on_gossip: Called with the sender's name and the data that a heartbeat
         carried.
       on_hosts_changed: Called when the set of known hosts has changed.
+      on_links_lost: Called when another host has lost its links to the backend
+        servers.
       get_crash_datagram: Returns the datagram with crash reports that is sent
         with the heartbeats of a period, or None.
       on_crash_datagram: Called with such a datagram of another host.
@@ -96,9 +99,11 @@
         random: random_module.Random,
         reaches_store: Callable[[], bool],
         get_attempt_rate: Callable[[], float],
+        reaches_servers: Callable[[], bool],
         get_gossip: Callable[[], list],
         on_gossip: Callable[[str, list], None],
         on_hosts_changed: Callable[[], None],
+        on_links_lost: Callable[[], None],
         get_crash_datagram: Callable[[], bytes | None],
         on_crash_datagram: Callable[[bytes], None],
     ):
@@ -109,9 +114,11 @@
         self._random = random
         self._reaches_store = reaches_store
         self._get_attempt_rate = get_attempt_rate
+        self._reaches_servers = reaches_servers
         self._get_gossip = get_gossip
         self._on_gossip = on_gossip
         self._on_hosts_changed = on_hosts_changed
+        self._on_links_lost = on_links_lost
         self._get_crash_datagram = get_crash_datagram
         self._on_crash_datagram = on_crash_datagram
         self._hosts: dict[str, model.Host] = {}
@@ -216,12 +223,16 @@
     def list_loads(self) -> list[active_hosts.HostLoad]:
         """Returns the loads of all hosts that are ready, this one included."""
         loads = [
-            active_hosts.HostLoad(host, heartbeat.attempts_per_s)
+            active_hosts.HostLoad(
+                host, heartbeat.attempts_per_s, heartbeat.reaches_servers
+            )
             for host, heartbeat in self.list_alive(heartbeats.State.READY)
         ]
         if self.state is heartbeats.State.READY:
             loads.append(
-                active_hosts.HostLoad(self._own, self._get_attempt_rate())
+                active_hosts.HostLoad(
+                    self._own, self._get_attempt_rate(), self._reaches_servers()
+                )
             )
         return loads
 
@@ -375,10 +386,14 @@
         incarnation: int | None,
     ) -> None:
         """Records a heartbeat of another host."""
+        old = self._records.get(name)
+        had_links = old is None or old.heartbeat.reaches_servers
         self._records[name] = _HeartbeatRecord(
             heartbeat, self._loop.time(), incarnation
         )
         self._roster.write(name, heartbeat)
+        if had_links and not heartbeat.reaches_servers:
+            self._on_links_lost()
 
     def _increment_beat(self) -> None:
         """Advances the sequence number of this host's heartbeats."""
@@ -388,7 +403,11 @@
         """Returns this host's heartbeat."""
         rate = min(int(self._get_attempt_rate()), heartbeats.MAX_RATE)
         return heartbeats.Heartbeat(
-            self._beat, self.state, self._reaches_store(), rate
+            self._beat,
+            self.state,
+            self._reaches_store(),
+            rate,
+            self._reaches_servers(),
         )
 
     def _tick(self) -> None:
--- a/eelgrasshall/gateway/peers_test.py
+++ b/eelgrasshall/gateway/peers_test.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import heapq
+import json
 import random
 
 from hypothesis import given
 from hypothesis import strategies
 import pytest
 
+from eelgrasshall.gateway import active_hosts
 from eelgrasshall.gateway import crash_gossip
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import heartbeats
@@ -24,11 +26,13 @@
         random=random.Random(1),
         reaches_store=lambda: True,
         get_attempt_rate=lambda: 12.0,
+        reaches_servers=lambda: True,
         get_gossip=lambda: [1, 2, 3, 4],
         on_gossip=lambda name, gossip: received.append((name, gossip)),
         get_crash_datagram=lambda: None,
         on_crash_datagram=lambda datagram: None,
         on_hosts_changed=lambda: None,
+        on_links_lost=lambda: None,
     )
     return protocol, received
 
@@ -197,11 +201,13 @@
             random=random.Random(host.name),
             reaches_store=lambda: True,
             get_attempt_rate=lambda: 12.0,
+            reaches_servers=lambda: True,
             get_gossip=lambda: [[1, 2, 3, 4], []],
             on_gossip=lambda name, gossip: None,
             get_crash_datagram=lambda: None,
             on_crash_datagram=lambda datagram: None,
             on_hosts_changed=lambda: None,
+            on_links_lost=lambda: None,
         )
         self.protocols[tuple(host.peer_address)] = protocol
         protocol.connection_made(self)
@@ -297,6 +303,53 @@
         assert min(rate, 32768) / 1.2 <= decoded.attempts_per_s <= rate * 1.2
 
 
+def test_heartbeat_of_a_host_without_links_survives_both_encodings():
+    for reaches_store in (False, True):
+        sent = heartbeats.Heartbeat(
+            7, heartbeats.State.READY, reaches_store, 0, False
+        )
+        header = heartbeats.Header(fakes.make_host(), 1, sent, [], 0, False)
+        decoded = heartbeats.decode_header(heartbeats.encode_header(header))
+        assert decoded.heartbeat == sent
+        assert heartbeats.decode_entry(*heartbeats.encode_entry(sent)) == sent
+
+
+def test_hosts_of_earlier_versions_read_the_header_of_a_host_without_links():
+    sent = heartbeats.Heartbeat(7, heartbeats.State.READY, True, 30, False)
+    header = heartbeats.Header(fakes.make_host(), 1, sent, [], 0, False)
+    fields = json.loads(heartbeats.encode_header(header))
+    # They expect four values, of which the last is taken to be 0 at least.
+    beat, state, reaches_store, rate = fields[8]
+    assert (beat, state, reaches_store) == sent[:3]
+    assert max(rate, 0) == 0
+
+
+async def test_a_host_without_links_is_active_only_if_all_have_lost_them():
+    first, second = _make_hosts(2, port=18960)
+    linked = {first.name: False, second.name: True}
+    protocols = []
+    for host in (first, second):
+        protocol, _ = _make_protocol(host)
+        protocol._reaches_servers = lambda name=host.name: linked[name]
+        protocols.append(protocol)
+        await protocol.start()
+    protocols[1].add_host(first)
+    for protocol in protocols:
+        protocol.announce(heartbeats.State.READY)
+    await asyncio.sleep(0.1)
+    for protocol in protocols:
+        chosen = active_hosts.choose_active_hosts(protocol.list_loads())
+        assert chosen == [second]
+    linked[second.name] = False
+    for protocol in protocols:
+        protocol.announce(heartbeats.State.READY)
+    await asyncio.sleep(0.1)
+    for protocol in protocols:
+        chosen = active_hosts.choose_active_hosts(protocol.list_loads())
+        assert sorted(chosen) == sorted([first, second])
+        protocol.stop()
+
+
 def test_out_of_range_rate_is_clamped():
     host = fakes.make_host()
     for rate, expected in ((-5, 0), (10**9, heartbeats.MAX_RATE)):
@@ -329,11 +382,13 @@
             random=random.Random(1),
             reaches_store=lambda: True,
             get_attempt_rate=lambda: 0.0,
+            reaches_servers=lambda: True,
             get_gossip=lambda: [[], []],
             on_gossip=lambda name, gossip: None,
             get_crash_datagram=lambda: datagram,
             on_crash_datagram=received.append,
             on_hosts_changed=lambda: None,
+            on_links_lost=lambda: None,
         )
         for host in (first, second)
     ]
--- a/eelgrasshall/gateway/registry.py
+++ b/eelgrasshall/gateway/registry.py
@@ -285,6 +285,36 @@
         self._probes[server_id] = task
         task.add_done_callback(lambda done: self._forget_probe(server_id, done))
 
+    def is_probed(self, backend: upstream.Backend) -> bool:
+        """Returns whether a server is probed because it is not reached."""
+        return backend.server.id in self._probes
+
+    def list_backends(self) -> list[upstream.Backend]:
+        """Returns the candidates of all services."""
+        return list(self._backends.values())
+
+    def suspend_probes(self) -> None:
+        """Ends all probes, while this host reaches no server."""
+        for task in self._probes.values():
+            task.cancel()
+        self._probes.clear()
+
+    def resume(self, since_s: float) -> None:
+        """Uses the servers again that became unreachable since a time.
+
+        Those that were unreachable before are probed.
+
+        Args:
+          since_s: Monotonic time.
+        """
+        for backend in self._backends.values():
+            if not backend.unreachable:
+                continue
+            if backend.unreachable_since_s >= since_s:
+                backend.trust_again()
+            else:
+                self.start_probe(backend)
+
     def _forget_probe(self, server_id: str, task: asyncio.Task) -> None:
         """Forgets a probe that has ended."""
         if self._probes.get(server_id) is task:
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 import random as random_module
 from typing import Any
@@ -18,6 +19,7 @@
 from eelgrasshall.gateway import events
 from eelgrasshall.gateway import fanout
 from eelgrasshall.gateway import hedging
+from eelgrasshall.gateway import links
 from eelgrasshall.gateway import listener
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import metrics as metrics_module
@@ -48,6 +50,8 @@
       random: The random number generator.
       log: The structured log.
       metrics: The metrics of this host.
+      on_links_changed: Called when this host has lost its links to the backend
+        servers, or has them back.
     """
 
     def __init__(
@@ -60,6 +64,7 @@
         random: random_module.Random,
         log: events.EventLog,
         metrics: metrics_module.Metrics,
+        on_links_changed: Callable[[], None] = lambda: None,
     ):
         self.names = names
         self.zone = own.zone
@@ -78,6 +83,15 @@
                 receive_buffer=connections.ReceiveBuffer(),
             )
         )
+        self.links = links.Links(
+            loop=self.loop,
+            random=random,
+            list_servers=self.registry.list_backends,
+            on_checked=lambda: None,
+            on_changed=self._handle_links_changed,
+            log=log,
+        )
+        self._on_links_changed = on_links_changed
         self._log = log
         self._metrics = metrics
         self._extra_attempt_bound = extra_attempt_bound
@@ -163,6 +177,11 @@
         """Adds the crash reports and verdicts of another host."""
         self.quarantine.add_gossip(entries, self.loop.time())
 
+    def close(self) -> None:
+        """Closes the connections to all backend servers."""
+        self.links.close()
+        self.registry.close()
+
     async def handle(self, request: messages.Request) -> listener.Response:
         """Answers a caller's request and logs it."""
         outcome, route, log_fields = await self._process(request)
@@ -422,10 +441,22 @@
         """Clears the requests that have not crashed the server."""
         self.quarantine.record_alive(backend.server.id, sent_s)
 
+    def on_connected(self, backend: upstream.Backend) -> None:
+        """Records that this host reaches a server."""
+        del backend
+        self.links.note_connected()
+
     def on_unreachable(self, backend: upstream.Backend) -> None:
-        """Reports the requests that may have crashed a server; probes it."""
+        """Reports the requests that may have crashed a server; probes it.
+
+        The server may also be fine, and this host's links lost.
+        """
         self._record_crash(backend)
-        self.registry.start_probe(backend)
+        if self.links.lost:
+            return
+        if not self.registry.is_probed(backend):
+            self.registry.start_probe(backend)
+            self.links.note_unreachable()
 
     def on_misdirected(self, backend: upstream.Backend) -> None:
         """Removes a server whose address another server answers at."""
@@ -446,6 +477,17 @@
             pause_s=pause_s,
         )
 
+    def _handle_links_changed(self) -> None:
+        """Stops the probes while this host reaches no server.
+
+        What it has taken for unreachable meanwhile it uses again afterwards.
+        """
+        if self.links.lost:
+            self.registry.suspend_probes()
+        else:
+            self.registry.resume(self.links.failing_since_s)
+        self._on_links_changed()
+
     def _log_verdict(
         self,
         verdict: quarantine.Verdict,
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -62,6 +62,9 @@
     def on_alive(self, backend: "Backend", sent_s: float) -> None:
         """Handles an answer to what was sent after an unanswered attempt."""
 
+    def on_connected(self, backend: "Backend") -> None:
+        """Handles a connection that was opened."""
+
     def on_unreachable(self, backend: "Backend") -> None:
         """Handles a failure to open a connection."""
 
@@ -122,6 +125,8 @@
         # The same as the latency ratio, without the time in the queue here.
         self.service_time_ratio = self.latency_ratio
         self.unreachable = False
+        # When it became unreachable last.
+        self.unreachable_since_s = -math.inf
         self.closed = False
         self._paused_until_s = 0.0
         # When the server was last known to be up, and when an attempt last
@@ -465,10 +470,23 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _connect(self) -> None:
+    async def check_connection(self) -> bool:
+        """Opens a connection for the pool; returns whether that succeeded."""
+        self._connecting += 1
+        return await self._connect()
+
+    def trust_again(self) -> None:
+        """Forgets that the server could not be reached."""
+        self.unreachable = False
+        self._error_rate = 0.0
+
+    async def _connect(self) -> bool:
         """Opens a connection and adds it to the pool.
 
         Fails all queued attempts if the server cannot be reached.
+
+        Returns:
+          Whether the connection was opened.
         """
         ip, port = self.server.address
         self.environment.count("connections_opened")
@@ -482,11 +500,13 @@
         except (OSError, TimeoutError):
             self._connecting -= 1
             self._mark_unreachable()
-            return
+            return False
         self._connecting -= 1
         self.unreachable = False
         self._alive_s = self.environment.loop.time()
+        self.environment.observer.on_connected(self)
         self.add_connection(connection)
+        return True
 
     def add_connection(self, connection: connections.Connection) -> None:
         """Adds a newly opened connection and sends the next attempt on it."""
@@ -498,8 +518,11 @@
 
     def _mark_unreachable(self) -> None:
         """Marks the server as unreachable and fails all queued attempts."""
-        self.unreachable = True
-        self._record_error(self.environment.loop.time())
+        now = self.environment.loop.time()
+        if not self.unreachable:
+            self.unreachable = True
+            self.unreachable_since_s = now
+        self._record_error(now)
         self.environment.observer.on_unreachable(self)
         self._fail_queued()
 
