Request that was never sent is refused at its deadline, not timed out

Cause: the deadline was answered with 504 whether or not an attempt had left this host, and an attempt that only waits for a connection counted as one that may have run when a request is refused early. Ruled out: attempts on kept connections that hang. Those were written, so 502 or 504 is all that can be said of them.

Change: what may have run is what was sent, or ended in a way that allows it. A request without any is refused with 503 and a time to come back; the attempts that wait are withdrawn in the same step, so that it stays true.

Test: a request that waits behind another on the only connection.

--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -528,7 +528,7 @@
         if now >= self._response_due_s:
             if enough:
                 return self._build_answer(answered)
-            return Outcome(Verdict.TIMED_OUT, 504, [], b"", 0, "deadline")
+            return self._time_out()
         return None
 
     def _build_answer(self, answered: list[ShardState]) -> Outcome:
@@ -556,9 +556,26 @@
         if shard.failed:
             return self._reject("no backend server answered")
         if now >= self._response_due_s:
-            return Outcome(Verdict.TIMED_OUT, 504, [], b"", 0, "deadline")
+            return self._time_out()
         return None
 
+    def _time_out(self) -> Outcome:
+        """Returns the outcome at the deadline.
+
+        A request of which no attempt was sent is refused, so that its caller
+        may send it again; the attempts that wait are withdrawn.
+        """
+        if not self._may_have_run():
+            return self._reject("deadline")
+        return Outcome(Verdict.TIMED_OUT, 504, [], b"", 0, "deadline")
+
+    def _may_have_run(self) -> bool:
+        """Returns whether a backend server may have run the request."""
+        return any(
+            shard.may_have_run or any(each.sent for each in shard.active)
+            for shard in self._shards
+        )
+
     def _reject(self, reason: str, wait_s: float | None = None) -> Outcome:
         """Returns a refusal, or a failure if the request may have run.
 
@@ -570,7 +587,7 @@
         quarantine_s = self._context.get_quarantine_s(self._request)
         if quarantine_s:
             reason, wait_s = QUARANTINED, quarantine_s
-        if any(shard.may_have_run or shard.active for shard in self._shards):
+        if self._may_have_run():
             return Outcome(Verdict.FAILED, 502, [], b"", 0, reason)
         if wait_s is None:
             services = [shard.service for shard in self._shards]
--- a/eelgrasshall/gateway/fanout_test.py
+++ b/eelgrasshall/gateway/fanout_test.py
@@ -107,6 +107,23 @@
     assert outcome.status == 502
 
 
+async def test_request_that_waits_for_a_connection_is_refused_at_deadline():
+    for shards in ((), SHARDS[:1]):
+        context = fakes.Context(shards or ("orders",), replicas=1)
+        backend = context.find_candidates(shards[0] if shards else "orders")[0]
+        backend.connection_limit = 1
+        # Its only connection is busy with another request.
+        blocking = fakes.make_attempt(fakes.OutcomeRecorder(), "other")
+        backend.submit(blocking)
+        route = fakes.make_route(shards=shards)
+        _, task = _start(context, route, remaining_s=0.05)
+        outcome = await asyncio.wait_for(task, 1)
+        assert outcome.status == 503
+        assert float(_get_header(outcome, b"retry-after")) > 0
+        # "Not run" stays true: nothing is left that could be sent later.
+        assert list(backend.pending) == [blocking]
+
+
 async def test_slow_attempt_is_hedged_and_first_response_is_used():
     context = fakes.Context(("orders",))
     _, task = _start(context, fakes.make_route())
