Crash reports only from a host that reaches other servers

They are passed on to all hosts; three tries of one caller at cut hosts would have been enough for a verdict of ten minutes everywhere.

Cause: a server that does not accept connections counted as crashed by what had run there, whatever this host's own links.

Change: reports wait for the check of the own links (2 connections, about 3 ms); they are dropped if the links turn out to be lost. Weighed: dropping reports on servers that fail together, which a harmful search brings about as well; asking other hosts, which costs messages and waits.

A server that goes down alone is reported as before.

--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -119,6 +119,7 @@
         self.blocked: set[attempts.Attempt] = set()
         self.connected: list[upstream.Backend] = []
         self.unreachable: list[upstream.Backend] = []
+        self.ended: list[upstream.Backend] = []
         self.misdirected: list[upstream.Backend] = []
         self.leaving: list[upstream.Backend] = []
         self.pauses_s: list[float] = []
@@ -149,6 +150,10 @@
         """Records a server that could not be reached."""
         self.unreachable.append(backend)
 
+    def on_ended(self, backend: upstream.Backend) -> None:
+        """Records a server whose process has ended."""
+        self.ended.append(backend)
+
     def on_misdirected(self, backend: upstream.Backend) -> None:
         """Records a server at whose address another one answered."""
         self.misdirected.append(backend)
@@ -436,6 +441,11 @@
         """Records an event."""
         self.lines.append((event, fields))
 
+    def allow_request_line(self, *, failed: bool) -> bool:
+        """Returns whether a request may be logged: never."""
+        del failed
+        return False
+
     def list_events(self, event: str) -> list[dict]:
         """Returns the fields of all events of a name."""
         return [fields for name, fields in self.lines if name == event]
--- a/eelgrasshall/gateway/links_test.py
+++ b/eelgrasshall/gateway/links_test.py
@@ -64,6 +64,12 @@
         return sum(each.asked for each in self.servers)
 
 
+def _run(loop, network, steps) -> None:
+    loop.run_until_complete(steps)
+    network.links.close()
+    loop.run_until_complete(asyncio.sleep(0))
+
+
 @pytest.fixture(name="loop")
 def _make_loop():
     loop = virtual_time.VirtualTimeLoop()
@@ -79,7 +85,7 @@
         network.links.note_unreachable()
         await asyncio.sleep(1.0)
 
-    loop.run_until_complete(run())
+    _run(loop, network, run())
     assert network.checked == 1
     assert not network.links.lost
     assert network.count_asked() <= links_module.FIRST_SAMPLE
@@ -96,7 +102,7 @@
         network.cut = False
         await asyncio.sleep(3.0)
 
-    loop.run_until_complete(run())
+    _run(loop, network, run())
     (lost_s, lost), (back_s, still_lost) = network.changes
     assert lost and not still_lost
     assert lost_s <= 0.5
@@ -115,7 +121,7 @@
         network.links.note_unreachable()
         await asyncio.sleep(1.0)
 
-    loop.run_until_complete(run())
+    _run(loop, network, run())
     assert not network.changes
 
 
@@ -131,7 +137,7 @@
         network.cut = False
         await asyncio.sleep(2.0)
 
-    loop.run_until_complete(run())
+    _run(loop, network, run())
     assert [lost for _, lost in network.changes] == [True, False]
 
 
@@ -144,7 +150,7 @@
             network.links.note_unreachable()
         await asyncio.sleep(1.0)
 
-    loop.run_until_complete(run())
+    _run(loop, network, run())
     assert network.checked == 1
     assert not network.changes
 
@@ -162,7 +168,7 @@
         await asyncio.sleep(1.0)
         network.links.note_connected()
 
-    loop.run_until_complete(run())
+    _run(loop, network, run())
     assert network.links.failing_since_s == 1.0
 
 
@@ -182,7 +188,7 @@
         network.links.check_if_unproven()
         await asyncio.sleep(1.0)
 
-    loop.run_until_complete(run())
+    _run(loop, network, run())
     assert network.links.lost
 
 
@@ -193,7 +199,7 @@
         network.links.note_unreachable()
         await asyncio.sleep(0.1)
 
-    loop.run_until_complete(run())
+    _run(loop, network, run())
     assert network.checked == 1
 
 
--- a/eelgrasshall/gateway/load_model.py
+++ b/eelgrasshall/gateway/load_model.py
@@ -231,7 +231,7 @@
         await asyncio.gather(*self._tasks)
         sweeper.cancel()
         for handler in self.handlers:
-            handler.registry.close()
+            handler.close()
 
     async def _sweep(self) -> None:
         while True:
--- a/eelgrasshall/gateway/quarantine.py
+++ b/eelgrasshall/gateway/quarantine.py
@@ -119,6 +119,10 @@
         suspects.append(suspect)
         del suspects[:-MAX_SUSPECTS]
 
+    def has_suspects(self, server_id: str) -> bool:
+        """Returns whether attempts at a server ended without a response."""
+        return server_id in self._suspects
+
     def record_alive(self, server_id: str, sent_s: float) -> None:
         """Records that a server has answered an attempt.
 
--- a/eelgrasshall/gateway/registry.py
+++ b/eelgrasshall/gateway/registry.py
@@ -169,6 +169,7 @@
             if old is None:
                 return
             del self._servers[server_id]
+            self._report_end(server_id)
             self._remove(server_id)
             self._remember_departed(old, era)
             state = "gone"
@@ -176,6 +177,7 @@
             if old is not None and server.started_at_ms < old.started_at_ms:
                 return
             if old is not None and _is_other_instance(old, server):
+                self._report_end(server_id)
                 self._remove(server_id)
             self._servers[server_id] = server
             if server.draining:
@@ -196,6 +198,12 @@
             revision=number,
         )
 
+    def _report_end(self, server_id: str) -> None:
+        """Reports that the process of a candidate has ended."""
+        backend = self._backends.get(server_id)
+        if backend is not None:
+            self._environment.observer.on_ended(backend)
+
     def remove_misdirected(self, backend: upstream.Backend) -> None:
         """Removes a server at whose address another server answers."""
         if self._backends.get(backend.server.id) is backend:
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -87,11 +87,13 @@
             loop=self.loop,
             random=random,
             list_servers=self.registry.list_backends,
-            on_checked=lambda: None,
+            on_checked=self._record_crashes,
             on_changed=self._handle_links_changed,
             log=log,
         )
         self._on_links_changed = on_links_changed
+        # Servers that were found unreachable while the links are checked.
+        self._unreachable: dict[str, upstream.Backend] = {}
         self._log = log
         self._metrics = metrics
         self._extra_attempt_bound = extra_attempt_bound
@@ -447,17 +449,24 @@
         self.links.note_connected()
 
     def on_unreachable(self, backend: upstream.Backend) -> None:
-        """Reports the requests that may have crashed a server; probes it.
+        """Probes a server, and checks whether this host reaches others.
 
-        The server may also be fine, and this host's links lost.
+        If it does, the requests that may have crashed the server are reported.
         """
-        self._record_crash(backend)
         if self.links.lost:
             return
-        if not self.registry.is_probed(backend):
-            self.registry.start_probe(backend)
+        server_id = backend.server.id
+        is_known = self.registry.is_probed(backend)
+        self.registry.start_probe(backend)
+        if not is_known or self.quarantine.has_suspects(server_id):
+            self._unreachable[server_id] = backend
             self.links.note_unreachable()
 
+    def on_ended(self, backend: upstream.Backend) -> None:
+        """Reports the requests that may have crashed a server."""
+        if backend.unreachable:
+            self._record_crash(backend)
+
     def on_misdirected(self, backend: upstream.Backend) -> None:
         """Removes a server whose address another server answers at."""
         self._record_crash(backend)
@@ -481,7 +490,10 @@
         """Stops the probes while this host reaches no server.
 
         What it has taken for unreachable meanwhile it uses again afterwards.
+        Requests are not reported to have crashed servers that are only out of
+        reach; `on_ended` reports them if the store shows that one has ended.
         """
+        self._unreachable.clear()
         if self.links.lost:
             self.registry.suspend_probes()
         else:
@@ -503,6 +515,13 @@
             servers=[report.server_id for report in reports],
         )
 
+    def _record_crashes(self) -> None:
+        """Reports the requests that may have crashed unreachable servers."""
+        backends = list(self._unreachable.values())
+        self._unreachable.clear()
+        for backend in backends:
+            self._record_crash(backend)
+
     def _record_crash(self, backend: upstream.Backend) -> None:
         """Logs the requests that may have crashed a server."""
         reports = self.quarantine.record_crash(
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -68,6 +68,9 @@
     def on_unreachable(self, backend: "Backend") -> None:
         """Handles a failure to open a connection."""
 
+    def on_ended(self, backend: "Backend") -> None:
+        """Handles the end of a server's process, as its entry tells."""
+
     def on_misdirected(self, backend: "Backend") -> None:
         """Handles an answer of another backend server at the address."""
 
