Gateway: one parser of responses for clients of other hosts

Cause: a host that is cut off from the backend servers is going to pass requests on to other hosts and has to read their responses as strictly as connections.py does. The JSON client had a parser of its own inside its connection.

Weighed: a third copy of the parser; a connection class with hooks for both users, whose time-outs differ (the JSON client extends its own while data arrives); a parser without a transport. The last one is the smallest. The connections to backend servers keep theirs, as their body limit and their accounting are interwoven with the pool.

Change: ResponseParser collects one response, skips interim responses, leaves out trailers, enforces the limits and notes bytes that follow the response. client.py uses it. A JSON connection on which bytes follow the response in the same read is now closed at once, as it was if they came later.

Conclusion: clients of other hosts share one parser.

--- a/eelgrasshall/gateway/client.py
+++ b/eelgrasshall/gateway/client.py
@@ -10,10 +10,9 @@
 from typing import NamedTuple
 import zlib
 
-import httptools
-
 from eelgrasshall.gateway import connections
 from eelgrasshall.gateway import model
+from eelgrasshall.gateway import response_parser
 
 # Several round trips; a longer wait means that the address is unreachable.
 CONNECT_TIMEOUT_S = 0.7
@@ -149,12 +148,23 @@
 
     def __init__(self):
         self.closed = False
-        self.headers: dict[bytes, bytes] = {}
-        self.body_bytes = 0
+        self._parser: response_parser.ResponseParser | None = None
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._response_future: asyncio.Future[tuple[int, bytes]] | None = None
 
+    @property
+    def headers(self) -> dict[bytes, bytes]:
+        """The headers of the last response, with names in lower case."""
+        return {
+            name.lower(): value.strip() for name, value in self._parser.headers
+        }
+
+    @property
+    def body_bytes(self) -> int:
+        """Size of the part of the last response's body that arrived."""
+        return self._parser.body_bytes if self._parser else 0
+
     def send(
         self, data: bytes, timeout: asyncio.Timeout
     ) -> asyncio.Future[tuple[int, bytes]]:
@@ -164,16 +174,14 @@
           data: The encoded request.
           timeout: Extended while the response arrives.
         """
-        self.headers = {}
         self._timeout = timeout
         self._call_end_s = timeout.when()
         self._transfer_end_s: float | None = None
         self._response_future = self._loop.create_future()
-        self._parser = httptools.HttpResponseParser(self)
-        self._body: list[bytes] = []
-        self.body_bytes = 0
-        self._received_bytes = 0
-        self._head_complete = False
+        self._parser = response_parser.ResponseParser(
+            max_head_bytes=MAX_HEAD_BYTES,
+            get_max_body_bytes=lambda: MAX_BODY_BYTES,
+        )
         self._transport.write(data)
         return self._response_future
 
@@ -194,65 +202,26 @@
             self.close()
             return
         self._extend_timeout()
-        self._received_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ) as error:
-            self._fail(ConnectionError(f"invalid response: {error}"))
+            self._parser.feed(data)
+        except response_parser.InvalidResponse as error:
+            self._fail(error)
             self.close()
             return
-        if not self._response_future.done() and self._is_too_long():
-            self._fail(ConnectionError("response too large"))
-            self.close()
+        if self._parser.complete:
+            if not self._parser.keeps_open:
+                self.closed = True
+            self._response_future.set_result(
+                (self._parser.status, self._parser.body)
+            )
+            if self._parser.has_extra:
+                self.close()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fails the request that is waiting for a response."""
         self.closed = True
         self._fail(ConnectionError("connection lost"))
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header."""
-        self.headers[name.lower()] = value.strip()
-
-    def on_headers_complete(self) -> None:
-        """Notes the end of the head, unless it is that of an interim one."""
-        self._head_complete = self._parser.get_status_code() >= 200
-
-    def on_body(self, data: bytes) -> None:
-        """Appends a fragment of the body.
-
-        Raises:
-          ValueError: The body exceeds the limit.
-        """
-        self.body_bytes += len(data)
-        if self.body_bytes > MAX_BODY_BYTES:
-            raise ValueError("response too large")
-        self._body.append(data)
-
-    def on_message_complete(self) -> None:
-        """Delivers the complete response; skips interim ones."""
-        status = self._parser.get_status_code()
-        if status < 200:
-            self.headers = {}
-            return
-        if not self._parser.should_keep_alive():
-            self.closed = True
-        if (
-            self._response_future is not None
-            and not self._response_future.done()
-        ):
-            self._response_future.set_result((status, b"".join(self._body)))
-
-    def _is_too_long(self) -> bool:
-        """Returns whether the response exceeds a limit, framing included."""
-        limit = MAX_HEAD_BYTES
-        if self._head_complete:
-            limit += MAX_BODY_BYTES
-        return self._received_bytes > limit
-
     def _extend_timeout(self) -> None:
         """Allows more time for a response of which a part has arrived."""
         if self._timeout.expired():
