--- a/eelgrasshall/gateway/messages.py
+++ b/eelgrasshall/gateway/messages.py
@@ -12,6 +12,10 @@
 
 _Headers = list[tuple[bytes, bytes]]
 
+# Marks a request that another entry host passes on; the value is the name of
+# that host.  Never sent to backend servers.
+RELAYED = b"eelgrasshall-relayed"
+
 _HOP_BY_HOP_HEADERS = frozenset(
     (
         b"connection",
@@ -137,24 +141,39 @@
         return self.kind is FailureKind.NOT_SENT
 
 
-def encode_request_head(request: Request, names: model.HeaderNames) -> bytes:
-    """Returns the part of the request head common to all attempts."""
+def select_end_to_end_headers(
+    headers: _Headers, *, removed: frozenset[bytes], kept: bytes
+) -> _Headers:
+    """Returns the headers that are not hop-by-hop.
+
+    Args:
+      headers: The headers of a request or a response.
+      removed: Names of further headers to leave out, in lower case.
+      kept: Name of a header that stays though it may be named as a connection
+        option, in lower case.
+    """
     connection_options = {
         token.strip().lower()
-        for key, value in request.headers
+        for key, value in headers
         if key.lower() == b"connection"
         for token in value.split(b",")
     }
-    removed = (
-        _HOP_BY_HOP_HEADERS
-        | connection_options
-        | {names.time_budget, names.target}
-    )
-    header_lines = [
-        b"%s: %s\r\n" % (key, value)
-        for key, value in request.headers
-        if key.lower() not in removed or key.lower() == names.request_id
+    removed = _HOP_BY_HOP_HEADERS | connection_options | removed
+    return [
+        (key, value)
+        for key, value in headers
+        if key.lower() not in removed or key.lower() == kept
     ]
+
+
+def encode_request_head(request: Request, names: model.HeaderNames) -> bytes:
+    """Returns the part of the request head common to all attempts."""
+    headers = select_end_to_end_headers(
+        request.headers,
+        removed=frozenset((names.time_budget, names.target, RELAYED)),
+        kept=names.request_id,
+    )
+    header_lines = [b"%s: %s\r\n" % header for header in headers]
     request_line = b"%s %s HTTP/1.1\r\n" % (request.method, request.target)
     return request_line + b"".join(header_lines)
 
@@ -184,9 +203,39 @@
         names.target,
         server_id.encode(),
     )
+    return head + lines + _encode_end(method, body)
+
+
+def encode_relayed_request(
+    request: Request,
+    *,
+    names: model.HeaderNames,
+    remaining_s: float,
+    relayed_by: str,
+) -> bytes:
+    """Returns a caller's request as the bytes to send to another entry host.
+
+    Args:
+      request: The request.
+      names: The header names.
+      remaining_s: Seconds until the deadline.
+      relayed_by: Name of this host.
+    """
+    lines = b"%s: %d\r\n%s: %s\r\n" % (
+        names.time_budget,
+        int(remaining_s * 1000),
+        RELAYED,
+        relayed_by.encode(),
+    )
+    head = encode_request_head(request, names)
+    return head + lines + _encode_end(request.method, request.body)
+
+
+def _encode_end(method: bytes, body: bytes) -> bytes:
+    """Returns the end of a request: the length of its body, and the body."""
     if body or method not in (b"GET", b"HEAD", b"DELETE"):
-        lines += b"Content-Length: %d\r\n" % len(body)
-    return head + lines + b"\r\n" + body
+        return b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+    return b"\r\n"
 
 
 def encode_response(
--- a/eelgrasshall/gateway/messages_test.py
+++ b/eelgrasshall/gateway/messages_test.py
@@ -44,6 +44,36 @@
     assert b"target" not in head.lower()
 
 
+def test_mark_of_a_relayed_request_is_not_forwarded():
+    head = _encode_head(_make_request(("Eelgrasshall-Relayed", "h1")))
+    assert messages.RELAYED not in head.lower()
+
+
+def test_relayed_request_has_one_mark_and_budget_and_no_target():
+    data = messages.encode_relayed_request(
+        _make_request(
+            ("Eelgrasshall-Relayed", "h1"),
+            ("X-Budget", "9"),
+            ("X-Target", "s9"),
+            ("Content-Length", "7"),
+            body=b"abc",
+        ),
+        names=fakes.NAMES,
+        remaining_s=1.2345,
+        relayed_by="h2",
+    )
+    head, _, body = data.partition(b"\r\n\r\n")
+    assert head.split(b"\r\n") == [
+        b"GET /find/x HTTP/1.1",
+        b"Host: orders.example",
+        b"X-Id: a1",
+        b"x-budget: 1234",
+        b"eelgrasshall-relayed: h2",
+        b"Content-Length: 3",
+    ]
+    assert body == b"abc"
+
+
 def test_request_id_is_forwarded_even_if_named_as_connection_option():
     assert b"X-Id: a1" in _encode_head(_make_request(("Connection", "X-Id")))
 
--- /dev/null
+++ b/eelgrasshall/gateway/relay_test.py
@@ -0,0 +1,704 @@
+"""Tests of relaying requests, over loopback sockets."""
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from eelgrasshall.gateway import connections
+from eelgrasshall.gateway import fakes
+from eelgrasshall.gateway import listener
+from eelgrasshall.gateway import messages
+from eelgrasshall.gateway import model
+from eelgrasshall.gateway import relay
+from eelgrasshall.gateway import relay_choice
+
+_MARKED = (b"Eelgrasshall-Relayed", b"1")
+_ANSWER = (
+    b"HTTP/1.1 200 OK\r\nX-Id: a1\r\nEelgrasshall-Relayed: 1\r\n"
+    b"Content-Length: 3\r\n\r\nabc"
+)
+
+
+class _Sender:
+    """A relay and the helpers that it knows.
+
+    Args:
+      hosts: The helpers, in the order in which they are tried.
+    """
+
+    def __init__(self, *hosts: model.Host):
+        self.counts: list[str] = []
+        self._loop = asyncio.get_running_loop()
+        self.relay = relay.Relay(
+            own=fakes.make_host("own", port=26000),
+            names=fakes.NAMES,
+            random=random.Random(1),
+            # The first gets all requests unless it is excluded.
+            list_helpers=lambda: [
+                relay_choice.Helper(host, 1e6 * place)
+                for place, host in enumerate(hosts)
+            ],
+            count=self.counts.append,
+        )
+
+    async def send(
+        self,
+        request: messages.Request | None = None,
+        *,
+        remaining_s: float = 2.0,
+        idempotent: bool = True,
+    ) -> relay.Result:
+        """Sends a request, a GET by default."""
+        async with asyncio.timeout(5.0):
+            return await self.relay.send(
+                request or fakes.make_request(),
+                deadline_s=self._loop.time() + remaining_s,
+                idempotent=idempotent,
+            )
+
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        return len(self.relay._connections)
+
+
+class _Helper:
+    """A helper with a listener; it records the requests that it reads."""
+
+    def __init__(self, handle=None):
+        self.requests: list[messages.Request] = []
+        self.cancelled = asyncio.Event()
+        self.began = asyncio.Event()
+        self.connections: set[listener.CallerConnection] = set()
+        self._handle = handle
+        self.listener = listener.Listener(
+            handler=self._answer, get_limits=model.CallerLimits
+        )
+
+    async def _answer(self, request: messages.Request) -> listener.Response:
+        self.requests.append(request)
+        self.connections |= self.listener.connections
+        self.began.set()
+        try:
+            if self._handle is not None:
+                return await self._handle(request)
+        except asyncio.CancelledError:
+            self.cancelled.set()
+            raise
+        return relay.mark_response(
+            listener.Response(200, [(b"X-Id", b"a1")], b"from " + request.body)
+        )
+
+
+@contextlib.asynccontextmanager
+async def _open(port: int, handle=None):
+    """Opens a sender with one helper; yields both."""
+    helper = _Helper(handle)
+    host = fakes.make_host("helper", port=port)
+    await helper.listener.start(host.control_address)
+    sender = _Sender(host)
+    try:
+        yield sender, helper
+    finally:
+        sender.relay.close()
+        helper.listener.stop()
+
+
+@contextlib.asynccontextmanager
+async def _open_scripted(port: int, script):
+    """Opens a sender with a helper that follows a script per connection.
+
+    Yields:
+      The sender and a list of the request heads that the helper has read.
+    """
+    heads: list[bytes] = []
+    tasks = set()
+
+    async def serve(reader, writer):
+        tasks.add(asyncio.current_task())
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                while True:
+                    heads.append(await reader.readuntil(b"\r\n\r\n"))
+                    await script(writer)
+        finally:
+            writer.close()
+
+    host = fakes.make_host("helper", port=port)
+    server = await asyncio.start_server(serve, *host.control_address)
+    sender = _Sender(host)
+    try:
+        yield sender, heads
+    finally:
+        sender.relay.close()
+        server.close()
+        for task in tasks:
+            task.cancel()
+
+
+async def _wait_until(condition) -> None:
+    async with asyncio.timeout(2.0):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+
+
+async def test_request_is_passed_on_as_it_came():
+    async with _open(26100) as (sender, helper):
+        request = fakes.make_request(
+            "/find/x?q=%20&q",
+            method="POST",
+            headers=(("Accept", "a"), ("accept", "b"), ("X-Key", "k")),
+            body=b"body",
+        )
+        result = await sender.send(request)
+        assert result.answered and result.helper == "helper"
+        assert result.status == 200 and result.body == b"from body"
+        assert result.reason == "" and not result.may_have_run
+        (received,) = helper.requests
+        assert received.method == request.method
+        assert received.target == request.target
+        assert received.body == request.body
+        # What is sent beside the caller's headers: budget, mark and length.
+        assert received.headers[: len(request.headers)] == request.headers
+        assert [key for key, _ in received.headers[len(request.headers) :]] == [
+            b"x-budget",
+            relay.RELAYED,
+            b"Content-Length",
+        ]
+        assert received.get_header(relay.RELAYED) == b"own"
+        assert relay.is_relayed(received)
+        assert sender.counts == ["relay_answered"]
+        assert sender.relay.in_flight == 0
+
+
+async def test_time_budget_counts_down_and_replaces_that_of_the_caller():
+    async with _open(26110) as (sender, helper):
+        request = fakes.make_request(headers=(("X-Budget", "90000"),))
+        await sender.send(request, remaining_s=1.5)
+        await sender.send(request, remaining_s=0.5)
+        budgets = [
+            value
+            for each in helper.requests
+            for key, value in each.headers
+            if key.lower() == b"x-budget"
+        ]
+        assert len(budgets) == 2
+        assert 1300 < int(budgets[0]) <= 1500
+        assert 300 < int(budgets[1]) <= 500
+
+
+async def test_hop_by_hop_headers_and_marks_are_removed_both_ways():
+    async def handle(request):
+        return relay.mark_response(
+            listener.Response(
+                503,
+                [
+                    (b"Retry-After", b"0.25"),
+                    (b"eelgrasshall-relayed", b"backend"),
+                    (b"X-Seal", b"s"),
+                ],
+                b"busy",
+            )
+        )
+
+    async with _open(26120, handle) as (sender, helper):
+        helper.listener.start_draining()
+        result = await sender.send(
+            fakes.make_request(
+                headers=(
+                    ("Connection", "close, X-Hop"),
+                    ("X-Hop", "1"),
+                    ("Keep-Alive", "timeout=3"),
+                    ("X-Target", "s1"),
+                )
+            )
+        )
+        names = {key.lower() for key, _ in helper.requests[0].headers}
+        assert not names & {
+            b"connection",
+            b"x-hop",
+            b"keep-alive",
+            b"x-target",
+        }
+        # A refusal of the helper is an answer like any other.
+        assert result.answered and result.status == 503
+        assert result.headers == [(b"Retry-After", b"0.25"), (b"X-Seal", b"s")]
+        assert result.body == b"busy"
+        await _wait_until(lambda: sender.connection_count == 0)
+
+
+async def test_relayed_request_is_not_relayed_again():
+    async with _open(26130) as (sender, helper):
+        request = fakes.make_request(
+            headers=(("Eelgrasshall-Relayed", "other"),)
+        )
+        assert relay.is_relayed(request)
+        result = await sender.send(request)
+        assert result.not_run and result.reason == "relayed before"
+        assert helper.requests == [] and sender.connection_count == 0
+
+
+async def test_connection_is_used_again_for_idempotent_requests_only():
+    async with _open(26140) as (sender, helper):
+        for _ in range(3):
+            assert (await sender.send()).answered
+        assert len(helper.connections) == 1
+        for count in (2, 3):
+            assert (await sender.send(idempotent=False)).answered
+            assert len(helper.connections) == count
+
+
+async def test_idle_connection_is_closed(monkeypatch):
+    monkeypatch.setattr(relay, "IDLE_TIMEOUT_S", 0.05)
+    async with _open(26150) as (sender, helper):
+        await sender.send()
+        assert sender.connection_count == 1
+        await _wait_until(lambda: sender.connection_count == 0)
+        await _wait_until(lambda: not helper.listener.connections)
+        assert (await sender.send()).answered
+        assert len(helper.connections) == 2
+
+
+async def test_connection_in_use_is_not_closed_as_idle(monkeypatch):
+    monkeypatch.setattr(relay, "IDLE_TIMEOUT_S", 0.05)
+
+    async def handle(request):
+        await asyncio.sleep(0.15)
+        return listener.Response(200, [_MARKED], b"")
+
+    async with _open(26155, handle) as (sender, helper):
+        assert (await sender.send()).answered
+        assert (await sender.send()).answered
+        assert len(helper.connections) == 1
+
+
+async def test_concurrent_requests_get_their_own_answers(monkeypatch):
+    monkeypatch.setattr(relay, "MAX_IDLE_CONNECTIONS", 8)
+    generator = random.Random(3)
+
+    async def handle(request):
+        await asyncio.sleep(generator.uniform(0.0, 0.05))
+        request_id = request.get_header(b"x-id")
+        return listener.Response(
+            200, [_MARKED, (b"X-Id", request_id)], request.body
+        )
+
+    async with _open(26160, handle) as (sender, helper):
+
+        def make(number: int) -> messages.Request:
+            request = fakes.make_request(method="POST", body=b"%d" % number)
+            request.headers[1] = (b"X-Id", b"id%d" % number)
+            return request
+
+        for idempotent in (True, False):
+            sends = [
+                asyncio.ensure_future(
+                    sender.send(make(i), idempotent=idempotent)
+                )
+                for i in range(50)
+            ]
+            await asyncio.sleep(0)
+            assert sender.relay.in_flight == 50
+            results = await asyncio.gather(*sends)
+            for number, result in enumerate(results):
+                assert result.answered and result.body == b"%d" % number
+                assert (b"X-Id", b"id%d" % number) in result.headers
+        assert len(helper.requests) == 100
+        assert sender.relay.in_flight == 0
+        assert sender.connection_count == 8
+
+
+async def test_helper_with_too_many_requests_in_flight_gets_no_more(
+    monkeypatch,
+):
+    monkeypatch.setattr(relay_choice, "MAX_IN_FLIGHT_PER_HELPER", 2)
+
+    async def handle(request):
+        await asyncio.sleep(0.1)
+        return listener.Response(200, [_MARKED], b"")
+
+    async with _open(26170, handle) as (sender, helper):
+        results = await asyncio.gather(*(sender.send() for _ in range(5)))
+        assert sum(each.answered for each in results) == 2
+        assert [each.reason for each in results if each.not_run] == [
+            "no helper"
+        ] * 3
+        assert len(helper.requests) == 2
+        assert (await sender.send()).answered
+
+
+async def test_second_helper_is_tried_if_the_first_is_not_reached():
+    helper = _Helper()
+    host = fakes.make_host("up", port=26180)
+    await helper.listener.start(host.control_address)
+    sender = _Sender(fakes.make_host("down", port=26184), host)
+    result = await sender.send(idempotent=False)
+    assert result.answered and result.helper == "up"
+    assert sender.counts == ["relay_not_run", "relay_answered"]
+    # Then the first one is avoided for a while.
+    sender.counts.clear()
+    assert (await sender.send()).answered
+    assert sender.counts == ["relay_answered"]
+    assert len(helper.requests) == 2
+    sender.relay.close()
+    helper.listener.stop()
+
+
+async def test_request_that_reached_no_helper_has_not_run():
+    down = [fakes.make_host(f"h{i}", port=26190 + 3 * i) for i in range(3)]
+    sender = _Sender(*down)
+    result = await sender.send()
+    assert result.not_run and not result.may_have_run
+    assert "ConnectionRefused" in result.reason
+    # Two helpers at most.
+    assert sender.counts == ["relay_not_run"] * 2
+    # A helper that is avoided is tried if there is no other one.
+    sender = _Sender(down[0])
+    for _ in range(2):
+        assert (await sender.send()).not_run
+    assert sender.counts == ["relay_not_run"] * 2
+    assert (await _Sender().send()).reason == "no helper"
+
+
+async def test_this_host_is_not_its_own_helper():
+    sender = _Sender(fakes.make_host("own", port=26000))
+    assert (await sender.send()).reason == "no helper"
+
+
+async def test_wait_for_a_connection_is_bounded(monkeypatch):
+    async def hang(*args):
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(relay, "CONNECT_TIMEOUT_S", 0.05)
+    sender = _Sender(
+        fakes.make_host("h1", port=26200), fakes.make_host("h2", port=26204)
+    )
+    loop = asyncio.get_running_loop()
+    monkeypatch.setattr(loop, "create_connection", hang)
+    started_s = loop.time()
+    result = await sender.send()
+    assert result.not_run and "TimeoutError" in result.reason
+    assert sender.counts == ["relay_not_run"] * 2
+    assert 0.09 < loop.time() - started_s < 1.0
+    # The deadline bounds it as well.
+    started_s = loop.time()
+    monkeypatch.setattr(relay, "CONNECT_TIMEOUT_S", 1.0)
+    result = await sender.send(remaining_s=0.05)
+    assert result.not_run
+    assert loop.time() - started_s < 0.5
+
+
+async def test_connection_lost_before_anything_is_sent_is_not_run(monkeypatch):
+    connect = relay.Relay._connect
+
+    async def connect_and_lose(self, address, deadline_s):
+        connection = await connect(self, address, deadline_s)
+        if address.port == 26211:
+            connection.connection_lost(None)
+        return connection
+
+    monkeypatch.setattr(relay.Relay, "_connect", connect_and_lose)
+    first, second = _Helper(), _Helper()
+    hosts = [fakes.make_host(f"h{i}", port=26210 + 4 * i) for i in range(2)]
+    await first.listener.start(hosts[0].control_address)
+    await second.listener.start(hosts[1].control_address)
+    sender = _Sender(*hosts)
+    result = await sender.send(idempotent=False)
+    assert result.answered and result.helper == "h1"
+    assert first.requests == [] and len(second.requests) == 1
+    sender.relay.close()
+    first.listener.stop()
+    second.listener.stop()
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize(
+    "pieces",
+    [
+        [],
+        [_ANSWER[:20]],
+        [_ANSWER[:-1]],
+        [b"HTTP/1.1 200 OK\r\nEelgrasshall-Relayed: 1\r\n\r\nabc"],
+        [
+            b"HTTP/1.1 200 OK\r\nEelgrasshall-Relayed: 1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+        ],
+        [b"\x16\x03\x01 no http\r\n\r\n"],
+        [_ANSWER + b"garbage"],
+        [_ANSWER + _ANSWER],
+        [_ANSWER.replace(b"a1", b"a2")],
+        [
+            b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\n"
+            b"Connection: upgrade\r\n\r\n"
+        ],
+    ],
+    ids=[
+        "nothing",
+        "part of the head",
+        "part of the body",
+        "no length",
+        "part of the chunks",
+        "no http",
+        "garbage after the answer",
+        "second answer",
+        "answer to another request",
+        "upgrade",
+    ],
+)
+async def test_request_without_complete_answer_may_have_run(pieces, idempotent):
+    async def script(writer):
+        for piece in pieces:
+            writer.write(piece)
+        await writer.drain()
+        writer.close()
+
+    spare = _Helper()
+    spare_host = fakes.make_host("spare", port=26224)
+    await spare.listener.start(spare_host.control_address)
+    async with _open_scripted(26220, script) as (_, heads):
+        sender = _Sender(fakes.make_host("helper", port=26220), spare_host)
+        result = await sender.send(idempotent=idempotent)
+        assert result.may_have_run and not result.not_run
+        assert result.ending is relay.Ending.LOST and result.reason
+        assert result.status == 0 and result.body == b""
+        # Not sent a second time, neither here nor elsewhere.
+        await asyncio.sleep(0.02)
+        assert len(heads) == 1 and spare.requests == []
+        assert sender.counts == ["relay_lost"]
+        assert sender.connection_count == 0 and sender.relay.in_flight == 0
+        assert sender.relay.receive_buffer.size == 0
+    spare.listener.stop()
+
+
+async def test_helper_that_dies_with_the_request_may_have_run_it():
+    async def script(writer):
+        writer.transport.abort()
+
+    async with _open_scripted(26230, script) as (sender, heads):
+        result = await sender.send()
+        assert result.ending is relay.Ending.LOST
+        assert len(heads) == 1
+
+
+async def test_kept_connection_that_ends_may_have_run_the_request():
+    async def script(writer):
+        if len(heads) == 1:
+            writer.write(_ANSWER)
+        else:
+            writer.transport.abort()
+
+    async with _open_scripted(26240, script) as (sender, heads):
+        assert (await sender.send()).answered
+        assert (await sender.send()).may_have_run
+        assert len(heads) == 2
+
+
+async def test_bytes_without_a_request_in_flight_close_the_connection():
+    async def script(writer):
+        writer.write(_ANSWER)
+        await writer.drain()
+        if len(heads) == 1:
+            await asyncio.sleep(0.05)
+            writer.write(_ANSWER.replace(b"abc", b"old"))
+
+    async with _open_scripted(26250, script) as (sender, heads):
+        assert (await sender.send()).body == b"abc"
+        assert sender.connection_count == 1
+        await _wait_until(lambda: sender.connection_count == 0)
+        assert (await sender.send()).body == b"abc"
+
+
+@pytest.mark.parametrize(
+    "piece",
+    [
+        b"HTTP/1.1 200 OK\r\n" + b"X-A: b\r\n" * 9000,
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n"
+        + b"b" * (connections.MAX_BODY_BYTES + 1),
+    ],
+    ids=["head", "body"],
+)
+async def test_answer_beyond_a_limit_is_given_up(piece):
+    async def script(writer):
+        writer.write(piece)
+        await asyncio.sleep(5.0)
+
+    async with _open_scripted(26260, script) as (sender, _):
+        result = await sender.send(remaining_s=4.0)
+        assert result.ending is relay.Ending.LOST
+        assert sender.connection_count == 0
+        assert sender.relay.receive_buffer.size == 0
+
+
+async def test_body_limit_is_lower_while_many_answers_arrive():
+    async def script(writer):
+        body = b"b" * (connections.MAX_BODY_BYTES_CROWDED + 1)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nEelgrasshall-Relayed: 1\r\n"
+            b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+        )
+
+    async with _open_scripted(26270, script) as (sender, _):
+        assert (await sender.send()).answered
+        sender.relay.receive_buffer.size = connections.MAX_BUFFERED_BYTES
+        assert (await sender.send()).ending is relay.Ending.LOST
+
+
+async def test_interim_and_chunked_answers_are_understood():
+    async def script(writer):
+        writer.write(
+            b"HTTP/1.1 103 Early\r\nX-A: b\r\n\r\nHTTP/1.1 200 OK\r\n"
+            b"Transfer-Encoding: chunked\r\nEelgrasshall-Relayed: 1\r\n"
+            b"X-Seal: s\r\n\r\n3\r\nabc\r\n0\r\nX-Trailer: t\r\n\r\n"
+        )
+
+    async with _open_scripted(26280, script) as (sender, _):
+        result = await sender.send()
+        assert result.answered and result.body == b"abc"
+        assert result.headers == [(b"X-Seal", b"s")]
+
+
+@pytest.mark.parametrize("status", [200, 400, 404, 503])
+async def test_answer_without_mark_is_not_passed_on(status):
+    async def handle(request):
+        return listener.Response(status, [(b"X-Id", b"a1")], b"unmarked")
+
+    async with _open(26290, handle) as (sender, helper):
+        result = await sender.send()
+        # An earlier build answers 404 to what it does not know.
+        assert result.not_run == (status == 404)
+        assert result.may_have_run == (status != 404)
+        assert result.reason == f"unmarked {status}"
+        assert result.body == b"" and result.status == 0
+
+
+async def test_helper_of_an_earlier_build_is_followed_by_another_one():
+    async def handle(request):
+        return listener.Response(404, [], b"")
+
+    earlier, later = _Helper(handle), _Helper()
+    hosts = [fakes.make_host(f"h{i}", port=26300 + 4 * i) for i in range(2)]
+    await earlier.listener.start(hosts[0].control_address)
+    await later.listener.start(hosts[1].control_address)
+    sender = _Sender(*hosts)
+    result = await sender.send(idempotent=False)
+    assert result.answered and result.helper == "h1"
+    assert len(earlier.requests) == 1
+    assert (await sender.send()).answered
+    assert len(earlier.requests) == 1
+    sender.relay.close()
+    earlier.listener.stop()
+    later.listener.stop()
+
+
+async def test_marked_404_is_an_answer():
+    async def handle(request):
+        return relay.mark_response(listener.Response(404, [], b"no route"))
+
+    async with _open(26310, handle) as (sender, _):
+        result = await sender.send()
+        assert result.answered and result.status == 404
+        assert result.headers == []
+
+
+async def test_nothing_is_sent_shortly_before_the_deadline():
+    async with _open(26320) as (sender, helper):
+        for remaining_s in (0.004, 0.0, -1.0):
+            result = await sender.send(remaining_s=remaining_s)
+            assert result.not_run and result.reason == "too little time left"
+        assert helper.requests == [] and sender.counts == []
+        assert sender.connection_count == 0
+
+
+async def test_request_ends_at_its_deadline_here_and_at_the_helper():
+    async def handle(request):
+        await asyncio.sleep(5.0)
+
+    async with _open(26330, handle) as (sender, helper):
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        result = await sender.send(remaining_s=0.1)
+        assert 0.09 < loop.time() - started_s < 0.6
+        assert result.ending is relay.Ending.TIMED_OUT
+        assert result.may_have_run and result.helper == "helper"
+        async with asyncio.timeout(0.5):
+            await helper.cancelled.wait()
+        assert len(helper.requests) == 1
+        assert sender.connection_count == 0 and sender.relay.in_flight == 0
+
+
+async def test_answer_that_trickles_past_the_deadline_is_a_time_out():
+    async def script(writer):
+        for at in range(len(_ANSWER)):
+            writer.write(_ANSWER[at : at + 1])
+            await asyncio.sleep(0.01)
+
+    async with _open_scripted(26340, script) as (sender, _):
+        result = await sender.send(remaining_s=0.1)
+        assert result.ending is relay.Ending.TIMED_OUT
+        assert sender.relay.receive_buffer.size == 0
+
+
+@pytest.mark.parametrize("kept", [False, True])
+async def test_request_of_a_caller_who_leaves_is_cancelled_at_the_helper(kept):
+    async def handle(request):
+        if request.method == b"POST":
+            await asyncio.sleep(5.0)
+        return listener.Response(200, [_MARKED], b"")
+
+    async with _open(26350, handle) as (sender, helper):
+        if kept:
+            await sender.send()
+        helper.began.clear()
+        task = asyncio.ensure_future(
+            sender.send(fakes.make_request(method="POST"))
+        )
+        async with asyncio.timeout(2.0):
+            await helper.began.wait()
+        assert sender.relay.in_flight == 1
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        async with asyncio.timeout(0.5):
+            await helper.cancelled.wait()
+        assert sender.connection_count == 0 and sender.relay.in_flight == 0
+
+
+async def test_caller_who_leaves_during_the_connect_leaves_nothing_behind():
+    async with _open(26360) as (sender, helper):
+        task = asyncio.ensure_future(sender.send())
+        await asyncio.sleep(0)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        await asyncio.sleep(0.05)
+        assert helper.requests == [] and not helper.listener.connections
+        assert sender.connection_count == 0 and sender.relay.in_flight == 0
+
+
+async def test_connection_is_not_kept_while_the_request_is_unsent():
+    async def script(writer):
+        writer.write(_ANSWER)
+        await asyncio.sleep(5.0)
+
+    async with _open_scripted(26370, script) as (sender, _):
+        # More than the buffers of a connection that is not read take.
+        request = fakes.make_request(method="POST", body=b"b" * 20_000_000)
+        assert (await sender.send(request)).answered
+        assert sender.connection_count == 0
+
+
+async def test_close_ends_requests_in_flight():
+    async def handle(request):
+        await asyncio.sleep(5.0)
+
+    async with _open(26380, handle) as (sender, helper):
+        task = asyncio.ensure_future(sender.send())
+        async with asyncio.timeout(2.0):
+            await helper.began.wait()
+        sender.relay.close()
+        assert (await task).ending is relay.Ending.LOST
+        assert sender.connection_count == 0
+        assert (await sender.send()).not_run
+        assert len(helper.requests) == 1
