Requests at a host without links are served through another host

The directory alone does not help them: they keep addresses for seconds, and clients, store and other hosts still reach the cut host.

Change: a host whose links are lost passes each request on, whole, marked, over one hop, to an active host that has links, and passes its answer back. So does a host whose links are being checked, for requests that it could not send anywhere. When links are found lost, requests in flight are given up here and sent again if they may be repeated and the budget has an extra attempt for each of their services, or if nothing was sent.

The check itself begins sooner: when no shard of a search has answered by the time of its hedges, and gives up after 0.25 s. The test with hanging connections found that links may then be lost before any connection has failed; the servers that become unreachable later are forgotten as well now.

--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -414,6 +414,10 @@
             route.name, hedging.LatencyWindow(initial_latency_s=0.02)
         )
 
+    def note_silence(self) -> None:
+        """Records that no shard of a search has answered in time."""
+        self.counts.append("silence")
+
     def count(self, name: str) -> None:
         """Records the name of a counter."""
         self.counts.append(name)
--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -55,7 +55,7 @@
 QUARANTINED = "quarantined: the request crashes backend servers"
 
 # Statuses from which a caller may conclude that the request did not run.
-_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
 def find_return_s(
@@ -149,6 +149,9 @@
     ) -> hedging.ExtraAttemptBudget:
         """Returns the budget of extra attempts for a service."""
 
+    def note_silence(self) -> None:
+        """Handles a search of which no shard has answered in time."""
+
     def find_latency_window(self, route: model.Route) -> hedging.LatencyWindow:
         """Returns the recent latencies of a route."""
 
@@ -240,6 +243,8 @@
             ),
             MIN_HEDGE_DELAY_S,
         )
+        # Whether it was ended here to be sent through another host.
+        self.gave_up = False
         self._failures: list[str] = []
         self._hedge_count = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -290,6 +295,34 @@
             self._retry(shard, outcome)
         self._check_completion()
 
+    def give_up(self) -> bool:
+        """Ends the request here, so that it can be sent through another host.
+
+        Returns:
+          Whether it was ended.  It was not if it is complete, or may run once
+          only and may have run.
+        """
+        may_have_run = self.may_have_run
+        if self._result.done() or (may_have_run and not self._route.idempotent):
+            return False
+        self.gave_up = True
+        self._result.set_result(self._reject("no link to any server"))
+        self._abandon_attempts(abort=True)
+        return True
+
+    def try_withdraw_repeat(self) -> bool:
+        """Withdraws one extra attempt for each service of the request.
+
+        Returns:
+          Whether the request may be sent once more as a whole.
+        """
+        return all(
+            self._context.find_extra_attempt_budget(
+                shard.service
+            ).try_withdraw()
+            for shard in self._shards
+        )
+
     @property
     def is_flawless(self) -> bool:
         """Whether all shards have answered and no attempt has failed."""
@@ -432,7 +465,7 @@
         shard.failed = True
         if self._route.shards or not isinstance(outcome, messages.Reply):
             return
-        if outcome.not_run or outcome.status in _NOT_RUN_STATUSES:
+        if outcome.not_run or outcome.status in NOT_RUN_STATUSES:
             return
         shard.reply = outcome
 
@@ -448,6 +481,10 @@
             or self._context.get_quarantine_s(self._request)
         ):
             return
+        if self._route.shards and all(
+            shard.is_pending for shard in self._shards
+        ):
+            self._context.note_silence()
         for shard in self._shards:
             if not shard.is_pending or len(shard.active) != 1:
                 continue
@@ -565,11 +602,12 @@
         A request of which no attempt was sent is refused, so that its caller
         may send it again; the attempts that wait are withdrawn.
         """
-        if not self._may_have_run():
+        if not self.may_have_run:
             return self._reject("deadline")
         return Outcome(Verdict.TIMED_OUT, 504, [], b"", 0, "deadline")
 
-    def _may_have_run(self) -> bool:
+    @property
+    def may_have_run(self) -> bool:
         """Returns whether a backend server may have run the request."""
         return any(
             shard.may_have_run or any(each.sent for each in shard.active)
@@ -587,7 +625,7 @@
         quarantine_s = self._context.get_quarantine_s(self._request)
         if quarantine_s:
             reason, wait_s = QUARANTINED, quarantine_s
-        if self._may_have_run():
+        if self.may_have_run:
             return Outcome(Verdict.FAILED, 502, [], b"", 0, reason)
         if wait_s is None:
             services = [shard.service for shard in self._shards]
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -28,6 +28,8 @@
 from eelgrasshall.gateway import object_cache
 from eelgrasshall.gateway import peer_sync
 from eelgrasshall.gateway import peers
+from eelgrasshall.gateway import relay
+from eelgrasshall.gateway import relay_choice
 from eelgrasshall.gateway import request_handler
 from eelgrasshall.gateway import watcher
 
@@ -58,6 +60,10 @@
 # How long objects other than servers stay that a store which came back from a
 # copy lacks: by then operators and hosts have written them again.
 UNCONFIRMED_RETENTION_S = 6.0
+# Bytes that a host may add to the headers of a request that it relays, and how
+# long its connections may be idle: longer than it keeps them itself.
+RELAY_HEADER_BYTES = 1024
+RELAY_IDLE_TIMEOUT_S = 15.0
 
 _JSON = [(b"Content-Type", b"application/json")]
 
@@ -130,6 +136,13 @@
         self._log = log
         self._metrics = metrics.Metrics()
         self._tasks: list[asyncio.Task] = []
+        self._relay = relay.Relay(
+            own=options.host,
+            names=options.names,
+            random=random,
+            list_helpers=self._list_helpers,
+            count=self._metrics.count,
+        )
         self._request_handler = request_handler.RequestHandler(
             own=options.host,
             names=options.names,
@@ -139,6 +152,7 @@
             log=log,
             metrics=self._metrics,
             on_links_changed=self._handle_links_changed,
+            relay=self._relay,
         )
         self._registry = self._request_handler.registry
         self._object_cache = object_cache.ObjectCache(
@@ -178,12 +192,16 @@
             on_crash_datagram=self._handle_crash_datagram,
         )
         self._caller_listener = self._make_listener(self._handle_request)
+        self._control_listener = self._make_listener(
+            self._handle_control_request, get_limits=self._get_control_limits
+        )
         self._extra_listeners: list[listener.Listener] = []
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._rate_timer: asyncio.TimerHandle | None = None
         self._share_timer: asyncio.TimerHandle | None = None
         self._active_hosts: list[model.Host] = []
-        self._active_hosts_time_s = -VIEW_TTL_S
+        self._helpers: list[relay_choice.Helper] = []
+        self._view_time_s = -VIEW_TTL_S
         self._watch_elected = True
         self._watch_elected_time_s = -VIEW_TTL_S
         # When this host or another one was last known to reach the store.
@@ -203,10 +221,12 @@
         await self._peers.start()
         opened = {options.host.caller_address}
         await self._caller_listener.start(options.host.caller_address)
+        if options.host.control_address not in opened:
+            opened.add(options.host.control_address)
+            await self._control_listener.start(options.host.control_address)
         for address in (
             options.readiness,
             options.directory,
-            options.host.control_address,
             options.metrics,
         ):
             if address not in opened:
@@ -235,7 +255,10 @@
         self._caller_listener.stop_accepting()
         while self._loop.time() < latest_s:
             self._caller_listener.close_idle()
-            if not self._caller_listener.connections:
+            if not (
+                self._caller_listener.connections
+                or self._control_listener.busy_count
+            ):
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
@@ -248,7 +271,9 @@
         for timer in (self._rate_timer, self._share_timer):
             if timer is not None:
                 timer.cancel()
+        self._relay.close()
         self._caller_listener.stop()
+        self._control_listener.stop()
         for extra in self._extra_listeners:
             extra.stop()
         self._peer_sync.stop()
@@ -268,6 +293,29 @@
                 return inner
         return await self._request_handler.handle(request)
 
+    async def _handle_control_request(
+        self, request: messages.Request
+    ) -> listener.Response:
+        """Answers a request of another host; it may relay one of a caller."""
+        if relay.is_relayed(request):
+            return relay.mark_response(
+                await self._handle_request(request),
+                linked=not self._request_handler.links.in_doubt,
+            )
+        return await self._handle_internal_request(request)
+
+    def _get_control_limits(self) -> model.CallerLimits:
+        """Returns the limits on requests that other hosts relay.
+
+        The host that relays a request has applied the callers' limits.
+        """
+        limits = self._request_handler.get_caller_limits()
+        return limits._replace(
+            max_header_bytes=limits.max_header_bytes + RELAY_HEADER_BYTES,
+            header_timeout_s=RELAY_IDLE_TIMEOUT_S,
+            idle_timeout_s=RELAY_IDLE_TIMEOUT_S,
+        )
+
     async def _handle_internal_request(
         self, request: messages.Request
     ) -> listener.Response:
@@ -523,7 +571,7 @@
     def _announce(self, state: heartbeats.State) -> None:
         """Changes this host's state and announces it to all other hosts."""
         self._peers.announce(state)
-        self._active_hosts_time_s = -VIEW_TTL_S
+        self._view_time_s = -VIEW_TTL_S
 
     def _notify_peers(self) -> None:
         """Sends heartbeats at once to pass on the new revisions."""
@@ -567,14 +615,32 @@
 
     def _list_active_hosts(self) -> list[model.Host]:
         """Returns the active hosts, recomputed after `VIEW_TTL_S`."""
-        now = self._loop.time()
-        if now - self._active_hosts_time_s >= VIEW_TTL_S:
-            self._active_hosts = active_hosts.choose_active_hosts(
-                self._peers.list_loads()
-            )
-            self._active_hosts_time_s = now
+        self._update_view()
         return self._active_hosts
 
+    def _list_helpers(self) -> list[relay_choice.Helper]:
+        """Returns the active hosts that reach the servers, without this one.
+
+        Their connections and latencies are fresher than those of other hosts.
+        """
+        self._update_view()
+        return self._helpers
+
+    def _update_view(self) -> None:
+        """Computes the active hosts and the helpers after `VIEW_TTL_S`."""
+        now = self._loop.time()
+        if now - self._view_time_s < VIEW_TTL_S:
+            return
+        loads = self._peers.list_loads()
+        self._active_hosts = active_hosts.choose_active_hosts(loads)
+        active = set(self._active_hosts) - {self._options.host}
+        self._helpers = [
+            relay_choice.Helper(load.host, load.attempts_per_s)
+            for load in loads
+            if load.reaches_servers and load.host in active
+        ]
+        self._view_time_s = now
+
     def _get_attempt_rate(self) -> float:
         """Returns the moving average of attempts per second."""
         return self._attempts_per_s
@@ -653,11 +719,16 @@
         self._log.flush()
         self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
-    def _make_listener(self, handler: listener.Handler) -> listener.Listener:
-        """Creates a listener with the limits of the current configuration."""
+    def _make_listener(
+        self,
+        handler: listener.Handler,
+        *,
+        get_limits: Callable[[], model.CallerLimits] | None = None,
+    ) -> listener.Listener:
+        """Creates a listener, by default with the limits on callers."""
         return listener.Listener(
             handler=handler,
-            get_limits=self._request_handler.get_caller_limits,
+            get_limits=get_limits or self._request_handler.get_caller_limits,
             on_error=self._log_handler_error,
         )
 
--- a/eelgrasshall/gateway/links.py
+++ b/eelgrasshall/gateway/links.py
@@ -24,13 +24,18 @@
 FULL_SAMPLE = 10
 # Time after which all of them are asked; a few round trips to another zone.
 WIDEN_DELAY_S = 0.05
+# Time after which the others count as unreachable as well: a round trip to
+# another region and some delay.
+CHECK_TIMEOUT_S = 0.25
 # While links are lost, so many servers are asked at an interval, and the links
 # are back once one has answered in several rounds in a row.
 RETURN_SAMPLE = 3
 RETURN_INTERVAL_S = 0.25
 RETURN_ROUNDS = 3
-# How long an opened connection shows that the links work.
-PROVEN_S = 1.0
+# How long an opened connection shows that the links work, and how often they
+# are checked without a server that cannot be reached.
+PROVEN_S = 0.1
+CHECK_INTERVAL_S = 1.0
 
 
 class Server(Protocol):
@@ -48,8 +53,8 @@
 
     Attributes:
       lost: Whether this host reaches no server.
-      failing_since_s: Monotonic time of the first failure since a connection
-        was last opened; None if there was none.
+      failing_since_s: Monotonic time since which no connection was opened and
+        some failed; None if the last one was opened.
 
     Args:
       loop: The event loop.
@@ -81,6 +86,12 @@
         self._task: asyncio.Task | None = None
         self._lost_since_s = 0.0
         self._connected_s = -math.inf
+        self._checked_s = -math.inf
+
+    @property
+    def in_doubt(self) -> bool:
+        """Whether the links are lost or being checked."""
+        return self._task is not None
 
     def note_connected(self) -> None:
         """Records that a connection to some server was opened."""
@@ -97,14 +108,19 @@
     def check_if_unproven(self) -> None:
         """Starts a check, unless a connection was opened a short time ago.
 
-        For a host with little traffic, when others have lost their links.
+        For weaker signs than a server that cannot be reached.
         """
-        if self._loop.time() - self._connected_s >= PROVEN_S:
+        now = self._loop.time()
+        if (
+            now - self._connected_s >= PROVEN_S
+            and now - self._checked_s >= CHECK_INTERVAL_S
+        ):
             self._start_check()
 
     def _start_check(self) -> None:
         """Starts a check, unless one is running."""
         if self._task is None:
+            self._checked_s = self._loop.time()
             self._task = self._loop.create_task(self._run())
 
     def close(self) -> None:
@@ -132,6 +148,8 @@
         now = self._loop.time()
         if lost:
             self._lost_since_s = now
+            if self.failing_since_s is None:
+                self.failing_since_s = self._checked_s
             self._log.record("links_lost", asked=asked)
         else:
             self._log.record(
@@ -149,7 +167,7 @@
         """
         waiting = [_start_check(each) for each in sample[:FIRST_SAMPLE]]
         remaining = sample[FIRST_SAMPLE:]
-        timeout_s: float | None = WIDEN_DELAY_S
+        timeout_s = WIDEN_DELAY_S
         try:
             while waiting:
                 done, pending = await asyncio.wait(
@@ -163,7 +181,9 @@
                 if remaining and not (done and pending):
                     waiting += [_start_check(each) for each in remaining]
                     remaining = ()
-                    timeout_s = None
+                    timeout_s = CHECK_TIMEOUT_S
+                elif not done:
+                    break
         finally:
             for task in waiting:
                 task.add_done_callback(_ignore_result)
--- a/eelgrasshall/gateway/links_test.py
+++ b/eelgrasshall/gateway/links_test.py
@@ -183,7 +183,7 @@
         network.links.check_if_unproven()
         await asyncio.sleep(0.1)
         assert network.checked == 1
-        await asyncio.sleep(links_module.PROVEN_S)
+        await asyncio.sleep(links_module.CHECK_INTERVAL_S)
         network.cut = True
         network.links.check_if_unproven()
         await asyncio.sleep(1.0)
--- a/eelgrasshall/gateway/lost_links_test.py
+++ b/eelgrasshall/gateway/lost_links_test.py
@@ -6,6 +6,7 @@
 
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import load_model
+from eelgrasshall.gateway import relay
 from eelgrasshall.gateway import virtual_time
 
 _SHARDS = ("s1", "s2", "s3")
@@ -153,3 +154,147 @@
     assert len(crashed) > 1
     blamed = {each["server"] for each in handler._log.list_events("blamed")}
     assert blamed == {crashed[0]}
+
+
+class _Relay:
+    """A relay that answers all requests alike, and records them."""
+
+    def __init__(self, result: relay.Result):
+        self.result = result
+        self.requests: list[bytes] = []
+
+    async def send(self, request, *, deadline_s, idempotent):
+        del deadline_s, idempotent
+        await asyncio.sleep(0.01)
+        self.requests.append(request.get_header(b"x-id"))
+        return self.result
+
+
+_ANSWER = relay.Result(
+    relay.Ending.ANSWERED,
+    "h2",
+    status=200,
+    headers=[(fakes.NAMES.parts_missing, b"0")],
+)
+_REFUSAL = _ANSWER._replace(status=503, headers=[(b"Retry-After", b"0.20")])
+
+
+def _run_cut(loop, result, *, kind=_KIND, hangs=False):
+    """Runs a host whose links are cut at 2 s and whose relay answers alike."""
+    simulation = load_model.Simulation(
+        loop=loop, seed=1, kinds=[kind], shards=_SHARDS, hosts=1
+    )
+    network, handler = _Network(simulation), simulation.handlers[0]
+    handler._relay = _Relay(result)
+    network.hangs = hangs
+    loop.call_at(2.0, network.cut, list(simulation.servers))
+    simulation.run(5.0)
+    return simulation, handler._relay
+
+
+@pytest.mark.parametrize("hangs", [False, True])
+def test_callers_are_served_through_another_host_during_a_cut(loop, hangs):
+    simulation, relayed = _run_cut(loop, _ANSWER, hangs=hangs)
+    assert load_model.summarize(simulation.results, 0.0, 5.0).served == 1.0
+    # Nothing is relayed while the links work.
+    assert len(relayed.requests) <= sum(
+        each.tries for each in simulation.results if each.arrived_s > 1.7
+    )
+
+
+def test_request_that_may_have_run_here_is_not_refused_as_not_run(loop):
+    # Requests in flight at the cut are given up here and sent elsewhere.
+    simulation, relayed = _run_cut(loop, _REFUSAL)
+    early = [
+        each.status
+        for each in simulation.results
+        if each.arrived_s < 2.0 < each.arrived_s + each.took_s
+        and each.tries == 1
+    ]
+    assert relayed.requests
+    assert 503 not in early
+
+
+def test_request_that_may_run_once_is_relayed_only_if_it_was_not_sent(loop):
+    route = fakes.make_route(service=_SHARDS[0], idempotent=False)
+    simulation = load_model.Simulation(
+        loop=loop,
+        seed=1,
+        kinds=[_KIND._replace(route=route)],
+        shards=_SHARDS,
+        hosts=1,
+    )
+    sent = set()
+    for server in simulation.servers.values():
+        server.receive = _note_ids(server.receive, sent)
+    network, handler = _Network(simulation), simulation.handlers[0]
+    handler._relay = _Relay(_ANSWER)
+
+    async def call(request_id):
+        request = fakes.make_request()
+        headers = [(b"Host", b"orders.example"), (b"X-Id", request_id)]
+        return await handler.handle(request._replace(headers=headers))
+
+    async def play():
+        tasks = []
+        for number in range(80):
+            if number == 20:
+                network.cut(simulation.servers)
+            task = loop.create_task(call(b"r%d" % number))
+            tasks.append(task)
+            await asyncio.sleep(0.025)
+            handler.registry.sweep(loop.time())
+        responses = await asyncio.gather(*tasks)
+        handler.close()
+        return [response.status for response in responses]
+
+    statuses = loop.run_until_complete(play())
+    assert set(statuses[40:]) == {200}
+    assert len(sent) >= 20
+    assert handler._relay.requests
+    assert not sent & set(handler._relay.requests)
+
+
+def _note_ids(receive, ids):
+    """Returns a function that notes the id of each request it passes on."""
+
+    def receive_and_note(transport, data):
+        _, _, rest = data.lower().partition(b"x-id: ")
+        ids.add(rest.partition(b"\r\n")[0])
+        receive(transport, data)
+
+    return receive_and_note
+
+
+@pytest.mark.parametrize(
+    ("ending", "status"),
+    [
+        (relay.Ending.NOT_RUN, 503),
+        (relay.Ending.LOST, 502),
+        (relay.Ending.TIMED_OUT, 504),
+    ],
+)
+def test_status_tells_whether_a_relayed_request_may_have_run(
+    loop, ending, status
+):
+    simulation, _ = _run_cut(loop, relay.Result(ending, "h2", "down"))
+    late = [each for each in simulation.results if each.arrived_s > 3.0]
+    assert {each.status for each in late} == {status}
+
+
+def test_relayed_request_is_not_relayed_again(loop):
+    simulation, network, handler = _start(loop)
+    handler._relay = _Relay(_ANSWER)
+    loop.call_at(2.0, network.cut, list(simulation.servers))
+    responses = []
+
+    async def call():
+        request = fakes.make_request(headers=(("Eelgrasshall-Relayed", "h3"),))
+        responses.append(await handler.handle(request))
+        responses.append(handler.links.lost)
+        responses.append(handler._relay.requests.count(b"a1"))
+
+    loop.call_at(4.0, lambda: loop.create_task(call()))
+    simulation.run(5.0)
+    response, lost, relayed_count = responses
+    assert lost and response.status == 503 and not relayed_count
--- a/eelgrasshall/gateway/relay.py
+++ b/eelgrasshall/gateway/relay.py
@@ -43,7 +43,8 @@
 AVOIDANCE_S = 1.0
 
 _MARK_NAME = b"Eelgrasshall-Relayed"
-_MARK_VALUE = b"1"
+_LINKED = b"1"
+_UNLINKED = b"0"
 
 
 class Ending(enum.Enum):
@@ -95,14 +96,20 @@
     return request.get_header(RELAYED) is not None
 
 
-def mark_response(response: listener.Response) -> listener.Response:
+def mark_response(
+    response: listener.Response, *, linked: bool = True
+) -> listener.Response:
     """Returns the response to a relayed request with the mark added.
 
     The mark tells the host that relays the request that this host handled it
     as such.  Hosts of earlier builds answer without it.
+
+    Args:
+      response: The response.
+      linked: Whether this host reaches backend servers, as far as it knows.
     """
     headers = _remove_mark(response.headers)
-    headers.append((_MARK_NAME, _MARK_VALUE))
+    headers.append((_MARK_NAME, _LINKED if linked else _UNLINKED))
     return response._replace(headers=headers)
 
 
@@ -273,7 +280,11 @@
             for key, value in headers
         ):
             raise ConnectionError("response to another request")
-        if not any(_is_mark(key) for key, _ in headers):
+        marks = [value for key, value in headers if _is_mark(key)]
+        if marks == [_UNLINKED] and response.status == 503:
+            self._avoid(host)
+            return Result(Ending.NOT_RUN, host.name, "helper has no links")
+        if not marks:
             # A host of an earlier build knows no requests at this address and
             # answers 404 without running them.
             ending = Ending.LOST
--- a/eelgrasshall/gateway/relay_test.py
+++ b/eelgrasshall/gateway/relay_test.py
@@ -592,6 +592,34 @@
     later.listener.stop()
 
 
+@pytest.mark.parametrize(
+    ("status", "passed_over"), [(503, True), (502, False), (200, False)]
+)
+async def test_helper_that_has_lost_its_links_is_passed_over(
+    status, passed_over
+):
+    async def handle(request):
+        return relay.mark_response(
+            listener.Response(status, [], b""), linked=False
+        )
+
+    first, second = _Helper(handle), _Helper()
+    hosts = [
+        fakes.make_host("first", port=26680),
+        fakes.make_host("second", port=26690),
+    ]
+    for helper, host in zip((first, second), hosts, strict=True):
+        await helper.listener.start(host.control_address)
+    sender = _Sender(*hosts)
+    result = await sender.send()
+    assert result.answered
+    assert result.helper == ("second" if passed_over else "first")
+    assert len(second.requests) == passed_over
+    sender.relay.close()
+    for helper in (first, second):
+        helper.listener.stop()
+
+
 async def test_marked_404_is_an_answer():
     async def handle(request):
         return relay.mark_response(listener.Response(404, [], b"no route"))
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -26,6 +26,7 @@
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import quarantine
 from eelgrasshall.gateway import registry
+from eelgrasshall.gateway import relay as relay_module
 from eelgrasshall.gateway import routing
 from eelgrasshall.gateway import upstream
 
@@ -52,6 +53,8 @@
       metrics: The metrics of this host.
       on_links_changed: Called when this host has lost its links to the backend
         servers, or has them back.
+      relay: Sends requests to other hosts meanwhile; None if they are not to be
+        relayed.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         log: events.EventLog,
         metrics: metrics_module.Metrics,
         on_links_changed: Callable[[], None] = lambda: None,
+        relay: relay_module.Relay | None = None,
     ):
         self.names = names
         self.zone = own.zone
@@ -92,8 +96,10 @@
             log=log,
         )
         self._on_links_changed = on_links_changed
+        self._relay = relay
         # Servers that were found unreachable while the links are checked.
         self._unreachable: dict[str, upstream.Backend] = {}
+        self._running: set[fanout.Fanout] = set()
         self._log = log
         self._metrics = metrics
         self._extra_attempt_bound = extra_attempt_bound
@@ -226,11 +232,19 @@
         wait_s = self.get_quarantine_s(request)
         if wait_s:
             return self._reject(503, fanout.QUARANTINED, wait_s, route=route)
+        if self.links.lost and self._may_relay(request):
+            relayed = await self._relay_request(request, route)
+            if relayed is not None:
+                return relayed
         services = route.shards or (
             self._round_robin.choose_service(route.name, route.split),
         )
         wait_s = fanout.find_return_s(self, route, services)
         if wait_s is not None:
+            if self.links.in_doubt and self._may_relay(request):
+                relayed = await self._relay_request(request, route)
+                if relayed is not None:
+                    return relayed
             return self._reject(
                 503, fanout.TOO_FEW_SERVERS, wait_s, route=route
             )
@@ -259,9 +273,11 @@
             deadline_s=request.received_s + timeout_s,
             has_waiting=lambda: queue.limiter.has_waiting,
         )
+        self._running.add(request_fanout)
         try:
             outcome = await request_fanout.run()
         finally:
+            self._running.discard(request_fanout)
             if queue.finish(started_s=started_s, objective_s=route.objective_s):
                 self._log.record(
                     "admission",
@@ -275,8 +291,94 @@
             )
         waited_ms = round((started_s - request.received_s) * 1000)
         log_fields = {"waited_ms": waited_ms, **request_fanout.get_log_fields()}
+        if self._may_relay_after(request, request_fanout, outcome):
+            relayed = await self._relay_request(
+                request, route, may_have_run=request_fanout.may_have_run
+            )
+            if relayed is not None:
+                outcome, _, more_fields = relayed
+                log_fields |= more_fields
         return outcome, route, log_fields
 
+    def _may_relay(self, request: messages.Request) -> bool:
+        """Returns whether a request is served through another host."""
+        return self._relay is not None and not relay_module.is_relayed(request)
+
+    def _may_relay_after(
+        self,
+        request: messages.Request,
+        request_fanout: fanout.Fanout,
+        outcome: fanout.Outcome,
+    ) -> bool:
+        """Returns whether a request that ended here is sent to another host.
+
+        That is the case if the links are the likely cause.
+        """
+        if not (self.links.in_doubt and self._may_relay(request)):
+            return False
+        if request_fanout.may_have_run:
+            return (
+                request_fanout.gave_up and request_fanout.try_withdraw_repeat()
+            )
+        return (
+            outcome.verdict is fanout.Verdict.REFUSED
+            and outcome.reason != fanout.QUARANTINED
+        )
+
+    async def _relay_request(
+        self,
+        request: messages.Request,
+        route: model.Route,
+        *,
+        may_have_run: bool = False,
+    ) -> tuple[fanout.Outcome, model.Route, dict[str, Any]] | None:
+        """Serves a request through a host that reaches the servers.
+
+        Args:
+          request: The request.
+          route: Its route.
+          may_have_run: Whether it may have run at servers of this host.
+
+        Returns:
+          The outcome, the route, and further log fields; None if there is no
+          such host.
+        """
+        timeout_s = self._compute_timeout(request, route)
+        result = await self._relay.send(
+            request,
+            deadline_s=request.received_s
+            + timeout_s
+            - fanout.DEADLINE_MARGIN_S,
+            idempotent=route.idempotent,
+        )
+        if not result.helper:
+            return None
+        if result.not_run:
+            outcome, _, _ = self._reject(
+                503, result.reason, fanout.RETRY_AFTER_NO_SERVER_S
+            )
+        else:
+            outcome = self._make_relayed_outcome(result)
+        if may_have_run and outcome.status in fanout.NOT_RUN_STATUSES:
+            outcome = outcome._replace(
+                verdict=fanout.Verdict.FAILED, status=502, headers=[]
+            )
+        return outcome, route, {"relayed_to": result.helper}
+
+    def _make_relayed_outcome(
+        self, result: relay_module.Result
+    ) -> fanout.Outcome:
+        """Returns the outcome of a request that may have run elsewhere."""
+        if result.ending is relay_module.Ending.TIMED_OUT:
+            verdict, status = fanout.Verdict.TIMED_OUT, 504
+        elif not result.answered:
+            verdict, status = fanout.Verdict.FAILED, 502
+        else:
+            verdict, status = _classify_answer(result), result.status
+        return fanout.Outcome(
+            verdict, status, list(result.headers), result.body, 0, result.reason
+        )
+
     def _make_queue_entry(
         self, request: messages.Request, route: model.Route, timeout_s: float
     ) -> admission.QueueEntry:
@@ -403,6 +505,10 @@
             )
         return latencies
 
+    def note_silence(self) -> None:
+        """Checks the links to the servers, as no shard of a search answers."""
+        self.links.check_if_unproven()
+
     def count(self, name: str) -> None:
         """Increments a named counter."""
         self._metrics.count(name)
@@ -496,6 +602,9 @@
         self._unreachable.clear()
         if self.links.lost:
             self.registry.suspend_probes()
+            if self._relay is not None:
+                for request_fanout in list(self._running):
+                    request_fanout.give_up()
         else:
             self.registry.resume(self.links.failing_since_s)
         self._on_links_changed()
@@ -535,3 +644,12 @@
                 server=report.server_id,
                 took_ms=round((report.crashed_s - report.began_s) * 1000),
             )
+
+
+def _classify_answer(result: relay_module.Result) -> fanout.Verdict:
+    """Returns the verdict on an answer that another host gave."""
+    if result.status < 300:
+        return fanout.Verdict.ANSWERED
+    if result.status in fanout.NOT_RUN_STATUSES:
+        return fanout.Verdict.REFUSED
+    return fanout.Verdict.FAILED
