--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -117,7 +117,9 @@
         self.began_s: list[float] = []
         self.alive: list[upstream.Backend] = []
         self.blocked: set[attempts.Attempt] = set()
+        self.connected: list[upstream.Backend] = []
         self.unreachable: list[upstream.Backend] = []
+        self.ended: list[upstream.Backend] = []
         self.misdirected: list[upstream.Backend] = []
         self.leaving: list[upstream.Backend] = []
         self.pauses_s: list[float] = []
@@ -140,10 +142,18 @@
         """Records that a server answered after an unanswered attempt."""
         self.alive.append(backend)
 
+    def on_connected(self, backend: upstream.Backend) -> None:
+        """Records a server to which a connection was opened."""
+        self.connected.append(backend)
+
     def on_unreachable(self, backend: upstream.Backend) -> None:
         """Records a server that could not be reached."""
         self.unreachable.append(backend)
 
+    def on_ended(self, backend: upstream.Backend) -> None:
+        """Records a server whose process has ended."""
+        self.ended.append(backend)
+
     def on_misdirected(self, backend: upstream.Backend) -> None:
         """Records a server at whose address another one answered."""
         self.misdirected.append(backend)
@@ -404,6 +414,10 @@
             route.name, hedging.LatencyWindow(initial_latency_s=0.02)
         )
 
+    def note_silence(self) -> None:
+        """Records that no shard of a search has answered in time."""
+        self.counts.append("silence")
+
     def count(self, name: str) -> None:
         """Records the name of a counter."""
         self.counts.append(name)
@@ -431,6 +445,11 @@
         """Records an event."""
         self.lines.append((event, fields))
 
+    def allow_request_line(self, *, failed: bool) -> bool:
+        """Returns whether a request may be logged: never."""
+        del failed
+        return False
+
     def list_events(self, event: str) -> list[dict]:
         """Returns the fields of all events of a name."""
         return [fields for name, fields in self.lines if name == event]
--- a/eelgrasshall/gateway/registry.py
+++ b/eelgrasshall/gateway/registry.py
@@ -169,6 +169,7 @@
             if old is None:
                 return
             del self._servers[server_id]
+            self._report_end(server_id)
             self._remove(server_id)
             self._remember_departed(old, era)
             state = "gone"
@@ -176,6 +177,7 @@
             if old is not None and server.started_at_ms < old.started_at_ms:
                 return
             if old is not None and _is_other_instance(old, server):
+                self._report_end(server_id)
                 self._remove(server_id)
             self._servers[server_id] = server
             if server.draining:
@@ -196,6 +198,12 @@
             revision=number,
         )
 
+    def _report_end(self, server_id: str) -> None:
+        """Reports that the process of a candidate has ended."""
+        backend = self._backends.get(server_id)
+        if backend is not None:
+            self._environment.observer.on_ended(backend)
+
     def remove_misdirected(self, backend: upstream.Backend) -> None:
         """Removes a server at whose address another server answers."""
         if self._backends.get(backend.server.id) is backend:
@@ -285,6 +293,36 @@
         self._probes[server_id] = task
         task.add_done_callback(lambda done: self._forget_probe(server_id, done))
 
+    def is_probed(self, backend: upstream.Backend) -> bool:
+        """Returns whether a server is probed because it is not reached."""
+        return backend.server.id in self._probes
+
+    def list_backends(self) -> list[upstream.Backend]:
+        """Returns the candidates of all services."""
+        return list(self._backends.values())
+
+    def suspend_probes(self) -> None:
+        """Ends all probes, while this host reaches no server."""
+        for task in self._probes.values():
+            task.cancel()
+        self._probes.clear()
+
+    def resume(self, since_s: float) -> None:
+        """Uses the servers again that became unreachable since a time.
+
+        Those that were unreachable before are probed.
+
+        Args:
+          since_s: Monotonic time.
+        """
+        for backend in self._backends.values():
+            if not backend.unreachable:
+                continue
+            if backend.unreachable_since_s >= since_s:
+                backend.trust_again()
+            else:
+                self.start_probe(backend)
+
     def _forget_probe(self, server_id: str, task: asyncio.Task) -> None:
         """Forgets a probe that has ended."""
         if self._probes.get(server_id) is task:
