--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -36,6 +36,9 @@
 ACCEPT_INCOMPLETE_DELAY_S = 5.0
 # Smallest body that is compressed; a smaller one fits into one packet.
 MIN_COMPRESSED_BYTES = 1400
+# Asks for the revisions of a host without its objects: the stated ones are
+# higher than any.
+REVISIONS_TARGET = f"{UPDATES_PATH}?{','.join([str(1 << 40)] * 8)}"
 
 _JSON = [(b"Content-Type", b"application/json")]
 
@@ -132,6 +135,16 @@
     ]
 
 
+def read_eras(document: dict[str, Any]) -> list[int]:
+    """Returns the eras of all collections in a host's answer.
+
+    Raises:
+      KeyError: The document is malformed, or from an earlier version.
+      TypeError: The document is malformed.
+    """
+    return [document[each.value]["era"] for each in object_cache.Collection]
+
+
 def apply_updates(
     cache: object_cache.ObjectCache,
     document: dict[str, Any],
--- a/eelgrasshall/platform/console.py
+++ b/eelgrasshall/platform/console.py
@@ -4,11 +4,11 @@
     python -m eelgrasshall.platform.console print 10.0.0.7:8229
     python -m eelgrasshall.platform.console addresses 10.1.0.3:8225
 
-`status` reads the store and the metrics of each entry host listed there;
-`print` shows the configuration as the operators wrote it; `addresses` asks an
-entry host for the addresses that it gives to callers.  All commands are
-read-only.  They exit with status 1 if they find a problem, and with 3 if the
-store or the given host is unreachable.
+`status` reads the store, and from each entry host listed there its metrics and
+the era of the store that it follows; `print` shows the configuration as the
+operators wrote it; `addresses` asks an entry host for the addresses that it
+gives to callers.  All commands are read-only.  They exit with status 1 if they
+find a problem, and with 3 if the store or the given host is unreachable.
 """
 
 import asyncio
@@ -24,6 +24,7 @@
 
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import object_cache
+from eelgrasshall.gateway import peer_sync
 from eelgrasshall.gateway import watcher
 from eelgrasshall.platform import codec
 from eelgrasshall.platform import store as store_module
@@ -44,11 +45,14 @@
     Attributes:
       host: The host.
       gauges: Values of selected metrics by name; empty if it is unreachable.
+      era: The store's era of its data, the lowest of all collections; None if
+        it states none.
       reason: Why it is unreachable; empty if it is not.
     """
 
     host: model.Host
     gauges: dict[str, float]
+    era: int | None
     reason: str
 
 
@@ -57,57 +61,60 @@
 
     Attributes:
       version: Version of the configuration in the store, 0 if there is none.
+      era: The store's era, 0 if it states none.
       servers: Number of backend servers by state: ready or draining.
       evacuated: Names of the evacuated availability zones.
       hosts: The entry hosts that are listed in the store.
     """
 
     version: int
+    era: int
     servers: dict[str, int]
     evacuated: list[str]
     hosts: list[HostState]
 
 
-async def read_objects(
+async def read_listings(
     address: model.Address,
-) -> dict[object_cache.Collection, dict[str, Any]] | watcher.Unavailable:
-    """Reads all collections of the store, as documents by object name."""
+) -> dict[object_cache.Collection, object_cache.Listing] | watcher.Unavailable:
+    """Reads all collections of the store."""
     store = store_module.StoreClient(address=address)
-    objects = {}
+    listings = {}
     try:
         for collection in object_cache.Collection:
             listing = await store.read_all(collection)
             if isinstance(listing, watcher.Unavailable):
                 return listing
-            objects[collection] = {
-                update.name: update.document for update in listing.updates
-            }
+            listings[collection] = listing
     finally:
         store.close()
-    return objects
+    return listings
 
 
 async def read_fleet_state(
     address: model.Address,
 ) -> FleetState | watcher.Unavailable:
-    """Reads the store and the metrics of the hosts that are listed there."""
-    objects = await read_objects(address)
-    if isinstance(objects, watcher.Unavailable):
-        return objects
-    configuration = _decode_collection(
-        objects, object_cache.Collection.CONFIGURATION
+    """Reads the store and the state of the hosts that are listed there."""
+    listings = await read_listings(address)
+    if isinstance(listings, watcher.Unavailable):
+        return listings
+    configuration = _decode_listing(
+        listings[object_cache.Collection.CONFIGURATION]
     )
     servers = {"ready": 0, "draining": 0}
-    for server in _decode_collection(objects, object_cache.Collection.SERVERS):
+    for server in _decode_listing(listings[object_cache.Collection.SERVERS]):
         servers["draining" if server.draining else "ready"] += 1
-    hosts = sorted(_decode_collection(objects, object_cache.Collection.HOSTS))
+    evacuations = listings[object_cache.Collection.EVACUATIONS].updates
+    hosts = sorted(_decode_listing(listings[object_cache.Collection.HOSTS]))
     return FleetState(
         version=configuration[0].version if configuration else 0,
-        servers=servers,
-        evacuated=sorted(objects[object_cache.Collection.EVACUATIONS]),
-        hosts=await asyncio.gather(
-            *(_fetch_host_state(host) for host in hosts)
+        era=max(
+            object_cache.get_era(listing.revision)
+            for listing in listings.values()
         ),
+        servers=servers,
+        evacuated=sorted(update.name for update in evacuations),
+        hosts=await asyncio.gather(*(fetch_host_state(host) for host in hosts)),
     )
 
 
@@ -127,12 +134,25 @@
                 f"{each.host.name}: {each.reason}; remove its object if the "
                 "host is gone"
             )
+        elif each.gauges["configuration_version"] > state.version > 0:
+            problems.append(
+                f"{each.host.name}: version "
+                f"{each.gauges['configuration_version']:.0f} is in force, but "
+                f"the store has only {state.version}, perhaps from a copy: "
+                "write the later configuration again"
+            )
         elif each.gauges["configuration_version"] != state.version:
             problems.append(
                 f"{each.host.name}: version "
                 f"{each.gauges['configuration_version']:.0f} is in force, not "
                 f"{state.version}; check its log for store_lost"
             )
+        if each.era is not None and each.era < state.era:
+            problems.append(
+                f"{each.host.name}: store era {each.era}, not {state.era}; it "
+                "reaches neither the store nor an up-to-date host: check its "
+                "log for store_lost and exchange_failed"
+            )
     if reachable and not any(
         each.gauges["store_reachable"] for each in reachable
     ):
@@ -147,12 +167,15 @@
     lines = [
         f"configuration {state.version}, backend servers "
         f"{state.servers['ready']} ready and {state.servers['draining']} "
-        f"draining, evacuated zones: {', '.join(state.evacuated) or 'none'}"
+        f"draining, evacuated zones: {', '.join(state.evacuated) or 'none'}, "
+        f"store era {state.era}"
     ]
     width = max((len(each.host.name) for each in state.hosts), default=0)
     for each in state.hosts:
+        era = "unknown" if each.era is None else each.era
         details = each.reason or ", ".join(
-            f"{name} {value:.0f}" for name, value in each.gauges.items()
+            [f"{name} {value:.0f}" for name, value in each.gauges.items()]
+            + [f"store era {era}"]
         )
         lines.append(f"{each.host.name:{width}}  {each.host.zone}  {details}")
     return lines
@@ -168,33 +191,41 @@
     return {name: values[name] for name in _GAUGES if name in values}
 
 
-def _decode_collection(
-    objects: dict[object_cache.Collection, dict[str, Any]],
-    collection: object_cache.Collection,
-) -> list[Any]:
-    """Decodes the documents of a collection.
+async def fetch_host_state(host: model.Host) -> HostState:
+    """Reads the metrics of a host and the era of its data."""
+    try:
+        async with asyncio.timeout(HOST_TIMEOUT_S):
+            text = await _fetch_text(host.control_address, "/metrics")
+    except (OSError, TimeoutError, ValueError) as error:
+        return HostState(host, {}, None, f"not reachable ({error!r})")
+    era = await _fetch_era(host.control_address)
+    return HostState(host, parse_gauges(text), era, "")
+
+
+async def _fetch_era(address: model.Address) -> int | None:
+    """Reads the era of a host's data; None if it states none."""
+    try:
+        async with asyncio.timeout(HOST_TIMEOUT_S):
+            text = await _fetch_text(address, peer_sync.REVISIONS_TARGET)
+        return min(peer_sync.read_eras(json.loads(text)))
+    except (OSError, TimeoutError, ValueError, KeyError, TypeError):
+        return None
+
+
+def _decode_listing(listing: object_cache.Listing) -> list[Any]:
+    """Decodes the objects of a listing.
 
     Skips documents that cannot be decoded, and prints the error.
     """
     values = []
-    for name, document in objects[collection].items():
+    for update in listing.updates:
         try:
-            values.append(codec.decode(collection, document))
+            values.append(codec.decode(update.collection, update.document))
         except ValueError as error:
-            print(f"cannot decode {name}: {error}", file=sys.stderr)
+            print(f"cannot decode {update.name}: {error}", file=sys.stderr)
     return values
 
 
-async def _fetch_host_state(host: model.Host) -> HostState:
-    """Reads the metrics of a host."""
-    try:
-        async with asyncio.timeout(HOST_TIMEOUT_S):
-            text = await _fetch_text(host.control_address, "/metrics")
-    except (OSError, TimeoutError, ValueError) as error:
-        return HostState(host, {}, f"not reachable ({error!r})")
-    return HostState(host, parse_gauges(text), "")
-
-
 async def _fetch_text(address: model.Address, target: str) -> str:
     """Fetches a text document from a host over HTTP.
 
@@ -271,19 +302,17 @@
 
     async def show(self, address: model.Address) -> int:
         """Prints the configuration; fails if there is none."""
-        objects = await read_objects(address)
-        if isinstance(objects, watcher.Unavailable):
+        listings = await read_listings(address)
+        if isinstance(listings, watcher.Unavailable):
             return self._print_error(
-                f"store: {objects.reason}", EXIT_UNREACHABLE
+                f"store: {listings.reason}", EXIT_UNREACHABLE
             )
-        documents = list(
-            objects[object_cache.Collection.CONFIGURATION].values()
-        )
-        if not documents:
+        updates = listings[object_cache.Collection.CONFIGURATION].updates
+        if not updates:
             return self._print_error(
                 "no configuration in the store", EXIT_PROBLEM
             )
-        self._print(json.dumps(documents[0]["spec"], indent=2))
+        self._print(json.dumps(updates[0].document["spec"], indent=2))
         return 0
 
 
