The latest configuration reaches hosts that know only the store's older copy

A host that had listed the copy by itself, because it was cut off before the later version was written or had just started, stands at the same revision, so neither fetched from the other: it kept the copy's version until the operator wrote again. Over three hosts (one that knows the later version, one cut off, one fresh) that list the store in each order and then all hear of each other, 10 of 12 cases ended so; only the two in which the first one lists first and the others hear of it before they list did not.

Change: a host that keeps a configuration states its version behind the eras in its heartbeats, until the store has one at least as high, and marks it in the exchange. A host of the same era with an earlier version asks for the whole configuration and takes over the higher version whatever its revision. What cannot be used is fetched once. A lower version or a deletion that is written meanwhile, as when an operator writes lost versions again one by one, does not replace the kept one, and a configuration of which the copy has no version at all is kept and passed on too; before it was left out of the exchange.

Messages stay readable: builds with eras ignore the ninth number and the mark.

Before: assert [[18], [14], [14]] == [[18], [18], [18]] After: the same 12 cases pass, and nothing more is fetched once all have it. The state machine over versions now also asserts that all hosts get the highest version that any of them knows before it is written again; its documents are decoded as configurations, which it needs for versions. No check was removed.

Trials with a part taken out: the stated version not read, the mark not sent, the kept version given up within the era, the copy without a configuration, an unusable version fetched again and again, eras not compared, a version from a build that does not mark it: each fails a test, the last three only since tests were added for them.

--- a/eelgrasshall/gateway/object_cache.py
+++ b/eelgrasshall/gateway/object_cache.py
@@ -8,7 +8,9 @@
 The store may come back from a copy that is some seconds old.  It then counts
 its revisions on from there and begins a new era.  Revisions here contain the
 era, so that those of a later era are the higher ones.  What the copy lacks
-stays until its writers have had time to write it again.
+stays until its writers have had time to write it again.  A configuration stays
+until the store has one with at least its version; hosts that know only the copy
+get it from others.
 """
 
 from collections.abc import Callable
@@ -121,6 +123,8 @@
         }
         self._received = dict.fromkeys(Collection, 0)
         self._complete_since = dict.fromkeys(Collection, 0)
+        self._configuration_version = 0
+        self._keeps_configuration = False
         self._deferred: dict[Collection, dict[str, int]] = {
             collection: {} for collection in Collection
         }
@@ -145,6 +149,16 @@
         """
         return self._complete_since[collection]
 
+    @property
+    def configuration_version(self) -> int:
+        """Version of the latest configuration; 0 if there is none."""
+        return self._configuration_version
+
+    @property
+    def kept_version(self) -> int:
+        """Version of a configuration that the store lacks; 0 if it has it."""
+        return self._configuration_version if self._keeps_configuration else 0
+
     def start_at(self, collection: Collection, revision: int) -> None:
         """Records that nothing is known of deletions up to a revision.
 
@@ -180,7 +194,10 @@
         if (
             old is not None
             and old.document is not None
-            and get_era(update.revision) > get_era(old.revision)
+            and (
+                get_era(update.revision) > get_era(old.revision)
+                or self._is_kept(update.collection)
+            )
             and not self._supersedes(
                 update.collection, value, self._decode_update(old)
             )
@@ -188,16 +205,56 @@
             # The copy is older than what is known here.  Hosts that fetch it
             # from here get what is known.
             latest[update.name] = update._replace(document=old.document)
+            self._keeps_configuration = True
             self.generation += 1
             return True
-        latest[update.name] = update
+        self._replace(update, value, is_kept=False)
+        return True
+
+    def adopt(self, update: Update) -> bool:
+        """Applies a configuration that another host has kept.
+
+        It replaces an earlier version of the same era, whatever the revision of
+        that one is.
+
+        Returns:
+          Whether the cache has changed.
+        """
+        old = self._latest[update.collection].get(update.name)
+        if old is None or update.revision > old.revision:
+            # A later version that is known here is kept instead.
+            self._keeps_configuration = True
+            self.apply(update)
+            self._keeps_configuration = True
+            return True
+        value, known = self._decode_update(update), self._decode_update(old)
+        if not self._supersedes(update.collection, known, value):
+            update = update._replace(revision=old.revision)
+            self._replace(update, value, is_kept=True)
+            return True
+        if update == old and not self._keeps_configuration:
+            self._keeps_configuration = True
+            self.generation += 1
+        return False
+
+    def _replace(self, update: Update, value: Any, *, is_kept: bool) -> None:
+        """Replaces the latest update of an object."""
+        self._latest[update.collection][update.name] = update
         self.generation += 1
+        if update.collection is Collection.CONFIGURATION:
+            self._configuration_version = getattr(value, "version", 0)
+            self._keeps_configuration = is_kept
         deferred = self._deferred[update.collection]
         if deferred.get(update.name, update.revision + 1) <= update.revision:
             # Another host has confirmed the update that is deferred here.
             del deferred[update.name]
         self._on_update(update, value)
-        return True
+
+    def _is_kept(self, collection: Collection) -> bool:
+        """Returns whether the store lacks what is known of a collection."""
+        return (
+            collection is Collection.CONFIGURATION and self._keeps_configuration
+        )
 
     def _decode_update(self, update: Update) -> Any:
         """Returns the decoded value of an update; None for a deletion."""
@@ -214,8 +271,19 @@
         self.generation += 1
         if received and get_era(revision) > get_era(received):
             self._deferred[collection].clear()
+            if collection is Collection.CONFIGURATION:
+                self._keep_unconfirmed(get_era(revision))
             self._on_new_era(collection, received, revision)
 
+    def _keep_unconfirmed(self, era: int) -> None:
+        """Keeps a configuration of which the store's copy has no version."""
+        latest = self._latest[Collection.CONFIGURATION]
+        for name, update in latest.items():
+            if update.document is not None and get_era(update.revision) < era:
+                revision = make_revision(era, 0)
+                latest[name] = update._replace(revision=revision)
+                self._keeps_configuration = True
+
     def infer_deletions(
         self, listing: Listing, collection: Collection
     ) -> list[Update]:
--- a/eelgrasshall/gateway/object_cache_test.py
+++ b/eelgrasshall/gateway/object_cache_test.py
@@ -1,5 +1,9 @@
 """Tests of the cache of the store's objects."""
 
+import functools
+import itertools
+from typing import NamedTuple
+
 from hypothesis import given
 from hypothesis import stateful
 from hypothesis import strategies
@@ -15,10 +19,11 @@
 
     def __init__(self, **options):
         self.values: dict[str, object] = {}
+        options.setdefault(
+            "decode", lambda collection, name, document: document
+        )
         self.cache = object_cache.ObjectCache(
-            decode=lambda collection, name, document: document,
-            on_update=self._on_update,
-            **options,
+            on_update=self._on_update, **options
         )
 
     def _on_update(self, update, value):
@@ -394,6 +399,121 @@
 TestEraSync = EraSync.TestCase
 
 
+class _Configuration(NamedTuple):
+    """A decoded configuration; its document is the version."""
+
+    version: int
+
+
+def _make_version_host() -> _Host:
+    """Returns a host of which a configuration with a lower version is kept."""
+    return _Host(
+        decode=lambda collection, name, document: _Configuration(document),
+        supersedes=lambda collection, new, old: (
+            old is None or (new is not None and new.version >= old.version)
+        ),
+    )
+
+
+def _apply_version(host: _Host, era: int, number: int, version) -> bool:
+    """Applies a configuration that the store has; None for a deletion."""
+    return host.cache.apply(_make_configuration(era, number, version))
+
+
+def _make_configuration(era: int, number: int, version) -> object_cache.Update:
+    return object_cache.Update(
+        object_cache.Collection.CONFIGURATION,
+        "main",
+        object_cache.make_revision(era, number),
+        version,
+    )
+
+
+def test_configuration_is_kept_until_the_store_has_its_version_again():
+    host = _make_version_host()
+    _apply_version(host, 0, 30, 18)
+    assert host.cache.kept_version == 0
+    _apply_version(host, 1, 20, 14)
+    assert host.cache.kept_version == 18
+    # The operator writes what was lost again, one by one.
+    for number, version in ((26, 16), (27, None)):
+        assert _apply_version(host, 1, number, version)
+        assert host.values == {"main": _Configuration(18)}
+        (update,) = host.cache.list_updates(
+            object_cache.Collection.CONFIGURATION
+        )
+        assert update == _make_configuration(1, number, 18)
+        assert host.cache.kept_version == 18
+    _apply_version(host, 1, 28, 18)
+    assert host.cache.kept_version == 0
+    # Without a return the store is the authority.
+    _apply_version(host, 1, 29, 17)
+    assert host.values == {"main": _Configuration(17)}
+
+
+def test_configuration_that_the_copy_lacks_is_kept_and_passed_on():
+    host, fresh = _make_version_host(), _make_version_host()
+    configuration = object_cache.Collection.CONFIGURATION
+    _apply_version(host, 0, 30, 1)
+    host.cache.advance(configuration, 30)
+    for each in (host, fresh):
+        revision = object_cache.make_revision(1, 25)
+        each.cache.start_at(configuration, revision)
+        listing = object_cache.Listing((), revision)
+        for _ in range(2):
+            for update in each.cache.infer_deletions(listing, configuration):
+                each.cache.apply(update)
+            each.cache.advance(configuration, revision)
+    assert host.cache.kept_version == 1
+    _meet(host.cache, fresh.cache)
+    assert fresh.values == {"main": _Configuration(1)}
+    assert fresh.cache.kept_version == 1
+
+
+def test_kept_configuration_replaces_only_earlier_versions():
+    make_revision = functools.partial(object_cache.make_revision, 1)
+    host = _make_version_host()
+    kept = _make_configuration(1, 20, 18)
+    _apply_version(host, 1, 26, 15)
+    assert host.cache.adopt(kept)
+    assert host.values == {"main": _Configuration(18)}
+    assert host.cache.kept_version == 18
+    generation = host.cache.generation
+    assert not host.cache.adopt(kept)
+    assert host.cache.generation == generation
+    _apply_version(host, 1, 28, 19)
+    assert not host.cache.adopt(kept)
+    assert host.values == {"main": _Configuration(19)}
+    assert host.cache.kept_version == 0
+    host.cache.adopt(kept._replace(revision=make_revision(29)))
+    assert host.values == {"main": _Configuration(19)}
+    assert host.cache.kept_version == 19
+
+
+def test_kept_configuration_from_a_build_that_does_not_say_so_is_kept_later():
+    host = _make_version_host()
+    kept = _make_configuration(1, 20, 18)
+    host.cache.apply(kept)
+    assert host.cache.kept_version == 0
+    assert not host.cache.adopt(kept)
+    assert host.cache.kept_version == 18
+
+
+def _meet(
+    source: object_cache.ObjectCache, target: object_cache.ObjectCache
+) -> None:
+    """Lets a host hear of another one and fetch what it lacks from it."""
+    stated = peer_sync.list_revisions(source)
+    query = peer_sync.make_query(
+        target,
+        whole_configuration=peer_sync.find_kept_version(target, stated) > 0,
+    )
+    document = peer_sync.encode_updates(
+        source, peer_sync.decode_revisions(source, query)
+    )
+    peer_sync.apply_updates(target, document)
+
+
 class VersionSync(EraSync):
     """Hosts whose configuration goes back with the store, but not in force.
 
@@ -408,12 +528,16 @@
         self.in_force = [0] * self.host_count
 
     def _make_host(self):
-        return _Host(supersedes=lambda collection, new, old: new >= old)
+        return _make_version_host()
 
     def _make_document(self):
         self.writes += 1
         return self.writes
 
+    def _get_version(self, number: int) -> int:
+        """Returns the version that a host knows, 0 if it knows none."""
+        return getattr(self.hosts[number].values.get("main"), "version", 0)
+
     # Configurations are neither deleted nor given up.
     delete = None
     give_up_unconfirmed = None
@@ -435,20 +559,40 @@
         self.hosts[host] = self._make_host()
         self.in_force[host] = 0
 
+    @stateful.rule(
+        sender=strategies.integers(0, EraSync.host_count - 1),
+        receiver=strategies.integers(0, EraSync.host_count - 1),
+    )
+    def fetch(self, sender, receiver):
+        """A host hears of another one and fetches what it lacks."""
+        _meet(self.hosts[sender].cache, self.hosts[receiver].cache)
+
     @stateful.invariant()
     def version_never_goes_back(self):
         """A host that has put a version in force keeps it or a later one."""
-        for number, host in enumerate(self.hosts):
-            version = host.values.get("main", 0)
+        for number in range(self.host_count):
+            version = self._get_version(number)
             assert version >= self.in_force[number]
             self.in_force[number] = version
 
     def teardown(self):
-        """All hosts have the last version once it is written again."""
+        """All hosts get the latest version that any of them knows.
+
+        They have the last one once it is written again.
+        """
+        hosts = range(self.host_count)
+        for number in hosts:
+            self.watch(number)
+        latest = max(self._get_version(number) for number in hosts)
+        for sender, receiver in itertools.permutations(hosts, 2):
+            self.fetch(sender, receiver)
+        for number in hosts:
+            assert self._get_version(number) == latest
         self.write_again()
-        for number, host in enumerate(self.hosts):
+        for number in hosts:
             self.watch(number)
-            assert host.values.get("main", 0) == self.writes
+            assert self._get_version(number) == self.writes
+            assert self.hosts[number].cache.kept_version == 0
 
 
 TestVersionSync = VersionSync.TestCase
--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -8,6 +8,9 @@
 Between hosts a revision is the store's own number, and its era is stated
 beside it.  Hosts of an earlier version neither send nor read eras; theirs is
 taken to be that of the receiver.
+
+A host that keeps a configuration which the store has lost states its version.
+Hosts that know only an earlier one, under the same revision, fetch it.
 """
 
 import asyncio
@@ -78,7 +81,7 @@
     since_era, since = object_cache.split_revision(
         cache.get_complete_since(collection)
     )
-    return {
+    part = {
         "revision": number,
         "era": era,
         "since": since if since_era == era else 0,
@@ -93,21 +96,76 @@
             and object_cache.get_era(update.revision) == era
         ],
     }
+    if _is_configuration(collection) and cache.kept_version:
+        part["kept"] = True
+    return part
+
+
+def _is_configuration(collection: object_cache.Collection) -> bool:
+    """Returns whether a collection is that of the configuration."""
+    return collection is object_cache.Collection.CONFIGURATION
 
 
 def list_revisions(cache: object_cache.ObjectCache) -> list[int]:
     """Returns the applied revisions as hosts state them to each other.
 
     These are the store's numbers of all collections, in the order of
-    `Collection`, and then their eras.
+    `Collection`, then their eras, and then the version of the configuration if
+    the store lacks it.
+    """
+    kept = [cache.kept_version] if cache.kept_version else []
+    return make_query(cache) + kept
+
+
+def make_query(
+    cache: object_cache.ObjectCache, *, whole_configuration: bool = False
+) -> list[int]:
+    """Returns the revisions after which a host asks another one for updates.
+
+    Args:
+      cache: The cache of the host that asks.
+      whole_configuration: Whether it asks for the configuration even if that is
+        not newer; see `find_kept_version`.
     """
+    revisions = {
+        each: cache.get_applied_revision(each)
+        for each in object_cache.Collection
+    }
+    if whole_configuration:
+        revisions[object_cache.Collection.CONFIGURATION] = 0
     pairs = [
-        object_cache.split_revision(cache.get_applied_revision(each))
+        object_cache.split_revision(revisions[each])
         for each in object_cache.Collection
     ]
     return [number for _, number in pairs] + [era for era, _ in pairs]
 
 
+def find_kept_version(
+    cache: object_cache.ObjectCache, numbers: Sequence[int]
+) -> int:
+    """Returns the version of a configuration that only another host has.
+
+    Args:
+      cache: The cache of this host.
+      numbers: The result of the other host's `list_revisions`.
+
+    Returns:
+      The version if the store lacks it and the one known here is earlier, in
+      the same era; otherwise 0.
+    """
+    collection = object_cache.Collection.CONFIGURATION
+    kept = numbers[2 * len(object_cache.Collection) :]
+    stated = decode_revisions(cache, numbers).get(collection, 0)
+    received = cache.get_received_revision(collection)
+    if (
+        not kept
+        or kept[0] <= cache.configuration_version
+        or object_cache.get_era(stated) != object_cache.get_era(received)
+    ):
+        return 0
+    return kept[0]
+
+
 def decode_revisions(
     cache: object_cache.ObjectCache, numbers: Sequence[int]
 ) -> dict[object_cache.Collection, int]:
@@ -179,7 +237,10 @@
         for name, number, value in part["news"]:
             revision = object_cache.make_revision(era, number)
             update = object_cache.Update(collection, name, revision, value)
-            changed += cache.apply(update)
+            if part.get("kept") and _is_configuration(collection):
+                changed += cache.adopt(update)
+            else:
+                changed += cache.apply(update)
         # Hosts of an earlier version do not send it.
         since = object_cache.make_revision(era, part.get("since", 0))
         cache.start_at(collection, since)
@@ -273,6 +334,9 @@
         self._log = log
         self._task: asyncio.Task | None = None
         self._incomplete: _Incomplete | None = None
+        # Era and version of the last kept configuration that was fetched; one
+        # that turned out to be of no use is not fetched again.
+        self._fetched_version = (0, 0)
 
     def handle_revisions(
         self, name: str, address: model.Address, numbers: Sequence[int]
@@ -290,9 +354,16 @@
                 self._cache, numbers
             ).items()
         )
-        if behind and (self._task is None or self._task.done()):
+        kept_version = find_kept_version(self._cache, numbers)
+        if (self._get_era(), kept_version) <= self._fetched_version:
+            kept_version = 0
+        if (behind or kept_version) and (
+            self._task is None or self._task.done()
+        ):
             loop = asyncio.get_running_loop()
-            self._task = loop.create_task(self._fetch_batch(name, address))
+            self._task = loop.create_task(
+                self._fetch_batch(name, address, kept_version)
+            )
 
     async def fetch_from_seeds(
         self, seeds: Sequence[model.Address], wait_s: float
@@ -316,9 +387,19 @@
                 return
             await asyncio.sleep(RETRY_DELAY_S)
 
-    async def fetch(self, name: str, address: model.Address) -> bool:
-        """Fetches missing updates from a host; returns False on failure."""
-        numbers = ",".join(str(each) for each in list_revisions(self._cache))
+    async def fetch(
+        self, name: str, address: model.Address, kept_version: int = 0
+    ) -> bool:
+        """Fetches missing updates from a host; returns False on failure.
+
+        Args:
+          name: The name of the host.
+          address: Its control address.
+          kept_version: See `find_kept_version`.
+        """
+        era = self._get_era()
+        query = make_query(self._cache, whole_configuration=kept_version > 0)
+        numbers = ",".join(str(each) for each in query)
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         received_bytes = changed = 0
@@ -348,6 +429,8 @@
                 "exchange_failed", peer=name, reason=str(failure), **cost
             )
             return False
+        if kept_version:
+            self._fetched_version = (era, kept_version)
         if changed:
             self._log.record("exchange", peer=name, changed=changed, **cost)
         return True
@@ -388,9 +471,17 @@
         if self._task is not None:
             self._task.cancel()
 
-    async def _fetch_batch(self, name: str, address: model.Address) -> None:
+    def _get_era(self) -> int:
+        """Returns the era of the configuration that is known here."""
+        collection = object_cache.Collection.CONFIGURATION
+        received = self._cache.get_received_revision(collection)
+        return object_cache.get_era(received)
+
+    async def _fetch_batch(
+        self, name: str, address: model.Address, kept_version: int
+    ) -> None:
         """Fetches after a delay, and waits before a retry is allowed."""
         await asyncio.sleep(BATCH_DELAY_S)
-        fetched = await self.fetch(name, address)
+        fetched = await self.fetch(name, address, kept_version)
         if not fetched or self._incomplete is not None:
             await asyncio.sleep(RETRY_DELAY_S)
--- a/eelgrasshall/gateway/peer_sync_test.py
+++ b/eelgrasshall/gateway/peer_sync_test.py
@@ -3,7 +3,11 @@
 import asyncio
 import contextlib
 import functools
+import itertools
 import json
+from typing import NamedTuple
+
+import pytest
 
 from eelgrasshall.gateway import client
 from eelgrasshall.gateway import fakes
@@ -14,6 +18,7 @@
 from eelgrasshall.gateway import peer_sync
 
 _SERVERS = object_cache.Collection.SERVERS
+_CONFIGURATION = object_cache.Collection.CONFIGURATION
 
 
 def _make_cache() -> object_cache.ObjectCache:
@@ -388,3 +393,117 @@
 def test_first_four_numbers_are_those_that_earlier_versions_read():
     cache = _make_fresh_cache(9)
     assert peer_sync.list_revisions(cache) == [9, 9, 9, 9, 0, 0, 0, 0]
+
+
+class _Configuration(NamedTuple):
+    """A decoded configuration; its document is the version."""
+
+    version: int
+
+
+class _VersionHost:
+    """A host that knows a configuration, and whom others can ask for it."""
+
+    def __init__(self, era: int = 0, number: int = 0, version: int = 0):
+        self.cache = object_cache.ObjectCache(
+            decode=lambda collection, name, document: _Configuration(document),
+            on_update=lambda update, value: None,
+            supersedes=lambda collection, new, old: (
+                old is None or (new is not None and new.version >= old.version)
+            ),
+        )
+        self.sync = peer_sync.PeerSync(cache=self.cache, log=fakes.Log())
+        if version:
+            self.read(era, number, version, number)
+
+    def read(self, era: int, number: int, version: int, revision: int) -> None:
+        """Applies the store's listing or change."""
+        reached = object_cache.make_revision(era, revision)
+        self.cache.start_at(_CONFIGURATION, reached)
+        self.cache.apply(
+            object_cache.Update(
+                _CONFIGURATION,
+                "main",
+                object_cache.make_revision(era, number),
+                version,
+            )
+        )
+        for collection in object_cache.Collection:
+            self.cache.advance(collection, reached)
+
+    def list_versions(self) -> list[int]:
+        """Returns the version that it knows."""
+        updates = self.cache.list_updates(_CONFIGURATION)
+        return [update.document for update in updates]
+
+
+async def _meet(hosts, port: int) -> int:
+    """Lets all hosts hear of each other; returns the number of fetches."""
+    count = 0
+    for source, target in itertools.permutations(hosts, 2):
+        async with _serve(source.cache, port) as queries:
+            target.sync.handle_revisions(
+                "h",
+                model.Address("127.0.0.1", port),
+                peer_sync.list_revisions(source.cache),
+            )
+            await asyncio.sleep(0.03)
+            count += len(queries)
+    return count
+
+
+@pytest.mark.parametrize("meets_between", [False, True])
+@pytest.mark.parametrize("order", list(itertools.permutations(range(3))))
+async def test_all_hosts_get_the_version_that_an_older_copy_lacks(
+    order, meets_between
+):
+    # One host has the version that the store has lost, one was cut off before
+    # it was written and one has just started.  The latter two had the copy's
+    # version until the operator wrote again, if they listed the store before
+    # they had met the first one.
+    hosts = [_VersionHost(0, 30, 18), _VersionHost(0, 20, 14), _VersionHost()]
+    for number in order:
+        hosts[number].read(1, 20, 14, 25)
+        if meets_between:
+            await _meet(hosts, 19114)
+    await _meet(hosts, 19114)
+    assert [host.list_versions() for host in hosts] == [[18]] * 3
+    # Nothing more is fetched for it, before the operator writes and after.
+    assert await _meet(hosts, 19114) == 0
+    for host in hosts:
+        host.read(1, 26, 18, 26)
+    assert await _meet(hosts, 19114) == 0
+    for host in hosts:
+        assert len(peer_sync.list_revisions(host.cache)) == 8
+
+
+async def test_kept_version_that_cannot_be_used_is_fetched_once():
+    keeper, local = _VersionHost(0, 30, 18), _VersionHost(1, 20, 14)
+    keeper.read(1, 20, 14, 20)
+    unreadable = local.cache._decode
+    local.cache._decode = lambda collection, name, document: (
+        None if document == 18 else unreadable(collection, name, document)
+    )
+    fetches = [await _meet([keeper, local], 19115) for _ in range(3)]
+    assert fetches == [1, 0, 0]
+    assert local.list_versions() == [14]
+
+
+async def test_kept_version_of_an_earlier_era_is_fetched_once_it_is_confirmed():
+    # Until then the answer would be ignored, and not asked for again.
+    keeper, local = _VersionHost(0, 30, 18), _VersionHost(2, 18, 13)
+    keeper.read(1, 20, 14, 25)
+    for collection in object_cache.Collection:
+        local.cache.advance(collection, object_cache.make_revision(2, 19))
+    stated = peer_sync.list_revisions(keeper.cache)
+    assert peer_sync.find_kept_version(local.cache, stated) == 0
+    async with _serve(keeper.cache, 19116) as queries:
+        address = model.Address("127.0.0.1", 19116)
+        local.sync.handle_revisions("h", address, stated)
+        await asyncio.sleep(0.05)
+        assert queries == []
+        keeper.read(2, 18, 13, 19)
+        stated = peer_sync.list_revisions(keeper.cache)
+        local.sync.handle_revisions("h", address, stated)
+        await asyncio.sleep(0.05)
+    assert local.list_versions() == [18]
