--- a/eelgrasshall/gateway/peer_sync_test.py
+++ b/eelgrasshall/gateway/peer_sync_test.py
@@ -507,3 +507,49 @@
         local.sync.handle_revisions("h", address, stated)
         await asyncio.sleep(0.05)
     assert local.list_versions() == [18]
+
+
+def test_last_build_gets_a_kept_version_only_with_a_new_revision():
+    # It reads neither the ninth number nor the mark of a kept configuration,
+    # and sends none.
+    keeper = _VersionHost(0, 30, 18)
+    keeper.read(1, 20, 14, 25)
+    stated = peer_sync.list_revisions(keeper.cache)
+    assert stated == [25] * 4 + [1] * 4 + [18]
+    fresh, lister = _VersionHost(), _VersionHost(1, 20, 14)
+    lister.read(1, 20, 14, 25)
+    for host in (fresh, lister):
+        assert peer_sync.decode_revisions(
+            host.cache, stated
+        ) == peer_sync.decode_revisions(host.cache, stated[:8])
+        revisions = peer_sync.decode_revisions(
+            keeper.cache, peer_sync.list_revisions(host.cache)
+        )
+        document = peer_sync.encode_updates(keeper.cache, revisions)
+        del document["c"]["kept"]
+        peer_sync.apply_updates(host.cache, document)
+        assert len(peer_sync.list_revisions(host.cache)) == 8
+    assert fresh.list_versions() == [18]
+    assert lister.list_versions() == [14]
+
+
+def test_changes_after_a_return_wait_for_the_numbers_of_builds_without_eras():
+    # Such a host goes on with the numbers of before the return, and a host that
+    # follows the return takes them to be of the present era.
+    earlier = _make_cache()
+    earlier.apply(_make_update("a", 12, "lost"))
+    earlier.advance(_SERVERS, 20)
+    restored = _make_restored_cache()
+    revisions = peer_sync.decode_revisions(restored, [0, 20, 0, 0])
+    assert revisions[_SERVERS] > restored.get_applied_revision(_SERVERS)
+    document = peer_sync.encode_updates(earlier, {_SERVERS: 5})
+    for part in document.values():
+        del part["era"]
+    peer_sync.apply_updates(restored, document)
+    era_1 = functools.partial(object_cache.make_revision, 1)
+    assert restored.get_applied_revision(_SERVERS) == era_1(20)
+    assert not restored.apply(_make_update("a", era_1(12), "written again"))
+    assert not restored.apply(_make_update("a", era_1(6)))
+    assert restored.apply(_make_update("a", era_1(21), "written again"))
+    # The other way round nothing is fetched, as the numbers are lower.
+    assert peer_sync.list_revisions(_make_restored_cache())[1] < 20
