Stand-in server of the fleet in a module of its own

The server, its crash and the marker of requests that crash it move to fake_server.py; nothing else changes.

--- /dev/null
+++ b/eelgrasshall/platform/fake_server.py
@@ -0,0 +1,120 @@
+"""A fake backend server that records the requests that it executes."""
+
+import asyncio
+from collections.abc import Callable
+import time
+from typing import NamedTuple
+
+from eelgrasshall.gateway import listener
+from eelgrasshall.gateway import messages
+from eelgrasshall.gateway import model
+
+# A request with this in its target crashes each server that begins to run it.
+CRASH_MARKER = b"/crash"
+
+
+class Crash(NamedTuple):
+    """A crash of a backend server under a request.
+
+    Attributes:
+      server_id: The server.
+      at_s: Monotonic time.
+      target: Target of the request.
+      request_id: Id of the try.
+    """
+
+    server_id: str
+    at_s: float
+    target: bytes
+    request_id: str
+
+
+class FakeBackendServer:
+    """A fake backend server that records the requests that it executes.
+
+    Attributes:
+      executed: Request id, and target followed by body, of each request.
+      started_at_ms: Start of its process as stated in its registration.
+      leaving: Whether it states in all answers that it is about to stop.
+      paused_until_s: Monotonic time until which it turns all requests away and
+        states for how long.
+      paused_count: Number of requests that it turned away so.
+      on_crash: Called when a request crashes it.
+      arrivals: Monotonic time and id of each request, also of those that it
+        turned away.
+      pauses: Monotonic time, request id and end of the pause of each request
+        that it turned away because of a pause.
+
+    Args:
+      server_id: The id of the server.
+      service_time_s: Time that a request takes, seconds.
+    """
+
+    def __init__(self, *, server_id: str, service_time_s: float = 0.005):
+        self.server_id = server_id
+        self.service_time_s = service_time_s
+        self.executed: list[tuple[str, bytes]] = []
+        self.started_at_ms = 1
+        self.leaving = False
+        self.paused_until_s = 0.0
+        self.paused_count = 0
+        self.on_crash: Callable[[Crash], None] | None = None
+        self.arrivals: list[tuple[float, str]] = []
+        self.pauses: list[tuple[float, str, float]] = []
+        self._listener = listener.Listener(
+            handler=self._handle, get_limits=model.CallerLimits
+        )
+
+    async def start(self, address: model.Address) -> None:
+        """Starts to listen on an address.
+
+        Raises:
+          OSError: The address cannot be bound.
+        """
+        await self._listener.start(address)
+
+    def stop(self) -> None:
+        """Closes the listener and all connections."""
+        self._listener.stop()
+
+    async def _handle(self, request: messages.Request) -> listener.Response:
+        """Answers a request, with what the server says of itself."""
+        response = await self._answer(request)
+        if self.leaving:
+            response.headers.append((b"Server-Leaving", b"1"))
+        return response
+
+    async def _answer(self, request: messages.Request) -> listener.Response:
+        """Executes a request; one without a request id is a health check."""
+        request_id = (request.get_header(b"x-attempt-id") or b"").decode()
+        identity = [(b"X-Instance-Id", self.server_id.encode())]
+        now = time.monotonic()
+        if request_id:
+            self.arrivals.append((now, request_id))
+        pause_s = self.paused_until_s - now
+        if pause_s > 0:
+            self.paused_count += 1
+            self.pauses.append((now, request_id, self.paused_until_s))
+            refusal = [(b"X-Not-Executed", b"1")]
+            refusal.append((b"Retry-After", b"%.3f" % pause_s))
+            return listener.Response(503, identity + refusal, b"")
+        if not request_id:
+            return listener.Response(
+                503 if self.leaving else 200, identity, b""
+            )
+        if request.get_header(b"x-target-instance") != self.server_id.encode():
+            return listener.Response(421, identity, b"")
+        self.executed.append((request_id, request.target + request.body))
+        if CRASH_MARKER in request.target and self.on_crash is not None:
+            self.on_crash(
+                Crash(self.server_id, now, request.target, request_id)
+            )
+            await asyncio.Event().wait()
+        await asyncio.sleep(self.service_time_s)
+        seal = f"{self.server_id}.{request_id}".encode()
+        headers = [
+            (b"X-Attempt-Id", request_id.encode()),
+            (b"X-Server-Seal", seal),
+        ]
+        body = self.server_id.encode().ljust(16, b".")
+        return listener.Response(200, headers, body)
--- a/eelgrasshall/platform/fleet.py
+++ b/eelgrasshall/platform/fleet.py
@@ -14,21 +14,16 @@
 import pathlib
 import signal
 import sys
-import time
 from typing import Any
 from typing import BinaryIO
-from typing import NamedTuple
 
-from eelgrasshall.gateway import listener
-from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import model
+from eelgrasshall.platform import fake_server
 from eelgrasshall.platform import fake_store
 from eelgrasshall.platform import fault_proxy
 
 _ZONES = ("a", "b", "c")
 _PORTS_PER_HOST = 8
-# A request with this in its target crashes each server that begins to run it.
-CRASH_MARKER = b"/crash"
 # Offset of the port of a host's store proxy from the host's first port.
 _STORE_PROXY_PORT_OFFSET = 7
 _SETTINGS = """
@@ -64,113 +59,6 @@
 """
 
 
-class Crash(NamedTuple):
-    """A crash of a backend server under a request.
-
-    Attributes:
-      server_id: The server.
-      at_s: Monotonic time.
-      target: Target of the request.
-      request_id: Id of the try.
-    """
-
-    server_id: str
-    at_s: float
-    target: bytes
-    request_id: str
-
-
-class FakeBackendServer:
-    """A fake backend server that records the requests that it executes.
-
-    Attributes:
-      executed: Request id, and target followed by body, of each request.
-      started_at_ms: Start of its process as stated in its registration.
-      leaving: Whether it states in all answers that it is about to stop.
-      paused_until_s: Monotonic time until which it turns all requests away and
-        states for how long.
-      paused_count: Number of requests that it turned away so.
-      on_crash: Called when a request crashes it.
-      arrivals: Monotonic time and id of each request, also of those that it
-        turned away.
-      pauses: Monotonic time, request id and end of the pause of each request
-        that it turned away because of a pause.
-
-    Args:
-      server_id: The id of the server.
-      service_time_s: Time that a request takes, seconds.
-    """
-
-    def __init__(self, *, server_id: str, service_time_s: float = 0.005):
-        self.server_id = server_id
-        self.service_time_s = service_time_s
-        self.executed: list[tuple[str, bytes]] = []
-        self.started_at_ms = 1
-        self.leaving = False
-        self.paused_until_s = 0.0
-        self.paused_count = 0
-        self.on_crash: Callable[[Crash], None] | None = None
-        self.arrivals: list[tuple[float, str]] = []
-        self.pauses: list[tuple[float, str, float]] = []
-        self._listener = listener.Listener(
-            handler=self._handle, get_limits=model.CallerLimits
-        )
-
-    async def start(self, address: model.Address) -> None:
-        """Starts to listen on an address.
-
-        Raises:
-          OSError: The address cannot be bound.
-        """
-        await self._listener.start(address)
-
-    def stop(self) -> None:
-        """Closes the listener and all connections."""
-        self._listener.stop()
-
-    async def _handle(self, request: messages.Request) -> listener.Response:
-        """Answers a request, with what the server says of itself."""
-        response = await self._answer(request)
-        if self.leaving:
-            response.headers.append((b"Server-Leaving", b"1"))
-        return response
-
-    async def _answer(self, request: messages.Request) -> listener.Response:
-        """Executes a request; one without a request id is a health check."""
-        request_id = (request.get_header(b"x-attempt-id") or b"").decode()
-        identity = [(b"X-Instance-Id", self.server_id.encode())]
-        now = time.monotonic()
-        if request_id:
-            self.arrivals.append((now, request_id))
-        pause_s = self.paused_until_s - now
-        if pause_s > 0:
-            self.paused_count += 1
-            self.pauses.append((now, request_id, self.paused_until_s))
-            refusal = [(b"X-Not-Executed", b"1")]
-            refusal.append((b"Retry-After", b"%.3f" % pause_s))
-            return listener.Response(503, identity + refusal, b"")
-        if not request_id:
-            return listener.Response(
-                503 if self.leaving else 200, identity, b""
-            )
-        if request.get_header(b"x-target-instance") != self.server_id.encode():
-            return listener.Response(421, identity, b"")
-        self.executed.append((request_id, request.target + request.body))
-        if CRASH_MARKER in request.target and self.on_crash is not None:
-            self.on_crash(
-                Crash(self.server_id, now, request.target, request_id)
-            )
-            await asyncio.Event().wait()
-        await asyncio.sleep(self.service_time_s)
-        seal = f"{self.server_id}.{request_id}".encode()
-        headers = [
-            (b"X-Attempt-Id", request_id.encode()),
-            (b"X-Server-Seal", seal),
-        ]
-        body = self.server_id.encode().ljust(16, b".")
-        return listener.Response(200, headers, body)
-
-
 class Fleet:
     """A store, backend servers and entry hosts on the loopback address.
 
@@ -218,7 +106,7 @@
         self.store = fake_store.FakeStore()
         self._store_address = model.Address("127.0.0.1", port)
         self.shards = [f"shard{i}" for i in range(shards)]
-        self.servers: dict[str, FakeBackendServer] = {}
+        self.servers: dict[str, fake_server.FakeBackendServer] = {}
         self._addresses: dict[str, model.Address] = {}
         self.server_proxies: dict[str, fault_proxy.FaultProxy] = {}
         self.store_proxies: dict[str, fault_proxy.FaultProxy] = {}
@@ -226,7 +114,9 @@
         for shard in self.shards:
             for replica in range(replicas):
                 name = f"{shard}-{replica}"
-                self.servers[name] = FakeBackendServer(server_id=name)
+                self.servers[name] = fake_server.FakeBackendServer(
+                    server_id=name
+                )
                 target = model.Address("127.0.0.1", server_port)
                 self.server_proxies[name] = fault_proxy.FaultProxy(
                     target=target
@@ -239,7 +129,7 @@
                 target=self._store_address
             )
         self.crash_duration_s = 1.0
-        self.crashes: list[Crash] = []
+        self.crashes: list[fake_server.Crash] = []
         self.on_restart: Callable[[str], None] | None = None
         self._crashed: dict[str, asyncio.Task] = {}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
@@ -315,7 +205,7 @@
         }
         self.store.put("servers", name, spec)
 
-    def crash_server(self, crash: Crash) -> None:
+    def crash_server(self, crash: fake_server.Crash) -> None:
         """Lets a backend server crash; it restarts after a while.
 
         All of its connections are reset, and it refuses new ones meanwhile.
--- a/eelgrasshall/platform/soak_checks.py
+++ b/eelgrasshall/platform/soak_checks.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from eelgrasshall.platform import fleet
+from eelgrasshall.platform import fake_server
 
 # Time in which a host verifies a crash and tells the others of it.
 REPORT_TIME_S = 1.0
@@ -108,7 +108,7 @@
 
 def list_late_tries(
     tries: Iterable[Try],
-    crashes: Sequence[fleet.Crash],
+    crashes: Sequence[fake_server.Crash],
     disturbances: dict[str, list[float]],
     *,
     target: bytes,
@@ -135,7 +135,7 @@
         key=lambda each: each.at_s,
     )
 
-    def is_disturbed(crash: fleet.Crash, after_s: float) -> bool:
+    def is_disturbed(crash: fake_server.Crash, after_s: float) -> bool:
         times = disturbances.get(by_id[crash.request_id].host, ())
         return any(
             crash.at_s - notice_s <= at_s <= crash.at_s + after_s
--- a/eelgrasshall/platform/soak_checks_test.py
+++ b/eelgrasshall/platform/soak_checks_test.py
@@ -1,6 +1,6 @@
 """Tests of the soak's checks: each finds its breach, and nothing else."""
 
-from eelgrasshall.platform import fleet
+from eelgrasshall.platform import fake_server
 from eelgrasshall.platform import soak_checks
 
 
@@ -46,7 +46,7 @@
     return soak_checks.list_late_tries(
         [_try(float(number), f"q{number}") for number in range(10)],
         [
-            fleet.Crash(f"s{number}", number + 0.1, b"/x", f"q{number}")
+            fake_server.Crash(f"s{number}", number + 0.1, b"/x", f"q{number}")
             for number in range(count)
         ],
         disturbances or {},
