Faults of the soak in a module of their own

These, their registry and the two bounds that they share with a check move to soak_faults.py; nothing else changes.

--- a/eelgrasshall/platform/soak.py
+++ b/eelgrasshall/platform/soak.py
@@ -15,9 +15,6 @@
 import argparse
 import asyncio
 import collections
-from collections.abc import Awaitable
-from collections.abc import Callable
-import contextlib
 import pathlib
 import random as random_module
 import signal
@@ -25,9 +22,9 @@
 import time
 from typing import NamedTuple
 
-from eelgrasshall.platform import fault_proxy
 from eelgrasshall.platform import fleet as fleet_module
 from eelgrasshall.platform import soak_checks
+from eelgrasshall.platform import soak_faults
 
 # Mean time between the requests of one caller, and between faults.
 MEAN_REQUEST_INTERVAL_S = 0.02
@@ -39,10 +36,6 @@
 # Time after a disturbance of a host, a connection or the store after which the
 # time limits hold again.
 STABILIZATION_S = 4.0
-# Requests that a host may send to a server in a pause that it asked for, later
-# than this after it did.
-MAX_REQUESTS_IN_PAUSE = 2
-PAUSE_NOTICE_S = 0.5
 # Bound on extra attempts in the settings of the hosts; low, so that hosts that
 # ignore it exceed it.
 EXTRA_ATTEMPT_RATIO = 0.05
@@ -57,9 +50,6 @@
 # Statuses that say that the request was not executed.
 _NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 
-Fault = Callable[["Soak"], Awaitable[None]]
-_FAULTS: dict[str, Fault] = {}
-
 
 class Breach(NamedTuple):
     """A breach of an invariant.
@@ -73,12 +63,6 @@
     detail: str
 
 
-def register_fault(fault: Fault) -> Fault:
-    """Registers a fault under its function name for the soak to draw."""
-    _FAULTS[fault.__name__] = fault
-    return fault
-
-
 class Soak:
     """One soak run with a fixed seed.
 
@@ -210,9 +194,9 @@
                 await asyncio.sleep(
                     self.random.expovariate(1.0 / MEAN_FAULT_INTERVAL_S)
                 )
-                name = self.random.choice(sorted(_FAULTS))
+                name = self.random.choice(sorted(soak_faults.FAULTS))
                 self.faults[name] += 1
-                group.create_task(_FAULTS[name](self))
+                group.create_task(soak_faults.FAULTS[name](self))
 
     async def _send_requests(self) -> None:
         """Sends requests to random hosts, one at a time, and checks them."""
@@ -372,8 +356,8 @@
             for host in soak_checks.find_ignored_pauses(
                 turns,
                 self.host_disturbances,
-                allowed=MAX_REQUESTS_IN_PAUSE,
-                notice_s=PAUSE_NOTICE_S,
+                allowed=soak_faults.MAX_REQUESTS_IN_PAUSE,
+                notice_s=soak_faults.PAUSE_NOTICE_S,
             ):
                 self.record_breach(
                     "servers get the pauses that they ask for",
@@ -445,212 +429,6 @@
         self.note_disturbance(name)
 
 
-@register_fault
-async def kill_host(soak: Soak) -> None:
-    """Kills a host and restarts it."""
-    await soak.restart_host(
-        soak.random.choice(soak.fleet.host_names), signal.SIGKILL
-    )
-
-
-@register_fault
-async def stop_host(soak: Soak) -> None:
-    """Shuts a host down gracefully and restarts it."""
-    await soak.restart_host(
-        soak.random.choice(soak.fleet.host_names), signal.SIGTERM
-    )
-
-
-@register_fault
-async def pause_host(soak: Soak) -> None:
-    """Pauses the process of a host for a while."""
-    name = soak.random.choice(soak.fleet.host_names)
-    soak.note_disturbance(name)
-    soak.fleet.signal_host(name, signal.SIGSTOP)
-    await asyncio.sleep(soak.random.uniform(0.2, 3.0))
-    soak.fleet.signal_host(name, signal.SIGCONT)
-    soak.note_disturbance(name)
-
-
-@register_fault
-async def make_store_unavailable(soak: Soak) -> None:
-    """Lets the store refuse calls, or leave them unanswered, for a while."""
-    attribute = soak.random.choice(("down", "swallowing"))
-    soak.note_disturbance()
-    setattr(soak.fleet.store, attribute, True)
-    await asyncio.sleep(soak.random.uniform(0.3, 4.0))
-    setattr(soak.fleet.store, attribute, False)
-    soak.note_disturbance()
-
-
-def _choose_proxy(soak: Soak) -> fault_proxy.FaultProxy:
-    """Returns a random proxy to the store or to a backend server."""
-    groups = (soak.fleet.store_proxies, soak.fleet.server_proxies)
-    group = soak.random.choice(groups)
-    return group[soak.random.choice(sorted(group))]
-
-
-@register_fault
-async def delay_connections(soak: Soak) -> None:
-    """Delays the connections through one proxy for a while."""
-    proxy = _choose_proxy(soak)
-    soak.note_disturbance()
-    proxy.delay_s = soak.random.uniform(0.01, 0.5)
-    await asyncio.sleep(soak.random.uniform(0.5, 3.0))
-    proxy.restore()
-    soak.note_disturbance()
-
-
-@register_fault
-async def cut_one_direction(soak: Soak) -> None:
-    """Blocks one direction of a proxy for a while."""
-    proxy = _choose_proxy(soak)
-    soak.note_disturbance()
-    proxy.blocked.add(soak.random.choice(list(fault_proxy.Direction)))
-    await asyncio.sleep(soak.random.uniform(0.5, 4.0))
-    proxy.restore()
-    soak.note_disturbance()
-
-
-@register_fault
-async def reset_connections(soak: Soak) -> None:
-    """Resets the open connections of one proxy."""
-    soak.note_disturbance()
-    _choose_proxy(soak).reset_connections()
-
-
-@register_fault
-async def silence_connections(soak: Soak) -> None:
-    """Silences the open connections of one to four proxies for good."""
-    soak.note_disturbance()
-    for _ in range(soak.random.randint(1, 4)):
-        _choose_proxy(soak).silence_connections()
-
-
-@register_fault
-async def drop_history(soak: Soak) -> None:
-    """Lets the store drop its history of changes."""
-    soak.fleet.store.drop_history()
-
-
-@register_fault
-async def change_configuration(soak: Soak) -> None:
-    """Publishes a changed configuration."""
-    soak.fleet.publish_configuration(goalMs=soak.random.choice((200, 300, 400)))
-
-
-@register_fault
-async def drain_server(soak: Soak) -> None:
-    """Drains a backend server, then registers it as ready again."""
-    name = soak.random.choice(sorted(soak.fleet.servers))
-    if name in soak.draining:
-        return
-    soak.fleet.register_server(name, state="draining")
-    soak.draining[name] = time.monotonic()
-    await asyncio.sleep(soak.random.uniform(3.5, 6.0))
-    if soak.draining.pop(name, None) is not None:
-        soak.fleet.register_server(name)
-
-
-@register_fault
-async def restore_store(soak: Soak) -> None:
-    """Lets the store go back to a copy; what was lost is written again."""
-    stored = soak.fleet.store.take_copy()
-    await asyncio.sleep(soak.random.uniform(0.2, 3.0))
-    soak.note_disturbance()
-    soak.fleet.store.restore(stored)
-    await asyncio.sleep(soak.random.uniform(0.1, 1.5))
-    for name in soak.fleet.servers:
-        state = "draining" if name in soak.draining else "ready"
-        soak.fleet.register_server(name, state=state)
-    soak.fleet.publish_configuration()
-    soak.note_disturbance()
-
-
-@register_fault
-async def announce_leaving(soak: Soak) -> None:
-    """Lets a server state that it leaves, then starts it again."""
-    name = soak.random.choice(sorted(soak.fleet.servers))
-    if name in soak.leaving:
-        return
-    server = soak.fleet.servers[name]
-    soak.leaving[name] = {}
-    server.leaving = True
-    await asyncio.sleep(soak.random.uniform(3.5, 6.0))
-    if soak.leaving.pop(name, None) is not None:
-        server.leaving = False
-        server.started_at_ms += 1
-        soak.fleet.register_server(name)
-
-
-@register_fault
-async def ask_for_pause(soak: Soak) -> None:
-    """Lets a server ask for a pause, and counts the requests that it gets."""
-    server = soak.fleet.servers[soak.random.choice(sorted(soak.fleet.servers))]
-    started_s = time.monotonic()
-    if server.paused_until_s > started_s:
-        return
-    pause_s = soak.random.uniform(1.0, 3.0)
-    server.paused_count = 0
-    server.paused_until_s = started_s + pause_s
-    # What is sent before a host knows of the pause does not count.
-    await asyncio.sleep(PAUSE_NOTICE_S)
-    noticed_count = server.paused_count
-    await asyncio.sleep(pause_s - PAUSE_NOTICE_S)
-    # A host learns of the pause by a request that it sends.  This counts health
-    # checks as well, of which the host is not known.
-    allowed = (1 + MAX_REQUESTS_IN_PAUSE) * len(soak.fleet.host_names)
-    if (
-        server.paused_count - noticed_count > allowed
-        and soak.last_disturbance_s < started_s
-    ):
-        soak.record_breach(
-            "servers get the pauses that they ask for",
-            f"{server.server_id} {server.paused_count - noticed_count}",
-        )
-
-
-@register_fault
-async def send_crash_request(soak: Soak) -> None:
-    """Sends a request that crashes servers again and again, to all hosts."""
-    soak.crash_count += 1
-    number = soak.crash_count
-    kind = soak.random.choice(("search", "single", "once"))
-    target = f"/{kind}/crash{number}"
-    interval_s = soak.random.uniform(0.3, 0.8)
-    for attempt in range(soak.random.randint(12, 24)):
-        name = soak.random.choice(soak.fleet.host_names)
-        request_id = f"crash{number}-{attempt}"
-        soak.note_try(kind, request_id, name)
-        with contextlib.suppress(OSError, TimeoutError):
-            await soak.fleet.send_request(
-                name, target, request_id, budget_ms=1000
-            )
-        await asyncio.sleep(interval_s)
-
-
-@register_fault
-async def hang_server(soak: Soak) -> None:
-    """Slows a backend server down for a while."""
-    server = soak.fleet.servers[soak.random.choice(sorted(soak.fleet.servers))]
-    server.service_time_s = 1.5
-    await asyncio.sleep(soak.random.uniform(0.5, 2.0))
-    server.service_time_s = 0.005
-
-
-@register_fault
-async def lapse_server(soak: Soak) -> None:
-    """Deletes the registration of a live server and restores it soon."""
-    name = soak.random.choice(sorted(soak.fleet.servers))
-    if name in soak.draining or name not in soak.fleet.store.list_names(
-        "servers"
-    ):
-        return
-    soak.fleet.store.delete("servers", name)
-    await asyncio.sleep(soak.random.uniform(0.1, 2.0))
-    soak.fleet.register_server(name)
-
-
 async def run_seed(
     *,
     seed: int,
