Hedges are put off while it is in doubt that any server can be reached

Change: a search of which no shard has answered by the time of its hedges has the links checked, and puts its hedges off by 30 ms at a time while that lasts. A request that is to be sent again as a whole takes from the budgets of all its services or of none; before, the first ones lost theirs. Requests that admission turns away while links are in doubt are relayed, as they were sent nowhere.

Tests: hedges in doubt and after it; budgets of a repeat as a whole.

--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -393,6 +393,7 @@
         }
         self._latencies: dict[str, hedging.LatencyWindow] = {}
         self.quarantine_s = 0.0
+        self.links_in_doubt = False
 
     def get_quarantine_s(self, request: messages.Request) -> float:
         """Returns the duration that a test has set."""
@@ -414,9 +415,10 @@
             route.name, hedging.LatencyWindow(initial_latency_s=0.02)
         )
 
-    def note_silence(self) -> None:
+    def note_silence(self) -> bool:
         """Records that no shard of a search has answered in time."""
         self.counts.append("silence")
+        return self.links_in_doubt
 
     def count(self, name: str) -> None:
         """Records the name of a counter."""
--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -34,6 +34,9 @@
 MAX_HEDGE_DELAY_MEDIANS = 1.9
 # Lower bound on the hedge delay; differences below it are random.
 MIN_HEDGE_DELAY_S = 0.004
+# Interval at which hedges are tried again that were put off because this host
+# may reach no server.
+HEDGE_RETRY_INTERVAL_S = 0.03
 # Share of the extra-attempt budget that hedges leave for retries.
 RETRY_RESERVE = 0.2
 # Time for this host's processing and for the response to reach the caller,
@@ -149,8 +152,12 @@
     ) -> hedging.ExtraAttemptBudget:
         """Returns the budget of extra attempts for a service."""
 
-    def note_silence(self) -> None:
-        """Handles a search of which no shard has answered in time."""
+    def note_silence(self) -> bool:
+        """Handles a search of which no shard has answered in time.
+
+        Returns:
+          Whether it is in doubt that this host reaches servers at all.
+        """
 
     def find_latency_window(self, route: model.Route) -> hedging.LatencyWindow:
         """Returns the recent latencies of a route."""
@@ -243,6 +250,8 @@
             ),
             MIN_HEDGE_DELAY_S,
         )
+        # When to try again to send hedges that were put off.
+        self._hedges_due_s = 0.0
         # Whether it was ended here to be sent through another host.
         self.gave_up = False
         self._failures: list[str] = []
@@ -316,12 +325,15 @@
         Returns:
           Whether the request may be sent once more as a whole.
         """
-        return all(
-            self._context.find_extra_attempt_budget(
-                shard.service
-            ).try_withdraw()
+        budgets = [
+            self._context.find_extra_attempt_budget(shard.service)
             for shard in self._shards
-        )
+        ]
+        if not all(budget.can_withdraw() for budget in budgets):
+            return False
+        for budget in budgets:
+            budget.try_withdraw()
+        return True
 
     @property
     def is_flawless(self) -> bool:
@@ -474,6 +486,8 @@
 
         Sends none while requests wait for admission: all latencies are high
         then, and a hedge would occupy a slot that a waiting request needs.
+        Puts them off while it is in doubt that any server can be reached: they
+        would be lost as well, and the budget with them.
         """
         if (
             not self._route.idempotent
@@ -481,10 +495,13 @@
             or self._context.get_quarantine_s(self._request)
         ):
             return
-        if self._route.shards and all(
-            shard.is_pending for shard in self._shards
+        if (
+            self._route.shards
+            and all(shard.is_pending for shard in self._shards)
+            and self._context.note_silence()
         ):
-            self._context.note_silence()
+            self._hedges_due_s = now + HEDGE_RETRY_INTERVAL_S
+            return
         for shard in self._shards:
             if not shard.is_pending or len(shard.active) != 1:
                 continue
@@ -519,6 +536,8 @@
             return
         now = self._context.loop.time()
         due_s = self._response_due_s
+        if self._hedges_due_s > now:
+            due_s = min(due_s, self._hedges_due_s)
         if self._route.shards and now < self._partial_due_s:
             due_s = min(due_s, self._partial_due_s)
         if self._route.idempotent:
--- a/eelgrasshall/gateway/fanout_test.py
+++ b/eelgrasshall/gateway/fanout_test.py
@@ -124,6 +124,34 @@
         assert list(backend.pending) == [blocking]
 
 
+async def test_hedges_are_put_off_while_links_are_in_doubt():
+    context = fakes.Context(SHARDS)
+    context.links_in_doubt = True
+    _, task = _start(context, fakes.make_route(shards=SHARDS))
+    await asyncio.sleep(0.15)
+    assert "silence" in context.counts
+    assert all(len(context.list_busy(shard)) == 1 for shard in SHARDS)
+    context.links_in_doubt = False
+    await asyncio.sleep(0.1)
+    assert all(len(context.list_busy(shard)) == 2 for shard in SHARDS)
+    task.cancel()
+
+
+async def test_repeat_as_a_whole_takes_from_all_budgets_or_none():
+    bound = hedging.ExtraAttemptBound(0.0, 2.0)
+    context = fakes.Context(SHARDS, bound=bound)
+    request_fanout, task = _start(context, fakes.make_route(shards=SHARDS))
+    await _run_ready_tasks()
+    assert request_fanout.try_withdraw_repeat()
+    while context.find_extra_attempt_budget(SHARDS[2]).try_withdraw():
+        pass
+    before = context.find_extra_attempt_budget(SHARDS[0]).compute_used_share()
+    assert not request_fanout.try_withdraw_repeat()
+    budget = context.find_extra_attempt_budget(SHARDS[0])
+    assert budget.compute_used_share() == before
+    task.cancel()
+
+
 async def test_slow_attempt_is_hedged_and_first_response_is_used():
     context = fakes.Context(("orders",))
     _, task = _start(context, fakes.make_route())
--- a/eelgrasshall/gateway/hedging.py
+++ b/eelgrasshall/gateway/hedging.py
@@ -185,6 +185,14 @@
         earned = self._bound.ratio * USABLE_SHARE
         self._tokens = min(self._capacity, self._tokens + earned)
 
+    def can_withdraw(self, *, reserve: float = 0.0) -> bool:
+        """Returns whether an extra attempt may be made.
+
+        Args:
+          reserve: Share of the capacity that must remain afterwards.
+        """
+        return self._tokens - 1.0 >= reserve * self._capacity
+
     def try_withdraw(self, *, reserve: float = 0.0) -> bool:
         """Withdraws one extra attempt.
 
@@ -194,7 +202,7 @@
         Returns:
           Whether the attempt may be made.
         """
-        if self._tokens - 1.0 < reserve * self._capacity:
+        if not self.can_withdraw(reserve=reserve):
             return False
         self._tokens -= 1.0
         return True
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -232,8 +232,8 @@
         wait_s = self.get_quarantine_s(request)
         if wait_s:
             return self._reject(503, fanout.QUARANTINED, wait_s, route=route)
-        if self.links.lost and self._may_relay(request):
-            relayed = await self._relay_request(request, route)
+        if self.links.lost:
+            relayed = await self._relay_in_doubt(request, route)
             if relayed is not None:
                 return relayed
         services = route.shards or (
@@ -241,11 +241,8 @@
         )
         wait_s = fanout.find_return_s(self, route, services)
         if wait_s is not None:
-            if self.links.in_doubt and self._may_relay(request):
-                relayed = await self._relay_request(request, route)
-                if relayed is not None:
-                    return relayed
-            return self._reject(
+            relayed = await self._relay_in_doubt(request, route)
+            return relayed or self._reject(
                 503, fanout.TOO_FEW_SERVERS, wait_s, route=route
             )
         timeout_s = self._compute_timeout(request, route)
@@ -253,6 +250,9 @@
         if not await queue.wait_for_admission(
             self._make_queue_entry(request, route, timeout_s)
         ):
+            relayed = await self._relay_in_doubt(request, route)
+            if relayed is not None:
+                return relayed
             self.count("turned_away")
             wait_s = admission.choose_retry_after(
                 request.received_s + timeout_s - self.loop.time(),
@@ -300,6 +300,19 @@
                 log_fields |= more_fields
         return outcome, route, log_fields
 
+    async def _relay_in_doubt(
+        self, request: messages.Request, route: model.Route
+    ) -> tuple[fanout.Outcome, model.Route, dict[str, Any]] | None:
+        """Serves a request that was sent nowhere through another host.
+
+        Returns:
+          The outcome, the route, and further log fields; None if this host has
+          no reason to relay it, or no host to relay it to.
+        """
+        if not (self.links.in_doubt and self._may_relay(request)):
+            return None
+        return await self._relay_request(request, route)
+
     def _may_relay(self, request: messages.Request) -> bool:
         """Returns whether a request is served through another host."""
         return self._relay is not None and not relay_module.is_relayed(request)
@@ -505,9 +518,14 @@
             )
         return latencies
 
-    def note_silence(self) -> None:
-        """Checks the links to the servers, as no shard of a search answers."""
+    def note_silence(self) -> bool:
+        """Checks the links to the servers, as no shard of a search answers.
+
+        Returns:
+          Whether they are lost or being checked.
+        """
         self.links.check_if_unproven()
+        return self.links.in_doubt
 
     def count(self, name: str) -> None:
         """Increments a named counter."""
