Checks of the own links cost little and leave nothing behind

A check now asks servers of the subset and closes its connection unless an attempt waits for it. - 700 of 2,100 servers lost within 2 s made one host ask 700 times (100 allowed): checks now begin 0.1 s apart at least. - Servers that accept slowly, within the time-out of connections, were taken for lost links twice in 4 s. The check has no shorter time-out of its own any more; links are found lost about 0.15 s later for that. - A server entry with an address that cannot be encoded ended the check for ever, so that the host counted as cut off. Such an error is logged (`links_check_failed`) and the address refused when the entry is read. - The first server of a cut was probed instead of used again, as its time was read before that of the cut. - A host on its way in or out told of lost links made others check theirs.

Crashes are now reported after 1 s if no other host is known to reach a server either; servers are then probed as usual. - A check or a probe's own connection made a server usable before its health check, and past its cold rate: 145 requests in its first second where 20 are allowed. Servers that are probed stay unused until they are healthy, and those with a cold rate are probed after a cut. - Requests in flight when a cut began were reported after it: forgotten now. - A host that stood still for 3 s reported the requests of that time: a connection that fails much later than its time-out is opened again.

--- a/eelgrasshall/gateway/links.py
+++ b/eelgrasshall/gateway/links.py
@@ -24,9 +24,8 @@
 FULL_SAMPLE = 10
 # Time after which all of them are asked; a few round trips to another zone.
 WIDEN_DELAY_S = 0.05
-# Time after which the others count as unreachable as well: a round trip to
-# another region and some delay.
-CHECK_TIMEOUT_S = 0.25
+# Least time between the starts of two checks, while servers fail one by one.
+CHECK_SPACING_S = 0.1
 # While links are lost, so many servers are asked at an interval, and the links
 # are back once one has answered in several rounds in a row.
 RETURN_SAMPLE = 3
@@ -99,10 +98,14 @@
         if not self.lost:
             self.failing_since_s = None
 
-    def note_unreachable(self) -> None:
-        """Records that some server cannot be reached; starts a check."""
+    def note_unreachable(self, since_s: float) -> None:
+        """Records that some server cannot be reached; starts a check.
+
+        Args:
+          since_s: Monotonic time at which it was found unreachable.
+        """
         if self.failing_since_s is None:
-            self.failing_since_s = self._loop.time()
+            self.failing_since_s = since_s
         self._start_check()
 
     def check_if_unproven(self) -> None:
@@ -120,7 +123,6 @@
     def _start_check(self) -> None:
         """Starts a check, unless one is running."""
         if self._task is None:
-            self._checked_s = self._loop.time()
             self._task = self._loop.create_task(self._run())
 
     def close(self) -> None:
@@ -131,6 +133,9 @@
     async def _run(self) -> None:
         """Checks the links; if they are lost, waits until they are back."""
         try:
+            now = self._loop.time()
+            await asyncio.sleep(self._checked_s + CHECK_SPACING_S - now)
+            self._checked_s = self._loop.time()
             sample = choose_sample(
                 self._list_servers(), FULL_SAMPLE, self._random
             )
@@ -165,9 +170,9 @@
 
         Most of them are asked only if the first few do not answer soon.
         """
-        waiting = [_start_check(each) for each in sample[:FIRST_SAMPLE]]
+        waiting = self._start_connecting(sample[:FIRST_SAMPLE])
         remaining = sample[FIRST_SAMPLE:]
-        timeout_s = WIDEN_DELAY_S
+        timeout_s: float | None = WIDEN_DELAY_S
         try:
             while waiting:
                 done, pending = await asyncio.wait(
@@ -179,16 +184,37 @@
                     return True
                 waiting = list(pending)
                 if remaining and not (done and pending):
-                    waiting += [_start_check(each) for each in remaining]
+                    waiting += self._start_connecting(remaining)
                     remaining = ()
-                    timeout_s = CHECK_TIMEOUT_S
-                elif not done:
-                    break
+                    timeout_s = None
         finally:
             for task in waiting:
-                task.add_done_callback(_ignore_result)
+                task.cancel()
         return False
 
+    def _start_connecting(
+        self, servers: Sequence[Server]
+    ) -> list[asyncio.Task[bool]]:
+        """Starts to open a connection to each of some servers."""
+        return [
+            self._loop.create_task(self._is_reachable(each)) for each in servers
+        ]
+
+    async def _is_reachable(self, server: Server) -> bool:
+        """Returns whether a server accepts a connection.
+
+        An error other than that it does not is logged and ends no check.
+        """
+        try:
+            return await server.check_connection()
+        except Exception as error:
+            self._log.record(
+                "links_check_failed",
+                server=server.server.id,
+                reason=repr(error),
+            )
+            return False
+
     async def _wait_for_return(self) -> None:
         """Waits until servers have been reached for some rounds in a row."""
         rounds = 0
@@ -197,9 +223,7 @@
             sample = choose_sample(
                 self._list_servers(), RETURN_SAMPLE, self._random
             )
-            results = await asyncio.gather(
-                *(each.check_connection() for each in sample)
-            )
+            results = await asyncio.gather(*map(self._is_reachable, sample))
             rounds = rounds + 1 if any(results) or not sample else 0
 
 
@@ -223,14 +247,3 @@
     spread = [each for group in rounds for each in group if each is not None]
     spread.sort(key=lambda each: each.unreachable)
     return spread[:count]
-
-
-def _start_check(server: Server) -> asyncio.Task[bool]:
-    """Starts to open a connection to a server."""
-    return asyncio.ensure_future(server.check_connection())
-
-
-def _ignore_result(task: asyncio.Task[bool]) -> None:
-    """Marks the result of a check that was not waited for as retrieved."""
-    if not task.cancelled():
-        task.exception()
--- a/eelgrasshall/gateway/links_test.py
+++ b/eelgrasshall/gateway/links_test.py
@@ -82,7 +82,7 @@
     network.servers[0].down = network.servers[0].unreachable = True
 
     async def run():
-        network.links.note_unreachable()
+        network.links.note_unreachable(loop.time())
         await asyncio.sleep(1.0)
 
     _run(loop, network, run())
@@ -97,7 +97,7 @@
 
     async def run():
         network.cut = True
-        network.links.note_unreachable()
+        network.links.note_unreachable(loop.time())
         await asyncio.sleep(5.0)
         network.cut = False
         await asyncio.sleep(3.0)
@@ -118,7 +118,7 @@
         each.down = True
 
     async def run():
-        network.links.note_unreachable()
+        network.links.note_unreachable(loop.time())
         await asyncio.sleep(1.0)
 
     _run(loop, network, run())
@@ -130,7 +130,7 @@
 
     async def run():
         network.cut = True
-        network.links.note_unreachable()
+        network.links.note_unreachable(loop.time())
         for _ in range(10):
             await asyncio.sleep(0.3)
             network.cut = not network.cut
@@ -147,7 +147,7 @@
     async def run():
         for each in network.servers[:20]:
             each.down = each.unreachable = True
-            network.links.note_unreachable()
+            network.links.note_unreachable(loop.time())
         await asyncio.sleep(1.0)
 
     _run(loop, network, run())
@@ -159,12 +159,12 @@
     network = _Network(loop, servers=30)
 
     async def run():
-        network.links.note_unreachable()
+        network.links.note_unreachable(loop.time())
         await asyncio.sleep(1.0)
         network.links.note_connected()
         assert network.links.failing_since_s is None
         network.cut = True
-        network.links.note_unreachable()
+        network.links.note_unreachable(loop.time())
         await asyncio.sleep(1.0)
         network.links.note_connected()
 
@@ -196,7 +196,7 @@
     network = _Network(loop, servers=0)
 
     async def run():
-        network.links.note_unreachable()
+        network.links.note_unreachable(loop.time())
         await asyncio.sleep(0.1)
 
     _run(loop, network, run())
--- a/eelgrasshall/gateway/lost_links_test.py
+++ b/eelgrasshall/gateway/lost_links_test.py
@@ -72,7 +72,10 @@
     simulation = load_model.Simulation(
         loop=loop, seed=seed, kinds=[_KIND], shards=_SHARDS, hosts=1
     )
-    return simulation, _Network(simulation), simulation.handlers[0]
+    handler = simulation.handlers[0]
+    # Another host reaches the servers all the time, but refuses everything.
+    handler._relay = _Relay(_REFUSAL)
+    return simulation, _Network(simulation), handler
 
 
 @pytest.mark.parametrize("hangs", [False, True])
@@ -105,7 +108,7 @@
         unreachable.append(
             {
                 each.server.id
-                for each in handler.registry.list_backends()
+                for each in handler.registry.list_used()
                 if each.unreachable
             }
         )
@@ -123,7 +126,7 @@
 
     def crash_busy_server():
         busiest = max(
-            handler.registry.list_backends(), key=lambda each: len(each.pending)
+            handler.registry.list_used(), key=lambda each: len(each.pending)
         )
         network.cut([busiest.server.id])
 
@@ -160,6 +163,7 @@
     """A relay that answers all requests alike, and records them."""
 
     def __init__(self, result: relay.Result):
+        self.has_helpers = True
         self.result = result
         self.requests: list[bytes] = []
 
--- a/eelgrasshall/gateway/model.py
+++ b/eelgrasshall/gateway/model.py
@@ -4,6 +4,7 @@
 The adapter of the platform on which the gateway runs decodes them.
 """
 
+import ipaddress
 from typing import NamedTuple
 
 
@@ -26,7 +27,9 @@
     """
     ip, _, port = text.rpartition(":")
     number = int(port)
-    if not ip or not 0 < number < 65536:
+    # A name in place of the address would be looked up.
+    ipaddress.ip_address(ip)
+    if not 0 < number < 65536:
         raise ValueError(f"invalid address: {text!r}")
     return Address(ip, number)
 
--- a/eelgrasshall/gateway/peers.py
+++ b/eelgrasshall/gateway/peers.py
@@ -392,7 +392,11 @@
             heartbeat, self._loop.time(), incarnation
         )
         self._roster.write(name, heartbeat)
-        if had_links and not heartbeat.reaches_servers:
+        if (
+            had_links
+            and not heartbeat.reaches_servers
+            and heartbeat.state is heartbeats.State.READY
+        ):
             self._on_links_lost()
 
     def _increment_beat(self) -> None:
--- a/eelgrasshall/gateway/quarantine.py
+++ b/eelgrasshall/gateway/quarantine.py
@@ -153,6 +153,10 @@
         """Returns whether attempts at a server ended without a response."""
         return server_id in self._suspects
 
+    def forget_suspects(self) -> None:
+        """Clears all attempts that ended without a response."""
+        self._suspects.clear()
+
     def record_alive(self, server_id: str, sent_s: float) -> None:
         """Records that a server has answered an attempt.
 
--- a/eelgrasshall/gateway/registry.py
+++ b/eelgrasshall/gateway/registry.py
@@ -291,15 +291,16 @@
         self._log.record(event, server=server_id)
         task = self._environment.loop.create_task(self._probe(backend))
         self._probes[server_id] = task
-        task.add_done_callback(lambda done: self._forget_probe(server_id, done))
+        backend.probed = True
+        task.add_done_callback(lambda done: self._forget_probe(backend, done))
 
-    def is_probed(self, backend: upstream.Backend) -> bool:
-        """Returns whether a server is probed because it is not reached."""
-        return backend.server.id in self._probes
-
-    def list_backends(self) -> list[upstream.Backend]:
-        """Returns the candidates of all services."""
-        return list(self._backends.values())
+    def list_used(self) -> list[upstream.Backend]:
+        """Returns the servers of all services to which this host may send."""
+        return [
+            backend
+            for service in self._candidates
+            for backend in self.find_candidates(service)
+        ]
 
     def suspend_probes(self) -> None:
         """Ends all probes, while this host reaches no server."""
@@ -310,23 +311,30 @@
     def resume(self, since_s: float) -> None:
         """Uses the servers again that became unreachable since a time.
 
-        Those that were unreachable before are probed.
+        Those that were unreachable before are probed, and so are those that
+        have to be spared after a start, since they may have started meanwhile.
 
         Args:
           since_s: Monotonic time.
         """
-        for backend in self._backends.values():
+        for backend in list(self._backends.values()):
             if not backend.unreachable:
                 continue
-            if backend.unreachable_since_s >= since_s:
+            if (
+                backend.unreachable_since_s >= since_s
+                and not backend.service.cold_rate_per_s
+            ):
                 backend.trust_again()
             else:
                 self.start_probe(backend)
 
-    def _forget_probe(self, server_id: str, task: asyncio.Task) -> None:
+    def _forget_probe(
+        self, backend: upstream.Backend, task: asyncio.Task
+    ) -> None:
         """Forgets a probe that has ended."""
-        if self._probes.get(server_id) is task:
-            del self._probes[server_id]
+        backend.probed = False
+        if self._probes.get(backend.server.id) is task:
+            del self._probes[backend.server.id]
 
     def dump(self) -> dict[str, Any]:
         """Returns the state of each candidate for the state dump."""
--- a/eelgrasshall/gateway/relay.py
+++ b/eelgrasshall/gateway/relay.py
@@ -152,6 +152,14 @@
         """Number of requests that are at helpers or on the way to them."""
         return self._in_flight.total()
 
+    @property
+    def has_helpers(self) -> bool:
+        """Whether any other host is known to reach the backend servers."""
+        return any(
+            helper.host.name != self._own.name
+            for helper in self._list_helpers()
+        )
+
     async def send(
         self, request: messages.Request, *, deadline_s: float, idempotent: bool
     ) -> Result:
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
+import math
 import random as random_module
 from typing import Any
 
@@ -35,6 +36,8 @@
 # Quantile of attempt latency taken as the duration of a request: a search ends
 # with the slowest of about ten shards, which is near this quantile.
 EXPECTED_QUANTILE = 0.95
+# Time after which hosts have told each other whether they reach servers.
+SETTLE_TIME_S = 1.0
 # Digits of a time budget in milliseconds above which it exceeds any time-out;
 # far more than that cannot be converted.
 MAX_TIME_BUDGET_DIGITS = 12
@@ -90,7 +93,7 @@
         self.links = links.Links(
             loop=self.loop,
             random=random,
-            list_servers=self.registry.list_backends,
+            list_servers=self.registry.list_used,
             on_checked=self._record_crashes,
             on_changed=self._handle_links_changed,
             log=log,
@@ -100,6 +103,7 @@
         # Servers that were found unreachable while the links are checked.
         self._unreachable: dict[str, upstream.Backend] = {}
         self._running: set[fanout.Fanout] = set()
+        self._settlement: asyncio.TimerHandle | None = None
         self._log = log
         self._metrics = metrics
         self._extra_attempt_bound = extra_attempt_bound
@@ -188,6 +192,8 @@
     def close(self) -> None:
         """Closes the connections to all backend servers."""
         self.links.close()
+        if self._settlement is not None:
+            self._settlement.cancel()
         self.registry.close()
 
     async def handle(self, request: messages.Request) -> listener.Response:
@@ -577,14 +583,16 @@
 
         If it does, the requests that may have crashed the server are reported.
         """
+        server_id = backend.server.id
         if self.links.lost:
+            self._unreachable[server_id] = backend
+            self._schedule_settlement()
             return
-        server_id = backend.server.id
-        is_known = self.registry.is_probed(backend)
+        is_known = backend.probed
         self.registry.start_probe(backend)
         if not is_known or self.quarantine.has_suspects(server_id):
             self._unreachable[server_id] = backend
-            self.links.note_unreachable()
+            self.links.note_unreachable(backend.unreachable_since_s)
 
     def on_ended(self, backend: upstream.Backend) -> None:
         """Reports the requests that may have crashed a server."""
@@ -613,20 +621,42 @@
     def _handle_links_changed(self) -> None:
         """Stops the probes while this host reaches no server.
 
-        What it has taken for unreachable meanwhile it uses again afterwards.
-        Requests are not reported to have crashed servers that are only out of
-        reach; `on_ended` reports them if the store shows that one has ended.
+        If other hosts reach servers meanwhile, what this host observed in that
+        time says nothing about them: servers are used again, and no request is
+        reported to have crashed one, unless `on_ended` shows that it has ended.
         """
-        self._unreachable.clear()
         if self.links.lost:
             self.registry.suspend_probes()
+            self._schedule_settlement()
             if self._relay is not None:
                 for request_fanout in list(self._running):
                     request_fanout.give_up()
-        else:
+        elif self._do_others_reach_servers():
+            self._unreachable.clear()
+            self.quarantine.forget_suspects()
             self.registry.resume(self.links.failing_since_s)
+        else:
+            self._record_crashes()
+            self.registry.resume(math.inf)
         self._on_links_changed()
 
+    def _do_others_reach_servers(self) -> bool:
+        """Returns whether any other host reaches servers, as far as known."""
+        return self._relay is not None and self._relay.has_helpers
+
+    def _schedule_settlement(self) -> None:
+        """Schedules a look at who has lost links: this host, or all."""
+        if self._settlement is None:
+            self._settlement = self.loop.call_later(
+                SETTLE_TIME_S, self._settle_crashes
+            )
+
+    def _settle_crashes(self) -> None:
+        """Reports crashes if no host reaches any server."""
+        self._settlement = None
+        if self.links.lost and not self._do_others_reach_servers():
+            self._record_crashes()
+
     def _log_verdict(
         self,
         verdict: quarantine.Verdict,
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -24,6 +24,9 @@
 
 # Several round trips to another zone; after that the server is unreachable.
 CONNECT_TIMEOUT_S = 0.4
+# A connection that takes so much longer to fail shows that this process was
+# suspended meanwhile.
+SUSPENDED_S = 3 * CONNECT_TIMEOUT_S
 # Weights of the newest observation in the moving averages.
 LATENCY_WEIGHT = 0.1
 ERROR_WEIGHT = 0.25
@@ -128,6 +131,8 @@
         # The same as the latency ratio, without the time in the queue here.
         self.service_time_ratio = self.latency_ratio
         self.unreachable = False
+        # Whether it stays unreachable until its health check succeeds.
+        self.probed = False
         # When it became unreachable last.
         self.unreachable_since_s = -math.inf
         self.closed = False
@@ -469,47 +474,76 @@
     def _open_connection(self) -> None:
         """Starts a task that opens a connection."""
         self._connecting += 1
-        task = self.environment.loop.create_task(self._connect())
+        task = self.environment.loop.create_task(self._add_new_connection())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _add_new_connection(self) -> None:
+        """Opens a connection and adds it to the pool."""
+        try:
+            connection = await self._connect()
+        finally:
+            self._connecting -= 1
+        if connection is not None:
+            if not self.probed:
+                self.unreachable = False
+            self.add_connection(connection)
+
     async def check_connection(self) -> bool:
-        """Opens a connection for the pool; returns whether that succeeded."""
+        """Opens a connection; returns whether that succeeded.
+
+        It is closed again unless an attempt waits for it.  For a short time
+        this host may hold one connection more than its limit.
+        """
+        if self._is_at_connection_limit() and self._idle:
+            self.close_connection(self._idle.pop(0))
         self._connecting += 1
-        return await self._connect()
+        try:
+            connection = await self._connect()
+        finally:
+            self._connecting -= 1
+        if connection is None:
+            return False
+        if self._queue.has_waiting():
+            self.add_connection(connection)
+        else:
+            connection.close()
+        return True
 
     def trust_again(self) -> None:
         """Forgets that the server could not be reached."""
         self.unreachable = False
         self._error_rate = 0.0
 
-    async def _connect(self) -> bool:
-        """Opens a connection and adds it to the pool.
+    async def _connect(self) -> connections.Connection | None:
+        """Opens a connection.
 
         Fails all queued attempts if the server cannot be reached.
 
         Returns:
-          Whether the connection was opened.
+          The connection; None if the server cannot be reached.
         """
-        ip, port = self.server.address
-        self.environment.count("connections_opened")
-        try:
-            _, connection = await asyncio.wait_for(
-                self.environment.loop.create_connection(
-                    lambda: connections.Connection(backend=self), ip, port
-                ),
-                CONNECT_TIMEOUT_S,
-            )
-        except (OSError, TimeoutError):
-            self._connecting -= 1
-            self._mark_unreachable()
-            return False
-        self._connecting -= 1
-        self.unreachable = False
-        self._alive_s = self.environment.loop.time()
-        self.environment.observer.on_connected(self)
-        self.add_connection(connection)
-        return True
+        loop = self.environment.loop
+        while True:
+            started_s = loop.time()
+            self.environment.count("connections_opened")
+            try:
+                _, connection = await asyncio.wait_for(
+                    loop.create_connection(
+                        lambda: connections.Connection(backend=self),
+                        *self.server.address,
+                    ),
+                    CONNECT_TIMEOUT_S,
+                )
+            except (OSError, TimeoutError):
+                if loop.time() - started_s > SUSPENDED_S:
+                    # This process stood still and could not read the answer.
+                    continue
+                self._mark_unreachable()
+                return None
+            self._alive_s = loop.time()
+            self.environment.observer.on_connected(self)
+            return connection
 
     def add_connection(self, connection: connections.Connection) -> None:
         """Adds a newly opened connection and sends the next attempt on it."""
