Requests are given up at lost links only if another host can serve them

Found by the review: all requests in flight were given up here when links were lost, also when no other host had links, or when the request had been relayed to this host. They were answered with 502 though connections that were still open would have brought the answer. And a request that a server had turned away, so that it had arrived, was relayed without taking from the budget of extra attempts.

Change: only requests that may be relayed, while another host reaches servers, and once they have taken as long as is usual for a hedge. What was sent at all needs an extra attempt for each of its services to be relayed.

--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -181,6 +181,7 @@
         "reply",
         "service",
         "tried",
+        "was_sent",
     )
 
     def __init__(self, *, service: str):
@@ -189,6 +190,7 @@
         self.reply: messages.Reply | None = None
         self.failed = False
         self.may_have_run = False
+        self.was_sent = False
         # Attempts without those that were certainly not run.
         self.attempt_count = 0
         self.tried: list[upstream.Backend] = []
@@ -291,6 +293,7 @@
         """Records the outcome of an attempt and retries a failed one."""
         shard: ShardState = attempt.tag
         shard.active.remove(attempt)
+        shard.was_sent = shard.was_sent or attempt.sent
         if not outcome.not_run:
             shard.may_have_run = True
         if not (isinstance(outcome, messages.Reply) and outcome.succeeded):
@@ -304,20 +307,29 @@
             self._retry(shard, outcome)
         self._check_completion()
 
-    def give_up(self) -> bool:
+    def give_up_when_overdue(self) -> None:
         """Ends the request here, so that it can be sent through another host.
 
-        Returns:
-          Whether it was ended.  It was not if it is complete, or may run once
-          only and may have run.
+        It may still be answered until it has taken as long as is usual.  One
+        that may run once only is not ended if it may have run.
         """
-        may_have_run = self.may_have_run
-        if self._result.done() or (may_have_run and not self._route.idempotent):
-            return False
+        started_s = min(
+            (each.started_s for shard in self._shards for each in shard.active),
+            default=0.0,
+        )
+        self._context.loop.call_at(
+            started_s + self._hedge_delay_s, self._give_up
+        )
+
+    def _give_up(self) -> None:
+        """Ends the request, unless it is complete or may run once only."""
+        if self._result.done() or (
+            self.may_have_run and not self._route.idempotent
+        ):
+            return
         self.gave_up = True
         self._result.set_result(self._reject("no link to any server"))
         self._abandon_attempts(abort=True)
-        return True
 
     def try_withdraw_repeat(self) -> bool:
         """Withdraws one extra attempt for each service of the request.
@@ -625,6 +637,14 @@
             return self._reject("deadline")
         return Outcome(Verdict.TIMED_OUT, 504, [], b"", 0, "deadline")
 
+    @property
+    def was_sent(self) -> bool:
+        """Whether the request may have arrived at a backend server."""
+        return any(
+            shard.was_sent or any(each.sent for each in shard.active)
+            for shard in self._shards
+        )
+
     @property
     def may_have_run(self) -> bool:
         """Returns whether a backend server may have run the request."""
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -102,7 +102,8 @@
         self._relay = relay
         # Servers that were found unreachable while the links are checked.
         self._unreachable: dict[str, upstream.Backend] = {}
-        self._running: set[fanout.Fanout] = set()
+        # Requests in flight that may be sent through another host.
+        self._relayable: set[fanout.Fanout] = set()
         self._settlement: asyncio.TimerHandle | None = None
         self._log = log
         self._metrics = metrics
@@ -279,11 +280,12 @@
             deadline_s=request.received_s + timeout_s,
             has_waiting=lambda: queue.limiter.has_waiting,
         )
-        self._running.add(request_fanout)
+        if self._may_relay(request):
+            self._relayable.add(request_fanout)
         try:
             outcome = await request_fanout.run()
         finally:
-            self._running.discard(request_fanout)
+            self._relayable.discard(request_fanout)
             if queue.finish(started_s=started_s, objective_s=route.objective_s):
                 self._log.record(
                     "admission",
@@ -336,12 +338,14 @@
         if not (self.links.in_doubt and self._may_relay(request)):
             return False
         if request_fanout.may_have_run:
-            return (
-                request_fanout.gave_up and request_fanout.try_withdraw_repeat()
+            is_ended_by_links = request_fanout.gave_up
+        else:
+            is_ended_by_links = (
+                outcome.verdict is fanout.Verdict.REFUSED
+                and outcome.reason != fanout.QUARANTINED
             )
-        return (
-            outcome.verdict is fanout.Verdict.REFUSED
-            and outcome.reason != fanout.QUARANTINED
+        return is_ended_by_links and (
+            not request_fanout.was_sent or request_fanout.try_withdraw_repeat()
         )
 
     async def _relay_request(
@@ -628,9 +632,9 @@
         if self.links.lost:
             self.registry.suspend_probes()
             self._schedule_settlement()
-            if self._relay is not None:
-                for request_fanout in list(self._running):
-                    request_fanout.give_up()
+            if self._do_others_reach_servers():
+                for request_fanout in self._relayable:
+                    request_fanout.give_up_when_overdue()
         elif self._do_others_reach_servers():
             self._unreachable.clear()
             self.quarantine.forget_suspects()
--- a/eelgrasshall/gateway/unreachable_servers_test.py
+++ b/eelgrasshall/gateway/unreachable_servers_test.py
@@ -266,6 +266,35 @@
     assert handler._log.list_events("blamed")
 
 
+def test_a_rejected_request_is_relayed_only_within_the_budget(loop):
+    # The rejected attempt has arrived at a server, so that the one of the
+    # helper is beyond the first.
+    route = fakes.make_route(service="s1", objective_s=0.3, max_attempts=1)
+    kind = _KIND._replace(route=route)
+    simulation, network, handler = _start(loop, kind=kind, shards=("s1",))
+    handler._relay = lost_links_test._Relay(lost_links_test._ANSWER)
+    arrived = set()
+    for server in simulation.servers.values():
+        server.shedding = [load_model.simulated_server.Span(0.0, 99.0, 1.0)]
+        server.receive = lost_links_test._note_ids(server.receive, arrived)
+    budget = handler.find_extra_attempt_budget("s1")
+
+    async def play():
+        task = loop.create_task(asyncio.sleep(5.0))
+        handler.links._task = task
+        assert handler.links.in_doubt and not handler.links.lost
+        budget._tokens = 0.0
+        request = fakes.make_request()
+        await handler.handle(request)
+        handler.links._task = None
+        task.cancel()
+        handler.close()
+
+    loop.run_until_complete(play())
+    assert arrived == {b"a1"}
+    assert not handler._relay.requests
+
+
 class _TickingLoop(virtual_time.VirtualTimeLoop):
     """A loop whose clock advances a little whenever it is read."""
 
@@ -298,6 +327,28 @@
     assert not probed
 
 
+def test_requests_on_live_connections_are_answered_without_a_helper(loop):
+    # New connections are refused, the old ones live on; no other host has
+    # links, so that nobody else can serve what is in flight here.
+    simulation, network, handler = _start(loop)
+    handler._relay = lost_links_test._Relay(
+        relay.Result(relay.Ending.NOT_RUN, "", "no helper")
+    )
+    handler._relay.has_helpers = False
+    loop.call_at(2.0, network.refused.update, list(simulation.servers))
+    # One connection ends, as when a server drops it.
+    loop.call_at(2.0, handler.links.note_unreachable, 2.0)
+    simulation.run(3.0)
+    assert handler.links.lost or handler.links.in_doubt
+    in_flight = [
+        each
+        for each in simulation.results
+        if each.arrived_s < 2.0 < each.arrived_s + each.took_s
+    ]
+    assert in_flight
+    assert all(each.tries == 1 for each in in_flight)
+
+
 def test_slow_handshakes_are_not_taken_for_lost_links(loop):
     # All servers accept within the time-out of a connection, if late; the
     # links are no worse than before.
