A server is verified again when the connection that verified it is lost

Cause: after a loss one connection is opened, 20 ms later. If it is accepted, nothing more is done. A process that ends slowly has its connections accepted for a while, the verification's included, which is reset afterwards; and no verification was made at all while another connection was being opened, perhaps accepted before the loss, or while the pool was full. The crash made no report then unless somebody sent to the server within 5 s.

Change: up to four verifications follow a loss, each after twice the delay (20 to 160 ms), when a connection ends before the server has answered, or when none could be opened. A server that resets what is beyond its limit costs four connections at most.

The tests on the module before, key lines: FAIL test_crash_is_noticed_although_a_connection_was_just_accepted: assert connected.observer.unreachable == [connected.backend] FAIL test_crash_is_noticed_although_all_connections_are_in_use: the same

Ruled out: an answer to a request that was under way before the crash does not clear a suspect, since it must have been sent after the loss (`quarantine_test` has it).

--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -40,6 +40,9 @@
 # Delay before a connection is opened to find out whether a server is down: a
 # process that ends closes its connections before its listening socket.
 VERIFICATION_DELAY_S = 0.02
+# Number of verifications after a loss, each after twice the delay of the one
+# before: a process that ends slowly still accepts connections for a while.
+MAX_VERIFICATIONS = 4
 
 
 class Observer(Protocol):
@@ -142,6 +145,8 @@
         )
         self._tasks: set[asyncio.Task] = set()
         self._verification: asyncio.TimerHandle | None = None
+        # Verifications since an attempt last ended without an answer.
+        self._verification_count = MAX_VERIFICATIONS
 
     def can_accept(self, now: float) -> bool:
         """Returns whether an attempt may be sent to this server now."""
@@ -272,6 +277,8 @@
         self._open.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
+        # Perhaps it was accepted for a process that has ended since.
+        self._schedule_verification()
         if (
             self._queue.has_waiting()
             and not self.closed
@@ -380,6 +387,7 @@
             been down before the attempt was sent then.
         """
         self._unanswered_s = self.environment.loop.time()
+        self._verification_count = 0
         began_s = attempt.sent_s
         if silent:
             oldest_s = began_s - SILENT_LOOKBACK_S
@@ -387,16 +395,32 @@
         self.environment.observer.on_unanswered(self, attempt, began_s)
 
     def _schedule_verification(self) -> None:
-        """Opens a connection soon to find out whether the server is down."""
-        if self._verification is None and not self.closed:
+        """Opens a connection soon to find out whether the server is down.
+
+        Does nothing if the server has answered since the last loss.
+        """
+        if (
+            self._verification is None
+            and not self.closed
+            and not self.unreachable
+            and self._unanswered_s < math.inf
+            and self._verification_count < MAX_VERIFICATIONS
+        ):
             self._verification = self.environment.loop.call_later(
-                VERIFICATION_DELAY_S, self._verify
+                VERIFICATION_DELAY_S * 2**self._verification_count,
+                self._verify,
             )
+            self._verification_count += 1
 
     def _verify(self) -> None:
-        """Opens a connection, unless one is being opened already."""
+        """Opens a connection, or tries again later if none may be opened.
+
+        One that is being opened may have been accepted before the loss.
+        """
         self._verification = None
-        if not self._connecting and not self._is_at_connection_limit():
+        if self._connecting or self._is_at_connection_limit():
+            self._schedule_verification()
+        else:
             self._open_connection()
 
     def _record_error(self, now: float) -> None:
--- a/eelgrasshall/gateway/upstream_test.py
+++ b/eelgrasshall/gateway/upstream_test.py
@@ -374,6 +374,63 @@
     assert "connections_opened" not in connected.counts
 
 
+async def _open_server() -> tuple[asyncio.Server, model.Server]:
+    """Returns a server that accepts connections and says nothing."""
+    server = await asyncio.start_server(
+        lambda reader, writer: None, "127.0.0.1", 0
+    )
+    port = server.sockets[0].getsockname()[1]
+    return server, fakes.make_server(port=port)
+
+
+async def test_crash_is_noticed_although_a_connection_was_just_accepted():
+    # A process that ends slowly: its connections are reset, but the system
+    # still accepts new ones for it, the verification's included.
+    server, registration = await _open_server()
+    connected = fakes.ConnectedBackend(server=registration)
+    connected.send("a1")
+    connected.connection.connection_lost(ConnectionResetError())
+    await _settle()
+    (verifying,) = connected.backend._idle
+    server.close()
+    verifying.connection_lost(ConnectionResetError())
+    await _settle()
+    assert connected.observer.unreachable == [connected.backend]
+
+
+async def test_crash_is_noticed_although_all_connections_are_in_use():
+    # They are lost later than the one of the request that crashed the server.
+    connected = fakes.ConnectedBackend(connection_limit=2)
+    attempt, _ = connected.send("a1")
+    another = connections.Connection(backend=connected.backend)
+    another.connection_made(fakes.Transport())
+    connected.backend.add_connection(another)
+    connected.backend.connection_limit = 1
+    connected.connection.connection_lost(ConnectionResetError())
+    await asyncio.sleep(upstream.VERIFICATION_DELAY_S * 1.5)
+    another.connection_lost(ConnectionResetError())
+    await _settle()
+    assert connected.observer.unanswered == [attempt]
+    assert connected.observer.unreachable == [connected.backend]
+
+
+async def test_verification_of_a_server_that_resets_connections_ends():
+    # It resets all that are beyond its limit.
+    def reset(_, writer: asyncio.StreamWriter) -> None:
+        writer.transport.abort()
+
+    server = await asyncio.start_server(reset, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    connected = fakes.ConnectedBackend(server=fakes.make_server(port=port))
+    connected.send("a1")
+    connected.connection.connection_lost(ConnectionResetError())
+    await asyncio.sleep(1.0)
+    opened = connected.counts.count("connections_opened")
+    assert opened <= upstream.MAX_VERIFICATIONS
+    assert not connected.observer.unreachable
+    server.close()
+
+
 async def test_attempt_that_is_blocked_while_it_waits_is_not_sent():
     connected = fakes.ConnectedBackend(connection_limit=1)
     connected.send("a1")
