Tests of hosts that hear each other in part, restart or are frozen

Which host must know of a crash by when, with real request handlers and the datagrams of the real program: eight hosts in a chain, in a ring and around one host; hosts that restart after each try; a host that is frozen while reports are sent, and one that is frozen before it has told of its own crashes.

--- a/eelgrasshall/gateway/request_handler_test.py
+++ b/eelgrasshall/gateway/request_handler_test.py
@@ -157,6 +157,8 @@
         self.statuses: list[int] = []
         # Pairs of hosts of which the second does not hear the first.
         self.cut: set[tuple[int, int]] = set()
+        # Hosts that neither send nor receive.
+        self.frozen: set[int] = set()
         self._route = route
         self._services = services
         for service in services:
@@ -231,7 +233,9 @@
             count += 1
             for number, handler in enumerate(self.handlers):
                 handler.registry.sweep(now)
-                if (count + number) % steps == 0:
+                if (count + number) % steps == 0 and (
+                    number not in self.frozen
+                ):
                     self._exchange(number, now)
 
     def _exchange(self, sender: int, now: float) -> None:
@@ -242,9 +246,18 @@
             return
         datagram = crash_gossip.encode(entries, now)
         for number, handler in enumerate(self.handlers):
-            if number != sender and (sender, number) not in self.cut:
+            if (
+                number != sender
+                and number not in self.frozen
+                and (sender, number) not in self.cut
+            ):
                 handler.add_crash_gossip(crash_gossip.decode(datagram, now))
 
+    def restart(self, host: int) -> None:
+        """Restarts a host, which knows nothing then."""
+        self.handlers[host].registry.close()
+        self.handlers[host] = self._make_handler(self._names[host])
+
     async def send(
         self, host: int, request_id: str, target: str, budget_s: float = 2.0
     ) -> listener.Response:
@@ -268,16 +281,24 @@
         tries: int,
         interval_s: float = 1.3,
         target: str = _HARMFUL_TARGET,
+        hosts: Sequence[int] = (),
     ) -> None:
         """Sends the harmful request again and again, to one host after another.
 
         The caller sends the next try only after the last one's answer.
+
+        Args:
+          tries: Number of tries.
+          interval_s: Time between an answer and the next try, seconds.
+          target: The request.
+          hosts: The hosts to send to in turn; all of them if empty.
         """
+        hosts = hosts or range(len(self.handlers))
         for number in range(tries):
             request_id = f"try{len(self.sent)}"
             self.sent.append((request_id, self.loop.time()))
             response = await self.send(
-                number % len(self.handlers), request_id, target
+                hosts[number % len(hosts)], request_id, target
             )
             self.statuses.append(response.status)
             await asyncio.sleep(interval_s)
@@ -567,3 +588,86 @@
     assert len(replay.late) <= _TRIES_ALLOWED
     # It is found out as early as with nobody beside it, or in its next try.
     assert replay.reached <= 2 * changes.get("moments", 1)
+
+
+def _list_cut(
+    hosts: int, hears: Callable[[int, int], bool]
+) -> set[tuple[int, int]]:
+    """Returns the pairs of hosts of which the second cannot hear the first."""
+    return {
+        (sender, receiver)
+        for sender in range(hosts)
+        for receiver in range(hosts)
+        if not hears(sender, receiver)
+    }
+
+
+@pytest.mark.parametrize(
+    "hears",
+    [
+        # A chain: hosts hear their neighbours.
+        lambda sender, receiver: abs(sender - receiver) == 1,
+        # A ring in which each host hears one other.
+        lambda sender, receiver: receiver == (sender + 1) % 8,
+        # All hear one host, which is the only one that hears the others.
+        lambda sender, receiver: 7 in (sender, receiver),
+    ],
+    ids=["chain", "ring", "star"],
+)
+def test_hosts_that_hear_each_other_in_part_stop_a_harmful_request(hears):
+    # Hosts pass on what others have told them.  No host that takes tries would
+    # see enough crashes by itself within the bound.
+    fleet = _make_fleet(hosts=8, max_attempts=1)
+    fleet.cut = _list_cut(8, hears)
+    fleet.run(lambda each: each.send_harmful(tries=24, hosts=range(7)))
+    late = fleet.list_late_tries()
+    assert len(late) <= _TRIES_ALLOWED, late
+
+
+@pytest.mark.parametrize("restarted", [(1,), (0, 1), (0, 1, 2)])
+def test_hosts_that_restart_learn_of_reports_and_verdicts(restarted):
+    # One after the other, each after a try: those that go on tell them.
+    fleet = _make_fleet(hosts=4, max_attempts=1)
+
+    async def play(fleet: _Fleet) -> None:
+        task = fleet.loop.create_task(fleet.send_harmful(tries=18))
+        await asyncio.sleep(0.7)
+        for _ in range(5):
+            for host in restarted:
+                fleet.restart(host)
+                await asyncio.sleep(1.3)
+        await task
+
+    fleet.run(play)
+    late = fleet.list_late_tries()
+    assert len(late) <= _TRIES_ALLOWED, late
+
+
+def test_host_that_was_frozen_while_reports_were_sent_learns_of_them():
+    # All new entries have been sent by the time that it wakes up.
+    fleet = _make_fleet(hosts=3, max_attempts=1)
+
+    async def play(fleet: _Fleet) -> None:
+        fleet.frozen = {2}
+        await fleet.send_harmful(tries=6, hosts=(0, 1))
+        fleet.frozen = set()
+        await asyncio.sleep(_CONTACT_S)
+        await fleet.send_harmful(tries=4, hosts=(2,))
+
+    fleet.run(play)
+    assert not fleet.list_late_tries()
+
+
+def test_frozen_host_tells_of_its_crashes_when_it_wakes_up():
+    fleet = _make_fleet(hosts=3, max_attempts=1)
+
+    async def play(fleet: _Fleet) -> None:
+        await fleet.send_harmful(tries=2, hosts=(2,), interval_s=0.1)
+        fleet.frozen = {2}
+        await asyncio.sleep(30.0)
+        fleet.frozen = set()
+        await asyncio.sleep(_CONTACT_S)
+        await fleet.send_harmful(tries=8, hosts=(0, 1))
+
+    fleet.run(play)
+    assert len(fleet.crashes_s) == _CRASHES_ALLOWED
