Verdicts go before crash reports, and fewer reports are sent

What is sent again is limited, least recent first, so that a host which starts after a mass crash learned of a verdict late: FAIL test_verdicts_are_not_held_up_by_many_reports: assert _is_quarantined(new, "poison", now) (2 s, 200 reports)

Change: verdicts are sent again first, reports every 2 s instead of 1 s, and reports on crashes that a quarantined request explains not at all. How much speaks against each request is worked out once for a decision.

The bound for each datagram is as it was.

Reports on quarantined requests have to be sent: without them test_neighbour_that_is_reported_after_the_verdict_is_not_quarantined fails, as a host that wakes up does not know what explains the crashes that it has seen.

--- a/eelgrasshall/gateway/quarantine.py
+++ b/eelgrasshall/gateway/quarantine.py
@@ -62,6 +62,7 @@
 # interval, a few at a time, for hosts that join or hear of others again.
 FRESH_SENDS = 8
 RESEND_INTERVAL_S = 1.0
+REPORT_RESEND_INTERVAL_S = 2.0
 MAX_RESENT = 6
 
 
@@ -310,7 +311,7 @@
         """Returns the entries to send to other hosts next.
 
         These are new ones, those on requests with many crashes first, and a few
-        of the others, those sent longest ago first.
+        of the others, verdicts and those sent longest ago first.
 
         Args:
           now: Monotonic time.
@@ -327,18 +328,26 @@
             for name, until_s in self._quarantined.items()
         }
         entries.update(
-            (report.attempt, report)
-            for reports in self._reports.values()
-            for report in reports
+            (report.attempt, report) for report in self._list_useful_reports()
         )
         fresh = [key for key in entries if self._is_fresh(key)]
         due = [
             key
-            for key in entries
+            for key, entry in entries.items()
             if not self._is_fresh(key)
-            and now - self._gossip[key].sent_s >= RESEND_INTERVAL_S
+            and now - self._gossip[key].sent_s
+            >= (
+                RESEND_INTERVAL_S
+                if isinstance(entry, Verdict)
+                else REPORT_RESEND_INTERVAL_S
+            )
         ]
-        due.sort(key=lambda key: self._gossip[key].sent_s)
+        due.sort(
+            key=lambda key: (
+                not isinstance(entries[key], Verdict),
+                self._gossip[key].sent_s,
+            )
+        )
         fresh.sort(
             key=lambda key: (
                 self._gossip[key].count,
@@ -387,22 +396,32 @@
                 by_server.setdefault(report.server_id, []).append(report)
         for name in due:
             del self._due_s[name]
+        strengths = {
+            name: math.inf
+            if name in self._quarantined
+            else count_crashes(reports)
+            for name, reports in self._reports.items()
+        }
         guilty = [
             name
             for name in due
-            if has_evidence(self._list_unexplained(name, by_server))
+            if has_evidence(self._list_unexplained(name, by_server, strengths))
         ]
         for name in guilty:
             self.add_verdict(Verdict(name, now + QUARANTINE_S), now)
 
     def _list_unexplained(
-        self, fingerprint: str, by_server: dict[str, list[CrashReport]]
+        self,
+        fingerprint: str,
+        by_server: dict[str, list[CrashReport]],
+        strengths: dict[str, float],
     ) -> list[CrashReport]:
         """Returns the reports on a request that count against it.
 
         Args:
           fingerprint: The request.
           by_server: The reports on all requests, by server.
+          strengths: How many crashes speak against each request.
         """
         reports = self._reports.get(fingerprint, [])
         tries = count_separate_tries(reports)
@@ -415,16 +434,31 @@
             if not any(
                 other.fingerprint != fingerprint
                 and is_same_crash(report, other)
-                and self._compute_strength(other.fingerprint) >= limit
+                and strengths[other.fingerprint] >= limit
                 for other in by_server[report.server_id]
             )
         ]
 
-    def _compute_strength(self, fingerprint: str) -> float:
-        """Returns how many crashes speak against a request."""
-        if fingerprint in self._quarantined:
-            return math.inf
-        return count_crashes(self._reports[fingerprint])
+    def _list_useful_reports(self) -> list[CrashReport]:
+        """Returns the reports that other hosts need.
+
+        These are all but those on crashes that a request explains which is
+        quarantined.
+        """
+        by_server: dict[str, list[CrashReport]] = {}
+        for fingerprint in self._quarantined.keys() & self._reports.keys():
+            for report in self._reports[fingerprint]:
+                by_server.setdefault(report.server_id, []).append(report)
+        return [
+            report
+            for fingerprint, reports in self._reports.items()
+            for report in reports
+            if fingerprint in self._quarantined
+            or not any(
+                is_same_crash(report, other)
+                for other in by_server.get(report.server_id, ())
+            )
+        ]
 
     def _is_fresh(self, key: tuple) -> bool:
         """Returns whether an entry may not have reached all hosts yet."""
--- a/eelgrasshall/gateway/quarantine_test.py
+++ b/eelgrasshall/gateway/quarantine_test.py
@@ -367,6 +367,40 @@
     assert all(_is_quarantined(new, name, 50.0) for name in names)
 
 
+def test_reports_on_neighbours_of_a_quarantined_request_are_not_sent():
+    # They are of no use, and control traffic is limited.
+    quarantine = _make()
+    _crash_in_waves(quarantine, servers=8, request_id="a1")
+    _crash_in_waves(
+        quarantine, servers=3, request_id="b1", fingerprint="innocent"
+    )
+    sent = quarantine.list_gossip(3.0, 14)
+    assert {entry.fingerprint for entry in sent} == {"poison"}
+    assert len(sent) == 9
+
+
+def test_verdicts_are_not_held_up_by_many_reports():
+    # A host that starts after servers have crashed under many requests.
+    old, new = _make(), _make()
+    for number in range(200):
+        _crash(
+            old,
+            server=f"s{number % 20}",
+            request_id=f"b{number}",
+            began_s=1.0,
+            fingerprint=f"innocent{number}",
+        )
+    old.add_verdict(quarantine_module.Verdict("poison", 500.0), 1.0)
+    now = 1.0
+    for _ in range(200):
+        now += 0.25
+        old.list_gossip(now, 14)
+    for _ in range(8):
+        now += 0.25
+        _exchange(old, new, now)
+    assert _is_quarantined(new, "poison", now)
+
+
 def test_new_entry_goes_before_old_ones():
     quarantine = _make()
     for number in range(60):
