--- a/eelgrasshall/gateway/quarantine.py
+++ b/eelgrasshall/gateway/quarantine.py
@@ -48,6 +48,10 @@
 REPORT_RETENTION_S = 300.0
 # How long a request is quarantined.
 QUARANTINE_S = 600.0
+# Number of tries in a row that a service has to answer before its crashes no
+# longer count against a request: a few of its servers may be the only ones
+# that the request crashes.
+MIN_CLEAN_TRIES = 6
 # Limits on what is kept, to bound memory.
 MAX_FINGERPRINTS = 1000
 MAX_REPORTS = 32
@@ -58,6 +62,7 @@
 # interval, a few at a time, for hosts that join or hear of others again.
 FRESH_SENDS = 8
 RESEND_INTERVAL_S = 1.0
+REPORT_RESEND_INTERVAL_S = 2.0
 MAX_RESENT = 6
 
 
@@ -140,6 +145,10 @@
         self._gossip: dict[tuple, _GossipState] = {}
         # When to decide on the requests with enough evidence.
         self._due_s: dict[str, float] = {}
+        # By request and service: clean tries since the last crash, and when the
+        # last of enough of them was answered.
+        self._clean_tries: dict[tuple[str, str], int] = {}
+        self._cleared_s: dict[tuple[str, str], float] = {}
         # When entries for other hosts were last asked for.
         self._beat_s = math.inf
 
@@ -194,14 +203,44 @@
             self.add_report(report, now)
         return reports
 
-    def record_success(self, fingerprint: str) -> None:
+    def record_success(
+        self, fingerprint: str, services: Collection[str], now: float
+    ) -> None:
         """Records that a try was answered without any failed attempt.
 
-        A request that crashes servers would not have been.
+        A request may crash some servers of a service, or the servers of some
+        services only, so that reports are dropped after several answers of the
+        same service.
+
+        Args:
+          fingerprint: Identifies the request.
+          services: The services that have answered.
+          now: Monotonic time.
         """
-        self._due_s.pop(fingerprint, None)
-        for report in self._reports.pop(fingerprint, ()):
-            self._gossip.pop(report.attempt, None)
+        reports = self._reports.get(fingerprint)
+        if reports is None or fingerprint in self._quarantined:
+            return
+        for service in {each.service for each in reports} & {*services}:
+            key = fingerprint, service
+            self._clean_tries[key] = self._clean_tries.get(key, 0) + 1
+            if self._clean_tries[key] >= MIN_CLEAN_TRIES:
+                self._cleared_s[key] = now
+                self._drop_reports(fingerprint, service)
+
+    def _drop_reports(self, fingerprint: str, service: str) -> None:
+        """Drops the reports on a request and a service."""
+        left = []
+        for report in self._reports[fingerprint]:
+            if report.service == service:
+                self._gossip.pop(report.attempt, None)
+            else:
+                left.append(report)
+        del self._clean_tries[fingerprint, service]
+        if left:
+            self._reports[fingerprint] = left
+        else:
+            del self._reports[fingerprint]
+            self._due_s.pop(fingerprint, None)
 
     def add_report(self, report: CrashReport, now: float) -> None:
         """Adds a report of this host or another.
@@ -209,7 +248,11 @@
         Reports on a request that is quarantined explain further crashes.
         """
         fingerprint = report.fingerprint
-        if now - report.crashed_s >= REPORT_RETENTION_S:
+        key = fingerprint, report.service
+        if (
+            now - report.crashed_s >= REPORT_RETENTION_S
+            or self._cleared_s.get(key, -math.inf) >= report.crashed_s
+        ):
             return
         reports = [
             each
@@ -221,6 +264,7 @@
         ):
             return
         reports.append(report)
+        self._clean_tries.pop(key, None)
         if fingerprint not in self._reports:
             self._limit_reports()
         self._reports[fingerprint] = reports
@@ -275,7 +319,7 @@
         """Returns the entries to send to other hosts next.
 
         These are new ones, those on requests with many crashes first, and a few
-        of the others, those sent longest ago first.
+        of the others, verdicts and those sent longest ago first.
 
         Args:
           now: Monotonic time.
@@ -292,18 +336,26 @@
             for name, until_s in self._quarantined.items()
         }
         entries.update(
-            (report.attempt, report)
-            for reports in self._reports.values()
-            for report in reports
+            (report.attempt, report) for report in self._list_useful_reports()
         )
         fresh = [key for key in entries if self._is_fresh(key)]
         due = [
             key
-            for key in entries
+            for key, entry in entries.items()
             if not self._is_fresh(key)
-            and now - self._gossip[key].sent_s >= RESEND_INTERVAL_S
+            and now - self._gossip[key].sent_s
+            >= (
+                RESEND_INTERVAL_S
+                if isinstance(entry, Verdict)
+                else REPORT_RESEND_INTERVAL_S
+            )
         ]
-        due.sort(key=lambda key: self._gossip[key].sent_s)
+        due.sort(
+            key=lambda key: (
+                not isinstance(entries[key], Verdict),
+                self._gossip[key].sent_s,
+            )
+        )
         fresh.sort(
             key=lambda key: (
                 self._gossip[key].count,
@@ -352,22 +404,32 @@
                 by_server.setdefault(report.server_id, []).append(report)
         for name in due:
             del self._due_s[name]
+        strengths = {
+            name: math.inf
+            if name in self._quarantined
+            else count_crashes(reports)
+            for name, reports in self._reports.items()
+        }
         guilty = [
             name
             for name in due
-            if has_evidence(self._list_unexplained(name, by_server))
+            if has_evidence(self._list_unexplained(name, by_server, strengths))
         ]
         for name in guilty:
             self.add_verdict(Verdict(name, now + QUARANTINE_S), now)
 
     def _list_unexplained(
-        self, fingerprint: str, by_server: dict[str, list[CrashReport]]
+        self,
+        fingerprint: str,
+        by_server: dict[str, list[CrashReport]],
+        strengths: dict[str, float],
     ) -> list[CrashReport]:
         """Returns the reports on a request that count against it.
 
         Args:
           fingerprint: The request.
           by_server: The reports on all requests, by server.
+          strengths: How many crashes speak against each request.
         """
         reports = self._reports.get(fingerprint, [])
         tries = count_separate_tries(reports)
@@ -380,16 +442,31 @@
             if not any(
                 other.fingerprint != fingerprint
                 and is_same_crash(report, other)
-                and self._compute_strength(other.fingerprint) >= limit
+                and strengths[other.fingerprint] >= limit
                 for other in by_server[report.server_id]
             )
         ]
 
-    def _compute_strength(self, fingerprint: str) -> float:
-        """Returns how many crashes speak against a request."""
-        if fingerprint in self._quarantined:
-            return math.inf
-        return count_crashes(self._reports[fingerprint])
+    def _list_useful_reports(self) -> list[CrashReport]:
+        """Returns the reports that other hosts need.
+
+        These are all but those on crashes that a request explains which is
+        quarantined.
+        """
+        by_server: dict[str, list[CrashReport]] = {}
+        for fingerprint in self._quarantined.keys() & self._reports.keys():
+            for report in self._reports[fingerprint]:
+                by_server.setdefault(report.server_id, []).append(report)
+        return [
+            report
+            for fingerprint, reports in self._reports.items()
+            for report in reports
+            if fingerprint in self._quarantined
+            or not any(
+                is_same_crash(report, other)
+                for other in by_server.get(report.server_id, ())
+            )
+        ]
 
     def _is_fresh(self, key: tuple) -> bool:
         """Returns whether an entry may not have reached all hosts yet."""
@@ -425,6 +502,16 @@
             else:
                 del self._reports[name]
                 self._due_s.pop(name, None)
+        self._clean_tries = {
+            key: count
+            for key, count in self._clean_tries.items()
+            if key[0] in self._reports
+        }
+        self._cleared_s = {
+            key: cleared_s
+            for key, cleared_s in self._cleared_s.items()
+            if now - cleared_s < REPORT_RETENTION_S
+        }
         for server_id, suspects in list(self._suspects.items()):
             if now - suspects[-1].ended_s >= CONFIRM_WINDOW_S:
                 del self._suspects[server_id]
