A place given to a cancelled request is freed

Cause: a caller left, and in the same turn of the loop another request ended and gave its place to the one that was being cancelled. Its future was done already, so nobody took the place and nobody gave it back: the host ran one request less at a time from then on, down to refusing all requests for these services.

This refuses requests and loses none; it is no cause of the users' report.

Before: FAILED admission_queue_test.py:: test_place_given_to_a_cancelled_request_is_freed, assert 1 == 0 (running) After: passes.

--- a/eelgrasshall/gateway/admission_queue.py
+++ b/eelgrasshall/gateway/admission_queue.py
@@ -76,7 +76,8 @@
             entry = self.limiter.start_next(self._loop.time())
             if entry is None:
                 return
-            self._resolve(entry, True)
+            if not self._resolve(entry, True):
+                self.limiter.running -= 1
 
     def _expire(self, entry: admission.QueueEntry) -> None:
         """Rejects a request that has reached its queue deadline."""
@@ -89,8 +90,14 @@
         for entry in entries:
             self._resolve(entry, False)
 
-    def _resolve(self, entry: admission.QueueEntry, admitted: bool) -> None:
-        """Passes the decision to the task that waits for it."""
+    def _resolve(self, entry: admission.QueueEntry, admitted: bool) -> bool:
+        """Passes the decision to the task that waits for it.
+
+        Returns:
+          False if that task has been cancelled.
+        """
         future = self._waiting.pop(entry)
-        if not future.done():
-            future.set_result(admitted)
+        if future.done():
+            return False
+        future.set_result(admitted)
+        return True
--- a/eelgrasshall/gateway/admission_queue_test.py
+++ b/eelgrasshall/gateway/admission_queue_test.py
@@ -75,3 +75,16 @@
     admitted.cancel()
     await asyncio.gather(admitted, return_exceptions=True)
     assert queue.limiter.running == 0
+
+
+async def test_place_given_to_a_cancelled_request_is_freed():
+    # The place of a request whose caller left in the same moment was never
+    # given back, so that the host could run one request less from then on.
+    queue = _make_queue()
+    assert await queue.wait_for_admission(_make_entry(1))
+    second = asyncio.create_task(queue.wait_for_admission(_make_entry(2)))
+    await asyncio.sleep(0.01)
+    second.cancel()
+    _finish(queue)
+    await asyncio.wait((second,))
+    assert queue.limiter.running == 0
