Requests are answered before the process stops

Cause: `drain` ended 0.5 s before the grace time and `stop` closed all connections. A request in flight, in the admission queue or still being received got a closed connection. Nothing bounded a request accepted while the host drained: it was sent with its whole time-out, which may be longer than the grace time (a caller waits up to 8 s on one of the sites, the grace time is 6 s). What the transports still held was dropped, as the loop ended right after `stop`.

Change: the request handler knows when the host stops. Requests that arrive while it drains get no more time than that, at the servers too, and those whose usual duration (95th percentile of the route) goes beyond it are refused at once. 0.5 s before the grace time ends, what is left is answered: 503 for requests in the queue or incomplete ones, 504 for those that were submitted to a server. Up to 0.2 s are left for these answers to be sent. The log has `ending` with their number.

Ruled out: that ready answers were lost at `stop` in general. `drain` waited for the connections to close, which happens after the last byte was written.

--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -46,6 +46,8 @@
 # Part of the grace period that is left for closing, before the platform kills
 # the process.
 SHUTDOWN_MARGIN_S = 0.5
+# Part of that margin in which the last answers are sent.
+LAST_ANSWERS_S = 0.2
 DRAIN_POLL_INTERVAL_S = 0.05
 # How long a starting host asks its seeds before it reads from the store itself.
 # Hosts that start together do so within a third of a second, and their seeds
@@ -221,20 +223,37 @@
         """Sends callers to other hosts and finishes the requests in flight.
 
         Returns when all callers' connections are closed, or when the grace
-        period is nearly over.
+        period is nearly over.  Requests that have not ended by then are
+        answered with a failure, or a refusal if they were not sent anywhere.
         """
-        started_s = self._loop.time()
+        latest_s = self._loop.time() + self._options.grace_s - SHUTDOWN_MARGIN_S
         self._log.record("leaving", in_flight=self._caller_listener.busy_count)
         self._announce(heartbeats.State.LEAVING)
         self._caller_listener.start_draining()
+        self._request_handler.set_end(latest_s)
         await asyncio.sleep(DRAIN_DELAY_S)
-        latest_s = started_s + self._options.grace_s - SHUTDOWN_MARGIN_S
         self._caller_listener.stop_accepting()
+        if await self._wait_for_callers(latest_s):
+            return
+        self._log.record("ending", in_flight=self._caller_listener.busy_count)
+        self._request_handler.end_requests()
+        self._caller_listener.refuse_incomplete()
+        await self._wait_for_callers(latest_s + LAST_ANSWERS_S)
+
+    async def _wait_for_callers(self, latest_s: float) -> bool:
+        """Waits until a monotonic time for all callers' connections to close.
+
+        Idle connections are closed.
+
+        Returns:
+          Whether all are closed.
+        """
         while self._loop.time() < latest_s:
             self._caller_listener.close_idle()
             if not self._caller_listener.connections:
-                break
+                return True
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        return False
 
     def stop(self) -> None:
         """Closes all listeners and connections immediately."""
--- a/eelgrasshall/gateway/host_test.py
+++ b/eelgrasshall/gateway/host_test.py
@@ -65,7 +65,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _run_host(store: _FakeStore, *, port: int):
+async def _run_host(store: _FakeStore, *, port: int, grace_s: float = 6.0):
     """Runs a host; yields it and a function that sends a GET request to it."""
 
     async def publish(published):
@@ -87,7 +87,7 @@
             bounds_s=dict.fromkeys(object_cache.Collection, 3.0),
             extra_attempt_bound=hedging.ExtraAttemptBound(0.2, 54.0),
             cold_start_bound=cold_start.ColdStartBound(1.5, 5.0),
-            grace_s=6.0,
+            grace_s=grace_s,
             names=fakes.NAMES,
             readiness_path="/ready",
             directory_path="/addresses",
@@ -414,3 +414,133 @@
             request = fakes.make_request(headers=(("X-Budget", text),))
             timeout_s = host._request_handler._compute_timeout(request, route)
             assert timeout_s == 2.0
+
+
+@contextlib.asynccontextmanager
+async def _run_host_at_silent_server(monkeypatch, *, port: int, **route):
+    """Runs a host with a server that reads requests and never answers.
+
+    The host drains for 0.4 s when it stops.
+
+    Yields:
+      The host, a function that sends a GET request to it, and the requests that
+      have reached the server.
+    """
+    received: list[bytes] = []
+
+    async def read(reader, writer):
+        while data := await reader.read(65536):
+            received.append(data)
+        writer.close()
+
+    monkeypatch.setattr(host_module, "DRAIN_DELAY_S", 0.1)
+    server = await asyncio.start_server(read, "127.0.0.1", port + 9)
+    store = _FakeStore()
+    route = fakes.make_route(
+        path_prefix="/find/", timeout_s=20.0, max_attempts=1, **route
+    )
+    configuration = fakes.make_configuration(1, routes=(route,))
+    store.write(_CONFIGURATION, "main", 5, configuration)
+    store.write(
+        object_cache.Collection.SERVERS,
+        "s1",
+        6,
+        fakes.make_server("s1")._replace(
+            address=model.Address("127.0.0.1", port + 9)
+        ),
+    )
+    async with _run_host(store, port=port, grace_s=0.9) as (host, call):
+        await asyncio.sleep(0.1)
+        yield host, call, received
+    server.close()
+
+
+async def test_request_in_flight_at_the_end_of_the_grace_time_is_answered(
+    monkeypatch,
+):
+    # Its connection was closed without an answer.
+    async with _run_host_at_silent_server(monkeypatch, port=19620) as (
+        host,
+        call,
+        received,
+    ):
+        task = asyncio.create_task(call("/find/x"))
+        await asyncio.sleep(0.1)
+        assert received
+        await asyncio.wait_for(host.drain(), 0.7)
+        host.stop()
+        status, data = await task
+        # It may have run.
+        assert status == 504 and b"Content-Length: 0" in data
+
+
+async def test_request_in_the_queue_at_the_end_of_the_grace_time_is_refused(
+    monkeypatch,
+):
+    async with _run_host_at_silent_server(
+        monkeypatch, port=19640, objective_s=10.0
+    ) as (host, call, received):
+        handler = host._request_handler
+        route = handler._route_table.find("orders.example", "/find/x")
+        handler._find_queue(("orders",), route).limiter.running = 99
+        task = asyncio.create_task(call("/find/x"))
+        await asyncio.sleep(0.1)
+        await asyncio.wait_for(host.drain(), 0.7)
+        host.stop()
+        status, data = await task
+        assert status == 503 and b"retry-after" in data and not received
+
+
+async def test_incomplete_request_at_the_end_of_the_grace_time_is_refused(
+    monkeypatch,
+):
+    async with _run_host_at_silent_server(monkeypatch, port=19660) as (
+        host,
+        _,
+        received,
+    ):
+        reader, writer = await asyncio.open_connection("127.0.0.1", 19660)
+        writer.write(
+            b"POST /find/x HTTP/1.1\r\nHost: orders.example\r\nX-Id: a1\r\n"
+            b"Content-Length: 9\r\n\r\nbody"
+        )
+        await asyncio.sleep(0.1)
+        await asyncio.wait_for(host.drain(), 0.7)
+        host.stop()
+        assert (await reader.read()).startswith(b"HTTP/1.1 503 ")
+        writer.close()
+        assert not received
+
+
+async def test_request_that_arrives_while_draining_ends_with_the_host(
+    monkeypatch,
+):
+    # It was sent with its whole time-out, and cut with the connection.
+    async with _run_host_at_silent_server(monkeypatch, port=19680) as (
+        host,
+        call,
+        received,
+    ):
+        drained = asyncio.create_task(host.drain())
+        await asyncio.sleep(0.05)
+        assert (await call("/find/x"))[0] == 504
+        (budget,) = [
+            int(line.partition(b":")[2])
+            for line in received[0].split(b"\r\n")
+            if line.startswith(b"x-budget")
+        ]
+        assert budget <= 350
+        await drained
+
+
+async def test_request_that_would_outlast_the_host_is_refused_at_once(
+    monkeypatch,
+):
+    async with _run_host_at_silent_server(
+        monkeypatch, port=19700, objective_s=2.0
+    ) as (host, call, received):
+        drained = asyncio.create_task(host.drain())
+        await asyncio.sleep(0.05)
+        status, data = await asyncio.wait_for(call("/find/x"), 0.2)
+        assert status == 503 and b"retry-after" in data and not received
+        await drained
--- a/eelgrasshall/gateway/listener.py
+++ b/eelgrasshall/gateway/listener.py
@@ -95,6 +95,11 @@
             if connection.is_idle:
                 connection.close()
 
+    def refuse_incomplete(self) -> None:
+        """Refuses the requests that are still being received."""
+        for connection in list(self.connections):
+            connection.refuse_incomplete()
+
     @property
     def busy_count(self) -> int:
         """Number of connections with a request in progress."""
@@ -213,6 +218,11 @@
         if self._transport is not None:
             self._transport.close()
 
+    def refuse_incomplete(self) -> None:
+        """Answers a request that is being received with 503."""
+        if self._receiving and not self._queue and not self._error_status:
+            self._reject(503)
+
     def data_received(self, data: bytes) -> None:
         """Parses received data."""
         if self._error_status:
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Sequence
+import math
 import random as random_module
 from typing import Any
 
@@ -32,10 +33,14 @@
 # Quantile of attempt latency taken as the duration of a request: a search ends
 # with the slowest of about ten shards, which is near this quantile.
 EXPECTED_QUANTILE = 0.95
+# Retry-After of a host that stops; callers come back to another one.
+RETRY_AFTER_STOPPING_S = 0.1
 # Digits of a time budget in milliseconds above which it exceeds any time-out;
 # far more than that cannot be converted.
 MAX_TIME_BUDGET_DIGITS = 12
 
+STOPPING = "the host stops before the request could end"
+
 
 class RequestHandler:
     """Handles each request of a caller from its arrival to its response.
@@ -93,6 +98,10 @@
         self._queues: dict[tuple[str, ...], admission_queue.AdmissionQueue] = {}
         self._longest_timeout_s: dict[str, float] = {}
         self._entry_count = 0
+        self._tasks: set[asyncio.Task] = set()
+        # When this host stops, and whether it has ended all requests for that.
+        self._end_s = math.inf
+        self._ended = False
 
     @property
     def version(self) -> int:
@@ -163,9 +172,30 @@
         """Adds the crash reports and verdicts of another host."""
         self.quarantine.add_gossip(entries, self.loop.time())
 
+    def set_end(self, end_s: float) -> None:
+        """Sets the monotonic time at which this host stops.
+
+        Requests end by then, and those that would take longer are refused.
+        """
+        self._end_s = end_s
+
+    def end_requests(self) -> None:
+        """Ends all requests: they are answered with 503 or 504 at once.
+
+        The requests that arrive after that are refused.
+        """
+        self._ended = True
+        for task in self._tasks:
+            task.cancel()
+
     async def handle(self, request: messages.Request) -> listener.Response:
         """Answers a caller's request and logs it."""
-        outcome, route, log_fields = await self._process(request)
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            outcome, route, log_fields = await self._process(request)
+        finally:
+            self._tasks.discard(task)
         took_s = self.loop.time() - request.received_s
         self._metrics.record_request(outcome.verdict.value, took_s)
         if self._log.allow_request_line(failed=outcome.status >= 400):
@@ -213,11 +243,23 @@
             return self._reject(
                 503, fanout.TOO_FEW_SERVERS, wait_s, route=route
             )
+        if self._is_too_late(route):
+            return self._reject(
+                503, STOPPING, RETRY_AFTER_STOPPING_S, route=route
+            )
         timeout_s = self._compute_timeout(request, route)
         queue = self._find_queue(services, route)
-        if not await queue.wait_for_admission(
-            self._make_queue_entry(request, route, timeout_s)
-        ):
+        try:
+            admitted = await queue.wait_for_admission(
+                self._make_queue_entry(request, route, timeout_s)
+            )
+        except asyncio.CancelledError:
+            if not self._ended:
+                raise
+            return self._reject(
+                503, STOPPING, RETRY_AFTER_STOPPING_S, route=route
+            )
+        if not admitted:
             self.count("turned_away")
             wait_s = admission.choose_retry_after(
                 request.received_s + timeout_s - self.loop.time(),
@@ -235,11 +277,17 @@
             route=route,
             services=services,
             request_id=request_id,
-            deadline_s=request.received_s + timeout_s,
+            deadline_s=min(request.received_s + timeout_s, self._end_s),
             has_waiting=lambda: queue.limiter.has_waiting,
         )
         try:
             outcome = await request_fanout.run()
+        except asyncio.CancelledError:
+            if not self._ended:
+                raise
+            outcome = fanout.Outcome(
+                fanout.Verdict.TIMED_OUT, 504, [], b"", 0, STOPPING
+            )
         finally:
             if queue.finish(started_s=started_s, objective_s=route.objective_s):
                 self._log.record(
@@ -256,6 +304,13 @@
         log_fields = {"waited_ms": waited_ms, **request_fanout.get_log_fields()}
         return outcome, route, log_fields
 
+    def _is_too_late(self, route: model.Route) -> bool:
+        """Returns whether this host stops before a request would end."""
+        if self._end_s == math.inf:
+            return False
+        duration_s = self.find_latency_window(route).quantile(EXPECTED_QUANTILE)
+        return self.loop.time() + duration_s > self._end_s
+
     def _make_queue_entry(
         self, request: messages.Request, route: model.Route, timeout_s: float
     ) -> admission.QueueEntry:
--- a/eelgrasshall/platform/program_test.py
+++ b/eelgrasshall/platform/program_test.py
@@ -100,6 +100,37 @@
         assert await asyncio.wait_for(process.wait(), 6) == 0
 
 
+async def test_requests_that_outlast_the_grace_time_are_answered(tmp_path):
+    # Their connections were closed without an answer when the process ended.
+    async with _run(tmp_path, port=23400, hosts=1) as fleet:
+        fleet.publish_configuration(timeoutMs=20000)
+        await asyncio.sleep(1.0)
+        for server in fleet.servers.values():
+            server.service_time_s = 30.0
+        calls = [
+            asyncio.create_task(
+                fleet.send_request(
+                    "host0", "/search/x", f"q{number}", budget_ms=20000
+                )
+            )
+            for number in range(5)
+        ]
+        await asyncio.sleep(0.3)
+        fleet.signal_host("host0", signal.SIGTERM)
+        await asyncio.sleep(2.0)
+        calls.append(
+            asyncio.create_task(
+                fleet.send_request(
+                    "host0", "/search/x", "late", budget_ms=20000
+                )
+            )
+        )
+        for status, _, _ in await asyncio.gather(*calls):
+            assert status == 504
+        process = fleet.processes["host0"]
+        assert await asyncio.wait_for(process.wait(), 2) == 0
+
+
 async def test_host_restarts_while_store_is_unavailable(tmp_path):
     async with _run(tmp_path, port=21800) as fleet:
         fleet.store.down = True
