Connections with an unread request are not closed as idle

Cause: `is_idle` knows what has been parsed. A draining listener also closed connections that had been accepted a moment before, whose callers were about to send.

Change: a connection is idle only if the kernel holds no unread bytes for it (FIONREAD, asked only of connections about to be closed), and while the listener drains, only if it has been idle for 0.3 s. A request that arrives after the question still crosses the close; it is not read then.

Before: FAILED listener_test.py:: test_unread_request_is_answered_by_a_draining_listener test_unread_request_is_answered_after_the_idle_timeout test_request_on_a_new_connection_is_answered_by_a_draining_listener (all: connection closed without a byte) After: pass; an idle connection is still closed (test_draining_listener_closes_a_connection_that_sends_nothing).

--- a/eelgrasshall/gateway/listener.py
+++ b/eelgrasshall/gateway/listener.py
@@ -9,6 +9,8 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import fcntl
+import termios
 from typing import NamedTuple
 
 import httptools
@@ -21,6 +23,9 @@
 MAX_PIPELINED = 32
 # Interval between checks of all connections for time-outs.
 SWEEP_INTERVAL_S = 0.5
+# How long an idle connection stays open while the listener drains: a caller
+# that has just connected is about to send a request.
+MIN_IDLE_S = 0.3
 # Bytes that frame each byte of a body in the smallest chunks, rounded up.
 MAX_FRAMING_RATIO = 16
 
@@ -91,9 +96,9 @@
 
     def close_idle(self) -> None:
         """Closes the connections that have no request in progress."""
+        latest_s = asyncio.get_running_loop().time() - MIN_IDLE_S
         for connection in list(self.connections):
-            if connection.is_idle:
-                connection.close()
+            connection.close_if_idle_since(latest_s)
 
     def refuse_incomplete(self) -> None:
         """Refuses the requests that are still being received."""
@@ -218,11 +223,31 @@
         if self._transport is not None:
             self._transport.close()
 
+    def close_if_idle_since(self, latest_s: float) -> None:
+        """Closes the connection if it has been idle since a monotonic time."""
+        if (
+            self.is_idle
+            and self._idle_since_s <= latest_s
+            and not self._has_unread_data()
+        ):
+            self.close()
+
     def refuse_incomplete(self) -> None:
         """Answers a request that is being received with 503."""
         if self._receiving and not self._queue and not self._error_status:
             self._reject(503)
 
+    def _has_unread_data(self) -> bool:
+        """Returns whether the kernel holds data that has not been read yet."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        sock = self._transport.get_extra_info("socket")
+        if sock is None:
+            return False
+        size = bytearray(4)
+        fcntl.ioctl(sock.fileno(), termios.FIONREAD, size)
+        return any(size)
+
     def data_received(self, data: bytes) -> None:
         """Parses received data."""
         if self._error_status:
@@ -274,10 +299,13 @@
             timeout_s = limits.header_timeout_s
             if self._in_body:
                 timeout_s += limits.idle_timeout_s
-            if now - self._request_started_s > timeout_s:
+            if (
+                now - self._request_started_s > timeout_s
+                and not self._has_unread_data()
+            ):
                 self._reject(408)
-        elif now - self._idle_since_s > limits.idle_timeout_s:
-            self.close()
+        else:
+            self.close_if_idle_since(now - limits.idle_timeout_s)
 
     # Callbacks of the parser.
 
--- a/eelgrasshall/gateway/listener_test.py
+++ b/eelgrasshall/gateway/listener_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -219,3 +220,76 @@
         while data.count(b"HTTP/1.1") < 2:
             data += await _read(reader)
         assert data.startswith(b"HTTP/1.1 500 ") and data.endswith(b"/2")
+
+
+@contextlib.asynccontextmanager
+async def _connect_socket(server, *, receive_buffer_bytes: int | None = None):
+    """Opens a connection whose socket sends without a turn of the loop."""
+    with socket.socket() as sock:
+        sock.setblocking(False)
+        if receive_buffer_bytes is not None:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+            )
+        address = server._server.sockets[0].getsockname()
+        await asyncio.get_running_loop().sock_connect(sock, address)
+        await asyncio.sleep(0.02)
+        yield sock
+
+
+async def _receive(sock) -> bytes:
+    """Receives up to the end of the connection; a reset ends it as well."""
+    loop = asyncio.get_running_loop()
+    data = b""
+    with contextlib.suppress(ConnectionResetError):
+        while chunk := await asyncio.wait_for(loop.sock_recv(sock, 65536), 2):
+            data += chunk
+    return data
+
+
+async def test_unread_request_is_answered_by_a_draining_listener():
+    # The connection counted as idle and was reset with the request in it.
+    async with (
+        _open_connection() as (server, _, _, _),
+        _connect_socket(server) as sock,
+    ):
+        await asyncio.sleep(0.35)
+        sock.send(_GET)
+        server.start_draining()
+        server.close_idle()
+        data = await _receive(sock)
+        assert data.startswith(b"HTTP/1.1 200")
+        assert b"Connection: close" in data
+
+
+async def test_unread_request_is_answered_after_the_idle_timeout():
+    # A process that was held up sees the time-out before it sees the request.
+    limits = model.CallerLimits(idle_timeout_s=15.0)
+    async with (
+        _open_connection(limits=limits) as (server, _, _, _),
+        _connect_socket(server) as sock,
+    ):
+        sock.send(_GET.replace(b"Host", b"Connection: close\r\nHost"))
+        now = asyncio.get_running_loop().time() + 20.0
+        for connection in list(server.connections):
+            connection.enforce_timeouts(now, limits)
+        assert (await _receive(sock)).startswith(b"HTTP/1.1 200")
+
+
+async def test_request_on_a_new_connection_is_answered_by_a_draining_listener():
+    # A caller sends its request a round trip after it has connected.
+    async with _open_connection() as (server, reader, writer, _):
+        await asyncio.sleep(0.02)
+        server.start_draining()
+        server.close_idle()
+        await asyncio.sleep(0.05)
+        writer.write(_GET)
+        assert b"Connection: close" in await _read(reader)
+
+
+async def test_draining_listener_closes_a_connection_that_sends_nothing():
+    async with _open_connection() as (server, reader, _, _):
+        await asyncio.sleep(0.35)
+        server.start_draining()
+        server.close_idle()
+        assert await _read(reader) == b""
