The last response of a connection arrives whole, and alone says so

Two faults of connections that end with a response:

A draining listener announced the close in each response, also in those with requests behind them. A caller that closes after the first one, as it should, loses the others, which may have been passed on. Now only a response with nothing behind it announces the close, unread bytes included.

The connection was closed at once. Bytes that arrived behind the request (pipelined ones, a line end, the rest of a refused body) made the kernel reset it and discard what the caller had not received of the response. Now the host shuts down its side, and reads on until the caller has closed or 0.2 s have passed.

Before: FAILED listener_test.py:: test_draining_listener_announces_the_close_in_the_last_response (b'Connection: close' in the first of two responses) test_bytes_behind_the_last_request_do_not_cut_its_response (end of 200,002 bytes missing, connection reset) After: pass.

--- a/eelgrasshall/gateway/listener.py
+++ b/eelgrasshall/gateway/listener.py
@@ -26,6 +26,9 @@
 # How long an idle connection stays open while the listener drains: a caller
 # that has just connected is about to send a request.
 MIN_IDLE_S = 0.3
+# How long a connection is read after the last response.  Closing it with unread
+# bytes would reset it, and the caller might lose the end of the response.
+LINGER_S = 0.2
 # Bytes that frame each byte of a body in the smallest chunks, rounded up.
 MAX_FRAMING_RATIO = 16
 
@@ -161,6 +164,7 @@
         "_body",
         "_body_bytes",
         "_error_status",
+        "_finished",
         "_handler_task",
         "_header_bytes",
         "_headers",
@@ -185,6 +189,7 @@
         self._queue: collections.deque[messages.Request] = collections.deque()
         self._handler_task: asyncio.Task | None = None
         self._error_status = 0
+        self._finished = False
         self._receiving = False
         self._in_body = False
         self._header_bytes = 0
@@ -227,6 +232,7 @@
         """Closes the connection if it has been idle since a monotonic time."""
         if (
             self.is_idle
+            and not self._finished
             and self._idle_since_s <= latest_s
             and not self._has_unread_data()
         ):
@@ -250,7 +256,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received data."""
-        if self._error_status:
+        if self._error_status or self._finished:
             return
         if not self._receiving:
             self._request_started_s = self._loop.time()
@@ -293,7 +299,12 @@
 
         An incomplete request is answered with 408 first.
         """
-        if self._handler_task is not None or self._queue or self._error_status:
+        if (
+            self._handler_task is not None
+            or self._queue
+            or self._error_status
+            or self._finished
+        ):
             return
         if self._receiving:
             timeout_s = limits.header_timeout_s
@@ -399,7 +410,9 @@
                 self._idle_since_s = self._loop.time()
                 if self._transport is None:
                     return
-                closing = self._listener.draining or _wants_close(request)
+                closing = _wants_close(request) or (
+                    self._listener.draining and not self._has_more()
+                )
                 self._transport.write(
                     messages.encode_response(
                         response.status,
@@ -408,14 +421,35 @@
                         closing=closing,
                     )
                 )
-                if closing and not (self._queue or self._receiving):
-                    self._transport.close()
+                if closing:
+                    self._finish()
                     return
             if self._error_status and self._transport is not None:
                 self._send_error_and_close(self._error_status)
         finally:
             self._handler_task = None
 
+    def _has_more(self) -> bool:
+        """Returns whether the caller has sent more than has been answered."""
+        return bool(self._queue or self._receiving or self._has_unread_data())
+
+    def _finish(self) -> None:
+        """Ends the connection after what has been written.
+
+        What still arrives is read and discarded until the caller has closed
+        its side, or for `LINGER_S`.
+        """
+        self._finished = True
+        self._receiving = False
+        try:
+            if not self._transport.is_closing():
+                self._transport.write_eof()
+        except OSError:
+            # The caller has already reset the connection.
+            self._transport.close()
+            return
+        self._loop.call_later(LINGER_S, self.close)
+
     def _reject(self, status: int) -> None:
         """Sends an error response and closes the connection.
 
@@ -428,7 +462,7 @@
     def _send_error_and_close(self, status: int) -> None:
         """Sends an error response and closes the connection."""
         self._transport.write(messages.encode_response(status, closing=True))
-        self._transport.close()
+        self._finish()
 
 
 def _wants_close(request: messages.Request) -> bool:
--- a/eelgrasshall/gateway/listener_test.py
+++ b/eelgrasshall/gateway/listener_test.py
@@ -293,3 +293,38 @@
         server.start_draining()
         server.close_idle()
         assert await _read(reader) == b""
+
+
+async def test_draining_listener_announces_the_close_in_the_last_response():
+    # A caller that closes after the first one loses the second.
+    async def handle(request):
+        await asyncio.sleep(0.02)
+
+    async with _open_connection(handle) as (server, reader, writer, _):
+        writer.write(_GET + _GET.replace(b"/x", b"/y"))
+        server.start_draining()
+        data = b""
+        while chunk := await _read(reader):
+            data += chunk
+        first, _, last = data.partition(b"/x")
+        assert b"Connection: close" not in first
+        assert b"Connection: close" in last and last.endswith(b"/y")
+
+
+async def test_bytes_behind_the_last_request_do_not_cut_its_response():
+    # A connection that is closed with unread bytes is reset, which discards
+    # what the caller has not received of the response.
+    body = b"b" * 200_000
+    async with (
+        _open_connection() as (server, _, _, _),
+        _connect_socket(server, receive_buffer_bytes=4096) as sock,
+    ):
+        request = (
+            b"POST /x HTTP/1.1\r\nConnection: close\r\n"
+            b"Content-Length: %d\r\n\r\n" % len(body)
+        )
+        await asyncio.get_running_loop().sock_sendall(sock, request + body)
+        await asyncio.sleep(0.05)
+        sock.send(b"\r\n")
+        await asyncio.sleep(0.05)
+        assert (await _receive(sock)).endswith(b"/x" + body)
