A shorter idle time-out spares connections that were idle before

Their callers reuse them for four fifths of the limit that they know, so that requests crossed the close. Such a request is not read and not lost by the rule, but its caller has to try again, and an unsafe one learns nothing.

Change: a connection keeps at least the limit that was in force when it became idle.

Before: FAILED listener_test.py:: test_shorter_idle_timeout_spares_connections_already_idle ConnectionResetError After: passes.

--- a/eelgrasshall/gateway/listener.py
+++ b/eelgrasshall/gateway/listener.py
@@ -169,6 +169,7 @@
         "_header_bytes",
         "_headers",
         "_idle_since_s",
+        "_idle_timeout_s",
         "_in_body",
         "_listener",
         "_loop",
@@ -196,6 +197,7 @@
         self._received_body_bytes = 0
         self._request_started_s = 0.0
         self._idle_since_s = self._loop.time()
+        self._idle_timeout_s = listener.get_limits().idle_timeout_s
 
     @property
     def is_idle(self) -> bool:
@@ -316,7 +318,10 @@
             ):
                 self._reject(408)
         else:
-            self.close_if_idle_since(now - limits.idle_timeout_s)
+            # Callers rely on the limit that was in force when they began to
+            # wait.
+            timeout_s = max(limits.idle_timeout_s, self._idle_timeout_s)
+            self.close_if_idle_since(now - timeout_s)
 
     # Callbacks of the parser.
 
@@ -408,6 +413,9 @@
                 request = self._queue.popleft()
                 response = await self._listener.answer(request)
                 self._idle_since_s = self._loop.time()
+                self._idle_timeout_s = (
+                    self._listener.get_limits().idle_timeout_s
+                )
                 if self._transport is None:
                     return
                 closing = _wants_close(request) or (
--- a/eelgrasshall/gateway/listener_test.py
+++ b/eelgrasshall/gateway/listener_test.py
@@ -328,3 +328,18 @@
         sock.send(b"\r\n")
         await asyncio.sleep(0.05)
         assert (await _receive(sock)).endswith(b"/x" + body)
+
+
+async def test_shorter_idle_timeout_spares_connections_already_idle():
+    # Their callers reckon with the limit that was in force before.
+    limits = model.CallerLimits(idle_timeout_s=15.0)
+    async with _open_connection(limits=limits) as (server, reader, writer, _):
+        await asyncio.sleep(0.02)
+        shorter = model.CallerLimits(idle_timeout_s=5.0)
+        now = asyncio.get_running_loop().time()
+        (connection,) = server.connections
+        connection.enforce_timeouts(now + 12.0, shorter)
+        writer.write(_GET)
+        assert (await _read(reader)).startswith(b"HTTP/1.1 200")
+        connection.enforce_timeouts(now + 16.0, shorter)
+        assert await _read(reader) == b""
