--- a/eelgrasshall/gateway/listener.py
+++ b/eelgrasshall/gateway/listener.py
@@ -9,6 +9,8 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import fcntl
+import termios
 from typing import NamedTuple
 
 import httptools
@@ -21,6 +23,13 @@
 MAX_PIPELINED = 32
 # Interval between checks of all connections for time-outs.
 SWEEP_INTERVAL_S = 0.5
+# How long an idle connection stays open while the listener drains: a caller
+# that has just connected is about to send a request.
+MIN_IDLE_S = 0.3
+# How long a connection is read after the last response.  Closing it with unread
+# bytes would reset it, and the caller might lose the end of the response.  Less
+# than the 200 ms within which a request that crosses the close is not missed.
+LINGER_S = 0.1
 # Bytes that frame each byte of a body in the smallest chunks, rounded up.
 MAX_FRAMING_RATIO = 16
 
@@ -91,9 +100,14 @@
 
     def close_idle(self) -> None:
         """Closes the connections that have no request in progress."""
+        latest_s = asyncio.get_running_loop().time() - MIN_IDLE_S
         for connection in list(self.connections):
-            if connection.is_idle:
-                connection.close()
+            connection.close_if_idle_since(latest_s)
+
+    def refuse_incomplete(self) -> None:
+        """Refuses the requests that are still being received."""
+        for connection in list(self.connections):
+            connection.refuse_incomplete()
 
     @property
     def busy_count(self) -> int:
@@ -151,10 +165,12 @@
         "_body",
         "_body_bytes",
         "_error_status",
+        "_finished",
         "_handler_task",
         "_header_bytes",
         "_headers",
         "_idle_since_s",
+        "_idle_timeout_s",
         "_in_body",
         "_listener",
         "_loop",
@@ -175,12 +191,14 @@
         self._queue: collections.deque[messages.Request] = collections.deque()
         self._handler_task: asyncio.Task | None = None
         self._error_status = 0
+        self._finished = False
         self._receiving = False
         self._in_body = False
         self._header_bytes = 0
         self._received_body_bytes = 0
         self._request_started_s = 0.0
         self._idle_since_s = self._loop.time()
+        self._idle_timeout_s = listener.get_limits().idle_timeout_s
 
     @property
     def is_idle(self) -> bool:
@@ -213,9 +231,35 @@
         if self._transport is not None:
             self._transport.close()
 
+    def close_if_idle_since(self, latest_s: float) -> None:
+        """Closes the connection if it has been idle since a monotonic time."""
+        if (
+            self.is_idle
+            and not self._finished
+            and self._idle_since_s <= latest_s
+            and not self._has_unread_data()
+        ):
+            self.close()
+
+    def refuse_incomplete(self) -> None:
+        """Answers a request that is being received with 503."""
+        if self._receiving and not self._queue and not self._error_status:
+            self._reject(503)
+
+    def _has_unread_data(self) -> bool:
+        """Returns whether the kernel holds data that has not been read yet."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        sock = self._transport.get_extra_info("socket")
+        if sock is None:
+            return False
+        size = bytearray(4)
+        fcntl.ioctl(sock.fileno(), termios.FIONREAD, size)
+        return any(size)
+
     def data_received(self, data: bytes) -> None:
         """Parses received data."""
-        if self._error_status:
+        if self._error_status or self._finished:
             return
         if not self._receiving:
             self._request_started_s = self._loop.time()
@@ -258,16 +302,27 @@
 
         An incomplete request is answered with 408 first.
         """
-        if self._handler_task is not None or self._queue or self._error_status:
+        if (
+            self._handler_task is not None
+            or self._queue
+            or self._error_status
+            or self._finished
+        ):
             return
         if self._receiving:
             timeout_s = limits.header_timeout_s
             if self._in_body:
                 timeout_s += limits.idle_timeout_s
-            if now - self._request_started_s > timeout_s:
+            if (
+                now - self._request_started_s > timeout_s
+                and not self._has_unread_data()
+            ):
                 self._reject(408)
-        elif now - self._idle_since_s > limits.idle_timeout_s:
-            self.close()
+        else:
+            # Callers rely on the limit that was in force when they began to
+            # wait.
+            timeout_s = max(limits.idle_timeout_s, self._idle_timeout_s)
+            self.close_if_idle_since(now - timeout_s)
 
     # Callbacks of the parser.
 
@@ -359,9 +414,14 @@
                 request = self._queue.popleft()
                 response = await self._listener.answer(request)
                 self._idle_since_s = self._loop.time()
+                self._idle_timeout_s = (
+                    self._listener.get_limits().idle_timeout_s
+                )
                 if self._transport is None:
                     return
-                closing = self._listener.draining or _wants_close(request)
+                closing = _wants_close(request) or (
+                    self._listener.draining and not self._has_more()
+                )
                 self._transport.write(
                     messages.encode_response(
                         response.status,
@@ -370,14 +430,35 @@
                         closing=closing,
                     )
                 )
-                if closing and not (self._queue or self._receiving):
-                    self._transport.close()
+                if closing:
+                    self._finish()
                     return
             if self._error_status and self._transport is not None:
                 self._send_error_and_close(self._error_status)
         finally:
             self._handler_task = None
 
+    def _has_more(self) -> bool:
+        """Returns whether the caller has sent more than has been answered."""
+        return bool(self._queue or self._receiving or self._has_unread_data())
+
+    def _finish(self) -> None:
+        """Ends the connection after what has been written.
+
+        What still arrives is read and discarded until the caller has closed
+        its side, or for `LINGER_S`.
+        """
+        self._finished = True
+        self._receiving = False
+        try:
+            if not self._transport.is_closing():
+                self._transport.write_eof()
+        except OSError:
+            # The caller has already reset the connection.
+            self._transport.close()
+            return
+        self._loop.call_later(LINGER_S, self.close)
+
     def _reject(self, status: int) -> None:
         """Sends an error response and closes the connection.
 
@@ -390,7 +471,7 @@
     def _send_error_and_close(self, status: int) -> None:
         """Sends an error response and closes the connection."""
         self._transport.write(messages.encode_response(status, closing=True))
-        self._transport.close()
+        self._finish()
 
 
 def _wants_close(request: messages.Request) -> bool:
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -38,10 +38,17 @@
 EXPECTED_QUANTILE = 0.95
 # Time after which hosts have told each other whether they reach servers.
 SETTLE_TIME_S = 1.0
+# Retry-After of a host that stops; callers come back to another one.
+RETRY_AFTER_STOPPING_S = 0.1
 # Digits of a time budget in milliseconds above which it exceeds any time-out;
 # far more than that cannot be converted.
 MAX_TIME_BUDGET_DIGITS = 12
 
+STOPPING = "the host stops before the request could end"
+
+# The outcome of a request that runs when this host stops.
+_ENDED = fanout.Outcome(fanout.Verdict.TIMED_OUT, 504, [], b"", 0, STOPPING)
+
 
 class RequestHandler:
     """Handles each request of a caller from its arrival to its response.
@@ -120,6 +127,10 @@
         self._queues: dict[tuple[str, ...], admission_queue.AdmissionQueue] = {}
         self._longest_timeout_s: dict[str, float] = {}
         self._entry_count = 0
+        self._tasks: set[asyncio.Task] = set()
+        # When this host stops, and whether it has ended all requests for that.
+        self._end_s = math.inf
+        self._ended = False
 
     @property
     def version(self) -> int:
@@ -197,9 +208,30 @@
             self._settlement.cancel()
         self.registry.close()
 
+    def set_end(self, end_s: float) -> None:
+        """Sets the monotonic time at which this host stops.
+
+        Requests end by then, and those that would take longer are refused.
+        """
+        self._end_s = end_s
+
+    def end_requests(self) -> None:
+        """Ends all requests: they are answered with 503 or 504 at once.
+
+        The requests that arrive after that are refused.
+        """
+        self._ended = True
+        for task in self._tasks:
+            task.cancel()
+
     async def handle(self, request: messages.Request) -> listener.Response:
         """Answers a caller's request and logs it."""
-        outcome, route, log_fields = await self._process(request)
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            outcome, route, log_fields = await self._process(request)
+        finally:
+            self._tasks.discard(task)
         took_s = self.loop.time() - request.received_s
         self._metrics.record_request(outcome.verdict.value, took_s)
         if self._log.allow_request_line(failed=outcome.status >= 400):
@@ -239,10 +271,24 @@
         wait_s = self.get_quarantine_s(request)
         if wait_s:
             return self._reject(503, fanout.QUARANTINED, wait_s, route=route)
+        if self._is_too_late(route):
+            return self._reject(
+                503, STOPPING, RETRY_AFTER_STOPPING_S, route=route
+            )
         if self.links.lost:
             relayed = await self._relay_in_doubt(request, route)
             if relayed is not None:
                 return relayed
+        return await self._serve(request, route, request_id)
+
+    async def _serve(
+        self, request: messages.Request, route: model.Route, request_id: bytes
+    ) -> tuple[fanout.Outcome, model.Route | None, dict[str, Any]]:
+        """Admits a request and runs it.
+
+        Returns:
+          The outcome, the route if there is one, and further log fields.
+        """
         services = route.shards or (
             self._round_robin.choose_service(route.name, route.split),
         )
@@ -254,9 +300,17 @@
             )
         timeout_s = self._compute_timeout(request, route)
         queue = self._find_queue(services, route)
-        if not await queue.wait_for_admission(
-            self._make_queue_entry(request, route, timeout_s)
-        ):
+        try:
+            admitted = await queue.wait_for_admission(
+                self._make_queue_entry(request, route, timeout_s)
+            )
+        except asyncio.CancelledError:
+            if not self._ended:
+                raise
+            return self._reject(
+                503, STOPPING, RETRY_AFTER_STOPPING_S, route=route
+            )
+        if not admitted:
             relayed = await self._relay_in_doubt(request, route)
             if relayed is not None:
                 return relayed
@@ -270,20 +324,39 @@
                 503, "too many concurrent requests", wait_s
             )
             return outcome, route, queue.limiter.get_log_fields()
-        started_s = self.loop.time()
         request_fanout = fanout.Fanout(
             context=self,
             request=request,
             route=route,
             services=services,
             request_id=request_id,
-            deadline_s=request.received_s + timeout_s,
+            deadline_s=min(request.received_s + timeout_s, self._end_s),
             has_waiting=lambda: queue.limiter.has_waiting,
         )
+        return await self._run(request, route, services, request_fanout, queue)
+
+    async def _run(
+        self,
+        request: messages.Request,
+        route: model.Route,
+        services: Sequence[str],
+        request_fanout: fanout.Fanout,
+        queue: admission_queue.AdmissionQueue,
+    ) -> tuple[fanout.Outcome, model.Route, dict[str, Any]]:
+        """Runs an admitted request, here or at last through another host.
+
+        Returns:
+          The outcome, the route, and further log fields.
+        """
+        started_s = self.loop.time()
         if self._may_relay(request):
             self._relayable.add(request_fanout)
         try:
             outcome = await request_fanout.run()
+        except asyncio.CancelledError:
+            if not self._ended:
+                raise
+            outcome = _ENDED
         finally:
             self._relayable.discard(request_fanout)
             if queue.finish(started_s=started_s, objective_s=route.objective_s):
@@ -368,14 +441,18 @@
           The outcome, the route, and further log fields; None if there is no
           such host.
         """
-        timeout_s = self._compute_timeout(request, route)
-        result = await self._relay.send(
-            request,
-            deadline_s=request.received_s
-            + timeout_s
-            - fanout.DEADLINE_MARGIN_S,
-            idempotent=route.idempotent,
-        )
+        deadline_s = request.received_s + self._compute_timeout(request, route)
+        try:
+            result = await self._relay.send(
+                request,
+                deadline_s=min(deadline_s, self._end_s)
+                - fanout.DEADLINE_MARGIN_S,
+                idempotent=route.idempotent,
+            )
+        except asyncio.CancelledError:
+            if not self._ended:
+                raise
+            return _ENDED, route, {}
         if not result.helper:
             return None
         if result.not_run:
@@ -404,6 +481,13 @@
             verdict, status, list(result.headers), result.body, 0, result.reason
         )
 
+    def _is_too_late(self, route: model.Route) -> bool:
+        """Returns whether this host stops before a request would end."""
+        if self._end_s == math.inf:
+            return False
+        duration_s = self.find_latency_window(route).quantile(EXPECTED_QUANTILE)
+        return self.loop.time() + duration_s > self._end_s
+
     def _make_queue_entry(
         self, request: messages.Request, route: model.Route, timeout_s: float
     ) -> admission.QueueEntry:
