Links are checked four times a second at most, and a stop refuses truthfully

A request that waits at servers when the host stops is refused with 503 if no attempt of it was sent; it was answered with 504. Status 500 has its reason phrase.

--- a/eelgrasshall/gateway/links.py
+++ b/eelgrasshall/gateway/links.py
@@ -34,7 +34,7 @@
 # How long an opened connection shows that the links work, and how often they
 # are checked without a server that cannot be reached.
 PROVEN_S = 0.1
-CHECK_INTERVAL_S = 1.0
+CHECK_INTERVAL_S = 0.25
 
 
 class Server(Protocol):
--- a/eelgrasshall/gateway/messages.py
+++ b/eelgrasshall/gateway/messages.py
@@ -39,6 +39,7 @@
     408: b"Request Timeout",
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -357,6 +357,10 @@
             if not self._ended:
                 raise
             outcome = _ENDED
+            if not request_fanout.may_have_run:
+                outcome, _, _ = self._reject(
+                    503, STOPPING, RETRY_AFTER_STOPPING_S
+                )
         finally:
             self._relayable.discard(request_fanout)
             if queue.finish(started_s=started_s, objective_s=route.objective_s):
