A request that is answered meanwhile is no suspect beside a harmful one

After three tries all crashes of a request counted at once. A popular request has a try at each server that crashes, each of another caller, and its answers in between were counted only if six came in a row.

Change: that rule holds for requests that nothing has answered since the first report; and tries without a failure count against the crashes when requests that ran at the same server are compared.

--- a/eelgrasshall/gateway/quarantine.py
+++ b/eelgrasshall/gateway/quarantine.py
@@ -39,7 +39,7 @@
 # neighbours from one crash to the next.
 SINGLE_TRY_LEAD = 2.0
 # Number of tries that followed each other after which all crashes count, and
-# at once.
+# at once, of a request that nothing has answered meanwhile.
 MAX_UNCERTAIN_TRIES = 3
 # Most time between the ends of two attempts under the same crash, beyond the
 # time for which both ran: hosts notice it one after the other.
@@ -149,6 +149,8 @@
         # last of enough of them was answered.
         self._clean_tries: dict[tuple[str, str], int] = {}
         self._cleared_s: dict[tuple[str, str], float] = {}
+        # Clean tries of each request since the first of its reports.
+        self._answered: dict[str, int] = {}
         # When entries for other hosts were last asked for.
         self._beat_s = math.inf
 
@@ -212,6 +214,7 @@
         reports = self._reports.get(fingerprint)
         if reports is None or fingerprint in self._quarantined:
             return
+        self._answered[fingerprint] = self._answered.get(fingerprint, 0) + 1
         for service in {each.service for each in reports} & {*services}:
             key = fingerprint, service
             self._clean_tries[key] = self._clean_tries.get(key, 0) + 1
@@ -263,7 +266,10 @@
         self._gossip[report.attempt] = _GossipState()
         if fingerprint in self._quarantined or not has_evidence(reports):
             return
-        if count_separate_tries(reports) >= MAX_UNCERTAIN_TRIES:
+        if (
+            fingerprint not in self._answered
+            and count_separate_tries(reports) >= MAX_UNCERTAIN_TRIES
+        ):
             self.add_verdict(Verdict(fingerprint, now + QUARANTINE_S), now)
         else:
             self._due_s.setdefault(fingerprint, now + SETTLE_TIME_S)
@@ -399,7 +405,7 @@
         strengths = {
             name: math.inf
             if name in self._quarantined
-            else count_crashes(reports)
+            else count_crashes(reports) - self._answered.get(name, 0)
             for name, reports in self._reports.items()
         }
         guilty = [
@@ -421,11 +427,12 @@
         Args:
           fingerprint: The request.
           by_server: The reports on all requests, by server.
-          strengths: How many crashes speak against each request.
+          strengths: How much speaks against each request: its crashes, less
+            its tries without a failure.
         """
         reports = self._reports.get(fingerprint, [])
         tries = count_separate_tries(reports)
-        limit = count_crashes(reports) / (
+        limit = strengths.get(fingerprint, 0.0) / (
             SINGLE_TRY_LEAD if tries == 1 else 1.0
         )
         return [
@@ -499,6 +506,11 @@
             for key, count in self._clean_tries.items()
             if key[0] in self._reports
         }
+        self._answered = {
+            name: count
+            for name, count in self._answered.items()
+            if name in self._reports
+        }
         self._cleared_s = {
             key: cleared_s
             for key, cleared_s in self._cleared_s.items()
--- a/eelgrasshall/gateway/request_handler_test.py
+++ b/eelgrasshall/gateway/request_handler_test.py
@@ -671,3 +671,22 @@
 
     fleet.run(play)
     assert len(fleet.crashes_s) == _CRASHES_ALLOWED
+
+
+@pytest.mark.parametrize("targets", [1, 3])
+def test_popular_request_beside_a_harmful_one_is_not_quarantined(targets):
+    # Many callers send it at the same time, so that one of its tries runs at
+    # each server that crashes; the others are answered.
+    fleet = _make_fleet(hosts=3, replicas=6)
+    callers = _Callers(fleet=fleet, rate_per_s=80.0, targets=targets)
+
+    async def play(fleet: _Fleet) -> None:
+        task = fleet.loop.create_task(callers.run(6.0))
+        await asyncio.sleep(1.0)
+        await fleet.send_harmful(tries=12, interval_s=0.3)
+        await task
+
+    fleet.run(play)
+    assert not callers.list_convicted()
+    assert not fleet.list_late_tries()
+    assert fleet.statuses[-1] == 503
