Soak: hosts that are cut off from all servers, and a check on their callers

The soak knew no fault that takes all servers from one host and leaves them to the others.

Change: - cut_hosts_from_servers: one to all but one of the hosts, in one of the three ways, 0.5 to 9 s, up to three times in a row, beside all other faults. - find_unserved, a check with tests of its own: for each cut, the first tries from 4 s after its beginning, at the hosts that are cut off against the others; a breach is less than two thirds of their share and more than 10 and one in 50 of all tries failed. Tries at a host that is ended, started, frozen or woken within 4 s of them do not count. - The beginning and the end of a cut count as disturbances of its hosts in the checks on leaving servers, pauses and crash requests, as what is under way then is lost.

Weighed: excusing tries while the store or a proxy is disturbed as well; these hit all hosts, so the comparison stands and nothing is excused for them.

--- a/eelgrasshall/platform/soak.py
+++ b/eelgrasshall/platform/soak.py
@@ -4,17 +4,20 @@
 after the other.  Faults are drawn at random and may overlap: processes are
 paused, killed, stopped and restarted by signals; proxies delay, reset or
 silence the connections to the store and to backend servers, or block them in
-one direction; the store refuses calls, leaves them unanswered or drops its
-history or goes back to a copy; backend servers drain, announce that they leave,
-ask for pauses, hang, crash under a request that is sent again, or lose their
-registration, and recover; and configurations change.  Callers send requests
-throughout.  Invariants are checked on what callers and backend servers observe;
-each breach names its invariant, and the logs stay in the folder.
+one direction; hosts are cut off from all backend servers; the store refuses
+calls, leaves them unanswered or drops its history or goes back to a copy;
+backend servers drain, announce that they leave, ask for pauses, hang, crash
+under a request that is sent again, or lose their registration, and recover; and
+configurations change.  Callers send requests throughout.  Invariants are
+checked on what callers and backend servers observe; each breach names its
+invariant, and the logs stay in the folder.
 """
 
 import argparse
 import asyncio
 import collections
+from collections.abc import Sequence
+import math
 import pathlib
 import random as random_module
 import signal
@@ -22,6 +25,7 @@
 import time
 from typing import NamedTuple
 
+from eelgrasshall.platform import fault_proxy
 from eelgrasshall.platform import fleet as fleet_module
 from eelgrasshall.platform import soak_checks
 from eelgrasshall.platform import soak_faults
@@ -46,6 +50,9 @@
 MAX_CRASHES = 3
 MAX_LATE_TRIES = 3
 CRASH_NOTICE_S = 4.0
+# Time after the beginning of a cut after which callers of the hosts in question
+# are served nearly as those of the others.
+CONTACT_S = 4.0
 _OK = 200
 # Statuses that say that the request was not executed.
 _NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
@@ -74,6 +81,8 @@
       faults: Number of injected faults by name.
       draining: Monotonic time at which each draining server began to drain.
       tries: All tries of callers.
+      served: Whether each first try was served, by its id.
+      cuts: The times for which hosts were cut off from all backend servers.
       host_disturbances: Times at which each host was ended, started, frozen or
         woken.
       crash_count: Number of requests that crash servers.
@@ -106,6 +115,7 @@
             shards=4,
             replicas=3,
             extra_attempts=(EXTRA_ATTEMPT_RATIO, EXTRA_ATTEMPTS),
+            links=True,
         )
         self.fleet.on_restart = self._forget_state
         self.breaches: list[Breach] = []
@@ -115,6 +125,8 @@
         self.leaving: dict[str, dict[str, float]] = {}
         self.last_disturbance_s = time.monotonic()
         self.tries: list[soak_checks.Try] = []
+        self.served: dict[str, bool] = {}
+        self.cuts: list[soak_checks.HostCut] = []
         self.host_disturbances: dict[str, list[float]] = {}
         self.crash_count = 0
         self._interval_s = interval_s
@@ -143,6 +155,7 @@
             self._check_extra_attempts()
             self._check_crash_requests()
             self._check_pauses()
+            self._check_cut_hosts()
         finally:
             await self.fleet.stop()
 
@@ -158,6 +171,25 @@
                 self.last_disturbance_s
             )
 
+    def cut_hosts(self, names: Sequence[str], kind: fault_proxy.Cut) -> None:
+        """Cuts hosts off from all backend servers; ends an earlier cut."""
+        self.mend_hosts()
+        self.note_disturbance()
+        for name in names:
+            self.fleet.cut_host(name, kind)
+        self.cuts.append(
+            soak_checks.HostCut(frozenset(names), time.monotonic(), math.inf)
+        )
+
+    def mend_hosts(self) -> None:
+        """Ends the cut of hosts, if there is one."""
+        if not self.cuts or self.cuts[-1].end_s < math.inf:
+            return
+        self.note_disturbance()
+        for name in self.cuts[-1].hosts:
+            self.fleet.mend_host(name)
+        self.cuts[-1] = self.cuts[-1]._replace(end_s=time.monotonic())
+
     def note_try(self, kind: str, request_id: str, host: str) -> None:
         """Records a try of a caller that is about to be sent."""
         services = {
@@ -214,8 +246,10 @@
                 )
             except (OSError, TimeoutError) as error:
                 self.statuses[type(error).__name__] += 1
+                self.served[request_id] = False
                 continue
             self.statuses[str(status)] += 1
+            self.served[request_id] = status == _OK
             if status == _OK:
                 self._check_response(kind, request_id, headers, body)
                 self._note_leaving(name, headers)
@@ -287,7 +321,7 @@
 
     def _check_leaving(self, host: str, request_id: str, sent_s: float) -> None:
         """Checks that no server that leaves got the request too late."""
-        disturbances = self.host_disturbances.get(host, ())
+        disturbances = self._list_disturbances().get(host, ())
         for name, hosts in self.leaving.items():
             noted_s = hosts.get(host, sent_s)
             if sent_s - noted_s <= DRAIN_BOUND_S:
@@ -333,7 +367,7 @@
             late = soak_checks.list_late_tries(
                 self.tries,
                 self.fleet.crashes,
-                self.host_disturbances,
+                self._list_disturbances(),
                 target=target,
                 allowed_crashes=MAX_CRASHES,
                 notice_s=CRASH_NOTICE_S,
@@ -355,7 +389,7 @@
             ]
             for host in soak_checks.find_ignored_pauses(
                 turns,
-                self.host_disturbances,
+                self._list_disturbances(),
                 allowed=soak_faults.MAX_REQUESTS_IN_PAUSE,
                 notice_s=soak_faults.PAUSE_NOTICE_S,
             ):
@@ -364,6 +398,27 @@
                     f"{name} {host}",
                 )
 
+    def _check_cut_hosts(self) -> None:
+        """Checks that callers of hosts that are cut off are served."""
+        for detail in soak_checks.find_unserved(
+            [each for each in self.tries if each.request_id in self.served],
+            self.served,
+            self.cuts,
+            self.host_disturbances,
+            contact_s=CONTACT_S,
+        ):
+            self.record_breach("callers of cut hosts are served", detail)
+
+    def _list_disturbances(self) -> dict[str, list[float]]:
+        """Returns the disturbances of each host, with the ends of its cuts."""
+        found = {
+            host: list(times) for host, times in self.host_disturbances.items()
+        }
+        for cut in self.cuts:
+            for host in cut.hosts:
+                found.setdefault(host, []).extend((cut.begin_s, cut.end_s))
+        return found
+
     async def _check_recovered(self) -> None:
         """Checks that every host serves a new configuration in time."""
         path = f"v{self.fleet.version + 1}"
@@ -392,6 +447,7 @@
                 await process.wait()
             if process.returncode is not None:
                 await self.fleet.start_host(name)
+        self.mend_hosts()
         for proxy in self.fleet.list_proxies():
             proxy.restore()
         self.draining.clear()
--- a/eelgrasshall/platform/soak_checks.py
+++ b/eelgrasshall/platform/soak_checks.py
@@ -6,6 +6,7 @@
 
 import bisect
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -47,6 +48,20 @@
     services: tuple[str, ...]
 
 
+class HostCut(NamedTuple):
+    """A time for which hosts were cut off from all backend servers.
+
+    Attributes:
+      hosts: The hosts.
+      begin_s: Monotonic time at which it began.
+      end_s: Monotonic time at which it ended.
+    """
+
+    hosts: frozenset[str]
+    begin_s: float
+    end_s: float
+
+
 class Turn(NamedTuple):
     """A request that a server turned away while it asked for a pause.
 
@@ -193,6 +208,57 @@
     )
 
 
+def find_unserved(
+    tries: Iterable[Try],
+    served: Mapping[str, bool],
+    cuts: Iterable[HostCut],
+    excused: dict[str, list[float]],
+    *,
+    contact_s: float,
+) -> list[str]:
+    """Returns the cuts in which callers of the hosts were not served.
+
+    That is, less than two thirds as often as those of the other hosts, and more
+    than 10 and one in 50 of all tries failed there.
+
+    Args:
+      tries: The first tries of callers.
+      served: Whether each of them was served, by its id.
+      cuts: The cuts.
+      excused: Times at which hosts were ended, started, frozen or woken, by
+        host.  What was sent to them within the contact time before or after
+        does not count.
+      contact_s: Time after the beginning of a cut from which tries count.
+    """
+    tries = [
+        each
+        for each in tries
+        if not any(
+            abs(at_s - each.sent_s) < contact_s
+            for at_s in excused.get(each.host, ())
+        )
+    ]
+    found = []
+    for cut in cuts:
+        sent = {True: 0, False: 0}
+        answered = {True: 0, False: 0}
+        for each in tries:
+            if cut.begin_s + contact_s <= each.sent_s < cut.end_s:
+                is_cut = each.host in cut.hosts
+                sent[is_cut] += 1
+                answered[is_cut] += served[each.request_id]
+        failed = sent[True] - answered[True]
+        if (
+            3 * answered[True] * sent[False] < 2 * answered[False] * sent[True]
+            and failed > 10 + sum(sent.values()) / 50
+        ):
+            found.append(
+                f"{answered[True]} of {sent[True]} at {sorted(cut.hosts)}, "
+                f"{answered[False]} of {sent[False]} at the others"
+            )
+    return found
+
+
 def _count(times: Sequence[float], end_s: float, window_s: float) -> int:
     """Returns the number of sorted times in a window that ends at a time."""
     return bisect.bisect_right(times, end_s) - bisect.bisect_right(
--- a/eelgrasshall/platform/soak_checks_test.py
+++ b/eelgrasshall/platform/soak_checks_test.py
@@ -90,3 +90,49 @@
 def test_requests_before_a_host_has_taken_notice_are_allowed():
     turns = [soak_checks.Turn(1.0 + at / 100, "h0", 3.0) for at in range(45)]
     assert not _find_ignored(turns)
+
+
+def _find_unserved(
+    *, cut_served: int, other_served: int, count: int = 40, excused=None
+):
+    """Checks tries at each of two hosts, sent in 4 s of a cut of one."""
+    counts = {"cut": cut_served, "other": other_served}
+    tries = [
+        _try(14.0 + 4 * number / count, f"{host}{number}", host)
+        for host in counts
+        for number in range(count)
+    ]
+    served = {
+        f"{host}{number}": number < host_served
+        for host, host_served in counts.items()
+        for number in range(count)
+    }
+    # These come before the bounds hold, and after the cut.
+    for at_s in (13.9, 18.0):
+        tries += [_try(at_s, f"{at_s}", "cut")] * 40
+        served[f"{at_s}"] = False
+    return soak_checks.find_unserved(
+        tries,
+        served,
+        [soak_checks.HostCut(frozenset(("cut",)), 10.0, 18.0)],
+        excused or {},
+        contact_s=4.0,
+    )
+
+
+def test_callers_of_cut_hosts_that_are_not_served_are_found():
+    assert not _find_unserved(cut_served=27, other_served=40)
+    assert _find_unserved(cut_served=26, other_served=40) == [
+        "26 of 40 at ['cut'], 40 of 40 at the others"
+    ]
+    assert not _find_unserved(cut_served=20, other_served=30)
+    # Ten failures and one in 50 are no breach.
+    assert not _find_unserved(cut_served=0, other_served=10, count=10)
+    assert _find_unserved(cut_served=0, other_served=11, count=11)
+
+
+def test_callers_of_disturbed_hosts_do_not_count():
+    disturbed = {"cut": [14.0]}
+    assert not _find_unserved(cut_served=0, other_served=40, excused=disturbed)
+    disturbed = {"cut": [9.9]}
+    assert _find_unserved(cut_served=0, other_served=40, excused=disturbed)
--- a/eelgrasshall/platform/soak_faults.py
+++ b/eelgrasshall/platform/soak_faults.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import math
 import signal
 import time
 from typing import TYPE_CHECKING
@@ -115,6 +116,21 @@
         _choose_proxy(soak).silence_connections()
 
 
+@register_fault
+async def cut_hosts_from_servers(soak: "soak_module.Soak") -> None:
+    """Cuts some hosts off from all backend servers, up to three times."""
+    if soak.cuts and soak.cuts[-1].end_s == math.inf:
+        return
+    names = soak.fleet.host_names
+    hosts = soak.random.sample(names, soak.random.randint(1, len(names) - 1))
+    kind = soak.random.choice(list(fault_proxy.Cut))
+    for _ in range(soak.random.randint(1, 3)):
+        soak.cut_hosts(hosts, kind)
+        await asyncio.sleep(soak.random.uniform(0.5, 9.0))
+        soak.mend_hosts()
+        await asyncio.sleep(soak.random.uniform(0.1, 2.0))
+
+
 @register_fault
 async def drop_history(soak: "soak_module.Soak") -> None:
     """Lets the store drop its history of changes."""
