Soak and process test notice hosts that do not publish themselves again

With the mechanism out neither noticed it: the copies to which the stand-in store goes back always held the hosts' objects. Now they do not, and each host has to be listed at the end.

--- a/eelgrasshall/platform/program_test.py
+++ b/eelgrasshall/platform/program_test.py
@@ -178,6 +178,9 @@
     async with _run(tmp_path, port=22600) as fleet:
         fleet.store.era = 1
         copy = fleet.store.take_copy()
+        # As if it were older than the hosts' own objects.
+        kind = wire_names.OBJECT_KINDS[object_cache.Collection.HOSTS]
+        del copy.objects[kind]
         # Lost by the store: a version, and a server that has drained.
         fleet.publish_configuration(pathPrefix="/moved/")
         fleet.register_server("shard0-0", state="draining")
@@ -196,7 +199,6 @@
             await asyncio.sleep(0.1)
         assert not fleet.servers["shard0-0"].executed
         # Hosts have written their own objects again, and changes arrive.
-        kind = wire_names.OBJECT_KINDS[object_cache.Collection.HOSTS]
         assert fleet.store.list_names(kind) == fleet.host_names
         fleet.version += 1
         fleet.publish_configuration(pathPrefix="/again/")
--- a/eelgrasshall/platform/soak.py
+++ b/eelgrasshall/platform/soak.py
@@ -420,7 +420,13 @@
         return found
 
     async def _check_recovered(self) -> None:
-        """Checks that every host serves a new configuration in time."""
+        """Checks that every host serves a new configuration in time.
+
+        Each of them has published itself, whatever the store has lost.
+        """
+        listed = self.fleet.store.list_names(soak_faults.HOST_KIND)
+        if listed != sorted(self.fleet.host_names):
+            self.record_breach("hosts are in the store", str(listed))
         path = f"v{self.fleet.version + 1}"
         self.fleet.publish_configuration(pathPrefix=f"/{path}/")
         await asyncio.sleep(APPLY_BOUND_S)
--- a/eelgrasshall/platform/soak_faults.py
+++ b/eelgrasshall/platform/soak_faults.py
@@ -14,7 +14,9 @@
 import time
 from typing import TYPE_CHECKING
 
+from eelgrasshall.gateway import object_cache
 from eelgrasshall.platform import fault_proxy
+from eelgrasshall.platform import wire_names
 
 if TYPE_CHECKING:
     from eelgrasshall.platform import soak as soak_module
@@ -23,6 +25,8 @@
 # than this after it did.
 MAX_REQUESTS_IN_PAUSE = 2
 PAUSE_NOTICE_S = 0.5
+# Kind of the objects in which hosts publish themselves.
+HOST_KIND = wire_names.OBJECT_KINDS[object_cache.Collection.HOSTS]
 
 Fault = Callable[["soak_module.Soak"], Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
@@ -160,6 +164,8 @@
 async def restore_store(soak: "soak_module.Soak") -> None:
     """Lets the store go back to a copy; what was lost is written again."""
     stored = soak.fleet.store.take_copy()
+    # As if it were older than the hosts' own objects.
+    stored.objects.pop(HOST_KIND, None)
     await asyncio.sleep(soak.random.uniform(0.2, 3.0))
     soak.note_disturbance()
     soak.fleet.store.restore(stored)
