--- a/eelgrasshall/gateway/connections.py
+++ b/eelgrasshall/gateway/connections.py
@@ -17,8 +17,9 @@
 if TYPE_CHECKING:
     from eelgrasshall.gateway import upstream
 
-# With these values the kernel detects an unresponsive peer after 2 to 3 s.  While
-# a user time-out is set, it decides when probes are given up, not their number.
+# With these values the kernel detects an unresponsive peer after 2 to 3 s.
+# While a user time-out is set, it decides when probes are given up, not their
+# number.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
