A request that offers another protocol keeps its body

The parser takes the end of the head for the end of a request with `Connection: Upgrade` and `Upgrade`. So the request went on without its body; a body in a later segment was parsed as the next request, and one sent behind it in the same segment was never answered.

Change: the offer is declined by parsing the head again without it, with all that follows. CONNECT, which ends in the same way, is refused with 400. And a request that begins in the segment in which another one ends is in progress from there on; a draining listener took its connection for idle.

--- a/eelgrasshall/gateway/listener.py
+++ b/eelgrasshall/gateway/listener.py
@@ -269,9 +269,8 @@
         else:
             self._received_body_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            pass
+            while data:
+                data = self._parse(data)
         except (httptools.HttpParserError, httptools.HttpParserCallbackError):
             self._reject(self._error_status or 400)
             return
@@ -291,6 +290,27 @@
         ):
             self._reject(431)
 
+    def _parse(self, data: bytes) -> bytes:
+        """Parses data; returns what is to be parsed after it.
+
+        That is none, unless a request offers to use another protocol.  The
+        parser then takes the end of its head for the end of the request.  The
+        offer is declined by parsing the head again without it.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as offer:
+            rest = data[offer.args[0] :]
+            if self._parser.get_method() == b"CONNECT":
+                self._error_status = 400
+                return b""
+            head = messages.encode_head_without_upgrade(
+                self._parser.get_method(), self._target, self._headers
+            )
+            self._parser = httptools.HttpRequestParser(self)
+            return head + rest
+        return b""
+
     def _is_framing_too_long(self) -> bool:
         """Returns whether chunk extensions and trailers exceed their limit."""
         limit = self._listener.get_limits().max_header_bytes
@@ -328,6 +348,10 @@
 
     def on_message_begin(self) -> None:
         """Resets the state for a new request."""
+        if not self._receiving:
+            # It begins in the data in which the request before it ends.
+            self._request_started_s = self._loop.time()
+            self._receiving = True
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
@@ -348,6 +372,8 @@
           ValueError: The headers are invalid or exceed a limit; the status of
             the response is in `_error_status`.
         """
+        if self._parser.should_upgrade():
+            return
         limits = self._listener.get_limits()
         size = sum(len(k) + len(v) + 4 for k, v in self._headers)
         if size + len(self._target) > limits.max_header_bytes:
@@ -386,6 +412,8 @@
 
     def on_message_complete(self) -> None:
         """Queues a complete request for processing."""
+        if self._parser.should_upgrade():
+            return
         self._in_body = False
         self._receiving = False
         self._header_bytes = 0
--- a/eelgrasshall/gateway/messages.py
+++ b/eelgrasshall/gateway/messages.py
@@ -239,6 +239,24 @@
     return b"\r\n"
 
 
+def encode_head_without_upgrade(
+    method: bytes, target: bytes, headers: _Headers
+) -> bytes:
+    """Returns a request's head without the offer to change the protocol."""
+    lines = [b"%s %s HTTP/1.1\r\n" % (method, target)]
+    for key, value in headers:
+        name = key.lower()
+        if name == b"upgrade":
+            continue
+        if name == b"connection":
+            tokens = [token.strip() for token in value.split(b",")]
+            value = b", ".join(
+                token for token in tokens if token.lower() != b"upgrade"
+            )
+        lines.append(b"%s: %s\r\n" % (key, value))
+    return b"".join(lines) + b"\r\n"
+
+
 def encode_response(
     status: int,
     body: bytes = b"",
