Hosts publish themselves again as soon as any collection shows a new era

Change: the first collection in which a host sees the new era counts.

Test: publishing once for each era, whichever collection shows it; before, a change in the servers' collection alone published nothing.

--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -206,6 +206,8 @@
         self._view_time_s = -VIEW_TTL_S
         self._watch_elected = True
         self._watch_elected_time_s = -VIEW_TTL_S
+        # The latest era of the store for which this host has published itself.
+        self._published_era = 0
         # When this host or another one was last known to reach the store.
         self._store_reached_s = self._loop.time()
         self._attempts_per_s = 0.0
@@ -502,7 +504,10 @@
             revision=number,
             old_revision=old_number,
         )
-        if collection is object_cache.Collection.HOSTS:
+        if era > self._published_era:
+            # Whichever collection shows it first: a call for the hosts' own may
+            # be swallowed.
+            self._published_era = era
             delay_s = self._random.uniform(0.0, REPUBLISH_SPREAD_S)
             self._loop.call_later(delay_s, self._start_publishing)
         if collection is not object_cache.Collection.CONFIGURATION:
--- a/eelgrasshall/gateway/host_test.py
+++ b/eelgrasshall/gateway/host_test.py
@@ -386,6 +386,34 @@
         assert published == [host._options.host]
 
 
+async def test_host_publishes_itself_again_whichever_collection_is_older(
+    monkeypatch,
+):
+    # A call for the hosts' own collection may be swallowed.
+    monkeypatch.setattr(host_module, "REPUBLISH_SPREAD_S", 0.05)
+    async with _run_host(_FakeStore(), port=19660) as (host, _):
+        await asyncio.sleep(0.1)
+        published = []
+
+        async def publish(each):
+            published.append(each)
+            return True
+
+        host._publish = publish
+        later = object_cache.make_revision(1, 20)
+        for collection in object_cache.Collection:
+            host._handle_new_era(collection, 30, later)
+        await asyncio.sleep(0.1)
+        assert published == [host._options.host]
+        host._handle_new_era(
+            object_cache.Collection.SERVERS,
+            later,
+            object_cache.make_revision(2, 10),
+        )
+        await asyncio.sleep(0.1)
+        assert len(published) == 2
+
+
 async def test_servers_in_a_pause_do_not_count_as_room_for_requests():
     store = _FakeStore()
     store.write(_CONFIGURATION, "main", 5, _make_configuration(7, "/new/"))
