Reports on a request give way to those that show a run of its own

Found by the review: of a request at most 32 crash reports are kept, and one more was refused.

Change: a report that shows another run takes the place of one without which as many runs follow each other.

--- a/eelgrasshall/gateway/crash_callers_test.py
+++ b/eelgrasshall/gateway/crash_callers_test.py
@@ -1,4 +1,7 @@
-"""Tests of the review of the first matter (helper 7): real request handlers."""
+"""Tests of many callers beside, or with, requests that crash servers.
+
+The request handlers run unchanged in virtual time; see `request_handler_test`.
+"""
 
 import asyncio
 
@@ -35,7 +38,9 @@
     # As the test of a popular request beside a harmful one, with a fourth host
     # that gets no requests and so sees none of the answers.
     fleet = base._make_fleet(hosts=hosts, replicas=6)
-    callers = _CallersOfSome(fleet=fleet, rate_per_s=rate_per_s, targets=targets)
+    callers = _CallersOfSome(
+        fleet=fleet, rate_per_s=rate_per_s, targets=targets
+    )
 
     async def play(fleet) -> None:
         task = fleet.loop.create_task(callers.run(6.0))
@@ -77,9 +82,7 @@
             fleet.sent.append((request_id, fleet.loop.time()))
             tasks.append(
                 fleet.loop.create_task(
-                    fleet.send(
-                        number % hosts, request_id, base._HARMFUL_TARGET
-                    )
+                    fleet.send(number % hosts, request_id, base._HARMFUL_TARGET)
                 )
             )
         await asyncio.gather(*tasks)
@@ -112,9 +115,7 @@
 ):
     services = ("old", "new")
     route = fakes.make_route()._replace(
-        split=tuple(
-            base.model.WeightedService(name, 1.0) for name in services
-        )
+        split=tuple(base.model.WeightedService(name, 1.0) for name in services)
     )
     fleet = base._Fleet(
         loop=virtual_time.VirtualTimeLoop(),
--- a/eelgrasshall/gateway/quarantine.py
+++ b/eelgrasshall/gateway/quarantine.py
@@ -262,11 +262,15 @@
             for each in self._reports.get(fingerprint, ())
             if now - each.crashed_s < REPORT_RETENTION_S
         ]
-        if len(reports) >= MAX_REPORTS or any(
-            each.attempt == report.attempt for each in reports
-        ):
+        if any(each.attempt == report.attempt for each in reports):
             return
         reports.append(report)
+        if len(reports) > MAX_REPORTS:
+            redundant = find_redundant(reports)
+            if redundant is None or redundant is report:
+                return
+            reports.remove(redundant)
+            self._gossip.pop(redundant.attempt, None)
         self._clean_tries.pop(key, None)
         if fingerprint not in self._reports:
             self._limit_reports()
@@ -529,6 +533,23 @@
                 del self._suspects[server_id]
 
 
+def find_redundant(reports: Sequence[CrashReport]) -> CrashReport | None:
+    """Returns a report without which as many runs follow each other.
+
+    It is the last one if that is such a report, and else the first such one.
+    """
+    last_s = -math.inf
+    redundant = []
+    for report in sorted(reports, key=lambda each: each.crashed_s):
+        if report.began_s >= last_s:
+            last_s = report.crashed_s
+        else:
+            redundant.append(report)
+    if reports[-1] in redundant:
+        return reports[-1]
+    return redundant[0] if redundant else None
+
+
 def has_evidence(reports: Collection[CrashReport]) -> bool:
     """Returns whether reports show that their request crashes servers."""
     return (
--- a/eelgrasshall/gateway/quarantine_limits_test.py
+++ b/eelgrasshall/gateway/quarantine_limits_test.py
@@ -1,4 +1,4 @@
-"""Failing tests of the review of the first matter (helper 7): quarantine."""
+"""Tests of the quarantine beyond its limits: many reports, answers, suspects."""
 
 from eelgrasshall.gateway import quarantine as quarantine_module
 from eelgrasshall.gateway.quarantine_test import _crash
