--- a/eelgrasshall/gateway/links_test.py
+++ b/eelgrasshall/gateway/links_test.py
@@ -74,6 +74,7 @@
 def _make_loop():
     loop = virtual_time.VirtualTimeLoop()
     yield loop
+    loop.run_until_complete(asyncio.sleep(0.01))
     loop.close()
 
 
--- a/eelgrasshall/gateway/quarantine_limits_test.py
+++ b/eelgrasshall/gateway/quarantine_limits_test.py
@@ -1,4 +1,4 @@
-"""Tests of the quarantine beyond its limits: many reports, answers, suspects."""
+"""Tests of the quarantine with many reports, answers and suspects."""
 
 from eelgrasshall.gateway import quarantine as quarantine_module
 from eelgrasshall.gateway.quarantine_test import _crash
--- a/eelgrasshall/gateway/unreachable_servers_test.py
+++ b/eelgrasshall/gateway/unreachable_servers_test.py
@@ -24,6 +24,7 @@
     loop = virtual_time.VirtualTimeLoop()
     asyncio.set_event_loop(loop)
     yield loop
+    loop.run_until_complete(asyncio.sleep(0.01))
     loop.close()
     asyncio.set_event_loop(None)
 
