Log the request rates that backend servers state, and act on none

The logs could not tell whether, when and at which hosts a limit was stated. Hosts now read it (the least of several numbers; malformed ones are counted and ignored) and log its beginning, change and end.

--- a/eelgrasshall/gateway/connections.py
+++ b/eelgrasshall/gateway/connections.py
@@ -229,6 +229,7 @@
         names = self.backend.environment.names
         response_id = seal = retry_after = None
         not_run = leaving = False
+        rate_limits: list[bytes] = []
         for key, value in self._headers:
             name = key.lower()
             if name == names.request_id:
@@ -241,6 +242,8 @@
                 leaving = value.strip() == b"1"
             elif name == names.retry_after:
                 retry_after = value
+            elif name == names.rate_limit:
+                rate_limits.append(value)
             elif name == b"keep-alive":
                 self._parse_keep_alive(value)
         status = self._parser.get_status_code()
@@ -263,6 +266,7 @@
             not_run=not_run or status == 421,
             leaving=leaving,
             retry_after=retry_after,
+            rate_limits=tuple(rate_limits),
         )
         # If the response arrived before the request was sent completely, the
         # rest of the request is still to follow, so the connection cannot be
--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -19,6 +19,7 @@
     not_run=b"x-not-run",
     retry_after=b"retry-after",
     leaving=b"x-leaving",
+    rate_limit=b"x-limit",
     server_id=b"x-server",
     part_seals=b"x-parts",
     parts_missing=b"x-missing",
@@ -65,12 +66,22 @@
     )
 
 
-def encode_reply(request_id: str, body: bytes) -> bytes:
-    """Returns an encoded 200 response with a signature."""
+def encode_reply(
+    request_id: str, body: bytes, *, rate_limit: float | None = None
+) -> bytes:
+    """Returns an encoded 200 response with a signature.
+
+    Args:
+      request_id: Id of the request.
+      body: The body.
+      rate_limit: The requests per second that the server states as its most;
+        None if it states none.
+    """
+    limit = b"" if rate_limit is None else b"X-Limit: %.1f\r\n" % rate_limit
     return (
-        b"HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: %s\r\n"
+        b"HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: %s\r\n%s"
         b"Content-Length: %d\r\n\r\n%s"
-        % (request_id.encode(), _sign(request_id, body), len(body), body)
+        % (request_id.encode(), _sign(request_id, body), limit, len(body), body)
     )
 
 
@@ -123,6 +134,7 @@
         self.misdirected: list[upstream.Backend] = []
         self.leaving: list[upstream.Backend] = []
         self.pauses_s: list[float] = []
+        self.stated_rates: list[float | None] = []
 
     def on_unanswered(
         self,
@@ -166,6 +178,12 @@
         """Records a pause that a server asked for."""
         self.pauses_s.append(pause_s)
 
+    def on_rate_stated(
+        self, backend: upstream.Backend, rate: float | None
+    ) -> None:
+        """Records the rate that a server states."""
+        self.stated_rates.append(rate)
+
 
 class OutcomeRecorder:
     """An owner of attempts that records their outcomes."""
--- a/eelgrasshall/gateway/messages.py
+++ b/eelgrasshall/gateway/messages.py
@@ -97,6 +97,7 @@
       not_run: Whether the server states that it did not run the request.
       leaving: Whether the server states that it is about to stop.
       retry_after: The value of its Retry-After header, or None.
+      rate_limits: The values of its rate limit headers.
     """
 
     status: int
@@ -106,6 +107,7 @@
     not_run: bool
     leaving: bool = False
     retry_after: bytes | None = None
+    rate_limits: tuple[bytes, ...] = ()
 
     @property
     def succeeded(self) -> bool:
--- a/eelgrasshall/gateway/model.py
+++ b/eelgrasshall/gateway/model.py
@@ -194,6 +194,8 @@
       retry_after: Seconds after which a caller may retry; in a 503 of a backend
         server, seconds for which it wants no further request.
       leaving: "1" in all responses of a backend server that is about to stop.
+      rate_limit: In responses of a backend server in need, the requests per
+        second that it takes from all entry hosts together.
       server_id: The backend server that sent a response.
       part_seals: Signatures of the shards' parts in the answer to a search.
       parts_missing: Number of shards that are missing from that answer.
@@ -206,6 +208,7 @@
     not_run: bytes
     retry_after: bytes
     leaving: bytes
+    rate_limit: bytes
     server_id: bytes
     part_seals: bytes
     parts_missing: bytes
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -713,6 +713,17 @@
             pause_s=pause_s,
         )
 
+    def on_rate_stated(
+        self, backend: upstream.Backend, rate: float | None
+    ) -> None:
+        """Logs the rate that a server states as its most."""
+        self._log.record(
+            "server_limit",
+            server=backend.server.id,
+            service=backend.server.service,
+            rate=rate,
+        )
+
     def _handle_links_changed(self) -> None:
         """Stops the probes while this host reaches no server.
 
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -20,6 +20,7 @@
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import pauses
+from eelgrasshall.gateway import rate_limits
 from eelgrasshall.gateway import send_queue
 
 # Several round trips to another zone; after that the server is unreachable.
@@ -86,6 +87,14 @@
     def on_paused(self, backend: "Backend", pause_s: float) -> None:
         """Handles a server's wish for no request for some seconds."""
 
+    def on_rate_stated(self, backend: "Backend", rate: float | None) -> None:
+        """Handles a change of the rate that a server states as its most.
+
+        Args:
+          backend: The server.
+          rate: Requests per second from all hosts; None if it states none.
+        """
+
 
 class Environment(NamedTuple):
     """Objects that all backend servers of a host share.
@@ -140,6 +149,8 @@
         self.unreachable_since_s = -math.inf
         self.closed = False
         self._paused_until_s = 0.0
+        # The requests per second that its latest response states as its most.
+        self._stated_rate: float | None = None
         # When the server was last known to be up, and when an attempt last
         # ended without an answer.
         self._alive_s = -math.inf
@@ -354,6 +365,7 @@
             self.environment.observer.on_alive(self, attempt.sent_s)
         if reply.status == 503 and reply.retry_after is not None:
             self._pause(reply.retry_after, now)
+        self._record_rate(reply.rate_limits)
         if reply.leaving:
             self.environment.observer.on_leaving(self)
         if reply.succeeded:
@@ -389,6 +401,18 @@
         self.environment.observer.on_paused(self, pause_s)
         self._fail_queued()
 
+    def _record_rate(self, values: tuple[bytes, ...]) -> None:
+        """Records the rate that a response states, if any."""
+        rate = rate_limits.parse_rate(values)
+        if values and rate is None:
+            self.environment.count("malformed_limits")
+            return
+        if rate is not None:
+            self.environment.count("limited_responses")
+        if rate != self._stated_rate:
+            self._stated_rate = rate
+            self.environment.observer.on_rate_stated(self, rate)
+
     def _record_unanswered(
         self, attempt: attempts.Attempt, *, silent: bool
     ) -> None:
--- a/eelgrasshall/platform/wire_names.py
+++ b/eelgrasshall/platform/wire_names.py
@@ -11,6 +11,7 @@
     not_run=b"x-not-executed",
     retry_after=b"retry-after",
     leaving=b"server-leaving",
+    rate_limit=b"server-limit",
     server_id=b"x-instance-id",
     part_seals=b"x-part-seals",
     parts_missing=b"x-parts-missing",
