--- /dev/null
+++ b/eelgrasshall/gateway/rate_limits_load_test.py
@@ -0,0 +1,124 @@
+"""Loads on servers that state how many requests per second they take.
+
+The users allow, in any 4 s, one and a half times what the stated rate allows
+and five requests more, over all hosts that were told so half a second before.
+"""
+
+import pytest
+
+from eelgrasshall.gateway import fakes
+from eelgrasshall.gateway import load_model
+from eelgrasshall.gateway import simulated_server
+from eelgrasshall.gateway import virtual_time
+
+_WINDOW_S = 4.0
+# When all hosts that send have been told of a limit.
+_TOLD_S = 0.5
+_LIMIT_S = (2.0, 14.0)
+_SHARDS = ("p0", "p1", "p2", "p3")
+
+
+@pytest.fixture
+def loop():
+    """An event loop in virtual time."""
+    loop = virtual_time.VirtualTimeLoop()
+    yield loop
+    loop.close()
+
+
+def _simulate(
+    loop,
+    limited: dict[str, float],
+    *,
+    rate_per_s: float = 60.0,
+    hosts: int = 3,
+    seed: int = 1,
+    duration_s: float = 16.0,
+) -> load_model.Simulation:
+    """Replays searches while some servers state limits."""
+    route = fakes.make_route(
+        "search",
+        path_prefix="/search/",
+        shards=_SHARDS,
+        objective_s=0.25,
+        timeout_s=2.0,
+        max_attempts=3,
+        min_share=0.5,
+    )
+    simulation = load_model.Simulation(
+        loop=loop,
+        seed=seed,
+        kinds=[load_model.Kind(route, rate_per_s, 0.04, 2.0, 1.0)],
+        shards=_SHARDS,
+        slots=6,
+        hosts=hosts,
+    )
+    for server_id, rate in limited.items():
+        simulation.servers[server_id].limits.append(
+            simulated_server.Span(*_LIMIT_S, rate)
+        )
+    simulation.run(duration_s)
+    return simulation
+
+
+def _find_largest_excess(
+    server: simulated_server.Server, rate: float, end_s: float = _LIMIT_S[1]
+) -> float:
+    """Returns the most requests in a window beyond those that are allowed."""
+    arrivals = [
+        each
+        for each in server.arrivals_s
+        if _LIMIT_S[0] + _TOLD_S <= each < end_s
+    ]
+    allowed = 1.5 * rate * _WINDOW_S + 5
+    return (
+        max(
+            (
+                sum(1 for each in arrivals if 0 <= each - start_s < _WINDOW_S)
+                for start_s in arrivals
+            ),
+            default=0,
+        )
+        - allowed
+    )
+
+
+def _count_arrivals(
+    server: simulated_server.Server, start_s: float, end_s: float
+) -> int:
+    """Returns the number of requests that arrived in a span of time."""
+    return sum(1 for each in server.arrivals_s if start_s <= each < end_s)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_servers_that_state_a_limit_do_not_get_more(loop, seed):
+    limits = {"p0-0": 8.0, "p0-1": 4.0}
+    simulation = _simulate(loop, limits, seed=seed)
+    for server_id, rate in limits.items():
+        server = simulation.servers[server_id]
+        assert _find_largest_excess(server, rate) <= 0
+    summary = load_model.summarize(simulation.results, *_LIMIT_S)
+    assert summary.served >= 0.99
+    assert summary.credit >= 0.95
+
+
+@pytest.mark.parametrize("hosts", [20, 50])
+def test_small_limits_hold_over_many_hosts(loop, hosts):
+    limits = {"p0-0": 2.2, "p0-1": 0.5}
+    simulation = _simulate(loop, limits, hosts=hosts)
+    for server_id, rate in limits.items():
+        server = simulation.servers[server_id]
+        assert _find_largest_excess(server, rate) <= 0
+    summary = load_model.summarize(simulation.results, *_LIMIT_S)
+    assert summary.served >= 0.99
+
+
+def test_limits_of_all_servers_of_a_shard_hold(loop):
+    limits = {"p0-0": 6.0, "p0-1": 6.0, "p0-2": 6.0}
+    simulation = _simulate(loop, limits)
+    for server_id, rate in limits.items():
+        server = simulation.servers[server_id]
+        assert _find_largest_excess(server, rate) <= 0
+    # The route allows answers without this shard.
+    summary = load_model.summarize(simulation.results, *_LIMIT_S)
+    assert summary.served >= 0.99
--- a/eelgrasshall/gateway/simulated_server.py
+++ b/eelgrasshall/gateway/simulated_server.py
@@ -1,7 +1,8 @@
 """Simulated backend servers in virtual time, for tests of decisions under load.
 
-A server has slots, a bounded queue, regular pauses, spans in which it is slower
-and spans in which it turns all requests away.  Its responses are those that a
+A server has slots, a bounded queue, regular pauses, spans in which it is
+slower, spans in which it turns all requests away and spans in which it states
+how many requests it takes.  Its responses are those that a
 gateway expects.
 """
 
@@ -133,6 +134,10 @@
         # Spans in which all requests are turned away; the factor is not used.
         self.shedding: list[Span] = []
         self.turned_away_count = 0
+        # Spans in which it states the factor as the most requests per second.
+        self.limits: list[Span] = []
+        # When requests arrived, seconds.
+        self.arrivals_s: list[float] = []
         self._random = random
         self._service_times_s = service_times_s
         self._speed = speed
@@ -152,6 +157,7 @@
         """Runs a request, queues it, or refuses it if the queue is full."""
         work = self._parse(transport, data)
         now = self.loop.time()
+        self.arrivals_s.append(now)
         for span in self.shedding:
             if span.start_s <= now < span.end_s:
                 self.turned_away_count += 1
@@ -211,7 +217,17 @@
     def _finish(self, work: _Work) -> None:
         self._running -= 1
         body = self._random.randbytes(16)
-        reply = fakes.encode_reply(work.request_id.decode(), body)
+        now = self.loop.time()
+        rates = [
+            span.factor
+            for span in self.limits
+            if span.start_s <= now < span.end_s
+        ]
+        reply = fakes.encode_reply(
+            work.request_id.decode(),
+            body,
+            rate_limit=min(rates, default=None),
+        )
         work.transport.deliver(reply)
         while self._queue and self._running < self.server.slots:
             waiting = self._queue.popleft()
