Shares of fleet-wide limits: one mechanism for any view of the fleet

The least share of the last window was kept as a number (hedging.DelayedShare). No behaviour changes: the window of a new process begins with its first update instead of its construction, up to a second later. Simulations of hedging_test pass unchanged but for names.

--- a/eelgrasshall/gateway/hedging.py
+++ b/eelgrasshall/gateway/hedging.py
@@ -7,13 +7,9 @@
 
 The operator bounds the extra attempts of all hosts in every time window, by a
 part for each request and a fixed part.  Each host spends what its own requests
-allow, and a share of the fixed part.  A larger share takes effect only after a
-whole window.  So what hosts spend in a window is at most what the shares allow
-that they had at its beginning, whoever was restarted, cut off or taken over
-from meanwhile.
+allow, and a share of the fixed part (see `shares`).
 """
 
-import collections
 from collections.abc import Sequence
 import math
 from typing import NamedTuple
@@ -32,9 +28,6 @@
 # Extra attempts that any host may save up and a new process starts with: one
 # with few requests can retry.
 MIN_CAPACITY = 1.0
-# Time without an update of the share, for example while the process was
-# suspended, after which others may have taken the share over.
-MAX_UPDATE_INTERVAL_S = 3.0
 
 
 class ExtraAttemptBound(NamedTuple):
@@ -89,47 +82,6 @@
         return self._sorted[index]
 
 
-class DelayedShare:
-    """A host's share of a fleet-wide limit, raised with a delay.
-
-    It is the least share of the last window.  A process that has just started
-    has no share: the one before it may have used it.
-
-    Args:
-      window_s: Length of the window, seconds.
-      now: Monotonic time.
-    """
-
-    def __init__(self, *, window_s: float, now: float):
-        self._window_s = window_s
-        self._updated_s = now
-        # Times until which a share counts, and the shares, which increase.
-        self._least: collections.deque[tuple[float, float]] = collections.deque(
-            [(now + window_s, 0.0)]
-        )
-
-    def update(self, share: float, now: float) -> float:
-        """Sets the share that is due now; returns the one that may be used."""
-        if now - self._updated_s > MAX_UPDATE_INTERVAL_S:
-            self._add(0.0, now)
-        self._updated_s = now
-        self._add(share, now)
-        while self._least[0][0] <= now:
-            self._least.popleft()
-        return self._least[0][1]
-
-    def _add(self, share: float, now: float) -> None:
-        """Adds a share, up to which the one before it has held.
-
-        Larger ones before it no longer matter.
-        """
-        _, held = self._least[-1]
-        self._least[-1] = (now + self._window_s, held)
-        while self._least and self._least[-1][1] >= share:
-            self._least.pop()
-        self._least.append((now + self._window_s, share))
-
-
 class ExtraAttemptBudget:
     """Token bucket of this host's extra attempts at one service.
 
@@ -148,7 +100,7 @@
         self._recent_s = 0.0
 
     def set_share(self, share: float) -> None:
-        """Changes the share of the fixed part, by a `DelayedShare`."""
+        """Changes the share of the fixed part, by a `shares.DelayedShare`."""
         self._share = share
         old, self._fixed = self._fixed, self._compute_fixed()
         self._tokens += max(self._fixed - old, 0.0)
--- a/eelgrasshall/gateway/hedging_test.py
+++ b/eelgrasshall/gateway/hedging_test.py
@@ -12,6 +12,7 @@
 
 from eelgrasshall.gateway import active_hosts
 from eelgrasshall.gateway import hedging
+from eelgrasshall.gateway import shares
 
 _BOUND = hedging.ExtraAttemptBound(ratio=0.2, fixed=54.0, window_s=10.0)
 # Time after which hosts notice that others are down or cut off, and interval
@@ -24,7 +25,7 @@
     """A process of a host in a simulation."""
 
     def __init__(self, now: float):
-        self.share = hedging.DelayedShare(window_s=_BOUND.window_s, now=now)
+        self.share = shares.DelayedShare(window_s=_BOUND.window_s)
         self.budget = hedging.ExtraAttemptBudget(bound=_BOUND, share=0.0)
 
 
@@ -203,7 +204,7 @@
 
 def test_new_host_hedges_after_a_window_or_for_its_own_requests():
     bound = hedging.ExtraAttemptBound(ratio=0.2, fixed=188.0)
-    share = hedging.DelayedShare(window_s=bound.window_s, now=100.0)
+    share = shares.DelayedShare(window_s=bound.window_s)
     budget = hedging.ExtraAttemptBudget(bound=bound, share=0.0)
     for number in range(10):
         budget.set_share(share.update(1 / 6, 100.0 + number))
@@ -230,7 +231,7 @@
 
 
 def test_share_rises_after_a_window_and_falls_at_once():
-    share = hedging.DelayedShare(window_s=10.0, now=0.0)
+    share = shares.DelayedShare(window_s=10.0)
     seen = [share.update(0.5, float(now)) for now in range(14)]
     assert seen == [0.0] * 10 + [0.5] * 4
     assert share.update(0.2, 14.0) == 0.2
@@ -260,7 +261,7 @@
 
 def test_host_that_becomes_active_may_hedge_after_a_window():
     bound = hedging.ExtraAttemptBound(ratio=0.2, fixed=222.0)
-    share = hedging.DelayedShare(window_s=bound.window_s, now=0.0)
+    share = shares.DelayedShare(window_s=bound.window_s)
     budget = hedging.ExtraAttemptBudget(bound=bound, share=0.0)
     for now in range(30):
         budget.set_share(share.update(0.0, float(now)))
@@ -274,13 +275,13 @@
     budgets = [
         hedging.ExtraAttemptBudget(bound=_BOUND, share=0.0) for _ in range(6)
     ]
-    shares = [hedging.DelayedShare(window_s=10.0, now=0.0) for _ in range(6)]
+    delayed = [shares.DelayedShare(window_s=10.0) for _ in range(6)]
     withdrawn = []
     for now in range(60):
         hosts = (3, 6, 91, 6, 4, 6)[now // 10]
         for number, budget in enumerate(budgets):
             share = 1 / hosts if number < hosts else 0.0
-            budget.set_share(shares[number].update(share, float(now)))
+            budget.set_share(delayed[number].update(share, float(now)))
             while budget.try_withdraw():
                 withdrawn.append(float(now))
     assert withdrawn
--- a/eelgrasshall/gateway/load_model.py
+++ b/eelgrasshall/gateway/load_model.py
@@ -19,6 +19,7 @@
 from eelgrasshall.gateway import metrics
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import request_handler
+from eelgrasshall.gateway import shares
 from eelgrasshall.gateway import simulated_server
 from eelgrasshall.gateway import virtual_time
 
@@ -169,10 +170,10 @@
             limits=model.CallerLimits(),
         )
         # The hosts have run for a while, so that they may use their shares.
-        loop.advance(-SETTLE_STEPS * hedging.MAX_UPDATE_INTERVAL_S)
+        loop.advance(-SETTLE_STEPS * shares.MAX_UPDATE_INTERVAL_S)
         self.handlers = loop.run_until_complete(self._make_handlers(hosts))
         for _ in range(SETTLE_STEPS):
-            loop.advance(hedging.MAX_UPDATE_INTERVAL_S)
+            loop.advance(shares.MAX_UPDATE_INTERVAL_S)
             for handler in self.handlers:
                 handler.set_extra_share(1.0 / (hosts + 1))
 
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -29,6 +29,7 @@
 from eelgrasshall.gateway import registry
 from eelgrasshall.gateway import relay as relay_module
 from eelgrasshall.gateway import routing
+from eelgrasshall.gateway import shares
 from eelgrasshall.gateway import upstream
 
 # Retry-After of a host without a configuration; it usually gets one by then.
@@ -119,8 +120,8 @@
         self._round_robin = routing.WeightedRoundRobin()
         self._budgets: dict[str, hedging.ExtraAttemptBudget] = {}
         self._latencies: dict[str, hedging.LatencyWindow] = {}
-        self._delayed_share = hedging.DelayedShare(
-            window_s=extra_attempt_bound.window_s, now=self.loop.time()
+        self._delayed_share = shares.DelayedShare(
+            window_s=extra_attempt_bound.window_s
         )
         self._extra_share = 0.0
         self._active_host_count = active_hosts.MIN_ACTIVE_HOSTS
