Hosts keep to the request rates that servers state, all together

What callers saw: nothing; servers in need got up to three times what they had stated. Cause: no host read the statement. A host that keeps the rate by itself alone would not do either: three hosts send three times as much, and fifty break a rate of 2.2 by one request each.

Each host keeps to its share of the rate and of what may come at once (the requests of a second, and two). The share is the least of the last 4 s by what the host knew of the active hosts (shares.RecentViews). Where the rate is small, only rate + 2 hosts use the server, ranked by hash, the same for all. In 4 s that is 5 rate + 2 at most, and 6 rate + 4 while a fleet is cut in two; allowed are 6 rate + 5. A rate that falls counts at once, one that rises only from a request sent after the lower one was known. All that is sent takes from it, at the time of sending: first tries, repeats, hedges (which leave half of the burst), health checks. Attempts that wait there are placed anew. Below 0.25/s one host sends health checks instead. Hosts pass on what they know in datagrams of their own. Requests that no server has room for are refused at once, to come back when there is room; admission counts only the slots that the rate can use.

--- a/eelgrasshall/gateway/attempts.py
+++ b/eelgrasshall/gateway/attempts.py
@@ -89,3 +89,8 @@
         self.sent = False
         self.sent_s = 0.0
         self.done = False
+
+    @property
+    def is_health_check(self) -> bool:
+        """Whether this host made it, and no caller."""
+        return self.request_id is None
--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -134,7 +134,7 @@
         self.misdirected: list[upstream.Backend] = []
         self.leaving: list[upstream.Backend] = []
         self.pauses_s: list[float] = []
-        self.stated_rates: list[float | None] = []
+        self.stated_rates: list[tuple[float | None, float]] = []
 
     def on_unanswered(
         self,
@@ -179,10 +179,10 @@
         self.pauses_s.append(pause_s)
 
     def on_rate_stated(
-        self, backend: upstream.Backend, rate: float | None
+        self, backend: upstream.Backend, rate: float | None, sent_s: float
     ) -> None:
         """Records the rate that a server states."""
-        self.stated_rates.append(rate)
+        self.stated_rates.append((rate, sent_s))
 
 
 class OutcomeRecorder:
--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import enum
+import math
 import random as random_module
 from typing import Any
 from typing import NamedTuple
@@ -91,15 +92,15 @@
 def _find_wait_s(context: "Context", service: str, now: float) -> float | None:
     """Returns the seconds until a service has a server that may be sent to.
 
-    Returns None if that does not follow from pauses alone.
+    Returns None if that does not follow from pauses and stated rates alone.
     """
     waits_s = []
     for backend in context.find_candidates(service):
         if backend.can_accept(now):
             return 0.0
-        pause_s = backend.get_pause_s(now)
-        if pause_s and not backend.unreachable:
-            waits_s.append(pause_s)
+        wait_s = backend.get_wait_s(now)
+        if 0.0 < wait_s < math.inf and not backend.unreachable:
+            waits_s.append(wait_s)
     return min(waits_s, default=None)
 
 
@@ -400,6 +401,19 @@
             for backend in self._context.find_candidates(shard.service)
             if backend not in shard.tried and backend.can_accept(now)
         ]
+        return self._send_to_best(shard, candidates, now)
+
+    def _send_to_best(
+        self,
+        shard: ShardState,
+        candidates: Sequence[upstream.Backend],
+        now: float,
+    ) -> bool:
+        """Sends an attempt to the candidate that answers first, most likely.
+
+        Returns:
+          False if there is no candidate.
+        """
         chosen = load_balancing.choose_backend(
             candidates,
             expected_latency_s=self._median_latency_s,
@@ -525,12 +539,12 @@
             others = [
                 backend
                 for backend in self._context.find_candidates(shard.service)
-                if backend not in shard.tried and backend.can_accept(now)
+                if backend not in shard.tried and backend.can_accept_hedge(now)
             ]
             if others and budget.try_withdraw(reserve=RETRY_RESERVE):
                 self._hedge_count += 1
                 self._context.count("hedges")
-                self._send_attempt(shard)
+                self._send_to_best(shard, others, now)
 
     def _on_timer(self) -> None:
         """Sends hedges and checks the deadlines."""
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -28,6 +28,8 @@
 from eelgrasshall.gateway import object_cache
 from eelgrasshall.gateway import peer_sync
 from eelgrasshall.gateway import peers
+from eelgrasshall.gateway import rate_gossip
+from eelgrasshall.gateway import rate_limits
 from eelgrasshall.gateway import relay
 from eelgrasshall.gateway import relay_choice
 from eelgrasshall.gateway import request_handler
@@ -190,8 +192,18 @@
             on_gossip=self._handle_gossip,
             on_hosts_changed=self._schedule_share_update,
             on_links_lost=self._request_handler.links.check_if_unproven,
-            get_crash_datagram=self._build_crash_datagram,
-            on_crash_datagram=self._handle_crash_datagram,
+            channels=[
+                peers.Channel(
+                    crash_gossip.PREFIX,
+                    self._build_crash_datagram,
+                    self._handle_crash_datagram,
+                ),
+                peers.Channel(
+                    rate_gossip.PREFIX,
+                    self._build_rate_datagram,
+                    self._handle_rate_datagram,
+                ),
+            ],
         )
         self._caller_listener = self._make_listener(self._handle_request)
         self._control_listener = self._make_listener(
@@ -557,12 +569,20 @@
         names = [own, *(host.name for host in self._peers.list_hosts())]
         self._request_handler.set_hosts(sharing_count, tuple(sorted(names)))
         self._request_handler.set_active_host_count(active_count)
+        heard = len(self._peers.list_alive()) + 1
+        missing = self._peers.count_missing()
+        self._registry.set_fleet_view(
+            rate_limits.FleetView(
+                tuple(sorted(host.name for host in active)),
+                heard / (heard + missing),
+            )
+        )
         self._request_handler.set_extra_share(
             active_hosts.compute_extra_share(
                 is_active=any(host.name == own for host in active),
                 sharing=sharing_count,
-                heard=len(self._peers.list_alive()) + 1,
-                missing=self._peers.count_missing(),
+                heard=heard,
+                missing=missing,
             )
         )
 
@@ -628,14 +648,33 @@
 
     def _handle_crash_datagram(self, datagram: bytes) -> None:
         """Adds another host's crash reports; ignores a malformed datagram."""
-        now = self._loop.time()
+        entries = self._decode_datagram(crash_gossip.decode, datagram)
+        if entries is not None:
+            self._request_handler.add_crash_gossip(entries)
+
+    def _build_rate_datagram(self) -> bytes | None:
+        """Returns rates of servers for other hosts, or None without any."""
+        statements = self._registry.list_rate_gossip(rate_gossip.MAX_ENTRIES)
+        if not statements:
+            return None
+        return rate_gossip.encode(statements, self._loop.time())
+
+    def _handle_rate_datagram(self, datagram: bytes) -> None:
+        """Adds rates that another host passed on, unless malformed."""
+        statements = self._decode_datagram(rate_gossip.decode, datagram)
+        if statements is not None:
+            self._registry.merge_rates(statements)
+
+    def _decode_datagram(
+        self, decode: Callable[[bytes, float], list], datagram: bytes
+    ) -> list | None:
+        """Decodes a datagram; logs a malformed one and returns None."""
         try:
-            entries = crash_gossip.decode(datagram, now)
-        except (ValueError, TypeError) as error:
+            return decode(datagram, self._loop.time())
+        except (ValueError, TypeError, OverflowError, RecursionError) as error:
             self._metrics.count("malformed_datagrams")
             self._log.record("malformed_datagram", reason=str(error))
-            return
-        self._request_handler.add_crash_gossip(entries)
+            return None
 
     def _list_active_hosts(self) -> list[model.Host]:
         """Returns the active hosts, recomputed after `VIEW_TTL_S`."""
--- a/eelgrasshall/gateway/load_model.py
+++ b/eelgrasshall/gateway/load_model.py
@@ -18,6 +18,7 @@
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import metrics
 from eelgrasshall.gateway import model
+from eelgrasshall.gateway import rate_limits
 from eelgrasshall.gateway import request_handler
 from eelgrasshall.gateway import shares
 from eelgrasshall.gateway import simulated_server
@@ -27,6 +28,8 @@
 CALLER_DELAY_S = 0.001
 # Interval at which a host ends attempts past their deadline.
 SWEEP_INTERVAL_S = 0.1
+# Most servers whose rates hosts pass on at a time.
+MAX_GOSSIP = 5
 # Number of times that a caller sends a request.
 MAX_TRIES = 2
 # Delay of a retry after a response that states none, seconds.
@@ -172,10 +175,14 @@
         # The hosts have run for a while, so that they may use their shares.
         loop.advance(-SETTLE_STEPS * shares.MAX_UPDATE_INTERVAL_S)
         self.handlers = loop.run_until_complete(self._make_handlers(hosts))
+        view = rate_limits.FleetView(
+            tuple(f"h{number}" for number in range(hosts)), 1.0
+        )
         for _ in range(SETTLE_STEPS):
             loop.advance(shares.MAX_UPDATE_INTERVAL_S)
             for handler in self.handlers:
                 handler.set_extra_share(1.0 / (hosts + 1))
+                handler.registry.set_fleet_view(view)
 
     async def _make_handlers(
         self, hosts: int
@@ -239,6 +246,15 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             for handler in self.handlers:
                 handler.registry.sweep(self.loop.time())
+            self._pass_on_rates()
+
+    def _pass_on_rates(self) -> None:
+        """Passes the rates that servers state on to all hosts."""
+        for sender in self.handlers:
+            statements = sender.registry.list_rate_gossip(MAX_GOSSIP)
+            for receiver in self.handlers:
+                if statements and receiver is not sender:
+                    receiver.registry.merge_rates(statements)
 
     async def _call(self, kind: Kind) -> None:
         """Sends one request, and once more after a refusal or failure."""
--- a/eelgrasshall/gateway/peers.py
+++ b/eelgrasshall/gateway/peers.py
@@ -15,13 +15,13 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 import random as random_module
 import struct
 from typing import NamedTuple
 import zlib
 
 from eelgrasshall.gateway import active_hosts
-from eelgrasshall.gateway import crash_gossip
 from eelgrasshall.gateway import election
 from eelgrasshall.gateway import heartbeats
 from eelgrasshall.gateway import model
@@ -52,6 +52,20 @@
 MAX_NAMED_ENTRIES = 150
 
 
+class Channel(NamedTuple):
+    """One kind of datagram that is sent next to the heartbeats.
+
+    Attributes:
+      prefix: Identifies the datagrams; no heartbeat begins like this.
+      build: Returns the datagram of a period, or None.
+      handle: Called with a datagram of another host.
+    """
+
+    prefix: bytes
+    build: Callable[[], bytes | None]
+    handle: Callable[[bytes], None]
+
+
 class _HeartbeatRecord(NamedTuple):
     """The newest heartbeat of a host.
 
@@ -85,9 +99,7 @@
       on_hosts_changed: Called when the set of known hosts has changed.
       on_links_lost: Called when another host has lost its links to the backend
         servers.
-      get_crash_datagram: Returns the datagram with crash reports that is sent
-        with the heartbeats of a period, or None.
-      on_crash_datagram: Called with such a datagram of another host.
+      channels: What else is sent next to the heartbeats.
     """
 
     def __init__(
@@ -104,8 +116,7 @@
         on_gossip: Callable[[str, list], None],
         on_hosts_changed: Callable[[], None],
         on_links_lost: Callable[[], None],
-        get_crash_datagram: Callable[[], bytes | None],
-        on_crash_datagram: Callable[[bytes], None],
+        channels: Sequence[Channel] = (),
     ):
         self.state = heartbeats.State.JOINING
         self._own = own
@@ -119,8 +130,7 @@
         self._on_gossip = on_gossip
         self._on_hosts_changed = on_hosts_changed
         self._on_links_lost = on_links_lost
-        self._get_crash_datagram = get_crash_datagram
-        self._on_crash_datagram = on_crash_datagram
+        self._channels = channels
         self._hosts: dict[str, model.Host] = {}
         self._records: dict[str, _HeartbeatRecord] = {}
         self._learned_s: dict[str, float] = {}
@@ -274,9 +284,10 @@
 
     def datagram_received(self, data: bytes, address: tuple) -> None:
         """Processes a datagram, or ignores it if it is malformed."""
-        if data.startswith(crash_gossip.PREFIX):
-            self._on_crash_datagram(data)
-            return
+        for channel in self._channels:
+            if data.startswith(channel.prefix):
+                channel.handle(data)
+                return
         head, _, table = data.partition(b"\n")
         try:
             header = heartbeats.decode_header(head)
@@ -419,16 +430,18 @@
         self._increment_beat()
         targets = self._choose_targets()
         self._send_to(targets, with_table=self._is_large)
-        self._send_crash_datagram(targets)
+        self._send_channels(targets)
         self._timer = self._loop.call_later(self._period_s, self._tick)
 
-    def _send_crash_datagram(self, hosts: Iterable[model.Host]) -> None:
-        """Sends crash reports, if there are any."""
-        datagram = self._get_crash_datagram()
-        if datagram is None or self._transport is None:
+    def _send_channels(self, hosts: Iterable[model.Host]) -> None:
+        """Sends what the channels have to send."""
+        if self._transport is None:
             return
-        for host in hosts:
-            self._transport.sendto(datagram, tuple(host.peer_address))
+        for channel in self._channels:
+            datagram = channel.build()
+            if datagram is not None:
+                for host in hosts:
+                    self._transport.sendto(datagram, tuple(host.peer_address))
 
     def _choose_targets(self) -> list[model.Host]:
         """Returns the hosts to send to in one period.
--- a/eelgrasshall/gateway/registry.py
+++ b/eelgrasshall/gateway/registry.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections.abc import Sequence
-import hashlib
 import math
 from typing import Any
 
@@ -18,6 +17,8 @@
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import object_cache
+from eelgrasshall.gateway import rate_limits
+from eelgrasshall.gateway import shares
 from eelgrasshall.gateway import upstream
 
 # Share of a server's connection limit that all hosts together use: connections
@@ -45,6 +46,8 @@
 LAST_RESORT_S = 1.5
 # Most servers that have left of which that is remembered.
 MAX_REMEMBERED = 1000
+# Least time between two log lines on the rate that one server states.
+RATE_LOG_INTERVAL_S = 1.0
 
 
 class Registry:
@@ -77,12 +80,18 @@
         self._sharing_host_count = 1
         self._active_host_count = 1
         self._probes: dict[str, asyncio.Task] = {}
+        self._checks: dict[str, asyncio.Task] = {}
         # Start times of the servers that have announced that they stop.
         self._leaving: dict[str, int] = {}
         # Start times of the servers that have drained or whose entry is gone,
         # and the store's eras in which that happened.
         self._departed: dict[str, tuple[int, int]] = {}
         self._last_resorts: dict[str, asyncio.TimerHandle] = {}
+        self._rate_limits = rate_limits.RateLimits(
+            own=own, on_changed=self._apply_rate
+        )
+        # When the last change of a server's rate was logged.
+        self._rate_logged_s: dict[str, float] = {}
 
     def set_environment(self, environment: upstream.Environment) -> None:
         """Sets the environment that all backend servers share."""
@@ -141,6 +150,37 @@
             self._active_host_count = count
             self._update_connection_limits()
 
+    def set_fleet_view(self, view: rate_limits.FleetView) -> None:
+        """Sets the hosts that share the rates which servers state."""
+        self._rate_limits.set_view(view, self._environment.loop.time())
+
+    def record_rate(
+        self, backend: upstream.Backend, rate: float | None, sent_s: float
+    ) -> None:
+        """Records the rate that a response states as the server's most.
+
+        Args:
+          backend: The server.
+          rate: Requests per second from all hosts; None if it states none.
+          sent_s: When the request was sent.
+        """
+        self._rate_limits.record(
+            backend.server.id,
+            backend.server.started_at_ms,
+            rate,
+            sent_s=sent_s,
+            now=self._environment.loop.time(),
+        )
+
+    def merge_rates(self, statements: Sequence[rate_limits.Statement]) -> None:
+        """Adds the rates of servers that another host has passed on."""
+        self._rate_limits.merge(statements, self._environment.loop.time())
+
+    def list_rate_gossip(self, max_count: int) -> list[rate_limits.Statement]:
+        """Returns the rates of servers to pass on to other hosts."""
+        now = self._environment.loop.time()
+        return self._rate_limits.list_gossip(now, max_count)
+
     def set_evacuated(self, zone: str, evacuated: bool) -> None:
         """Evacuates a zone, or ends its evacuation."""
         if evacuated:
@@ -349,6 +389,10 @@
                 "refusals": round(backend.get_refusal_rate(now), 2),
                 "unreachable": backend.unreachable,
                 "pause_s": round(backend.get_pause_s(now), 2),
+                "rate": backend.limiter.rate if backend.limiter else None,
+                "rate_share": backend.limiter.share
+                if backend.limiter
+                else None,
                 "cold": backend.cold_start.is_cold(now),
             }
             for server_id, backend in self._backends.items()
@@ -358,10 +402,14 @@
         """Ends overdue attempts and closes old idle connections."""
         for backend in list(self._backends.values()):
             backend.sweep(now)
+        for server_id in self._rate_limits.list_due_checks(now):
+            backend = self._backends.get(server_id)
+            if backend is not None and not backend.unreachable:
+                self._start_check(backend)
 
     def close(self) -> None:
         """Cancels all probes and closes the connections of all candidates."""
-        for task in list(self._probes.values()):
+        for task in (*self._probes.values(), *self._checks.values()):
             task.cancel()
         for timer in self._last_resorts.values():
             timer.cancel()
@@ -375,27 +423,10 @@
         while not backend.closed:
             pause_s = backend.get_pause_s(self._environment.loop.time())
             await asyncio.sleep(max(delay_s, pause_s))
+            if not backend.may_check(self._environment.loop.time()):
+                continue
             delay_s = min(delay_s * 2, MAX_PROBE_DELAY_S)
-            waiter = _OutcomeWaiter(loop=self._environment.loop)
-            now = self._environment.loop.time()
-            attempt = attempts.Attempt(
-                owner=waiter,
-                tag=None,
-                request_id=None,
-                encode=lambda remaining_s, server_id: (
-                    b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n"
-                    % (
-                        backend.service.health_path.encode(),
-                        str(backend.server.address).encode(),
-                    )
-                ),
-                deadline_s=now + PROBE_TIMEOUT_S,
-                expected_latency_s=PROBE_TIMEOUT_S,
-                needs_new_connection=True,
-            )
-            self._environment.count("health_checks")
-            backend.submit(attempt)
-            outcome = await waiter.outcome
+            outcome = await self._check_health(backend)
             if self._is_healthy(backend, outcome):
                 backend.unreachable = False
                 self._log.record("server_reached", server=server_id)
@@ -403,6 +434,73 @@
                 return
             backend.unreachable = True
 
+    async def _check_health(
+        self, backend: upstream.Backend
+    ) -> messages.Reply | messages.Failure:
+        """Sends a health check and returns its outcome."""
+        waiter = _OutcomeWaiter(loop=self._environment.loop)
+        now = self._environment.loop.time()
+        attempt = attempts.Attempt(
+            owner=waiter,
+            tag=None,
+            request_id=None,
+            encode=lambda remaining_s, server_id: (
+                b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n"
+                % (
+                    backend.service.health_path.encode(),
+                    str(backend.server.address).encode(),
+                )
+            ),
+            deadline_s=now + PROBE_TIMEOUT_S,
+            expected_latency_s=PROBE_TIMEOUT_S,
+            needs_new_connection=True,
+        )
+        self._environment.count("health_checks")
+        backend.submit(attempt)
+        return await waiter.outcome
+
+    def _start_check(self, backend: upstream.Backend) -> None:
+        """Starts a health check of a server that takes no other requests."""
+        server_id = backend.server.id
+        if server_id in self._checks:
+            return
+        task = self._environment.loop.create_task(self._check_health(backend))
+        self._checks[server_id] = task
+        task.add_done_callback(lambda _: self._checks.pop(server_id))
+
+    def _apply_rate(
+        self, statement: rate_limits.Statement, is_remote: bool
+    ) -> None:
+        """Limits the requests to a server by what it has stated."""
+        server_id = statement.server_id
+        backend = self._backends.get(server_id)
+        if backend is not None:
+            self._set_limiter(backend)
+        now = self._environment.loop.time()
+        if now - self._rate_logged_s.get(server_id, -math.inf) < (
+            RATE_LOG_INTERVAL_S
+        ):
+            return
+        self._rate_logged_s.pop(server_id, None)
+        self._rate_logged_s[server_id] = now
+        if len(self._rate_logged_s) > MAX_REMEMBERED:
+            del self._rate_logged_s[next(iter(self._rate_logged_s))]
+        limiter = backend.limiter if backend is not None else None
+        self._log.record(
+            "server_limit",
+            server=server_id,
+            rate=statement.rate,
+            share=limiter.share if limiter is not None else None,
+            from_host=is_remote,
+        )
+
+    def _set_limiter(self, backend: upstream.Backend) -> None:
+        """Sets the limiter of a server from what is known of its rate."""
+        server = backend.server
+        identity = (server.id, server.started_at_ms)
+        backend.states_rate = self._rate_limits.knows(*identity)
+        backend.set_limiter(self._rate_limits.find_limiter(*identity))
+
     def _is_healthy(
         self,
         backend: upstream.Backend,
@@ -437,6 +535,7 @@
             environment=self._environment,
             connection_limit=self._compute_connection_limit(server, service),
         )
+        self._set_limiter(self._backends[server.id])
         candidates = self._candidates.setdefault(server.service, [])
         candidates.append(self._backends[server.id])
         self._subsets.pop(server.service, None)
@@ -477,7 +576,7 @@
             return list(backends)
         return sorted(
             backends,
-            key=lambda backend: _hash_pair(self._own, backend.server.id),
+            key=lambda backend: shares.hash_pair(self._own, backend.server.id),
         )[:count]
 
     def _mark_cold(self, server_id: str, cold_s: float | None = None) -> None:
@@ -549,15 +648,6 @@
     return max(MIN_SUBSET_SIZE, int(servers * per_host * SUBSET_SHARE))
 
 
-def _hash_pair(host: str, server_id: str) -> bytes:
-    """Returns the rendezvous hash of a host and a server.
-
-    A CRC would order the servers alike for hosts with similar names.
-    """
-    text = f"{host} {server_id}"
-    return hashlib.blake2b(text.encode(), digest_size=8).digest()
-
-
 class _OutcomeWaiter:
     """Attempt owner that lets a task await the outcome."""
 
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -530,9 +530,10 @@
             )
             self._queues[tuple(services)] = queue
         now = self.loop.time()
+        duration_s = self.find_latency_window(route).quantile(0.5)
         slots = [
             sum(
-                backend.server.slots
+                backend.count_usable_slots(duration_s)
                 for backend in self.find_candidates(service)
                 if not backend.unreachable and not backend.get_pause_s(now)
             )
@@ -715,15 +716,10 @@
         )
 
     def on_rate_stated(
-        self, backend: upstream.Backend, rate: float | None
+        self, backend: upstream.Backend, rate: float | None, sent_s: float
     ) -> None:
-        """Logs the rate that a server states as its most."""
-        self._log.record(
-            "server_limit",
-            server=backend.server.id,
-            service=backend.server.service,
-            rate=rate,
-        )
+        """Limits the requests to a server by the rate that it states."""
+        self.registry.record_rate(backend, rate, sent_s)
 
     def _handle_links_changed(self) -> None:
         """Stops the probes while this host reaches no server.
--- a/eelgrasshall/gateway/send_queue.py
+++ b/eelgrasshall/gateway/send_queue.py
@@ -89,10 +89,10 @@
         waiting, self._waiting = self._waiting, []
         return waiting
 
-    def has_waiting(self) -> bool:
-        """Returns whether an attempt waits."""
+    def __len__(self) -> int:
+        """Returns the number of attempts that wait."""
         self._remove_done()
-        return bool(self._waiting)
+        return len(self._waiting)
 
     def _remove_done(self) -> None:
         """Drops the attempts that were abandoned while they waited."""
--- a/eelgrasshall/gateway/shares.py
+++ b/eelgrasshall/gateway/shares.py
@@ -1,15 +1,16 @@
 """Shares of fleet-wide limits, which each host computes by itself.
 
 The hosts of a fleet divide a limit by what each of them knows of the others.
-They learn of changes at different times, and one that was suspended learns late,
-so that their shares could add up to more than the limit.  Therefore a host uses
-the least share of the last window.  What all hosts use in a window is then at
-most what their shares added up to at its beginning, whoever was restarted, cut
-off or taken over from meanwhile.
+They learn of changes at different times, and one that was suspended learns
+late, so that their shares could add up to more than the limit.  Therefore a
+host uses the least share of the last window.  What all hosts use in a window is
+then at most what their shares added up to at its beginning, whoever was
+restarted, cut off or taken over from meanwhile.
 """
 
 import collections
 from collections.abc import Callable
+import hashlib
 import math
 from typing import Generic
 from typing import TypeVar
@@ -87,3 +88,12 @@
         """Sets the share that is due now; returns the one that may be used."""
         self._views.update(share, now)
         return self._views.find_least(float)
+
+
+def hash_pair(host: str, server_id: str) -> bytes:
+    """Returns the rendezvous hash of a host and a server.
+
+    A CRC would order the servers alike for hosts with similar names.
+    """
+    text = f"{host} {server_id}"
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- a/eelgrasshall/gateway/simulated_server.py
+++ b/eelgrasshall/gateway/simulated_server.py
@@ -57,6 +57,8 @@
         self.server = server
         self.protocol = protocol
         self.closed = False
+        # Whatever represents the host that opened the connection.
+        self.host: object = protocol.backend.environment.observer
 
     def write(self, data: bytes) -> None:
         """Delivers a request to the server after the network delay."""
@@ -136,8 +138,10 @@
         self.turned_away_count = 0
         # Spans in which it states the factor as the most requests per second.
         self.limits: list[Span] = []
-        # When requests arrived, seconds.
-        self.arrivals_s: list[float] = []
+        # When requests arrived, seconds, and the hosts that sent them.
+        self.arrival_log: list[tuple[float, object]] = []
+        # When each host got the first response that stated a limit, seconds.
+        self.told_s: dict[object, float] = {}
         self._random = random
         self._service_times_s = service_times_s
         self._speed = speed
@@ -157,7 +161,7 @@
         """Runs a request, queues it, or refuses it if the queue is full."""
         work = self._parse(transport, data)
         now = self.loop.time()
-        self.arrivals_s.append(now)
+        self.arrival_log.append((now, transport.host))
         for span in self.shedding:
             if span.start_s <= now < span.end_s:
                 self.turned_away_count += 1
@@ -223,6 +227,8 @@
             for span in self.limits
             if span.start_s <= now < span.end_s
         ]
+        if rates:
+            self.told_s.setdefault(work.transport.host, now + SERVER_DELAY_S)
         reply = fakes.encode_reply(
             work.request_id.decode(),
             body,
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import math
 from typing import NamedTuple
 from typing import Protocol
@@ -87,12 +88,15 @@
     def on_paused(self, backend: "Backend", pause_s: float) -> None:
         """Handles a server's wish for no request for some seconds."""
 
-    def on_rate_stated(self, backend: "Backend", rate: float | None) -> None:
-        """Handles a change of the rate that a server states as its most.
+    def on_rate_stated(
+        self, backend: "Backend", rate: float | None, sent_s: float
+    ) -> None:
+        """Handles the rate that a response states as the server's most.
 
         Args:
           backend: The server.
           rate: Requests per second from all hosts; None if it states none.
+          sent_s: When the request was sent.
         """
 
 
@@ -149,8 +153,10 @@
         self.unreachable_since_s = -math.inf
         self.closed = False
         self._paused_until_s = 0.0
-        # The requests per second that its latest response states as its most.
-        self._stated_rate: float | None = None
+        # This host's limit on requests to the server, if it has stated one, and
+        # whether it has stated one lately.
+        self.limiter: rate_limits.RateLimiter | None = None
+        self.states_rate = False
         # When the server was last known to be up, and when an attempt last
         # ended without an answer.
         self._alive_s = -math.inf
@@ -178,8 +184,55 @@
             not self.unreachable
             and self.get_pause_s(now) <= 0.0
             and self.cold_start.may_send(now)
+            and (
+                self.limiter is None
+                or self.limiter.may_send(now, waiting=len(self._queue))
+            )
+        )
+
+    def can_accept_hedge(self, now: float) -> bool:
+        """Returns whether a hedge may be sent to this server now."""
+        return self.can_accept(now) and (
+            self.limiter is None
+            or self.limiter.may_send(
+                now,
+                waiting=len(self._queue),
+                reserve=rate_limits.HEDGE_RESERVE,
+            )
         )
 
+    def may_check(self, now: float) -> bool:
+        """Returns whether a health check may be sent now."""
+        return self.limiter is None or self.limiter.may_check(now)
+
+    def count_usable_slots(self, duration_s: float) -> float:
+        """Returns how many requests of a duration the server runs at a time."""
+        slots = self.server.slots
+        if self.limiter is None:
+            return slots
+        return min(slots, self.limiter.rate * duration_s)
+
+    def get_wait_s(self, now: float) -> float:
+        """Returns for how long the server takes no request of this host.
+
+        That is due to a pause or to the rate that it states; infinity if this
+        host may send it nothing.
+        """
+        pause_s = self.get_pause_s(now)
+        if self.limiter is None:
+            return pause_s
+        wait_s = self.limiter.compute_wait_s(now, waiting=len(self._queue))
+        return max(pause_s, wait_s)
+
+    def set_limiter(self, limiter: rate_limits.RateLimiter | None) -> None:
+        """Sets the limit on requests; attempts beyond it are placed anew."""
+        self.limiter = limiter
+        waiting = len(self._queue)
+        if limiter is not None and waiting:
+            now = self.environment.loop.time()
+            if not limiter.may_send(now, waiting=waiting - 1):
+                self._fail_queued()
+
     def get_pause_s(self, now: float) -> float:
         """Returns for how long the server wants no request; 0 if it does."""
         return max(self._paused_until_s - now, 0.0)
@@ -304,7 +357,7 @@
         # Perhaps it was accepted for a process that has ended since.
         self._schedule_verification()
         if (
-            self._queue.has_waiting()
+            self._queue
             and not self.closed
             and not self._is_at_connection_limit()
         ):
@@ -365,7 +418,8 @@
             self.environment.observer.on_alive(self, attempt.sent_s)
         if reply.status == 503 and reply.retry_after is not None:
             self._pause(reply.retry_after, now)
-        self._record_rate(reply.rate_limits)
+        if reply.rate_limits or self.states_rate:
+            self._record_rate(reply.rate_limits, attempt.sent_s)
         if reply.leaving:
             self.environment.observer.on_leaving(self)
         if reply.succeeded:
@@ -401,17 +455,15 @@
         self.environment.observer.on_paused(self, pause_s)
         self._fail_queued()
 
-    def _record_rate(self, values: tuple[bytes, ...]) -> None:
-        """Records the rate that a response states, if any."""
+    def _record_rate(self, values: Sequence[bytes], sent_s: float) -> None:
+        """Reports the rate that a response states, or that it states none."""
         rate = rate_limits.parse_rate(values)
         if values and rate is None:
             self.environment.count("malformed_limits")
             return
         if rate is not None:
             self.environment.count("limited_responses")
-        if rate != self._stated_rate:
-            self._stated_rate = rate
-            self.environment.observer.on_rate_stated(self, rate)
+        self.environment.observer.on_rate_stated(self, rate, sent_s)
 
     def _record_unanswered(
         self, attempt: attempts.Attempt, *, silent: bool
@@ -479,15 +531,23 @@
             )
             return
         attempt.sent_s = now
+        if self.limiter is not None:
+            self.limiter.record_send(now)
         connection.send(attempt, attempt.encode(remaining_s, self.server.id))
         self.environment.count("attempts_sent")
 
     def _may_send(self, attempt: attempts.Attempt, now: float) -> bool:
-        """Returns whether an attempt has time left and is not blocked."""
-        return (
-            attempt.deadline_s - now > MIN_REMAINING_S
-            and not self.environment.observer.is_blocked(attempt)
-        )
+        """Returns whether an attempt has time left and nothing forbids it."""
+        if (
+            attempt.deadline_s - now <= MIN_REMAINING_S
+            or self.environment.observer.is_blocked(attempt)
+        ):
+            return False
+        if self.limiter is None:
+            return True
+        if attempt.is_health_check:
+            return self.limiter.may_check(now)
+        return self.limiter.may_send(now)
 
     def _send_next(
         self, connection: connections.Connection, *, new_connection: bool
@@ -552,7 +612,7 @@
             self._connecting -= 1
         if connection is None:
             return False
-        if self._queue.has_waiting():
+        if self._queue:
             self.add_connection(connection)
         else:
             connection.close()
