Messages between hosts are tested beside the build before

deploy/system.toml names the version in production, the landing before. builds_test takes its sources from the history and runs the real program of both builds side by side: hosts replaced one by one and back under load, with changes of the configuration and a store that comes back older; half of the hosts of each build with crashing requests, cuts from all servers and stated rates.

A share of a fleet-wide rate that rises takes effect after 6 s instead of 4: the time in which hosts learn of a change comes on top.

More loads: all servers of a shard limited where the route needs each shard (refused at once, 0.8 of the room used), rates that end, are 0, or change with each response.

--- a/eelgrasshall/gateway/rate_limits.py
+++ b/eelgrasshall/gateway/rate_limits.py
@@ -22,9 +22,10 @@
 
 from eelgrasshall.gateway import shares
 
-# Window over which the users count requests, and after which a larger share
-# takes effect.
+# Window over which the users count requests, and the time after which a larger
+# share takes effect: longer by the time in which all hosts learn of a change.
 WINDOW_S = 4.0
+SHARE_WINDOW_S = WINDOW_S + 2.0
 # What all hosts together may send at once: the requests of this time, and a few
 # more, so that small rates suffice for two hosts.
 BURST_S = 1.0
@@ -233,7 +234,7 @@
         self._own = own
         self._on_changed = on_changed
         self._views: shares.RecentViews[FleetView] = shares.RecentViews(
-            window_s=WINDOW_S
+            window_s=SHARE_WINDOW_S
         )
         self._statements: dict[str, Statement] = {}
         self._limiters: dict[str, RateLimiter] = {}
--- a/eelgrasshall/gateway/rate_limits_load_test.py
+++ b/eelgrasshall/gateway/rate_limits_load_test.py
@@ -36,6 +36,7 @@
     hosts: int = 3,
     seed: int = 1,
     duration_s: float = 16.0,
+    min_share: float = 0.5,
 ) -> load_model.Simulation:
     """Replays searches while some servers state limits."""
     route = fakes.make_route(
@@ -45,7 +46,7 @@
         objective_s=0.25,
         timeout_s=2.0,
         max_attempts=3,
-        min_share=0.5,
+        min_share=min_share,
     )
     simulation = load_model.Simulation(
         loop=loop,
@@ -122,3 +123,59 @@
     # The route allows answers without this shard.
     summary = load_model.summarize(simulation.results, *_LIMIT_S)
     assert summary.served >= 0.99
+
+
+def test_searches_that_need_every_shard_are_refused_at_once(loop):
+    # All servers of a shard together take 18 a second of the 60 that come.
+    limits = dict.fromkeys(("p0-0", "p0-1", "p0-2"), 6.0)
+    simulation = _simulate(loop, limits, min_share=1.0)
+    for server_id, rate in limits.items():
+        server = simulation.servers[server_id]
+        assert _find_largest_excess(server, rate) <= 0
+    late = [each for each in simulation.results if 4.0 <= each.arrived_s < 14.0]
+    refused = [each for each in late if each.status != 200]
+    # Most of the room is used, though two thirds of the callers are refused.
+    assert (len(late) - len(refused)) / 10.0 >= 0.8 * 18.0
+    assert all(each.status == 503 for each in refused)
+    # A caller comes back once, within a third of its 2 s at most.
+    assert max(each.took_s for each in refused) <= 0.8
+
+
+def test_server_whose_limit_has_ended_is_used_again(loop):
+    simulation = _simulate(loop, {"p0-0": 2.2, "p0-1": 0.0}, hosts=20)
+    for server_id in ("p0-0", "p0-1"):
+        server = simulation.servers[server_id]
+        assert _count_arrivals(server, 15.0, 16.0) >= 10, server_id
+
+
+def test_server_that_takes_nothing_gets_a_few_health_checks(loop):
+    simulation = _simulate(loop, {"p0-0": 0.0})
+    server = simulation.servers["p0-0"]
+    assert _find_largest_excess(server, 0.0) <= 0
+    assert 1 <= _count_arrivals(server, 4.0, 14.0) <= 5
+    summary = load_model.summarize(simulation.results, *_LIMIT_S)
+    assert summary.served >= 0.99
+    assert summary.credit >= 0.95
+
+
+def test_rate_that_changes_with_each_response_holds(loop):
+    route = fakes.make_route(
+        "search", path_prefix="/search/", shards=_SHARDS, min_share=0.5
+    )
+    simulation = load_model.Simulation(
+        loop=loop,
+        seed=4,
+        kinds=[load_model.Kind(route, 60.0, 0.04, 2.0, 1.0)],
+        shards=_SHARDS,
+        slots=6,
+    )
+    server = simulation.servers["p0-0"]
+    for step in range(120):
+        start_s = _LIMIT_S[0] + step * 0.1
+        rate = (9.0, 3.0, 6.0)[step % 3]
+        server.limits.append(
+            simulated_server.Span(start_s, start_s + 0.1, rate)
+        )
+    simulation.run(16.0)
+    # Less than the highest rate allows, as the rate falls again and again.
+    assert _find_largest_excess(server, 6.0) <= 0
--- a/eelgrasshall/gateway/simulated_server.py
+++ b/eelgrasshall/gateway/simulated_server.py
@@ -159,9 +159,14 @@
 
     def receive(self, transport: ServerTransport, data: bytes) -> None:
         """Runs a request, queues it, or refuses it if the queue is full."""
-        work = self._parse(transport, data)
         now = self.loop.time()
         self.arrival_log.append((now, transport.host))
+        if data.startswith(b"GET /health"):
+            transport.deliver(
+                fakes.encode_reply("", b"", rate_limit=self._find_limit(now))
+            )
+            return
+        work = self._parse(transport, data)
         for span in self.shedding:
             if span.start_s <= now < span.end_s:
                 self.turned_away_count += 1
@@ -222,17 +227,11 @@
         self._running -= 1
         body = self._random.randbytes(16)
         now = self.loop.time()
-        rates = [
-            span.factor
-            for span in self.limits
-            if span.start_s <= now < span.end_s
-        ]
-        if rates:
+        rate = self._find_limit(now)
+        if rate is not None:
             self.told_s.setdefault(work.transport.host, now + SERVER_DELAY_S)
         reply = fakes.encode_reply(
-            work.request_id.decode(),
-            body,
-            rate_limit=min(rates, default=None),
+            work.request_id.decode(), body, rate_limit=rate
         )
         work.transport.deliver(reply)
         while self._queue and self._running < self.server.slots:
@@ -244,6 +243,15 @@
                 continue
             self._run(waiting)
 
+    def _find_limit(self, now: float) -> float | None:
+        """Returns the most requests per second that it states, if any."""
+        rates = [
+            span.factor
+            for span in self.limits
+            if span.start_s <= now < span.end_s
+        ]
+        return min(rates, default=None)
+
     def _refuse(
         self, work: _Work, *, retry_after_s: float | None = None
     ) -> None:
--- /dev/null
+++ b/eelgrasshall/platform/builds_test.py
@@ -0,0 +1,289 @@
+"""Tests of hosts of the build before beside hosts of the current one.
+
+While a fleet is upgraded, both run side by side, so each message between hosts
+is a contract between two builds.  The build before is the commit that
+`deploy/system.toml` names as the one in production, taken from the history.
+"""
+
+import asyncio
+import collections
+import io
+import json
+import pathlib
+import signal
+import subprocess
+import tarfile
+import time
+import tomllib
+from typing import NamedTuple
+
+import pytest
+
+from eelgrasshall.platform import fault_proxy
+from eelgrasshall.platform import fleet as fleet_module
+
+_ROOT = pathlib.Path(__file__).parents[2]
+_TRIES_PER_S = 30
+_KINDS = ("search", "single", "once")
+_WINDOW_S = 4.0
+# A configuration is in force everywhere within this time, and a host that was
+# stopped has ended within its grace time.
+_APPLY_S = 3.0
+_GRACE_S = 6.0
+# Tries of a harmful request that may come late, and the time after the third
+# crash from which on they are late.
+_MAX_LATE_TRIES = 3
+_CONTACT_S = 4.0
+
+
+@pytest.fixture(scope="module")
+def old_build(tmp_path_factory) -> pathlib.Path:
+    """The sources of the build in production."""
+    settings = tomllib.loads((_ROOT / "deploy/system.toml").read_text())
+    archive = subprocess.run(
+        ["git", "archive", settings["production"], "eelgrasshall"],
+        cwd=_ROOT,
+        capture_output=True,
+        check=True,
+    ).stdout
+    folder = tmp_path_factory.mktemp("old_build")
+    with tarfile.open(fileobj=io.BytesIO(archive)) as sources:
+        sources.extractall(folder, filter="data")
+    return folder
+
+
+class _Try(NamedTuple):
+    """A caller's first try.
+
+    Attributes:
+      request_id: Its id.
+      kind: Its route.
+      sent_s: When it was sent, monotonic.
+      status: Status of the answer; 0 if there was none.
+    """
+
+    request_id: str
+    kind: str
+    sent_s: float
+    status: int
+
+
+class _Callers:
+    """Callers that use the hosts that have not been told to stop."""
+
+    def __init__(
+        self, fleet: fleet_module.Fleet, kinds: tuple[str, ...] = _KINDS
+    ):
+        self.tries: list[_Try] = []
+        self._kinds = kinds
+        self.hosts = list(fleet.host_names)
+        self._fleet = fleet
+        self._number = 0
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def stop(self) -> None:
+        """Waits until all tries are answered."""
+        self.hosts.clear()
+        await self._task
+
+    async def _run(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            while self.hosts:
+                self._number += 1
+                group.create_task(self._send(self._number))
+                await asyncio.sleep(1 / _TRIES_PER_S)
+
+    async def _send(self, number: int) -> None:
+        kind = self._kinds[number % len(self._kinds)]
+        name = self.hosts[number % len(self.hosts)]
+        sent_s = time.monotonic()
+        try:
+            status, _, _ = await self._fleet.send_request(
+                name, f"/{kind}/{number}", f"t{number}"
+            )
+        except (OSError, TimeoutError):
+            status = 0
+        self.tries.append(_Try(f"t{number}", kind, sent_s, status))
+
+
+async def _replace(fleet, callers, name: str, tree: pathlib.Path | None):
+    """Stops a host as planned and starts it from other sources."""
+    callers.hosts.remove(name)
+    fleet.signal_host(name, signal.SIGTERM)
+    process = fleet.processes[name]
+    assert await asyncio.wait_for(process.wait(), _GRACE_S) == 0
+    if tree is None:
+        fleet.source_trees.pop(name, None)
+    else:
+        fleet.source_trees[name] = tree
+    await fleet.start_host(name)
+    await fleet.wait_ready(name)
+    callers.hosts.append(name)
+
+
+async def _check_configuration(fleet, path: str) -> None:
+    """Publishes a configuration and checks that all hosts have it in time."""
+    fleet.publish_configuration(pathPrefix=path)
+    await asyncio.sleep(_APPLY_S)
+    for name in fleet.host_names:
+        status, _, _ = await fleet.send_request(name, f"{path}x", f"c{name}")
+        assert status == 200, name
+    fleet.publish_configuration()
+
+
+async def _crash(fleet, callers, target: str) -> list[float]:
+    """Repeats a harmful request at all hosts; returns when servers ran it."""
+    for number in range(16):
+        name = callers.hosts[number % len(callers.hosts)]
+        await fleet.send_request(
+            name, target, f"{target}-{number}", budget_ms=1500
+        )
+        await asyncio.sleep(0.5)
+    return sorted(
+        crash.at_s for crash in fleet.crashes if crash.target == target.encode()
+    )
+
+
+def _count_late(crashes_s: list[float]) -> int:
+    return (
+        sum(1 for at_s in crashes_s if at_s > crashes_s[2] + _CONTACT_S)
+        if len(crashes_s) > 2
+        else 0
+    )
+
+
+def _read_events(fleet, name: str) -> collections.Counter:
+    lines = fleet.read_log(name).splitlines()
+    return collections.Counter(json.loads(line)["event"] for line in lines)
+
+
+def _check_tries(fleet, tries: list[_Try], *, served: float) -> None:
+    """Checks that all tries were answered, truthfully, and most served."""
+    executed = collections.Counter(
+        request_id
+        for server in fleet.servers.values()
+        for request_id, _ in server.executed
+    )
+    assert tries
+    for each in tries:
+        assert each.status in (200, 502, 503, 504), each
+        if each.kind == "once":
+            limit = 0 if each.status == 503 else 1
+            assert executed[each.request_id] <= limit, each
+    good = sum(each.status == 200 for each in tries)
+    assert good >= served * len(tries), (good, len(tries))
+
+
+async def test_hosts_are_replaced_one_by_one_and_back(tmp_path, old_build):
+    fleet = fleet_module.Fleet(
+        folder=tmp_path, port=26400, hosts=4, shards=2, replicas=3
+    )
+    fleet.source_trees = dict.fromkeys(fleet.host_names, old_build)
+    try:
+        fleet.store.era = 1
+        await fleet.start()
+        for name in fleet.host_names:
+            await fleet.wait_ready(name)
+        # Searches are moved to other paths meanwhile.
+        callers = _Callers(fleet, ("single", "once"))
+        await asyncio.sleep(1.0)
+        for tree in (None, old_build):
+            for number, name in enumerate(fleet.host_names):
+                await _replace(fleet, callers, name, tree)
+                if number == 1:
+                    await _check_configuration(fleet, f"/moved{id(tree)}/")
+                    # The store comes back from a copy without later changes.
+                    copy = fleet.store.take_copy()
+                    fleet.register_server("shard0-0", state="draining")
+                    await asyncio.sleep(1.0)
+                    fleet.store.restore(copy)
+                    fleet.register_server("shard0-0")
+            await _check_configuration(fleet, f"/all{id(tree)}/")
+        await callers.stop()
+        _check_tries(fleet, callers.tries, served=0.98)
+        for name in fleet.host_names:
+            assert not _read_events(fleet, name)["malformed_datagram"]
+    finally:
+        await fleet.stop()
+
+
+async def test_two_builds_share_what_they_know(tmp_path, old_build):
+    # Half of the hosts run each build.
+    fleet = fleet_module.Fleet(
+        folder=tmp_path, port=26600, hosts=4, shards=2, replicas=3, links=True
+    )
+    old = fleet.host_names[:2]
+    fleet.source_trees = dict.fromkeys(old, old_build)
+    try:
+        await fleet.start()
+        for name in fleet.host_names:
+            await fleet.wait_ready(name)
+        await asyncio.sleep(1.0)
+        callers = _Callers(fleet)
+        crashes_s = await _crash(fleet, callers, "/search/crash")
+        assert len(crashes_s) >= 3
+        assert _count_late(crashes_s) <= _MAX_LATE_TRIES
+        await asyncio.sleep(2.0)
+        # A host of either build that is cut off is served by the others.
+        for name in (old[0], fleet.host_names[-1]):
+            fleet.cut_host(name, fault_proxy.Cut.HANG)
+            await asyncio.sleep(_CONTACT_S)
+            statuses = [
+                (await fleet.send_request(name, "/search/x", f"u{i}"))[0]
+                for i in range(20)
+            ]
+            fleet.mend_host(name)
+            await asyncio.sleep(2.0)
+            assert statuses.count(200) >= 18, (name, statuses)
+        # Hosts that know rates pass them on; the others ignore that.
+        fleet.servers["shard0-0"].rate_limit = 4.0
+        await asyncio.sleep(2.0)
+        await callers.stop()
+        _check_tries(fleet, callers.tries, served=0.8)
+        for name in fleet.host_names:
+            events = _read_events(fleet, name)
+            assert bool(events["server_limit"]) == (name not in old)
+            assert not events["malformed_datagram"]
+            assert not events["handler_error"]
+    finally:
+        await fleet.stop()
+
+
+async def test_rates_of_servers_hold_over_all_hosts(tmp_path):
+    # One host alone keeps to a rate easily; three times as much arrived.
+    fleet = fleet_module.Fleet(
+        folder=tmp_path, port=26800, hosts=4, shards=2, replicas=2
+    )
+    limited = fleet.servers["shard0-0"]
+    rate = 3.0
+    try:
+        await fleet.start()
+        for name in fleet.host_names:
+            await fleet.wait_ready(name)
+        callers = _Callers(fleet)
+        await asyncio.sleep(6.5)
+        limited.rate_limit = rate
+        begun_s = time.monotonic()
+        await asyncio.sleep(8.0)
+        callers.hosts.remove("host1")
+        fleet.signal_host("host1", signal.SIGTERM)
+        await asyncio.sleep(4.0)
+        ended_s = time.monotonic()
+        limited.rate_limit = None
+        await asyncio.sleep(4.0)
+        await callers.stop()
+        arrivals = [at_s for at_s, _ in limited.arrivals]
+        during = [at_s for at_s in arrivals if begun_s + 0.5 <= at_s < ended_s]
+        most = max(
+            sum(1 for at_s in during if 0 <= at_s - start_s < _WINDOW_S)
+            for start_s in during
+        )
+        assert most <= 1.5 * rate * _WINDOW_S + 5
+        # It is still used, and more than that once the limit has ended.  Hosts
+        # of other zones prefer the other server of the shard.
+        assert len(during) >= 0.25 * rate * (ended_s - begun_s)
+        after = [at_s for at_s in arrivals if at_s >= ended_s + 2.0]
+        assert len(after) >= 2 * rate * 2.0
+        _check_tries(fleet, callers.tries, served=0.99)
+    finally:
+        await fleet.stop()
--- a/eelgrasshall/platform/fake_server.py
+++ b/eelgrasshall/platform/fake_server.py
@@ -36,6 +36,8 @@
       executed: Request id, and target followed by body, of each request.
       started_at_ms: Start of its process as stated in its registration.
       leaving: Whether it states in all answers that it is about to stop.
+      rate_limit: The requests per second that it states as its most in all
+        answers; None if it states none.
       paused_until_s: Monotonic time until which it turns all requests away and
         states for how long.
       paused_count: Number of requests that it turned away so.
@@ -56,6 +58,7 @@
         self.executed: list[tuple[str, bytes]] = []
         self.started_at_ms = 1
         self.leaving = False
+        self.rate_limit: float | None = None
         self.paused_until_s = 0.0
         self.paused_count = 0
         self.on_crash: Callable[[Crash], None] | None = None
@@ -82,6 +85,8 @@
         response = await self._answer(request)
         if self.leaving:
             response.headers.append((b"Server-Leaving", b"1"))
+        if self.rate_limit is not None:
+            response.headers.append((b"Server-Limit", b"%g" % self.rate_limit))
         return response
 
     async def _answer(self, request: messages.Request) -> listener.Response:
--- a/eelgrasshall/platform/fleet.py
+++ b/eelgrasshall/platform/fleet.py
@@ -73,6 +73,8 @@
       version: Version of the newest configuration, 0 before the first.
       crash_duration_s: Time after which a crashed server is back, seconds.
       crashes: All crashes of backend servers.
+      source_trees: Folders with other versions of the program, for the hosts
+        that are to run them from their next start on.
       on_restart: Called with the id of a crashed server before it is back.
 
     Args:
@@ -128,6 +130,7 @@
             self.store_proxies[name] = fault_proxy.FaultProxy(
                 target=self._store_address
             )
+        self.source_trees: dict[str, pathlib.Path] = {}
         self.crash_duration_s = 1.0
         self.crashes: list[fake_server.Crash] = []
         self.on_restart: Callable[[str], None] | None = None
@@ -304,6 +307,8 @@
                 stdout=log,
                 stderr=log,
                 env={**os.environ, "EELGRASSHALL_NODE_FILE": str(path)},
+                # Python looks for the program there first.
+                cwd=self.source_trees.get(name),
             )
         self._all_processes.append(process)
         self.processes[name] = process
