A malformed heartbeat does no lasting harm

Here a header with cores that are not a number was accepted and kept: from then on each answer of the directory failed with an error, until the host that it named was removed. A name or an address of another type, and JSON that is nested too deeply, raised errors out of the socket's callback.

Change: the header's fields are checked, and so are the revisions in it.

--- a/eelgrasshall/gateway/heartbeats.py
+++ b/eelgrasshall/gateway/heartbeats.py
@@ -158,10 +158,22 @@
       ValueError: The header is malformed.
       TypeError: The header is malformed.
     """
-    fields = json.loads(data)
+    try:
+        fields = json.loads(data)
+    except RecursionError as error:
+        raise ValueError("nested too deeply") from error
     name, zone, caller, control, peer, cores, link_mbps = fields[:7]
     incarnation, (beat, state, reaches_store, rate), gossip = fields[7:10]
     digest, named = fields[10:]
+    texts = (name, zone, caller, control, peer)
+    if not (all(isinstance(text, str) for text in texts) and name and zone):
+        raise TypeError("a name or an address is no text")
+    if not all(isinstance(n, int) for n in (incarnation, digest, beat, rate)):
+        raise TypeError("a number is not whole")
+    if not all(0.0 < float(n) < math.inf for n in (cores, link_mbps)):
+        raise ValueError("a size is out of range")
+    if not isinstance(gossip, list):
+        raise TypeError("the gossip is no list")
     host = model.Host(
         name=name,
         zone=zone,
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -631,7 +631,13 @@
 
     def _handle_gossip(self, sender: str, gossip: list) -> None:
         """Fetches newer objects from another host."""
-        revisions = gossip[0]
+        revisions = gossip[0] if gossip else None
+        if not isinstance(revisions, list) or not all(
+            isinstance(number, int) for number in revisions
+        ):
+            self._metrics.count("malformed_datagrams")
+            self._log.record("malformed_datagram", reason="no revisions")
+            return
         host = self._peers.find_host(sender)
         if host is not None:
             self._peer_sync.handle_revisions(
--- a/eelgrasshall/gateway/peers_test.py
+++ b/eelgrasshall/gateway/peers_test.py
@@ -366,6 +366,49 @@
     asyncio.run(receive())
 
 
+_MALFORMED = [
+    None,
+    "",
+    {},
+    [],
+    [[[]]],
+    float("nan"),
+    float("inf"),
+    -1,
+    0,
+    1e300,
+    "9" * 400,
+]
+
+
+@pytest.mark.parametrize("index", range(12))
+async def test_malformed_field_of_a_header_does_no_lasting_harm(index):
+    # A host whose cores were not a number made every answer of the directory
+    # fail from then on.
+    first, second = _make_hosts(2, port=19000)
+    protocol, _ = _make_protocol(first)
+    header = heartbeats.Header(
+        host=second,
+        incarnation=1,
+        heartbeat=heartbeats.Heartbeat(1, heartbeats.State.READY, True, 5),
+        gossip=[],
+        digest=7,
+        named=False,
+    )
+    fields = json.loads(heartbeats.encode_header(header))
+    for value in _MALFORMED:
+        malformed = [*fields[:index], value, *fields[index + 1 :]]
+        protocol.datagram_received(json.dumps(malformed).encode(), ())
+        for host in active_hosts.choose_active_hosts(protocol.list_loads()):
+            assert active_hosts.estimate_capacity(host) > 0
+        protocol.list_candidates()
+        protocol.count_missing()
+        for host in protocol.list_hosts():
+            protocol.remove_host(host.name)
+    protocol.datagram_received(b"[" * 100_000, ())
+    assert not protocol.list_alive()
+
+
 async def test_crash_datagrams_reach_other_hosts_with_the_heartbeats():
     first, second = _make_hosts(2, port=18900)
     received = []
