A host that lists the store states no deletion that it defers

Two hosts were restarted at that time. They got their data from seeds, listed the store at 438 and 449, and deferred the deletions that the listing implied, with the listing's revision. So they stated 437 and 448 though they had applied neither 427 nor 429. front-notts-vale-3 fetched from them, took that revision over, and never asked for the deletions that the watchers applied at 25.41 s; it got them at 26.41 s with the listing's revision.

Ruled out: late watches (seen within 10 ms), the doubt on mass deletions alone (2.4 s, applied at 25.41 s by four hosts).

Change: a deferred update keeps the revision up to which all was applied before it, which for an inferred deletion is the one before the listing. A deletion from another host that is newer than that confirms it.

--- a/eelgrasshall/gateway/object_cache.py
+++ b/eelgrasshall/gateway/object_cache.py
@@ -80,6 +80,18 @@
     revision: int
 
 
+class _Deferral(NamedTuple):
+    """An update that is to be applied later, if at all.
+
+    Attributes:
+      revision: Its revision.
+      after: The revision up to which all changes are applied meanwhile.
+    """
+
+    revision: int
+    after: int
+
+
 Decoder = Callable[[Collection, str, Any], Any]
 UpdateHandler = Callable[[Update, Any], None]
 EraHandler = Callable[[Collection, int, int], None]
@@ -125,7 +137,7 @@
         self._complete_since = dict.fromkeys(Collection, 0)
         self._configuration_version = 0
         self._keeps_configuration = False
-        self._deferred: dict[Collection, dict[str, int]] = {
+        self._deferred: dict[Collection, dict[str, _Deferral]] = {
             collection: {} for collection in Collection
         }
 
@@ -135,10 +147,9 @@
 
     def get_applied_revision(self, collection: Collection) -> int:
         """Returns the revision up to which all changes have been applied."""
-        deferred = self._deferred[collection]
-        revision = self._received[collection]
-        return (
-            min(revision, min(deferred.values()) - 1) if deferred else revision
+        deferred = self._deferred[collection].values()
+        return min(
+            [self._received[collection], *(each.after for each in deferred)]
         )
 
     def get_complete_since(self, collection: Collection) -> int:
@@ -170,9 +181,18 @@
             self._complete_since[collection] = revision
             self.generation += 1
 
-    def defer(self, update: Update) -> None:
-        """Records a received update that is to be applied later, if at all."""
-        self._deferred[update.collection][update.name] = update.revision
+    def defer(self, update: Update, *, after: int | None = None) -> None:
+        """Records a received update that is to be applied later, if at all.
+
+        Args:
+          update: The update.
+          after: The revision after which the change may have been made, if it
+            was inferred from a listing; None if it is the update's own.
+        """
+        if after is None:
+            after = update.revision - 1
+        deferred = self._deferred[update.collection]
+        deferred[update.name] = _Deferral(update.revision, after)
         self.generation += 1
 
     def cancel_deferral(self, update: Update) -> None:
@@ -244,10 +264,13 @@
         if update.collection is Collection.CONFIGURATION:
             self._configuration_version = getattr(value, "version", 0)
             self._keeps_configuration = is_kept
-        deferred = self._deferred[update.collection]
-        if deferred.get(update.name, update.revision + 1) <= update.revision:
+        deferral = self._deferred[update.collection].get(update.name)
+        if deferral is not None and (
+            deferral.revision <= update.revision
+            or (update.document is None and deferral.after < update.revision)
+        ):
             # Another host has confirmed the update that is deferred here.
-            del deferred[update.name]
+            del self._deferred[update.collection][update.name]
         self._on_update(update, value)
 
     def _is_kept(self, collection: Collection) -> bool:
--- a/eelgrasshall/gateway/watcher.py
+++ b/eelgrasshall/gateway/watcher.py
@@ -199,7 +199,7 @@
         for update in listing.updates:
             self._apply_or_defer(update)
         for update in self._cache.infer_deletions(listing, self._collection):
-            self._apply_or_defer(update)
+            self._apply_or_defer(update, after=received)
         self._cache.advance(self._collection, listing.revision)
         self._listed = True
 
@@ -210,8 +210,15 @@
         deleted = sum(1 for each in updates if each.document is None)
         return deleted >= MASS_DELETION_COUNT
 
-    def _apply_or_defer(self, update: object_cache.Update) -> None:
-        """Applies an update, but defers a deletion in the grace period."""
+    def _apply_or_defer(
+        self, update: object_cache.Update, *, after: int | None = None
+    ) -> None:
+        """Applies an update, but defers a deletion in the grace period.
+
+        Args:
+          update: The update.
+          after: See `object_cache.ObjectCache.defer`.
+        """
         deferred = self._deferred.pop(update.name, None)
         if deferred is not None:
             deferred.cancel()
@@ -223,7 +230,7 @@
             and self._collection is object_cache.Collection.SERVERS
             and remaining_s > 0
         ):
-            self._cache.defer(update)
+            self._cache.defer(update, after=after)
             self._deferred[update.name] = loop.call_later(
                 remaining_s, self._apply_deferred, update
             )
--- a/eelgrasshall/gateway/watcher_test.py
+++ b/eelgrasshall/gateway/watcher_test.py
@@ -340,3 +340,44 @@
     )
     await _WatcherRun(store).run_for(0.2)
     assert store.calls.count("list") < 8
+
+
+async def test_host_that_lists_states_no_deletion_that_it_defers(monkeypatch):
+    # Two servers left at revisions 427 and 429.  A host that started then and
+    # listed the store at 449 stated 448 while it deferred what the listing
+    # lacked, so that others which fetched from it never asked for the two
+    # deletions that were known elsewhere (DRAIN, clamberfield-midlands).
+    _override(monkeypatch, INITIAL_ROLE_DELAY_S=0.0)
+    store = _Store(listings=[_make_listing(449)], answers=[])
+    store.answers.append(watcher.HistoryGone())
+    run = _WatcherRun(store)
+    run.cache.apply(_make_update("s", 10, {}))
+    run.cache.advance(_SERVERS, 426)
+    await run.run_for(0.05)
+    assert "s" in run.values
+    assert run.cache.get_applied_revision(_SERVERS) <= 426
+
+    def fetch(source):
+        revisions = {_SERVERS: behind.get_received_revision(_SERVERS)}
+        document = peer_sync.encode_updates(source, revisions)
+        peer_sync.apply_updates(behind, document)
+
+    knowing = object_cache.ObjectCache(
+        decode=run.cache._decode, on_update=lambda update, value: None
+    )
+    values: dict[str, object] = {}
+    behind = object_cache.ObjectCache(
+        decode=run.cache._decode,
+        on_update=lambda update, value: values.update({update.name: value}),
+    )
+    for cache in (knowing, behind):
+        cache.apply(_make_update("s", 10, {}))
+        cache.advance(_SERVERS, 426)
+    fetch(run.cache)
+    knowing.apply(_make_update("s", 427))
+    knowing.advance(_SERVERS, 449)
+    fetch(knowing)
+    assert values["s"] is None
+    # The deletion that others have confirmed is no longer deferred.
+    run.cache.apply(_make_update("s", 427))
+    assert run.cache.get_applied_revision(_SERVERS) == 449
