Soak: servers that state how many requests they take

A fault lets servers state rates of 0 to 12 for some seconds, and a check counts what arrives from hosts that were told, by the users' rule.

--- a/eelgrasshall/gateway/relay_choice_test.py
+++ b/eelgrasshall/gateway/relay_choice_test.py
@@ -150,3 +150,9 @@
     for name, capacity in capacities.items():
         fair = total.total() * capacity / sum(capacities.values())
         assert 0.5 * fair < total[name] < 1.5 * fair
+
+
+def test_helper_has_descriptors_for_the_requests_of_many_cut_hosts():
+    # Each relayed request takes a connection.  A host has 4,100 descriptors, of
+    # which 200 are not for sockets; in a zone of 65 hosts most may be cut off.
+    assert 60 * relay_choice.MAX_IN_FLIGHT_PER_HELPER <= 4100 - 200
--- a/eelgrasshall/platform/fake_server.py
+++ b/eelgrasshall/platform/fake_server.py
@@ -44,6 +44,7 @@
       on_crash: Called when a request crashes it.
       arrivals: Monotonic time and id of each request, also of those that it
         turned away.
+      limited: Monotonic time and request id of each answer that stated a rate.
       pauses: Monotonic time, request id and end of the pause of each request
         that it turned away because of a pause.
 
@@ -63,6 +64,7 @@
         self.paused_count = 0
         self.on_crash: Callable[[Crash], None] | None = None
         self.arrivals: list[tuple[float, str]] = []
+        self.limited: list[tuple[float, str]] = []
         self.pauses: list[tuple[float, str, float]] = []
         self._listener = listener.Listener(
             handler=self._handle, get_limits=model.CallerLimits
@@ -87,6 +89,8 @@
             response.headers.append((b"Server-Leaving", b"1"))
         if self.rate_limit is not None:
             response.headers.append((b"Server-Limit", b"%g" % self.rate_limit))
+            request_id = request.get_header(b"x-attempt-id") or b""
+            self.limited.append((time.monotonic(), request_id.decode()))
         return response
 
     async def _answer(self, request: messages.Request) -> listener.Response:
--- a/eelgrasshall/platform/soak.py
+++ b/eelgrasshall/platform/soak.py
@@ -6,11 +6,11 @@
 silence the connections to the store and to backend servers, or block them in
 one direction; hosts are cut off from all backend servers; the store refuses
 calls, leaves them unanswered or drops its history or goes back to a copy;
-backend servers drain, announce that they leave, ask for pauses, hang, crash
-under a request that is sent again, or lose their registration, and recover; and
-configurations change.  Callers send requests throughout.  Invariants are
-checked on what callers and backend servers observe; each breach names its
-invariant, and the logs stay in the folder.
+backend servers drain, announce that they leave, ask for pauses, state how many
+requests they take, hang, crash under a request that is sent again, or lose
+their registration, and recover; and configurations change.  Callers send
+requests throughout.  Invariants are checked on what callers and backend servers
+observe; each breach names its invariant, and the logs stay in the folder.
 """
 
 import argparse
@@ -53,6 +53,10 @@
 # Time after the beginning of a cut after which callers of the hosts in question
 # are served nearly as those of the others.
 CONTACT_S = 4.0
+# Window in which requests to a server that states a rate are counted, and the
+# time after which a host that was told so counts.
+RATE_WINDOW_S = 4.0
+RATE_NOTICE_S = 0.5
 _OK = 200
 # Statuses that say that the request was not executed.
 _NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
@@ -85,6 +89,8 @@
       cuts: The times for which hosts were cut off from all backend servers.
       host_disturbances: Times at which each host was ended, started, frozen or
         woken.
+      rate_spans: The times for which servers stated how many requests they
+        take.
       crash_count: Number of requests that crash servers.
       leaving: For each server that states that it leaves, the monotonic time at
         which each host first passed on an answer of it.
@@ -128,6 +134,7 @@
         self.served: dict[str, bool] = {}
         self.cuts: list[soak_checks.HostCut] = []
         self.host_disturbances: dict[str, list[float]] = {}
+        self.rate_spans: list[soak_checks.RateSpan] = []
         self.crash_count = 0
         self._interval_s = interval_s
         self._request_count = 0
@@ -156,6 +163,7 @@
             self._check_crash_requests()
             self._check_pauses()
             self._check_cut_hosts()
+            self._check_rates()
         finally:
             await self.fleet.stop()
 
@@ -409,6 +417,19 @@
         ):
             self.record_breach("callers of cut hosts are served", detail)
 
+    def _check_rates(self) -> None:
+        """Checks that servers get no more requests than they stated to take."""
+        for detail in soak_checks.find_rate_excess(
+            self.rate_spans,
+            self.list_arrivals(),
+            {name: each.limited for name, each in self.fleet.servers.items()},
+            self.tries,
+            self._list_disturbances(),
+            window_s=RATE_WINDOW_S,
+            notice_s=RATE_NOTICE_S,
+        ):
+            self.record_breach("rates that servers state", detail)
+
     def _list_disturbances(self) -> dict[str, list[float]]:
         """Returns the disturbances of each host, with the ends of its cuts."""
         found = {
@@ -460,6 +481,7 @@
         for name, server in self.fleet.servers.items():
             server.service_time_s = 0.005
             server.paused_until_s = 0.0
+            server.rate_limit = None
             if self.leaving.pop(name, None) is not None:
                 server.leaving = False
                 server.started_at_ms += 1
--- a/eelgrasshall/platform/soak_checks.py
+++ b/eelgrasshall/platform/soak_checks.py
@@ -62,6 +62,22 @@
     end_s: float
 
 
+class RateSpan(NamedTuple):
+    """A time for which a server stated the most requests that it takes.
+
+    Attributes:
+      server_id: The server.
+      rate: Requests per second.
+      begin_s: Monotonic time at which it began.
+      end_s: Monotonic time at which it ended.
+    """
+
+    server_id: str
+    rate: float
+    begin_s: float
+    end_s: float
+
+
 class Turn(NamedTuple):
     """A request that a server turned away while it asked for a pause.
 
@@ -208,6 +224,61 @@
     )
 
 
+def find_rate_excess(
+    spans: Iterable[RateSpan],
+    arrivals: Iterable[Arrival],
+    limited: Mapping[str, Sequence[tuple[float, str]]],
+    tries: Iterable[Try],
+    excused: dict[str, list[float]],
+    *,
+    window_s: float,
+    notice_s: float,
+) -> list[str]:
+    """Returns the servers that got more requests than they stated to take.
+
+    In a window that ends later than its length after the beginning, 1.5 times
+    the rate and five more are allowed, over the hosts that were told.
+
+    Args:
+      spans: The times for which servers stated rates.
+      arrivals: All arrivals at backend servers.
+      limited: For each server, monotonic time and request id of each answer
+        that stated a rate.
+      tries: All tries of callers.
+      excused: Times at which hosts were restarted, frozen or cut off, by host.
+        What they send within a window after that does not count.
+      window_s: Length of the window, seconds.
+      notice_s: Time after an answer to a host from which its requests count.
+    """
+    hosts = {each.request_id: each.host for each in tries}
+    arrivals = sorted(arrivals)
+    found = []
+    for span in spans:
+        told: dict[str, float] = {}
+        for at_s, request_id in limited[span.server_id]:
+            if request_id in hosts and span.begin_s <= at_s < span.end_s:
+                told.setdefault(hosts[request_id], at_s)
+        times = [
+            each.at_s
+            for each in arrivals
+            if each.server_id == span.server_id
+            and span.begin_s <= each.at_s < span.end_s
+            and (host := hosts.get(each.request_id)) in told
+            and told[host] + notice_s <= each.at_s
+            and not any(
+                0 <= each.at_s - at_s < window_s
+                for at_s in excused.get(host, ())
+            )
+        ]
+        allowed = 1.5 * span.rate * window_s + 5
+        most = max(
+            (_count(times, end_s, window_s) for end_s in times), default=0
+        )
+        if most > allowed:
+            found.append(f"{span.server_id}: {most} of {allowed:.0f}")
+    return found
+
+
 def find_unserved(
     tries: Iterable[Try],
     served: Mapping[str, bool],
--- a/eelgrasshall/platform/soak_checks_test.py
+++ b/eelgrasshall/platform/soak_checks_test.py
@@ -136,3 +136,33 @@
     assert not _find_unserved(cut_served=0, other_served=40, excused=disturbed)
     disturbed = {"cut": [9.9]}
     assert _find_unserved(cut_served=0, other_served=40, excused=disturbed)
+
+
+def test_requests_beyond_a_stated_rate_are_found():
+    span = soak_checks.RateSpan("s", 1.0, 10.0, 20.0)
+    tries = [
+        soak_checks.Try(f"{host}{number}", host, 0.0, ("p",))
+        for host in "ab"
+        for number in range(30)
+    ]
+
+    def find(arrivals, limited, excused=None):
+        return soak_checks.find_rate_excess(
+            [span],
+            [soak_checks.Arrival(at, name, "p", "s") for at, name in arrivals],
+            {"s": limited},
+            tries,
+            excused or {},
+            window_s=4.0,
+            notice_s=0.5,
+        )
+
+    told = [(10.1, "a0"), (10.2, "b0")]
+    few = [(12.0 + n / 10, f"a{n}") for n in range(11)]
+    many = [*few, (13.5, "b1")]
+    assert not find(few, told)
+    assert find(many, told) == ["s: 12 of 11"]
+    # The second host was not told, or was restarted.
+    assert not find(many, told[:1])
+    assert not find(many, told, {"b": [11.0]})
+    assert find(many, told, {"b": [9.0]})
--- a/eelgrasshall/platform/soak_faults.py
+++ b/eelgrasshall/platform/soak_faults.py
@@ -16,6 +16,7 @@
 
 from eelgrasshall.gateway import object_cache
 from eelgrasshall.platform import fault_proxy
+from eelgrasshall.platform import soak_checks
 from eelgrasshall.platform import wire_names
 
 if TYPE_CHECKING:
@@ -259,3 +260,20 @@
     soak.fleet.store.delete("servers", name)
     await asyncio.sleep(soak.random.uniform(0.1, 2.0))
     soak.fleet.register_server(name)
+
+
+@register_fault
+async def state_rate_limit(soak: "soak_module.Soak") -> None:
+    """Lets a server state how many requests it takes, which may change."""
+    name = soak.random.choice(sorted(soak.fleet.servers))
+    server = soak.fleet.servers[name]
+    if server.rate_limit is not None:
+        return
+    rate = soak.random.choice((0.0, 1.0, 4.0, 12.0))
+    begin_s = time.monotonic()
+    server.rate_limit = rate
+    await asyncio.sleep(soak.random.uniform(5.0, 9.0))
+    server.rate_limit = None
+    soak.rate_spans.append(
+        soak_checks.RateSpan(name, rate, begin_s, time.monotonic())
+    )
