A second listing does not raise what a host states while it defers

The test lists twice now and failed (440 stated instead of 426).

Beside that, only moved: the part of a limit that is due to the heard hosts (active_hosts.compute_part), the dump of one server, the log line of a rate.

--- a/eelgrasshall/gateway/active_hosts.py
+++ b/eelgrasshall/gateway/active_hosts.py
@@ -96,9 +96,6 @@
 ) -> float:
     """Returns this host's share of the fixed part of a fleet-wide limit.
 
-    Hosts that are not heard may serve on, cut off from this one.  They divide
-    what this side of the partition leaves, by the number of its hosts.
-
     Args:
       is_active: Whether this host is one of the active hosts.
       sharing: Number of hosts among which the limit is divided.
@@ -107,7 +104,20 @@
     """
     if not is_active:
         return 0.0
-    return heard / (heard + missing) / max(sharing, 1)
+    return compute_part(heard=heard, missing=missing) / max(sharing, 1)
+
+
+def compute_part(*, heard: int, missing: int) -> float:
+    """Returns the part of a fleet-wide limit that is due to the heard hosts.
+
+    Hosts that are not heard may serve on, cut off from this one.  They divide
+    what this side of the partition leaves, by the number of its hosts.
+
+    Args:
+      heard: Number of hosts that are heard, including this one.
+      missing: Number of hosts that may serve though they are not heard.
+    """
+    return heard / (heard + missing)
 
 
 def _sort_key(host: model.Host) -> tuple[int, int, str]:
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -574,7 +574,7 @@
         self._registry.set_fleet_view(
             rate_limits.FleetView(
                 tuple(sorted(host.name for host in active)),
-                heard / (heard + missing),
+                active_hosts.compute_part(heard=heard, missing=missing),
             )
         )
         self._request_handler.set_extra_share(
--- a/eelgrasshall/gateway/registry.py
+++ b/eelgrasshall/gateway/registry.py
@@ -380,21 +380,7 @@
         """Returns the state of each candidate for the state dump."""
         now = self._environment.loop.time()
         return {
-            server_id: {
-                "service": backend.server.service,
-                "in_flight": len(backend.pending),
-                "connections": backend.open_connections,
-                "slowness": round(backend.latency_ratio, 2),
-                "errors": round(backend.get_error_rate(now), 2),
-                "refusals": round(backend.get_refusal_rate(now), 2),
-                "unreachable": backend.unreachable,
-                "pause_s": round(backend.get_pause_s(now), 2),
-                "rate": backend.limiter.rate if backend.limiter else None,
-                "rate_share": backend.limiter.share
-                if backend.limiter
-                else None,
-                "cold": backend.cold_start.is_cold(now),
-            }
+            server_id: _dump_backend(backend, now)
             for server_id, backend in self._backends.items()
         }
 
@@ -476,21 +462,31 @@
         backend = self._backends.get(server_id)
         if backend is not None:
             self._set_limiter(backend)
+        self._log_rate(statement, backend, is_remote=is_remote)
+
+    def _log_rate(
+        self,
+        statement: rate_limits.Statement,
+        backend: upstream.Backend | None,
+        *,
+        is_remote: bool,
+    ) -> None:
+        """Logs a server's rate, unless one was logged just before."""
+        server_id = statement.server_id
         now = self._environment.loop.time()
-        if now - self._rate_logged_s.get(server_id, -math.inf) < (
-            RATE_LOG_INTERVAL_S
-        ):
+        logged_s = self._rate_logged_s.get(server_id, -math.inf)
+        if now - logged_s < RATE_LOG_INTERVAL_S:
             return
         self._rate_logged_s.pop(server_id, None)
         self._rate_logged_s[server_id] = now
         if len(self._rate_logged_s) > MAX_REMEMBERED:
             del self._rate_logged_s[next(iter(self._rate_logged_s))]
-        limiter = backend.limiter if backend is not None else None
+        limiter = None if backend is None else backend.limiter
         self._log.record(
             "server_limit",
             server=server_id,
             rate=statement.rate,
-            share=limiter.share if limiter is not None else None,
+            share=None if limiter is None else round(limiter.share, 3),
             from_host=is_remote,
         )
 
@@ -634,6 +630,24 @@
             )
 
 
+def _dump_backend(backend: upstream.Backend, now: float) -> dict[str, Any]:
+    """Returns the state of a server for the state dump."""
+    limiter = backend.limiter
+    return {
+        "service": backend.server.service,
+        "in_flight": len(backend.pending),
+        "connections": backend.open_connections,
+        "slowness": round(backend.latency_ratio, 2),
+        "errors": round(backend.get_error_rate(now), 2),
+        "refusals": round(backend.get_refusal_rate(now), 2),
+        "unreachable": backend.unreachable,
+        "pause_s": round(backend.get_pause_s(now), 2),
+        "rate": None if limiter is None else limiter.rate,
+        "rate_share": None if limiter is None else round(limiter.share, 3),
+        "cold": backend.cold_start.is_cold(now),
+    }
+
+
 def choose_subset_size(servers: int, max_connections: int, hosts: int) -> int:
     """Returns how many servers of a service one host uses.
 
--- a/eelgrasshall/gateway/watcher.py
+++ b/eelgrasshall/gateway/watcher.py
@@ -195,11 +195,12 @@
             # was unreachable, or been written after the copy from which it came
             # back.
             self._grace_start_s = asyncio.get_running_loop().time()
+        applied = self._cache.get_applied_revision(self._collection)
         self._cache.start_at(self._collection, listing.revision)
         for update in listing.updates:
             self._apply_or_defer(update)
         for update in self._cache.infer_deletions(listing, self._collection):
-            self._apply_or_defer(update, after=received)
+            self._apply_or_defer(update, after=applied)
         self._cache.advance(self._collection, listing.revision)
         self._listed = True
 
--- a/eelgrasshall/gateway/watcher_test.py
+++ b/eelgrasshall/gateway/watcher_test.py
@@ -348,8 +348,11 @@
     # lacked, so that others which fetched from it never asked for the two
     # deletions that were known elsewhere (DRAIN, clamberfield-midlands).
     _override(monkeypatch, INITIAL_ROLE_DELAY_S=0.0)
-    store = _Store(listings=[_make_listing(449)], answers=[])
-    store.answers.append(watcher.HistoryGone())
+    # The history is gone once more while the deletion is deferred.
+    store = _Store(
+        listings=[_make_listing(440), _make_listing(449)],
+        answers=[watcher.HistoryGone()] * 2,
+    )
     run = _WatcherRun(store)
     run.cache.apply(_make_update("s", 10, {}))
     run.cache.advance(_SERVERS, 426)
