--- a/eelgrasshall/platform/builds_test.py
+++ b/eelgrasshall/platform/builds_test.py
@@ -88,12 +88,12 @@
         async with asyncio.TaskGroup() as group:
             while self.hosts:
                 self._number += 1
-                group.create_task(self._send(self._number))
+                name = self.hosts[self._number % len(self.hosts)]
+                group.create_task(self._send(self._number, name))
                 await asyncio.sleep(1 / _TRIES_PER_S)
 
-    async def _send(self, number: int) -> None:
+    async def _send(self, number: int, name: str) -> None:
         kind = self._kinds[number % len(self._kinds)]
-        name = self.hosts[number % len(self.hosts)]
         sent_s = time.monotonic()
         try:
             status, _, _ = await self._fleet.send_request(
