A bad entry or an unexpected error does not end what a host does in the background

Found by trying each field of a server's entry with values that JSON allows: 1e999 and whole numbers of hundreds of digits raise OverflowError, which the reader of documents did not expect. The watch of all servers ended by it, without a line in the log, at each host that watches; none of the others took over, as the host went on saying that it reaches the store. A document that is nested too deeply did the same through the client, and an error in a periodic task (deadlines, heartbeats, load) ended that task, since each planned its next run last.

Change: numbers of a server have to be finite; whatever a document raises makes it unreadable, with its line in the log; a background task that ends by an error is logged (task_failed) and begins again after 1 s; periodic tasks plan their next run first; errors in callbacks of the event loop are lines of the log as well (unexpected_error). A page of the store that is nested too deeply is still not read at all, so that its other entries wait: open.

--- a/eelgrasshall/gateway/client.py
+++ b/eelgrasshall/gateway/client.py
@@ -120,6 +120,11 @@
             compressed = headers.get(b"content-encoding", b"").lower()
             text = _decompress(data) if compressed == b"gzip" else data
             document = json.loads(text) if text else None
+        except RecursionError as error:
+            raise CallError(
+                "JSON in the response is nested too deeply",
+                received_bytes=len(data),
+            ) from error
         except (ValueError, zlib.error) as error:
             raise CallError(
                 f"invalid JSON in the response: {error}",
--- a/eelgrasshall/gateway/client_test.py
+++ b/eelgrasshall/gateway/client_test.py
@@ -155,3 +155,10 @@
     async with _serve(18970, [interim + _encode(b"[1]")]) as caller:
         response = await caller.call("GET", "/x", timeout_s=5.0)
         assert response.status == 200 and response.document == [1]
+
+
+async def test_document_that_is_nested_too_deeply_is_an_error():
+    body = b"[" * 100_000 + b"]" * 100_000
+    async with _serve(19320, [_encode(body)]) as json_client:
+        with pytest.raises(client.CallError, match="nested"):
+            await json_client.call("GET", "/", timeout_s=0.5)
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 import json
 import random as random_module
 import traceback
@@ -35,6 +36,8 @@
 from eelgrasshall.gateway import request_handler
 from eelgrasshall.gateway import watcher
 
+# Delay before a background task begins again that ended by an error.
+TASK_RESTART_DELAY_S = 1.0
 # Interval between checks for timed-out attempts and connections.
 SWEEP_INTERVAL_S = 0.1
 # Interval between measurements of this host's load, and the weight of the
@@ -250,7 +253,8 @@
                 extra = self._make_listener(self._handle_internal_request)
                 self._extra_listeners.append(extra)
                 await extra.start(address)
-        self._tasks.append(self._loop.create_task(self._bootstrap()))
+        self._loop.set_exception_handler(self._log_loop_error)
+        self._start_task("bootstrap", self._bootstrap)
         self._start_publishing()
         self._sweep()
         self._update_attempt_rate()
@@ -470,7 +474,8 @@
         """Decodes a document; logs an invalid one and returns None."""
         try:
             return self._decode_document(collection, document)
-        except ValueError as error:
+        except Exception as error:
+            # Any writer may have written it: it must not end the watch.
             self._metrics.count("unreadable_objects")
             self._log.record(
                 "unreadable",
@@ -540,9 +545,48 @@
         for update in self._object_cache.list_unconfirmed(collection):
             self._object_cache.apply(update)
 
+    def _start_task(
+        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Starts a background task, by a name for the log."""
+        task = self._loop.create_task(self._supervise(name, run))
+        self._tasks.append(task)
+
+    async def _supervise(
+        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Runs a background task; one that ends by an error begins again."""
+        while True:
+            try:
+                return await run()
+            except Exception as error:
+                self._metrics.count("task_errors")
+                self._log.record(
+                    "task_failed",
+                    task=name,
+                    reason=repr(error),
+                    trace="".join(traceback.format_tb(error.__traceback__)),
+                )
+            await asyncio.sleep(TASK_RESTART_DELAY_S)
+
+    def _log_loop_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Logs an error that ended a callback or a task of the event loop."""
+        del loop
+        self._metrics.count("unexpected_errors")
+        error = context.get("exception")
+        self._log.record(
+            "unexpected_error",
+            reason=f"{context.get('message')}: {error!r}",
+            trace="".join(
+                traceback.format_tb(error.__traceback__) if error else ()
+            ),
+        )
+
     def _start_publishing(self) -> None:
         """Publishes this host in the background."""
-        self._tasks.append(self._loop.create_task(self._publish_with_retries()))
+        self._start_task("publish", self._publish_with_retries)
 
     def _schedule_share_update(self) -> None:
         """Schedules an update of the shares after a change of the hosts.
@@ -716,14 +760,14 @@
 
     def _update_attempt_rate(self) -> None:
         """Updates the attempt rate and the shares of the limits."""
+        self._rate_timer = self._loop.call_later(
+            RATE_INTERVAL_S, self._update_attempt_rate
+        )
         sent = self._metrics.counters["attempts_sent"]
         rate = (sent - self._last_attempts_sent) / RATE_INTERVAL_S
         self._last_attempts_sent = sent
         self._attempts_per_s += (rate - self._attempts_per_s) * RATE_WEIGHT
         self._update_shares()
-        self._rate_timer = self._loop.call_later(
-            RATE_INTERVAL_S, self._update_attempt_rate
-        )
 
     def _reaches_store(self) -> bool:
         """Returns whether the watches of all collections are connected."""
@@ -767,13 +811,12 @@
             await self._peer_sync.fetch_from_seeds(seeds, SEED_TIMEOUT_S)
         else:
             seeds.remove(own)
-            self._tasks.append(
-                self._loop.create_task(
-                    self._peer_sync.fetch_from_seeds(seeds, 0.0)
-                )
+            self._start_task(
+                "fetch from seeds",
+                lambda: self._peer_sync.fetch_from_seeds(seeds, 0.0),
             )
         for each in self._watchers:
-            self._tasks.append(self._loop.create_task(each.run()))
+            self._start_task(f"watch {each.collection.name}", each.run)
 
     async def _publish_with_retries(self) -> None:
         """Publishes this host in the store; retries until it succeeds."""
@@ -784,9 +827,9 @@
 
     def _sweep(self) -> None:
         """Ends timed-out attempts and writes log lines that are waiting."""
-        self._registry.sweep(self._loop.time())
-        self._log.flush()
         self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+        self._log.flush()
+        self._registry.sweep(self._loop.time())
 
     def _make_listener(
         self,
--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -416,7 +416,7 @@
         except client.CallError as error:
             failure = error
             received_bytes = max(received_bytes, error.received_bytes)
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
             failure = error
         finally:
             peer_client.close()
--- a/eelgrasshall/gateway/peers.py
+++ b/eelgrasshall/gateway/peers.py
@@ -427,11 +427,11 @@
 
     def _tick(self) -> None:
         """Sends the heartbeats of one period and schedules the next one."""
+        self._timer = self._loop.call_later(self._period_s, self._tick)
         self._increment_beat()
         targets = self._choose_targets()
         self._send_to(targets, with_table=self._is_large)
         self._send_channels(targets)
-        self._timer = self._loop.call_later(self._period_s, self._tick)
 
     def _send_channels(self, hosts: Iterable[model.Host]) -> None:
         """Sends what the channels have to send."""
--- a/eelgrasshall/gateway/watcher.py
+++ b/eelgrasshall/gateway/watcher.py
@@ -124,6 +124,11 @@
         self._watching = False
         self._deferred: dict[str, asyncio.TimerHandle] = {}
 
+    @property
+    def collection(self) -> object_cache.Collection:
+        """The collection."""
+        return self._collection
+
     @property
     def connected(self) -> bool:
         """Whether this host watches and its last call was answered."""
@@ -131,6 +136,7 @@
 
     async def run(self) -> None:
         """Keeps the collection up to date until the task is cancelled."""
+        self._watching = False
         if self._cache.get_received_revision(self._collection):
             # Other hosts supplied the objects, and one of them may be about
             # to watch.
--- a/eelgrasshall/platform/codec.py
+++ b/eelgrasshall/platform/codec.py
@@ -4,6 +4,7 @@
 rejected as a whole; no part of it is used.
 """
 
+import math
 from typing import Any
 
 from eelgrasshall.gateway import model
@@ -38,7 +39,13 @@
             return _decode_server(name, spec)
         if collection is object_cache.Collection.HOSTS:
             return _decode_host(name, spec)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         raise DecodeError(f"{type(error).__name__}: {error}") from error
     return True
 
@@ -152,13 +159,14 @@
 
 
 def _check_number(value: Any) -> float:
-    """Returns the value if it is a non-negative number.
+    """Returns the value if it is a finite number that is not negative.
 
     Raises:
       TypeError: The value is something else.
+      OverflowError: The value is too large to convert.
     """
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"expected a number, got {value!r}")
-    if value < 0:
-        raise TypeError(f"expected a non-negative number, got {value!r}")
+    if value < 0 or not math.isfinite(value):
+        raise TypeError(f"expected a finite number from 0 on, got {value!r}")
     return value
--- a/eelgrasshall/platform/codec_test.py
+++ b/eelgrasshall/platform/codec_test.py
@@ -158,3 +158,15 @@
     host = fakes.make_host()
     spec = codec.encode_host(host)
     assert _decode(object_cache.Collection.HOSTS, spec, host.name) == host
+
+
+@pytest.mark.parametrize("field", ["slots", "coldLeftMs", "born"])
+@pytest.mark.parametrize("value", [1e999, -1e999, float("nan"), 10**400])
+def test_server_with_a_number_out_of_range_is_rejected(field, value):
+    # One such entry ended the watch of all servers: the error was not one that
+    # the reader expects.
+    with pytest.raises(codec.DecodeError):
+        codec.decode(
+            object_cache.Collection.SERVERS,
+            {"name": "s1", "spec": {**_SERVER, field: value}},
+        )
