A late response of a server's former process does not replace its rate; a host with no stated link is heard

Review: a response that comes after a server has started again under its id put the former process's rate in place of the new one's, until the next response. The check of headers refused a link of 0, with which a host would not have been heard at all; as a figure it is allowed, the planned load is only not bounded by it.

--- a/eelgrasshall/gateway/heartbeats.py
+++ b/eelgrasshall/gateway/heartbeats.py
@@ -170,7 +170,7 @@
         raise TypeError("a name or an address is no text")
     if not all(isinstance(n, int) for n in (incarnation, digest, beat, rate)):
         raise TypeError("a number is not whole")
-    if not all(0.0 < float(n) < math.inf for n in (cores, link_mbps)):
+    if not all(0.0 <= float(n) < math.inf for n in (cores, link_mbps)):
         raise ValueError("a size is out of range")
     if not isinstance(gossip, list):
         raise TypeError("the gossip is no list")
--- a/eelgrasshall/gateway/rate_limits.py
+++ b/eelgrasshall/gateway/rate_limits.py
@@ -287,9 +287,12 @@
         """
         known = self._statements.get(server_id)
         stated = Statement(server_id, started_at_ms, rate, now, now)
-        if known is None or known.started_at_ms != started_at_ms:
+        if known is None or known.started_at_ms < started_at_ms:
             if rate is not None:
                 self._set(stated, now, is_remote=False)
+        elif known.started_at_ms > started_at_ms:
+            # A late response of the server's process before.
+            return
         elif stated.level == known.level:
             self._statements[server_id] = known._replace(observed_s=now)
         elif stated.level < known.level or sent_s > known.since_s:
--- a/eelgrasshall/gateway/rate_limits_test.py
+++ b/eelgrasshall/gateway/rate_limits_test.py
@@ -237,6 +237,10 @@
     limits.record("s", 2, 3.0, sent_s=1.9, now=2.0)
     assert limits.find_limiter("s", 1) is None
     assert limits.find_limiter("s", 2).rate == 3.0
+    # A late response of the process before.
+    limits.record("s", 1, 10.0, sent_s=1.5, now=2.1)
+    limits.record("s", 1, None, sent_s=1.5, now=2.1)
+    assert limits.find_limiter("s", 2).rate == 3.0
 
 
 def test_room_is_what_the_rate_leaves():
