Types of workspaces and rollouts; supervision and gossip channels leave host.py

Cause: rollouts, workspaces and even load (docs/design/hard-load.md) are built side by side, and all three touch host.py, which had 858 lines and several jobs. The tests of crash datagrams now send them through the heartbeat protocol.

--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -23,6 +23,7 @@
     server_id=b"x-server",
     part_seals=b"x-parts",
     parts_missing=b"x-missing",
+    workspace=b"x-workspace",
 )
 
 
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Coroutine
 import json
 import random as random_module
 import traceback
@@ -16,10 +15,10 @@
 
 from eelgrasshall.gateway import active_hosts
 from eelgrasshall.gateway import cold_start
-from eelgrasshall.gateway import crash_gossip
 from eelgrasshall.gateway import directory
 from eelgrasshall.gateway import election
 from eelgrasshall.gateway import events
+from eelgrasshall.gateway import gossip_channels
 from eelgrasshall.gateway import heartbeats
 from eelgrasshall.gateway import hedging
 from eelgrasshall.gateway import listener
@@ -29,15 +28,13 @@
 from eelgrasshall.gateway import object_cache
 from eelgrasshall.gateway import peer_sync
 from eelgrasshall.gateway import peers
-from eelgrasshall.gateway import rate_gossip
 from eelgrasshall.gateway import rate_limits
 from eelgrasshall.gateway import relay
 from eelgrasshall.gateway import relay_choice
 from eelgrasshall.gateway import request_handler
+from eelgrasshall.gateway import supervision
 from eelgrasshall.gateway import watcher
 
-# Delay before a background task begins again that ended by an error.
-TASK_RESTART_DELAY_S = 1.0
 # Interval between checks for timed-out attempts and connections.
 SWEEP_INTERVAL_S = 0.1
 # Interval between measurements of this host's load, and the weight of the
@@ -142,7 +139,9 @@
         self._publish = publish
         self._log = log
         self._metrics = metrics.Metrics()
-        self._tasks: list[asyncio.Task] = []
+        self._supervisor = supervision.Supervisor(
+            loop=self._loop, log=log, count=self._metrics.count
+        )
         self._relay = relay.Relay(
             own=options.host,
             names=options.names,
@@ -195,18 +194,12 @@
             on_gossip=self._handle_gossip,
             on_hosts_changed=self._schedule_share_update,
             on_links_lost=self._request_handler.links.check_if_unproven,
-            channels=[
-                peers.Channel(
-                    crash_gossip.PREFIX,
-                    self._build_crash_datagram,
-                    self._handle_crash_datagram,
-                ),
-                peers.Channel(
-                    rate_gossip.PREFIX,
-                    self._build_rate_datagram,
-                    self._handle_rate_datagram,
-                ),
-            ],
+            channels=gossip_channels.make_channels(
+                handler=self._request_handler,
+                loop=self._loop,
+                log=log,
+                count=self._metrics.count,
+            ),
         )
         self._caller_listener = self._make_listener(self._handle_request)
         self._control_listener = self._make_listener(
@@ -253,8 +246,8 @@
                 extra = self._make_listener(self._handle_internal_request)
                 self._extra_listeners.append(extra)
                 await extra.start(address)
-        self._loop.set_exception_handler(self._log_loop_error)
-        self._start_task("bootstrap", self._bootstrap)
+        self._loop.set_exception_handler(self._supervisor.log_loop_error)
+        self._supervisor.start("bootstrap", self._bootstrap)
         self._start_publishing()
         self._sweep()
         self._update_attempt_rate()
@@ -301,8 +294,7 @@
 
     def stop(self) -> None:
         """Closes all listeners and connections immediately."""
-        for task in self._tasks:
-            task.cancel()
+        self._supervisor.stop()
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
         for timer in (self._rate_timer, self._share_timer):
@@ -545,48 +537,9 @@
         for update in self._object_cache.list_unconfirmed(collection):
             self._object_cache.apply(update)
 
-    def _start_task(
-        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
-    ) -> None:
-        """Starts a background task, by a name for the log."""
-        task = self._loop.create_task(self._supervise(name, run))
-        self._tasks.append(task)
-
-    async def _supervise(
-        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
-    ) -> None:
-        """Runs a background task; one that ends by an error begins again."""
-        while True:
-            try:
-                return await run()
-            except Exception as error:
-                self._metrics.count("task_errors")
-                self._log.record(
-                    "task_failed",
-                    task=name,
-                    reason=repr(error),
-                    trace="".join(traceback.format_tb(error.__traceback__)),
-                )
-            await asyncio.sleep(TASK_RESTART_DELAY_S)
-
-    def _log_loop_error(
-        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
-    ) -> None:
-        """Logs an error that ended a callback or a task of the event loop."""
-        del loop
-        self._metrics.count("unexpected_errors")
-        error = context.get("exception")
-        self._log.record(
-            "unexpected_error",
-            reason=f"{context.get('message')}: {error!r}",
-            trace="".join(
-                traceback.format_tb(error.__traceback__) if error else ()
-            ),
-        )
-
     def _start_publishing(self) -> None:
         """Publishes this host in the background."""
-        self._start_task("publish", self._publish_with_retries)
+        self._supervisor.start("publish", self._publish_with_retries)
 
     def _schedule_share_update(self) -> None:
         """Schedules an update of the shares after a change of the hosts.
@@ -688,44 +641,6 @@
                 sender, host.control_address, revisions
             )
 
-    def _build_crash_datagram(self) -> bytes | None:
-        """Returns crash reports for other hosts, or None if there are none."""
-        now = self._loop.time()
-        entries = self._request_handler.quarantine.list_gossip(
-            now, crash_gossip.MAX_ENTRIES
-        )
-        return crash_gossip.encode(entries, now) if entries else None
-
-    def _handle_crash_datagram(self, datagram: bytes) -> None:
-        """Adds another host's crash reports; ignores a malformed datagram."""
-        entries = self._decode_datagram(crash_gossip.decode, datagram)
-        if entries is not None:
-            self._request_handler.add_crash_gossip(entries)
-
-    def _build_rate_datagram(self) -> bytes | None:
-        """Returns rates of servers for other hosts, or None without any."""
-        statements = self._registry.list_rate_gossip(rate_gossip.MAX_ENTRIES)
-        if not statements:
-            return None
-        return rate_gossip.encode(statements, self._loop.time())
-
-    def _handle_rate_datagram(self, datagram: bytes) -> None:
-        """Adds rates that another host passed on, unless malformed."""
-        statements = self._decode_datagram(rate_gossip.decode, datagram)
-        if statements is not None:
-            self._registry.merge_rates(statements)
-
-    def _decode_datagram(
-        self, decode: Callable[[bytes, float], list], datagram: bytes
-    ) -> list | None:
-        """Decodes a datagram; logs a malformed one and returns None."""
-        try:
-            return decode(datagram, self._loop.time())
-        except (ValueError, TypeError, OverflowError, RecursionError) as error:
-            self._metrics.count("malformed_datagrams")
-            self._log.record("malformed_datagram", reason=str(error))
-            return None
-
     def _list_active_hosts(self) -> list[model.Host]:
         """Returns the active hosts, recomputed after `VIEW_TTL_S`."""
         self._update_view()
@@ -811,12 +726,12 @@
             await self._peer_sync.fetch_from_seeds(seeds, SEED_TIMEOUT_S)
         else:
             seeds.remove(own)
-            self._start_task(
+            self._supervisor.start(
                 "fetch from seeds",
                 lambda: self._peer_sync.fetch_from_seeds(seeds, 0.0),
             )
         for each in self._watchers:
-            self._start_task(f"watch {each.collection.name}", each.run)
+            self._supervisor.start(f"watch {each.collection.name}", each.run)
 
     async def _publish_with_retries(self) -> None:
         """Publishes this host in the store; retries until it succeeds."""
--- a/eelgrasshall/gateway/host_test.py
+++ b/eelgrasshall/gateway/host_test.py
@@ -19,6 +19,7 @@
 from eelgrasshall.gateway import object_cache
 from eelgrasshall.gateway import peer_sync
 from eelgrasshall.gateway import quarantine
+from eelgrasshall.gateway import supervision
 from eelgrasshall.gateway import watcher
 
 _CONFIGURATION = object_cache.Collection.CONFIGURATION
@@ -172,7 +173,8 @@
             )
             for i in range(3)
         ]
-        host._handle_crash_datagram(crash_gossip.encode(reports, now))
+        datagram = crash_gossip.encode(reports, now)
+        host._peers.datagram_received(datagram, ("127.0.0.1", 1))
         status, data = await call("/new/poison")
         assert status == 503
         remaining_s = float(data.partition(b"retry-after: ")[2].split()[0])
@@ -184,7 +186,8 @@
 async def test_malformed_crash_reports_are_counted_and_ignored():
     store = _FakeStore()
     async with _run_host(store, port=19480) as (host, _):
-        host._handle_crash_datagram(crash_gossip.PREFIX + b"[5]")
+        datagram = crash_gossip.PREFIX + b"[5]"
+        host._peers.datagram_received(datagram, ("127.0.0.1", 1))
         assert host.dump()["counters"]["malformed_datagrams"] == 1
 
 
@@ -596,7 +599,7 @@
 
 
 async def test_watch_that_ends_by_an_error_begins_again(monkeypatch):
-    monkeypatch.setattr(host_module, "TASK_RESTART_DELAY_S", 0.1)
+    monkeypatch.setattr(supervision, "TASK_RESTART_DELAY_S", 0.1)
     monkeypatch.setattr(watcher, "INITIAL_ROLE_DELAY_S", 0.0)
     store = _FakeStore()
     configuration = _make_configuration(1, "/find/")
--- a/eelgrasshall/gateway/model.py
+++ b/eelgrasshall/gateway/model.py
@@ -4,6 +4,7 @@
 The adapter of the platform on which the gateway runs decodes them.
 """
 
+import enum
 import ipaddress
 from typing import NamedTuple
 
@@ -65,6 +66,7 @@
       priority: Priority of the route; 0 is the highest.
       top_n: Maximum number of records in the answer to a search.
       min_share: Minimum share of the shards in the answer to a search.
+      keyless: Whether requests need no API key where workspaces have keys.
     """
 
     name: str
@@ -79,6 +81,7 @@
     priority: int
     top_n: int
     min_share: float
+    keyless: bool = False
 
 
 class Service(NamedTuple):
@@ -101,6 +104,26 @@
     cold_rate_per_s: float
 
 
+class Workspace(NamedTuple):
+    """A customer organisation, whose callers identify themselves by API keys.
+
+    Attributes:
+      name: Name of the workspace, as backend servers are told it.
+      key_digests: Digests of its keys; see `credentials.compute_digest`.
+      priority: Priority of its requests, before that of the route; 0 is the
+        highest.
+      rate_per_s: Requests per second that it may send to all entry hosts
+        together; 0.0 if the configuration sets no limit.
+      burst: Requests that it may send at once beyond that rate.
+    """
+
+    name: str
+    key_digests: frozenset[bytes]
+    priority: int = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 class CallerLimits(NamedTuple):
     """Limits on the size and duration of callers' requests.
 
@@ -126,12 +149,14 @@
       routes: All routes.
       services: The services by name.
       limits: Limits on callers' requests.
+      workspaces: The workspaces by name; None if callers need no keys.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallerLimits
+    workspaces: dict[str, Workspace] | None = None
 
 
 class Server(NamedTuple):
@@ -148,6 +173,7 @@
         registration, seconds.
       started_at_ms: Start time of this incarnation, Unix milliseconds; 0 if
         unknown.
+      version: Version of its software; empty if unknown.
     """
 
     id: str
@@ -158,6 +184,32 @@
     draining: bool
     cold_remaining_s: float
     started_at_ms: int
+    version: str = ""
+
+
+class RolloutState(enum.Enum):
+    """The state of a rollout, as its status in the store tells."""
+
+    NEW = "new"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled back"
+
+
+class Rollout(NamedTuple):
+    """An order to move a service's requests to servers of another version.
+
+    Attributes:
+      service: The service.
+      target_version: The version to move to.
+      period_s: Time from the order to its deadline, seconds.
+      state: What the status states for this target version.
+    """
+
+    service: str
+    target_version: str
+    period_s: float
+    state: RolloutState = RolloutState.NEW
 
 
 class Host(NamedTuple):
@@ -199,6 +251,8 @@
       server_id: The backend server that sent a response.
       part_seals: Signatures of the shards' parts in the answer to a search.
       parts_missing: Number of shards that are missing from that answer.
+      workspace: Name of the workspace that a request belongs to, as servers are
+        told it.
     """
 
     request_id: bytes
@@ -212,3 +266,4 @@
     server_id: bytes
     part_seals: bytes
     parts_missing: bytes
+    workspace: bytes
--- a/eelgrasshall/platform/wire_names.py
+++ b/eelgrasshall/platform/wire_names.py
@@ -15,6 +15,7 @@
     server_id=b"x-instance-id",
     part_seals=b"x-part-seals",
     parts_missing=b"x-parts-missing",
+    workspace=b"x-tenant",
 )
 
 # Rises each time that the store has come back from a copy.
