Announce workspaces between hosts, revoke strictly, count per workspace

Hosts on which workspaces are configured announce it in the second element of the gossip, which the previous build ignores; in large fleets they pass on what they know of the active hosts, with its age. Requests are relayed to such hosts only.

Requests that were admitted and wait for a connection are answered with 401 when their key is withdrawn. With strictRevoke, a host that has neither reached the store nor heard a host that does for revokeMs refuses requests that need a key. Where workspaces are configured, the objects of the store, which contain the keys, are served on the control address only.

--- a/eelgrasshall/gateway/credentials.py
+++ b/eelgrasshall/gateway/credentials.py
@@ -31,6 +31,8 @@
     # Another host relayed the request under a configuration that has this
     # workspace, and the one in force here does not.
     NOT_CONFIGURED = "unknown workspace of a relayed request"
+    # A later version of the configuration may have withdrawn the key.
+    STALE = "keys may be out of date: the store is out of reach"
 
 
 # Values of WWW-Authenticate (RFC 6750, section 3).
--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -312,6 +312,12 @@
             self._retry(shard, outcome)
         self._check_completion()
 
+    def end(self, outcome: Outcome) -> None:
+        """Ends a request that was sent nowhere yet, unless it is complete."""
+        if not self._result.done():
+            self._result.set_result(outcome)
+            self._abandon_attempts(abort=True)
+
     def give_up_when_overdue(self) -> None:
         """Ends the request here, so that it can be sent through another host.
 
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 import json
+import math
 import random as random_module
 import traceback
 from typing import Any
@@ -34,6 +35,7 @@
 from eelgrasshall.gateway import request_handler
 from eelgrasshall.gateway import supervision
 from eelgrasshall.gateway import watcher
+from eelgrasshall.gateway import workspace_hosts
 
 # Interval between checks for timed-out attempts and connections.
 SWEEP_INTERVAL_S = 0.1
@@ -89,6 +91,8 @@
       names: The header names.
       readiness_path: Path of the readiness check.
       directory_path: Path of the request for the hosts to use.
+      revoke_s: Longest time for which keys are accepted while no change of the
+        configuration could reach this host, seconds.
     """
 
     host: model.Host
@@ -103,6 +107,7 @@
     names: model.HeaderNames
     readiness_path: str
     directory_path: str
+    revoke_s: float = math.inf
 
 
 class GatewayHost:
@@ -159,7 +164,10 @@
             metrics=self._metrics,
             on_links_changed=self._handle_links_changed,
             relay=self._relay,
+            has_stale_keys=self._has_stale_keys,
         )
+        self._workspace_hosts = workspace_hosts.WorkspaceHosts()
+        self._started_s = self._loop.time()
         self._registry = self._request_handler.registry
         self._object_cache = object_cache.ObjectCache(
             decode=self._decode,
@@ -336,7 +344,7 @@
                 await self._handle_request(request, from_host=True),
                 linked=not self._request_handler.links.in_doubt,
             )
-        return await self._handle_internal_request(request)
+        return await self._handle_internal_request(request, from_host=True)
 
     def _get_control_limits(self) -> model.CallerLimits:
         """Returns the limits on requests that other hosts relay.
@@ -351,21 +359,39 @@
         )
 
     async def _handle_internal_request(
-        self, request: messages.Request
+        self, request: messages.Request, *, from_host: bool = False
     ) -> listener.Response:
-        """Answers readiness, directory, peer and metrics requests."""
+        """Answers readiness, directory, peer and metrics requests.
+
+        Args:
+          request: The request.
+          from_host: Whether it came to the address for other hosts.
+        """
         path = request.path
         if path == self._options.readiness_path:
             ready = self._peers.state is heartbeats.State.READY
             return listener.Response(200 if ready else 503, [], b"")
         if path == self._options.directory_path:
             return self._answer_directory()
-        if path == peer_sync.UPDATES_PATH:
+        if path == peer_sync.UPDATES_PATH and (
+            from_host or not self._hides_objects()
+        ):
             return self._update_answers.answer(request)
         if path == "/metrics":
             return listener.Response(200, [], self._render_metrics())
         return listener.Response(404, [], b"")
 
+    def _hides_objects(self) -> bool:
+        """Returns whether only other hosts may read the store's objects.
+
+        The configuration contains the keys of all workspaces.
+        """
+        host = self._options.host
+        return (
+            self._request_handler.has_workspaces
+            and host.control_address != host.caller_address
+        )
+
     def _log_handler_error(
         self, request: messages.Request, error: Exception
     ) -> None:
@@ -396,7 +422,7 @@
 
     def _render_metrics(self) -> bytes:
         """Returns the metrics in the Prometheus text format."""
-        return self._metrics.render(
+        metrics_text = self._metrics.render(
             {
                 "configuration_version": self._request_handler.version,
                 "servers": self._registry.count_servers(),
@@ -407,6 +433,7 @@
                 "log_lines_dropped": self._log.dropped,
             }
         )
+        return metrics_text + self._request_handler.workspace_metrics.render()
 
     def dump(self) -> dict[str, Any]:
         """Returns the state of this process as JSON-serializable values."""
@@ -569,6 +596,7 @@
         )
         own = self._options.host.name
         names = [own, *(host.name for host in self._peers.list_hosts())]
+        self._workspace_hosts.keep(set(names))
         self._request_handler.set_hosts(sharing_count, tuple(sorted(names)))
         self._request_handler.set_active_host_count(active_count)
         heard = len(self._peers.list_alive()) + 1
@@ -625,11 +653,24 @@
         self._peers.send_now()
 
     def _build_gossip(self) -> list:
-        """Returns the gossip of this host: revisions.
+        """Returns the gossip of this host: revisions and announcements.
 
-        Hosts of earlier versions expect a list behind them.
+        Hosts of earlier versions ignore entries of the second list.
         """
-        return [peer_sync.list_revisions(self._object_cache), []]
+        entries = []
+        if self._request_handler.has_workspaces:
+            # In a small fleet each host hears the others' own announcements.
+            names = (
+                [host.name for host in self._list_active_hosts()]
+                if self._peers.host_count > peers.RELAY_MIN_HOSTS
+                else []
+            )
+            entries.append(
+                self._workspace_hosts.make_announcement(
+                    names, self._loop.time()
+                )
+            )
+        return [peer_sync.list_revisions(self._object_cache), entries]
 
     def _handle_gossip(self, sender: str, gossip: list) -> None:
         """Fetches newer objects from another host."""
@@ -640,12 +681,42 @@
             self._metrics.count("malformed_datagrams")
             self._log.record("malformed_datagram", reason="no revisions")
             return
+        self._merge_announcement(sender, gossip[1:2])
         host = self._peers.find_host(sender)
         if host is not None:
             self._peer_sync.handle_revisions(
                 sender, host.control_address, revisions
             )
 
+    def _merge_announcement(self, sender: str, entries: list) -> None:
+        """Adds what a host states about the hosts that know workspaces."""
+        try:
+            self._workspace_hosts.merge(
+                sender, entries[0] if entries else [], self._loop.time()
+            )
+        except ValueError as error:
+            self._metrics.count("malformed_datagrams")
+            self._log.record("malformed_datagram", reason=str(error))
+
+    def _has_stale_keys(self) -> bool:
+        """Returns whether keys may be out of date for too long.
+
+        That is the case if this host has neither reached the store nor heard a
+        host that does.
+        """
+        if self._options.revoke_s == math.inf:
+            return False
+        contact_s = max(
+            self._started_s,
+            self._peers.store_contact_s,
+            *(
+                each.answered_s
+                for each in self._watchers
+                if each.collection is object_cache.Collection.CONFIGURATION
+            ),
+        )
+        return self._loop.time() - contact_s > self._options.revoke_s
+
     def _list_active_hosts(self) -> list[model.Host]:
         """Returns the active hosts, recomputed after `VIEW_TTL_S`."""
         self._update_view()
@@ -668,7 +739,11 @@
         self._active_hosts = active_hosts.choose_active_hosts(loads)
         active = set(self._active_hosts) - {self._options.host}
         self._helpers = [
-            relay_choice.Helper(load.host, load.attempts_per_s)
+            relay_choice.Helper(
+                load.host,
+                load.attempts_per_s,
+                self._workspace_hosts.knows(load.host.name, now),
+            )
             for load in loads
             if load.reaches_servers and load.host in active
         ]
--- a/eelgrasshall/gateway/peers.py
+++ b/eelgrasshall/gateway/peers.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
+import math
 import random as random_module
 import struct
 from typing import NamedTuple
@@ -119,6 +120,9 @@
         channels: Sequence[Channel] = (),
     ):
         self.state = heartbeats.State.JOINING
+        # When a heartbeat of a host that reaches the store last arrived, in
+        # monotonic seconds.
+        self.store_contact_s = -math.inf
         self._own = own
         self._incarnation = incarnation
         self._loop = loop
@@ -403,6 +407,8 @@
             heartbeat, self._loop.time(), incarnation
         )
         self._roster.write(name, heartbeat)
+        if heartbeat.reaches_store:
+            self.store_contact_s = self._loop.time()
         if (
             had_links
             and not heartbeat.reaches_servers
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -32,6 +32,7 @@
 from eelgrasshall.gateway import routing
 from eelgrasshall.gateway import shares
 from eelgrasshall.gateway import upstream
+from eelgrasshall.gateway import workspace_metrics
 
 # Retry-After of a host without a configuration; it usually gets one by then.
 RETRY_AFTER_UNCONFIGURED_S = 0.3
@@ -67,6 +68,8 @@
         servers, or has them back.
       relay: Sends requests to other hosts meanwhile; None if they are not to be
         relayed.
+      has_stale_keys: Returns whether requests that need a key are refused, as
+        keys may have been withdrawn that this host holds valid.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         metrics: metrics_module.Metrics,
         on_links_changed: Callable[[], None] = lambda: None,
         relay: relay_module.Relay | None = None,
+        has_stale_keys: Callable[[], bool] = lambda: False,
     ):
         self.names = names
         self.zone = own.zone
@@ -109,6 +113,12 @@
         )
         self._on_links_changed = on_links_changed
         self._relay = relay
+        self._has_stale_keys = has_stale_keys
+        self.workspace_metrics = workspace_metrics.WorkspaceMetrics()
+        # Senders of the requests in flight while workspaces are configured.
+        self._callers: dict[
+            fanout.Fanout, tuple[credentials.Caller, model.Route]
+        ] = {}
         # Servers that were found unreachable while the links are checked.
         self._unreachable: dict[str, upstream.Backend] = {}
         # Requests in flight that may be sent through another host.
@@ -167,6 +177,22 @@
             or configuration.services.keys() >= {*services}
         }
         self.registry.set_services(configuration.services)
+        self._end_withdrawn()
+
+    def _end_withdrawn(self) -> None:
+        """Ends requests that wait to be sent, if their key is withdrawn."""
+        for request_fanout, (caller, route) in list(self._callers.items()):
+            if self._keys is None or request_fanout.was_sent:
+                continue
+            fault = self._check(caller.credential, route).fault
+            if fault is not None:
+                outcome, _, _ = self._reject_caller(fault, route)
+                request_fanout.end(outcome)
+
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether workspaces are configured."""
+        return self._keys is not None
 
     def get_caller_limits(self) -> model.CallerLimits:
         """Returns the limits on callers in force."""
@@ -289,6 +315,24 @@
         if caller.fault is not None:
             return self._reject_caller(caller.fault, route)
         request = self._remove_credentials(request)
+        result = await self._process_identified(request, route, caller)
+        self._record_served(caller.workspace, result[0])
+        if caller.workspace is not None:
+            result[2]["workspace"] = caller.workspace.name
+        return result
+
+    async def _process_identified(
+        self,
+        request: messages.Request,
+        route: model.Route,
+        caller: credentials.Caller,
+    ) -> tuple[fanout.Outcome, model.Route | None, dict[str, Any]]:
+        """Admits and runs a request whose sender may send it.
+
+        Returns:
+          The outcome, the route if there is one, and further log fields.
+        """
+        self.workspace_metrics.add(workspace_metrics.RECEIVED, caller.workspace)
         request_id = request.get_header(self.names.request_id)
         if not request_id:
             return self._reject(400, "request id header missing", route=route)
@@ -340,6 +384,7 @@
             return self._reject(
                 503, STOPPING, RETRY_AFTER_STOPPING_S, route=route
             )
+        self._record_wait(caller.workspace, request)
         caller = self._identify_again(request, route, caller)
         if caller.fault is not None:
             if admitted:
@@ -391,6 +436,8 @@
         started_s = self.loop.time()
         if self._may_relay(request):
             self._relayable.add(request_fanout)
+        if caller.credential is not None:
+            self._callers[request_fanout] = (caller, route)
         try:
             outcome = await request_fanout.run()
         except asyncio.CancelledError:
@@ -403,6 +450,7 @@
                 )
         finally:
             self._relayable.discard(request_fanout)
+            self._callers.pop(request_fanout, None)
             if queue.finish(started_s=started_s, objective_s=route.objective_s):
                 self._log.record(
                     "admission",
@@ -471,6 +519,10 @@
     ) -> credentials.Caller:
         """Checks a credential against the configuration in force."""
         if self._keys is not None:
+            if not route.keyless and self._has_stale_keys():
+                return credentials.Caller(
+                    None, credentials.Fault.STALE, credential
+                )
             return self._keys.check(credential, keyless=route.keyless)
         fault = None
         if credential.name is not None:
@@ -489,14 +541,34 @@
         self, fault: credentials.Fault, route: model.Route
     ) -> tuple[fanout.Outcome, model.Route | None, dict[str, Any]]:
         """Returns the rejection of a request that identifies no workspace."""
-        if fault is credentials.Fault.NOT_CONFIGURED:
+        if fault not in credentials.CHALLENGES:
             return self._reject(
                 503, fault.value, fanout.RETRY_AFTER_REFUSAL_S, route=route
             )
+        self.workspace_metrics.count_unauthorized()
         outcome, _, log_fields = self._reject(401, fault.value)
         headers = [(b"WWW-Authenticate", credentials.CHALLENGES[fault])]
         return outcome._replace(headers=headers), route, log_fields
 
+    def _record_wait(
+        self, workspace: model.Workspace | None, request: messages.Request
+    ) -> None:
+        """Records the time from the arrival of a request to its admission."""
+        waited_s = self.loop.time() - request.received_s
+        self.workspace_metrics.add(workspace_metrics.WAITED, workspace)
+        self.workspace_metrics.add(
+            workspace_metrics.WAITED_S, workspace, float(waited_s)
+        )
+
+    def _record_served(
+        self, workspace: model.Workspace | None, outcome: fanout.Outcome
+    ) -> None:
+        """Records how a request of a workspace ended."""
+        if outcome.verdict in (fanout.Verdict.ANSWERED, fanout.Verdict.PARTIAL):
+            self.workspace_metrics.add(workspace_metrics.SERVED, workspace)
+        elif outcome.status == 429:
+            self.workspace_metrics.add(workspace_metrics.OVER_QUOTA, workspace)
+
     async def _relay_in_doubt(
         self,
         request: messages.Request,
@@ -534,6 +606,7 @@
         else:
             is_ended_by_links = (
                 outcome.verdict is fanout.Verdict.REFUSED
+                and outcome.status == 503
                 and outcome.reason != fanout.QUARANTINED
             )
         return is_ended_by_links and (
--- a/eelgrasshall/gateway/watcher.py
+++ b/eelgrasshall/gateway/watcher.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import random as random_module
 from typing import NamedTuple
 from typing import Protocol
@@ -123,6 +124,8 @@
         self._listed = False
         self._watching = False
         self._deferred: dict[str, asyncio.TimerHandle] = {}
+        # When the store last answered a call, in monotonic seconds.
+        self.answered_s = -math.inf
 
     @property
     def collection(self) -> object_cache.Collection:
@@ -252,6 +255,7 @@
 
     def _record_answer(self) -> None:
         """Records that the store answered, and logs a recovery."""
+        self.answered_s = asyncio.get_running_loop().time()
         if self._failures:
             self._grace_start_s = asyncio.get_running_loop().time()
             self._log.record(
--- a/eelgrasshall/platform/settings.py
+++ b/eelgrasshall/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads the settings file that the platform writes for each process."""
 
+import math
 import os
 import tomllib
 from typing import NamedTuple
@@ -16,6 +17,10 @@
 # addresses durably, so a change may take longer than in other collections.
 HOSTS_BOUND_S = 25.0
 
+# Longest time for which keys are accepted, where strictRevoke is set and
+# revokeMs is not.
+REVOKE_MS = 5000.0
+
 _PEERS_PORT_OFFSET = 0
 _METRICS_PORT_OFFSET = 1
 
@@ -45,6 +50,8 @@
       cold_start_bound: Requests allowed beyond a cold server's stated rate.
       address_ttl_s: Longest time for which a caller may use the addresses
         that it looked up, seconds.
+      revoke_s: Longest time for which keys are accepted while no change of the
+        configuration could reach this host, seconds; infinite by default.
     """
 
     host: model.Host
@@ -60,6 +67,7 @@
     grace_s: float
     cold_start_bound: cold_start.ColdStartBound
     address_ttl_s: float
+    revoke_s: float = math.inf
 
 
 def load_settings() -> Settings:
@@ -138,4 +146,23 @@
             slack=float(bounds.get("coldSlack", 0.0)),
         ),
         address_ttl_s=float(bounds["ttl_max_s"]),
+        revoke_s=_decode_revoke_time(bounds),
     )
+
+
+def _decode_revoke_time(bounds: dict) -> float:
+    """Returns the longest time for which keys are accepted, in seconds.
+
+    Raises:
+      TypeError: `strictRevoke` is not a boolean.
+      ValueError: `revokeMs` is not a finite number above 0.
+    """
+    strict = bounds.get("strictRevoke", False)
+    if not isinstance(strict, bool):
+        raise TypeError("strictRevoke is neither true nor false")
+    if not strict:
+        return math.inf
+    revoke_s = float(bounds.get("revokeMs", REVOKE_MS)) / 1000.0
+    if not 0.0 < revoke_s < math.inf:
+        raise ValueError("revokeMs is not a finite number above 0")
+    return revoke_s
--- a/eelgrasshall/platform/settings_test.py
+++ b/eelgrasshall/platform/settings_test.py
@@ -1,5 +1,7 @@
 """Tests for reading the settings that the platform writes."""
 
+import math
+
 import pytest
 
 from eelgrasshall.gateway import model
@@ -82,3 +84,34 @@
     monkeypatch.setenv(settings.SETTINGS_VARIABLE, str(tmp_path / "none"))
     with pytest.raises(settings.SettingsError, match="EELGRASSHALL_NODE_FILE"):
         settings.load_settings()
+
+
+def test_keys_stay_valid_without_the_store_unless_revocation_is_strict(
+    tmp_path, monkeypatch
+):
+    for fields, revoke_s in (
+        ("", math.inf),
+        ("revokeMs = 2000\n", math.inf),
+        ("strictRevoke = false\n", math.inf),
+        ("strictRevoke = true\n", 5.0),
+        ("strictRevoke = true\nrevokeMs = 2000\n", 2.0),
+    ):
+        text = _SETTINGS.replace("graceS = 6\n", f"graceS = 6\n{fields}")
+        assert _load(tmp_path, monkeypatch, text).revoke_s == revoke_s
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        'strictRevoke = "yes"',
+        "strictRevoke = 1",
+        "strictRevoke = true\nrevokeMs = 0",
+        "strictRevoke = true\nrevokeMs = nan",
+        "strictRevoke = true\nrevokeMs = inf",
+    ],
+)
+def test_invalid_revocation_is_rejected(tmp_path, monkeypatch, fields):
+    # A typing error must not leave withdrawn keys valid, nor refuse all.
+    text = _SETTINGS.replace("graceS = 6\n", f"graceS = 6\n{fields}\n")
+    with pytest.raises(settings.SettingsError):
+        _load(tmp_path, monkeypatch, text)
