--- a/eelgrasshall/gateway/host_test.py
+++ b/eelgrasshall/gateway/host_test.py
@@ -21,6 +21,7 @@
 from eelgrasshall.gateway import quarantine
 from eelgrasshall.gateway import supervision
 from eelgrasshall.gateway import watcher
+from eelgrasshall.gateway import workspace_hosts
 
 _CONFIGURATION = object_cache.Collection.CONFIGURATION
 
@@ -638,3 +639,68 @@
         await asyncio.sleep(0.6)
         assert len(sweeps) >= 4
         assert host.dump()["counters"]["unexpected_errors"] == 2
+
+
+async def test_host_announces_workspaces_only_where_they_are_configured():
+    # Without them it sends the same bytes as the build before; with them, other
+    # hosts may relay requests to it.
+    store = _FakeStore()
+    store.write(_CONFIGURATION, "main", 5, _make_configuration(1, "/a/"))
+    async with _run_host(store, port=19860) as (host, _):
+        await asyncio.sleep(0.1)
+        assert host._build_gossip()[1] == []
+        # This one is of no interest to others.
+        host._handle_gossip("h2", [[], [[workspace_hosts.KIND, []]]])
+        assert host._build_gossip()[1] == []
+        configuration = _make_configuration(2, "/a/")
+        store.write(
+            _CONFIGURATION,
+            "main",
+            6,
+            configuration._replace(
+                workspaces={"acme": fakes.make_workspace("acme", "k-1")}
+            ),
+        )
+        await asyncio.sleep(0.5)
+        assert host._build_gossip()[1] == [[workspace_hosts.KIND, []]]
+
+
+async def test_host_of_a_large_fleet_passes_on_which_hosts_know_workspaces(
+    monkeypatch,
+):
+    # There a host seldom hears its possible helpers itself.
+    monkeypatch.setattr(workspace_hosts, "PASS_ON_SHARE", 1.0)
+    store = _FakeStore()
+    configuration = _make_configuration(1, "/a/")._replace(workspaces={})
+    store.write(_CONFIGURATION, "main", 5, configuration)
+    async with _run_host(store, port=19880) as (host, _):
+        await asyncio.sleep(0.1)
+        others = [
+            fakes.make_host(f"p{i}", port=40000 + 10 * i) for i in range(20)
+        ]
+        for other in others:
+            host._peers.add_host(other)
+            host._peers._record_heartbeat(
+                other.name,
+                heartbeats.Heartbeat(1, heartbeats.State.READY, True, 0),
+                1,
+            )
+        passed_on = [
+            [workspace_hosts.KIND, [[other.name, 3]]] for other in others
+        ]
+        for number, entry in enumerate(passed_on[:16]):
+            host._handle_gossip(f"p{(number + 1) % 16}", [[], [entry]])
+        host._view_time_s = -1.0
+        ((kind, names),) = host._build_gossip()[1]
+        helpers = {
+            each.host.name: each.knows_workspaces
+            for each in host._list_helpers()
+        }
+        assert kind == workspace_hosts.KIND
+        assert helpers and {name for name, _ in names} == {
+            name for name, knows in helpers.items() if knows
+        }
+        assert any(helpers.values())
+        # A malformed announcement is counted and changes nothing.
+        host._handle_gossip("p1", [[], [[workspace_hosts.KIND, 5]]])
+        assert host.dump()["counters"]["malformed_datagrams"] == 1
--- a/eelgrasshall/gateway/relay_test.py
+++ b/eelgrasshall/gateway/relay_test.py
@@ -8,6 +8,7 @@
 
 from eelgrasshall.gateway import connections
 from eelgrasshall.gateway import fakes
+from eelgrasshall.gateway import host as host_module
 from eelgrasshall.gateway import listener
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import model
@@ -730,3 +731,54 @@
         assert sender.connection_count == 0
         assert (await sender.send()).not_run
         assert len(helper.requests) == 1
+
+
+async def test_workspaces_are_relayed_to_hosts_that_know_them_only():
+    # Others would send the request without the name of its workspace.
+    async with _open(26190) as (sender, helper):
+        workspace = fakes.make_workspace("acme", "k-1")
+        (known,) = sender.relay._list_helpers()
+
+        async def send(**options):
+            return await sender.relay.send(
+                fakes.make_request(),
+                deadline_s=asyncio.get_running_loop().time() + 2.0,
+                idempotent=True,
+                **options,
+            )
+
+        for options in (
+            {"workspace": workspace, "has_workspaces": True},
+            # A request of a keyless route.
+            {"has_workspaces": True},
+        ):
+            result = await send(**options)
+            assert result.not_run and result.reason == "no helper"
+        assert helper.requests == []
+        assert (await send()).answered
+        sender.relay._list_helpers = lambda: [
+            known._replace(knows_workspaces=True)
+        ]
+        result = await send(workspace=workspace, has_workspaces=True)
+        assert result.answered
+        received = helper.requests[-1]
+        assert relay.is_relayed(received)
+        assert received.get_header(messages.RELAYED_WORKSPACE) == b"acme"
+        assert received.get_header(messages.RELAYED) is None
+
+
+def test_headers_of_a_relayed_request_stay_within_the_helpers_limit():
+    # A request that a caller may send must not be refused by the helper.
+    request = fakes.make_request(received_s=0.0)
+    name = "w" * messages.MAX_WORKSPACE_NAME_LENGTH
+    data = messages.encode_relayed_request(
+        request,
+        names=fakes.NAMES,
+        remaining_s=1e6,
+        relayed_by="h" * 253,
+        workspace=fakes.make_workspace(name),
+    )
+    caller_bytes = sum(
+        len(key) + len(value) for key, value in request.headers
+    ) + len(request.target)
+    assert len(data) - caller_bytes <= host_module.RELAY_HEADER_BYTES
--- a/eelgrasshall/platform/builds_test.py
+++ b/eelgrasshall/platform/builds_test.py
@@ -288,3 +288,61 @@
         _check_tries(fleet, callers.tries, served=0.99)
     finally:
         await fleet.stop()
+
+
+async def test_workspaces_are_relayed_between_hosts_that_know_them(
+    tmp_path, old_build
+):
+    # The build before sends the key on, or no name.
+    fleet = fleet_module.Fleet(
+        folder=tmp_path, port=29000, hosts=3, shards=2, replicas=2, links=True
+    )
+    fleet.tenants = [
+        {"name": "acme", "apiKeys": ["k-acme"]},
+        {"name": "zoo", "apiKeys": ["k-zoo"]},
+    ]
+    fleet.source_trees = {"host0": old_build}
+    key = ("Authorization", "Bearer k-acme")
+    mark = ("Eelgrasshall-Relayed-Workspace", "zoo")
+
+    async def send(name: str, prefix: str, *headers) -> collections.Counter:
+        statuses = collections.Counter()
+        for number in range(15):
+            status, _, _ = await fleet.send_request(
+                name, "/search/x", f"{prefix}{number}", headers=headers
+            )
+            statuses[status] += 1
+        return statuses
+
+    def list_sent(prefix: str) -> list:
+        return [
+            (each.get_header(b"x-tenant"), each.get_header(b"authorization"))
+            for server in fleet.servers.values()
+            for each in server.requests
+            if each.get_header(b"x-attempt-id").startswith(prefix.encode())
+        ]
+
+    try:
+        await fleet.start()
+        for name in fleet.host_names:
+            await fleet.wait_ready(name)
+        await asyncio.sleep(1.0)
+        fleet.cut_host("host1", fault_proxy.Cut.HANG)
+        await asyncio.sleep(_CONTACT_S)
+        assert (await send("host1", "new", key))[200] == 15
+        assert set(list_sent("new")) == {(b"acme", None)}
+        # Only a host of the build before is left to help.
+        fleet.signal_host("host2", signal.SIGKILL)
+        await asyncio.sleep(2.0)
+        assert (await send("host1", "none", key))[503] == 15
+        assert list_sent("none") == []
+        # A host of the build before passes on the key, and what a caller sets.
+        fleet.mend_host("host1")
+        await asyncio.sleep(2.0)
+        fleet.cut_host("host0", fault_proxy.Cut.HANG)
+        await asyncio.sleep(_CONTACT_S)
+        assert (await send("host0", "old", key, mark))[200] == 15
+        assert set(list_sent("old")) == {(b"acme", None)}
+        assert (await send("host0", "unknown", mark))[401] == 15
+    finally:
+        await fleet.stop()
