--- a/eelgrasshall/gateway/admission_queue.py
+++ b/eelgrasshall/gateway/admission_queue.py
@@ -63,7 +63,7 @@
         return changed
 
     def release_unused(self) -> None:
-        """Frees the place of a request cancelled between admission and start.
+        """Frees the place of a request that was admitted and does not start.
 
         Its duration is not recorded, as it has not run.
         """
