--- a/eelgrasshall/gateway/quota_gate.py
+++ b/eelgrasshall/gateway/quota_gate.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+import math
 from typing import Protocol
 
 from eelgrasshall.gateway import events
@@ -20,8 +21,8 @@
 POLL_INTERVAL_S = 0.01
 # Interval at which a charged request is checked for having been sent.
 SEND_CHECK_INTERVAL_S = 0.05
-# The least Retry-After that is told; 0 would be a request to come at once.
-MIN_RETRY_AFTER_S = 0.01
+# Resolution of the Retry-After that callers are told.
+RETRY_AFTER_STEP_S = 0.01
 
 OVER_QUOTA = "the workspace has used up its quota"
 NO_SHARE = "this host has no share of the workspace's quota left"
@@ -125,7 +126,9 @@
         self._count(
             "quota_refused" if refusal.over_quota else "quota_elsewhere"
         )
-        return refusal._replace(wait_s=max(refusal.wait_s, MIN_RETRY_AFTER_S))
+        # Rounded up to what is told, so that a token is there by then.
+        steps = max(math.ceil(refusal.wait_s / RETRY_AFTER_STEP_S), 1)
+        return refusal._replace(wait_s=steps * RETRY_AFTER_STEP_S)
 
     # Reports between hosts.
 
--- a/eelgrasshall/gateway/quotas.py
+++ b/eelgrasshall/gateway/quotas.py
@@ -53,9 +53,11 @@
 CREDIT_WAIT_S = 0.1
 # How long an answer of another host counts as its present state.
 ANSWER_LIFE_S = 1.0
-# Part of the limit about which a host has to know that it is used up before it
-# says so; with less, others may have tokens left.
-KNOWN_SHARE = 0.5
+# What a host has to know before it says that a limit is used up: that this part
+# of the heard hosts' part is, and that the heard hosts have this part of the
+# limit.  With less, others may have tokens left.
+KNOWN_SHARE = 0.6
+MIN_HEARD_PART = 0.5
 # Part of the limit that has to be known as used up before the reserve is kept
 # back for times in which parts are missing.
 WHOLE_SHARE = 0.9
@@ -104,7 +106,7 @@
       over_quota: Whether the quota is used up.  If not, other hosts may have
         tokens left.
       wait_s: Seconds until a token is expected.
-      asked: Whether other hosts have been asked and have not all answered.
+      asked: Whether other hosts are asked and may lend a token soon.
       detail: What the decision rests on, for the log.
     """
 
@@ -233,6 +235,7 @@
       capacity: Requests that all hosts together may send at once.
       removed_s: When the workspace was removed; infinity if it was not.
       waiting_until_s: Until when a refused request may wait for credit.
+      heard_part: Part of the limit that is due to the hosts that are heard.
       share: Part of the limit that this host may use.
       demand_per_s: Recent requests per second at this host.
       asked_s: When other hosts were asked last.
@@ -254,6 +257,7 @@
         self.capacity = capacity
         self.removed_s = math.inf
         self.waiting_until_s = -math.inf
+        self.heard_part = 0.0
         self.share = 0.0
         self.demand_per_s = 0.0
         self.asked_s = -math.inf
@@ -425,8 +429,10 @@
     def is_used_up(self, now: float) -> bool:
         """Returns whether the limit is used up, as far as hosts have told."""
         answers = self.list_answers(now)
+        known = self.count_known_share(now)
         return (
-            self.count_known_share(now) >= KNOWN_SHARE - _EPSILON
+            self.heard_part >= MIN_HEARD_PART - _EPSILON
+            and known >= KNOWN_SHARE * self.heard_part - _EPSILON
             and all(each.left < 1.0 for each in answers)
             and self.count_tokens(now) < 1.0 - _EPSILON
         )
@@ -591,6 +597,7 @@
                 account = _Account(
                     workspace=workspace, capacity=capacity, now=now
                 )
+                account.heard_part = self._view.part
                 self._accounts[name] = account
             elif account.workspace != workspace:
                 account.set_limit(workspace, capacity, now)
@@ -603,6 +610,8 @@
         """
         self._view = view
         self._viewed_s = now
+        for account in self._accounts.values():
+            account.heard_part = view.part
         if self._views.update(view, now):
             self._set_all_parts(now)
 
@@ -772,8 +781,7 @@
         return Refusal(
             used_up,
             wait_s,
-            not used_up
-            and (account.is_asking(now) or self._is_due(account, now)),
+            not used_up and self._may_ask(),
             {
                 **account.dump(now),
                 "active": len(self._view.active),
@@ -781,9 +789,13 @@
             },
         )
 
+    def _may_ask(self) -> bool:
+        """Returns whether there are other hosts to ask for credit."""
+        return any(name != self._own for name in self._view.active)
+
     def _is_due(self, account: _Account, now: float) -> bool:
         """Returns whether other hosts are to be asked for credit now."""
-        if account.removed_s != math.inf or len(self._view.active) < 2:
+        if account.removed_s != math.inf or not self._may_ask():
             return False
         interval_s = ASK_INTERVAL_S
         if account.is_used_up(now) or account.is_asking(now):
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -332,9 +332,14 @@
 
         Args:
           caller: The sender of the request.
-          from_host: Whether another host relayed it, which has charged it.
+          from_host: Whether another host relayed it.  That host has charged it
+            if it names the workspace; those of the previous build do not.
         """
-        if self.quota_gate is None or caller.workspace is None or from_host:
+        if (
+            self.quota_gate is None
+            or caller.workspace is None
+            or (from_host and caller.credential.name is not None)
+        ):
             return quota_gate_module.make_free_charge(self.loop)
         try:
             return await self.quota_gate.take(caller.workspace.name)
--- a/eelgrasshall/platform/settings_test.py
+++ b/eelgrasshall/platform/settings_test.py
@@ -82,3 +82,28 @@
     monkeypatch.setenv(settings.SETTINGS_VARIABLE, str(tmp_path / "none"))
     with pytest.raises(settings.SettingsError, match="EELGRASSHALL_NODE_FILE"):
         settings.load_settings()
+
+
+def test_quota_bound_is_read_if_it_is_set(tmp_path, monkeypatch):
+    assert _load(tmp_path, monkeypatch, _SETTINGS).quota_bound is None
+    numbers = "quotaWindowS = 5\nquotaExcess = 0.1\nquotaSlack = 20\n"
+    text = _SETTINGS.replace("graceS = 6\n", "graceS = 6\n" + numbers)
+    assert _load(tmp_path, monkeypatch, text).quota_bound == (5.0, 0.1, 20.0)
+
+
+@pytest.mark.parametrize(
+    "numbers",
+    [
+        "quotaWindowS = 5\n",
+        "quotaWindowS = 0\nquotaExcess = 0.1\nquotaSlack = 20\n",
+        "quotaWindowS = 5\nquotaExcess = -0.1\nquotaSlack = 20\n",
+        "quotaWindowS = 5\nquotaExcess = nan\nquotaSlack = 20\n",
+    ],
+)
+def test_incomplete_or_impossible_quota_bound_is_rejected(
+    tmp_path, monkeypatch, numbers
+):
+    # Without a bound no limit would be applied, and nobody would be told.
+    text = _SETTINGS.replace("graceS = 6\n", "graceS = 6\n" + numbers)
+    with pytest.raises(settings.SettingsError):
+        _load(tmp_path, monkeypatch, text)
