--- a/eelgrasshall/platform/fleet.py
+++ b/eelgrasshall/platform/fleet.py
@@ -54,6 +54,7 @@
 coldMultiplier = 1.5
 coldSlack = 5
 ttl_max_s = 5
+{quota_bound}
 [platform]
 address = "127.0.0.1:{store}"
 """
@@ -88,6 +89,9 @@
         that.
       links: Whether each host has links of its own to the backend servers.
         They take one more port for each pair.
+      workspaces: The workspaces of the configuration; None if it has none.
+      quota_bound: Window, excess and slack of the bound on quotas; None if
+        quotas are not applied.
     """
 
     def __init__(
@@ -100,10 +104,14 @@
         replicas: int = 2,
         extra_attempts: tuple[float, float] = (0.2, 54.0),
         links: bool = False,
+        workspaces: list[dict[str, Any]] | None = None,
+        quota_bound: tuple[float, float, float] | None = None,
     ):
         self._folder = folder
         self._extra_attempts = extra_attempts
         self._links = links
+        self.workspaces = workspaces
+        self._quota_bound = quota_bound
         self._port = port
         self.store = fake_store.FakeStore()
         self._store_address = model.Address("127.0.0.1", port)
@@ -285,6 +293,8 @@
             "services": services,
             "limits": limits,
         }
+        if self.workspaces is not None:
+            spec["tenants"] = self.workspaces
         self.store.put("config", "main", spec)
 
     async def start_host(self, name: str) -> None:
@@ -328,7 +338,13 @@
         return (self._folder / f"{name}.log").read_text(encoding="utf-8")
 
     async def send_request(
-        self, name: str, target: str, request_id: str, *, budget_ms: int = 2000
+        self,
+        name: str,
+        target: str,
+        request_id: str,
+        *,
+        budget_ms: int = 2000,
+        key: str | None = None,
     ) -> tuple[int, dict[str, str], bytes]:
         """Sends a caller's request to a host on a new connection.
 
@@ -337,6 +353,7 @@
           target: Target of the request.
           request_id: Id of the request.
           budget_ms: Time that the caller waits, as stated in the request, ms.
+          key: The API key; None if the caller sends none.
 
         Returns:
           The status, the headers in lower case, and the body.
@@ -347,7 +364,8 @@
         data = (
             f"POST {target} HTTP/1.1\r\nHost: orders.example\r\n"
             f"X-Attempt-Id: {request_id}\r\nX-Time-Budget: {budget_ms}\r\n"
-            "Connection: close\r\nContent-Length: 2\r\n\r\nhi"
+            + (f"Authorization: Bearer {key}\r\n" if key else "")
+            + "Connection: close\r\nContent-Length: 2\r\n\r\nhi"
         )
         return await fetch(self.find_port(name), data.encode())
 
@@ -411,7 +429,13 @@
         seeds = [
             f"127.0.0.1:{self.find_port(n, 2)}" for n in self.host_names[:3]
         ]
+        quota_bound = ""
+        if self._quota_bound is not None:
+            quota_bound = (
+                "quotaWindowS = {}\nquotaExcess = {}\nquotaSlack = {}"
+            ).format(*self._quota_bound)
         return _SETTINGS.format(
+            quota_bound=quota_bound,
             name=name,
             zone=_ZONES[self.host_names.index(name) % 3],
             front=first,
