Merge quotas of workspaces over all hosts

Hosts divide the limit of a workspace in equal parts and lend each other tokens; a reserve out of the allowance beyond the limit serves hosts without a part.

--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -27,6 +27,8 @@
 from eelgrasshall.gateway import metrics as metrics_module
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import quarantine
+from eelgrasshall.gateway import quota_gate as quota_gate_module
+from eelgrasshall.gateway import quotas
 from eelgrasshall.gateway import registry
 from eelgrasshall.gateway import relay as relay_module
 from eelgrasshall.gateway import routing
@@ -70,6 +72,7 @@
         relayed.
       has_stale_keys: Returns whether requests that need a key are refused, as
         keys may have been withdrawn that this host holds valid.
+      quota_gate: Applies the quotas of workspaces; None if there are none.
     """
 
     def __init__(
@@ -85,6 +88,7 @@
         on_links_changed: Callable[[], None] = lambda: None,
         relay: relay_module.Relay | None = None,
         has_stale_keys: Callable[[], bool] = lambda: False,
+        quota_gate: quota_gate_module.QuotaGate | None = None,
     ):
         self.names = names
         self.zone = own.zone
@@ -119,6 +123,7 @@
         self._callers: dict[
             fanout.Fanout, tuple[credentials.Caller, model.Route]
         ] = {}
+        self.quota_gate = quota_gate
         # Servers that were found unreachable while the links are checked.
         self._unreachable: dict[str, upstream.Backend] = {}
         # Requests in flight that may be sent through another host.
@@ -177,6 +182,8 @@
             or configuration.services.keys() >= {*services}
         }
         self.registry.set_services(configuration.services)
+        if self.quota_gate is not None:
+            self.quota_gate.configure(configuration.workspaces)
         self._end_withdrawn()
 
     def _end_withdrawn(self) -> None:
@@ -343,11 +350,61 @@
             return self._reject(
                 503, STOPPING, RETRY_AFTER_STOPPING_S, route=route
             )
-        if self.links.lost:
-            relayed = await self._relay_in_doubt(request, route, caller)
-            if relayed is not None:
-                return relayed
-        return await self._serve(request, route, request_id, caller)
+        charge = await self._charge(caller)
+        if isinstance(charge, quotas.Refusal):
+            return self._refuse_by_quota(charge, route)
+        try:
+            if self.quota_gate is not None:
+                # It may have waited for a token.
+                caller = self._identify_again(request, route, caller)
+                if caller.fault is not None:
+                    return self._reject_caller(caller.fault, route)
+            if self.links.lost:
+                relayed = await self._relay_in_doubt(
+                    request, route, caller, charge
+                )
+                if relayed is not None:
+                    return relayed
+            return await self._serve(request, route, request_id, caller, charge)
+        finally:
+            charge.close()
+
+    async def _charge(
+        self, caller: credentials.Caller
+    ) -> quota_gate_module.Charge | quotas.Refusal:
+        """Charges a request to its workspace.
+
+        A host that relays a request has charged it if it names the workspace;
+        those of the previous build do neither.
+
+        Args:
+          caller: The sender of the request.
+        """
+        if (
+            self.quota_gate is None
+            or caller.workspace is None
+            or caller.credential.name is not None
+        ):
+            return quota_gate_module.make_free_charge(self.loop)
+        try:
+            return await self.quota_gate.take(caller.workspace.name)
+        except asyncio.CancelledError:
+            if not self._ended:
+                raise
+            return quotas.Refusal(False, RETRY_AFTER_STOPPING_S)
+
+    def _refuse_by_quota(
+        self, refusal: quotas.Refusal, route: model.Route
+    ) -> tuple[fanout.Outcome, model.Route | None, dict[str, Any]]:
+        """Returns the refusal of a request beyond its workspace's quota.
+
+        Where other hosts may have tokens left, the caller should try them.
+        """
+        status, reason = 503, quota_gate_module.NO_SHARE
+        if refusal.over_quota:
+            status, reason = 429, quota_gate_module.OVER_QUOTA
+        outcome, _, _ = self._reject(status, reason, refusal.wait_s)
+        return outcome, route, {"quota": refusal.detail}
 
     async def _serve(
         self,
@@ -355,6 +412,7 @@
         route: model.Route,
         request_id: bytes,
         caller: credentials.Caller,
+        charge: quota_gate_module.Charge,
     ) -> tuple[fanout.Outcome, model.Route | None, dict[str, Any]]:
         """Admits a request and runs it.
 
@@ -366,7 +424,7 @@
         )
         wait_s = fanout.find_return_s(self, route, services)
         if wait_s is not None:
-            relayed = await self._relay_in_doubt(request, route, caller)
+            relayed = await self._relay_in_doubt(request, route, caller, charge)
             return relayed or self._reject(
                 503, fanout.TOO_FEW_SERVERS, wait_s, route=route
             )
@@ -392,7 +450,7 @@
             return self._reject_caller(caller.fault, route)
         request = self._remove_credentials(request)
         if not admitted:
-            relayed = await self._relay_in_doubt(request, route, caller)
+            relayed = await self._relay_in_doubt(request, route, caller, charge)
             if relayed is not None:
                 return relayed
             self.count("turned_away")
@@ -405,6 +463,10 @@
                 503, "too many concurrent requests", wait_s
             )
             return outcome, route, queue.limiter.get_log_fields()
+        refusal = charge.renew()
+        if refusal is not None:
+            queue.release_unused()
+            return self._refuse_by_quota(refusal, route)
         request_fanout = fanout.Fanout(
             context=self,
             request=request,
@@ -415,8 +477,9 @@
             has_waiting=lambda: queue.limiter.has_waiting,
             workspace=caller.workspace,
         )
+        charge.watch(request_fanout)
         return await self._run(
-            request, route, services, request_fanout, queue, caller
+            request, route, services, request_fanout, queue, caller, charge
         )
 
     async def _run(
@@ -427,6 +490,7 @@
         request_fanout: fanout.Fanout,
         queue: admission_queue.AdmissionQueue,
         caller: credentials.Caller,
+        charge: quota_gate_module.Charge,
     ) -> tuple[fanout.Outcome, model.Route, dict[str, Any]]:
         """Runs an admitted request, here or at last through another host.
 
@@ -471,6 +535,7 @@
                 request,
                 route,
                 caller,
+                charge,
                 may_have_run=request_fanout.may_have_run,
             )
             if relayed is not None:
@@ -574,6 +639,7 @@
         request: messages.Request,
         route: model.Route,
         caller: credentials.Caller,
+        charge: quota_gate_module.Charge,
     ) -> tuple[fanout.Outcome, model.Route, dict[str, Any]] | None:
         """Serves a request that was sent nowhere through another host.
 
@@ -583,7 +649,7 @@
         """
         if not (self.links.in_doubt and self._may_relay(request)):
             return None
-        return await self._relay_request(request, route, caller)
+        return await self._relay_request(request, route, caller, charge)
 
     def _may_relay(self, request: messages.Request) -> bool:
         """Returns whether a request is served through another host."""
@@ -618,6 +684,7 @@
         request: messages.Request,
         route: model.Route,
         caller: credentials.Caller,
+        charge: quota_gate_module.Charge,
         *,
         may_have_run: bool = False,
     ) -> tuple[fanout.Outcome, model.Route, dict[str, Any]] | None:
@@ -627,6 +694,7 @@
           request: The request.
           route: Its route.
           caller: Its sender.
+          charge: Its charge to its workspace.
           may_have_run: Whether it may have run at servers of this host.
 
         Returns:
@@ -634,6 +702,7 @@
           such host.
         """
         deadline_s = request.received_s + self._compute_timeout(request, route)
+        charge.set_relayed(True)
         try:
             result = await self._relay.send(
                 request,
@@ -647,6 +716,7 @@
             if not self._ended:
                 raise
             return _ENDED, route, {}
+        charge.set_relayed(not result.not_run)
         if not result.helper:
             return None
         if result.not_run:
