Order waiting requests fairly over workspaces

A burst of one workspace filled the admission queue, and short urgent searches, which overloaded servers rarely answer in time, went last whatever their priority. Where workspaces are configured, requests in time now go by the priorities of workspace and route, then by start-time fair queueing over workspaces by cost, then the newest first.

The load model gets workspaces with rates of their own and bursts of one kind.

--- a/eelgrasshall/gateway/admission.py
+++ b/eelgrasshall/gateway/admission.py
@@ -4,8 +4,9 @@
 all of it queue, slow down and answer nobody in time.  Each host therefore
 limits the number of concurrent requests to what keeps the server slots busy.
 The rest queue newest first, since the newest can still be answered in time;
-requests that can no longer be run last.  This module does no I/O and reads no
-clock: callers pass in requests and times.
+requests that can no longer be run last.  Where callers belong to workspaces,
+the order is also fair over these; see `fair_order`.  This module does no I/O
+and reads no clock: callers pass in requests and times.
 """
 
 from collections.abc import Sequence
@@ -13,6 +14,7 @@
 import random as random_module
 from typing import NamedTuple
 
+from eelgrasshall.gateway import fair_order
 from eelgrasshall.gateway import model
 
 # Bounds of the concurrent requests per slot of a shard.  A search occupies a
@@ -39,7 +41,8 @@
 # The same for a retry, as a share of the caller's remaining time: less than
 # half, so that a caller that is rejected again can still try elsewhere.
 RETRY_QUEUE_TIME_SHARE = 0.4
-# Every n-th start ignores priorities, so that no kind of request starves.
+# Every n-th start ignores priorities, so that no kind of request starves.  With
+# workspaces, credits have that effect; see `fair_order`.
 IGNORE_PRIORITY_INTERVAL = 2
 # Weight of the newest duration in the moving average; the same as for the
 # latencies of backend servers.
@@ -57,11 +60,15 @@
 
     Attributes:
       number: Unique number of the request.
-      priority: Rank of its kind; 0 is the highest.
+      priority: Priority of its route; 0 is the highest.
       arrived_s: Monotonic time of its arrival.
       latest_start_s: Monotonic time of the latest start with which it is
         expected to be answered within its objective.
       queue_deadline_s: Monotonic time up to which it may wait in the queue.
+      workspace: Name of the workspace, empty if its caller has none; None if no
+        workspaces are configured.
+      workspace_priority: Priority of the workspace, before that of the route.
+      cost_s: Work that it causes at all servers together, seconds.
     """
 
     number: int
@@ -69,6 +76,9 @@
     arrived_s: float
     latest_start_s: float
     queue_deadline_s: float
+    workspace: str | None = None
+    workspace_priority: int = 0
+    cost_s: float = 0.0
 
 
 class Decision(enum.Enum):
@@ -86,6 +96,9 @@
     timeout_s: float,
     longest_timeout_s: float,
     expected_duration_s: float,
+    workspace: str | None = None,
+    workspace_priority: int = 0,
+    cost_s: float = 0.0,
 ) -> QueueEntry:
     """Returns the queue entry of a request.
 
@@ -101,16 +114,30 @@
       longest_timeout_s: Longest such time of the route's callers so far,
         seconds.
       expected_duration_s: Expected duration of the request, seconds.
+      workspace: Name of the workspace, empty if its caller has none; None if no
+        workspaces are configured.
+      workspace_priority: Priority of the workspace.
+      cost_s: Work that it causes at all servers together, seconds.
     """
     queue_time_s = route.objective_s * QUEUE_TIME_SHARE
     if timeout_s < longest_timeout_s * RETRY_TIMEOUT_SHARE:
         queue_time_s = timeout_s * RETRY_QUEUE_TIME_SHARE
+    latest_start_s = arrived_s + route.objective_s - expected_duration_s
+    if workspace is not None:
+        # Short requests that overloaded servers rarely answer in time would
+        # otherwise go last from the start, whatever their priority.
+        latest_start_s = max(
+            latest_start_s, arrived_s + route.objective_s * QUEUE_TIME_SHARE
+        )
     return QueueEntry(
         number=number,
         priority=route.priority,
         arrived_s=arrived_s,
-        latest_start_s=arrived_s + route.objective_s - expected_duration_s,
+        latest_start_s=latest_start_s,
         queue_deadline_s=arrived_s + queue_time_s,
+        workspace=workspace,
+        workspace_priority=workspace_priority,
+        cost_s=cost_s,
     )
 
 
@@ -222,6 +249,7 @@
         self.running = 0
         self.waiting: list[QueueEntry] = []
         self._start_count = 0
+        self._order = fair_order.FairOrder()
         self._saturated = False
         self._in_time_share = 1.0
         self._adjusted_s = 0.0
@@ -241,8 +269,10 @@
 
     def submit(self, entry: QueueEntry) -> Decision:
         """Runs an arriving request at once or queues it."""
+        self._order.record_arrival(entry, entry.arrived_s)
         if self.running < self.limit and not self.waiting:
             self.running += 1
+            self._order.record_start(entry, self.waiting)
             return Decision.RUN
         self._saturated = True
         self.waiting.append(entry)
@@ -250,7 +280,7 @@
 
     def remove_predicted_timeouts(self, now: float) -> list[QueueEntry]:
         """Removes and returns requests that would start too late."""
-        queue = sort_queue(self.waiting, now, ignore_priority=False)
+        queue = self._sort_waiting(now, ignore_priority=False)
         late = find_predicted_timeouts(
             queue, now, self.average_duration_s / self.limit
         )
@@ -289,12 +319,13 @@
         if self.running >= self.limit:
             return None
         ignore_priority = self._start_count % IGNORE_PRIORITY_INTERVAL == 0
-        queue = sort_queue(self.waiting, now, ignore_priority=ignore_priority)
+        queue = self._sort_waiting(now, ignore_priority=ignore_priority)
         if not queue:
             return None
         self._start_count += 1
         self.running += 1
         self.waiting.remove(queue[0])
+        self._order.record_start(queue[0], self.waiting)
         return queue[0]
 
     def withdraw(self, entry: QueueEntry) -> None:
@@ -321,6 +352,20 @@
             "in_time_share": round(self._in_time_share, 2),
         }
 
+    def _sort_waiting(
+        self, now: float, *, ignore_priority: bool
+    ) -> list[QueueEntry]:
+        """Returns the waiting requests in the order in which they start.
+
+        Args:
+          now: Monotonic time.
+          ignore_priority: Whether priorities do not count, if no waiting
+            request belongs to a workspace.
+        """
+        if any(entry.workspace is not None for entry in self.waiting):
+            return self._order.sort(self.waiting, now)
+        return sort_queue(self.waiting, now, ignore_priority=ignore_priority)
+
     def _adjust(self, now: float) -> None:
         """Adjusts the concurrency to how the latest requests ended."""
         self._in_time_share = self._in_time_count / self._ended_count
--- a/eelgrasshall/gateway/load_model.py
+++ b/eelgrasshall/gateway/load_model.py
@@ -2,12 +2,14 @@
 
 Request handlers of a few entry hosts run unchanged; simulated backend servers
 answer them.  Callers' requests come at random from a seeded generator; a caller
-retries once, after the time that it was told.
+retries once, after the time that it was told.  Callers may belong to workspaces
+that differ in their rates.
 """
 
 import asyncio
 from collections.abc import Sequence
 import heapq
+import itertools
 import random as random_module
 from typing import NamedTuple
 
@@ -58,6 +60,7 @@
       service_time_s: Mean time that a server needs for one, seconds.
       timeout_s: Time for which the caller waits, seconds.
       worth: Credit of an answer in time with all shards.
+      bursts: Spans with more requests of this kind.
     """
 
     route: model.Route
@@ -65,6 +68,21 @@
     service_time_s: float
     timeout_s: float
     worth: float
+    bursts: Sequence[simulated_server.Span] = ()
+
+
+class WorkspaceLoad(NamedTuple):
+    """The part of all requests that callers of one workspace send.
+
+    Attributes:
+      workspace: The workspace; None for callers without one.
+      share: Its share of the requests of each kind.
+      bursts: Spans with more requests of it.
+    """
+
+    workspace: model.Workspace | None
+    share: float
+    bursts: Sequence[simulated_server.Span] = ()
 
 
 class Result(NamedTuple):
@@ -79,6 +97,7 @@
       credit: Credit for the answer, of the worth of its kind.
       worth: The worth of its kind.
       in_time: Whether it was answered within its objective.
+      workspace: Name of the caller's workspace; None if it has none.
     """
 
     kind: str
@@ -89,6 +108,7 @@
     credit: float
     worth: float
     in_time: bool
+    workspace: str | None
 
 
 class _NoLog:
@@ -116,6 +136,9 @@
       hosts: Number of active entry hosts.
       speeds: Factors of the service times, by replica.
       bursts: Spans with more requests.
+      workspace_loads: The workspaces of callers.
+      sharing_hosts: Number of hosts that share the servers' connections, active
+        or not; None for one more than the active ones.
     """
 
     def __init__(
@@ -130,6 +153,8 @@
         hosts: int = 3,
         speeds: Sequence[float] = (0.8, 1.0, 1.3),
         bursts: Sequence[simulated_server.Span] = (),
+        workspace_loads: Sequence[WorkspaceLoad] = (WorkspaceLoad(None, 1.0),),
+        sharing_hosts: int | None = None,
     ):
         self.loop = loop
         self.random = random_module.Random(seed)
@@ -137,6 +162,8 @@
         self.servers: dict[str, simulated_server.Server] = {}
         self._kinds = kinds
         self._bursts = bursts
+        self._workspace_loads = workspace_loads
+        self._sharing_hosts = sharing_hosts or hosts + 1
         self._count = 0
         self._tasks: set[asyncio.Task] = set()
         times_s = {
@@ -202,14 +229,22 @@
             log=_NoLog(),
             metrics=metrics.Metrics(),
         )
-        handler.set_hosts(hosts + 1, names)
+        handler.set_hosts(self._sharing_hosts, names)
         handler.set_extra_share(1.0 / (hosts + 1))
         handler.set_active_host_count(hosts)
         handler.apply_configuration(self._configuration)
+        handler._find_workspace = self._find_workspace
         for server in self.servers.values():
             handler.registry.set_server(server.server.id, server.server, 1)
         return handler
 
+    def _find_workspace(self, request):
+        value = request.get_header(b"authorization")
+        for load in self._workspace_loads:
+            if load.workspace and make_authorization(load.workspace) == value:
+                return load.workspace
+        return None
+
     def remove_server(self, server_id: str) -> None:
         """Deregisters a server at all hosts; what it runs is finished."""
         for handler in self.handlers:
@@ -222,18 +257,22 @@
     async def _run(self, duration_s: float) -> None:
         sweeper = self.loop.create_task(self._sweep())
         arrivals = []
-        for kind in self._kinds:
+        for kind, load in itertools.product(self._kinds, self._workspace_loads):
+            bursts = [*self._bursts, *kind.bursts, *load.bursts]
             now = 0.0
             while now < duration_s:
                 now += self.random.expovariate(
                     kind.rate_per_s
-                    * simulated_server.find_factor(self._bursts, now)
+                    * load.share
+                    * simulated_server.find_factor(bursts, now)
+                )
+                heapq.heappush(
+                    arrivals, (now, len(arrivals), kind, load.workspace)
                 )
-                heapq.heappush(arrivals, (now, len(arrivals), kind))
         while arrivals:
-            arrived_s, _, kind = heapq.heappop(arrivals)
+            arrived_s, _, kind, workspace = heapq.heappop(arrivals)
             await asyncio.sleep(arrived_s - self.loop.time())
-            task = self.loop.create_task(self._call(kind))
+            task = self.loop.create_task(self._call(kind, workspace))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         await asyncio.gather(*self._tasks)
@@ -256,14 +295,16 @@
                 if statements and receiver is not sender:
                     receiver.registry.merge_rates(statements)
 
-    async def _call(self, kind: Kind) -> None:
+    async def _call(
+        self, kind: Kind, workspace: model.Workspace | None
+    ) -> None:
         """Sends one request, and once more after a refusal or failure."""
         arrived_s = self.loop.time()
         deadline_s = arrived_s + kind.timeout_s
         refused_early = False
         for tries in range(1, MAX_TRIES + 1):
             tried_s = self.loop.time()
-            response = await self._try(kind, deadline_s)
+            response = await self._try(kind, workspace, deadline_s)
             if response.status == 200 or tries == MAX_TRIES:
                 break
             now = self.loop.time()
@@ -290,21 +331,30 @@
                 credit=kind.worth * share * _compute_coverage(kind, response),
                 worth=kind.worth,
                 in_time=in_time,
+                workspace=workspace.name if workspace else None,
             )
         )
 
-    async def _try(self, kind: Kind, deadline_s: float) -> listener.Response:
+    async def _try(
+        self,
+        kind: Kind,
+        workspace: model.Workspace | None,
+        deadline_s: float,
+    ) -> listener.Response:
         self._count += 1
         await asyncio.sleep(CALLER_DELAY_S)
         remaining_s = deadline_s - self.loop.time()
+        headers = [
+            (b"Host", kind.route.host.encode()),
+            (b"X-Id", b"r%d" % self._count),
+            (b"X-Budget", b"%d" % int(remaining_s * 1000)),
+        ]
+        if workspace:
+            headers.append((b"Authorization", make_authorization(workspace)))
         request = messages.Request(
             method=b"GET",
             target=kind.route.path_prefix.encode() + b"x",
-            headers=[
-                (b"Host", kind.route.host.encode()),
-                (b"X-Id", b"r%d" % self._count),
-                (b"X-Budget", b"%d" % int(remaining_s * 1000)),
-            ],
+            headers=headers,
             body=b"",
             received_s=self.loop.time(),
         )
@@ -314,6 +364,11 @@
         return response
 
 
+def make_authorization(workspace: model.Workspace) -> bytes:
+    """Returns the header with the key of a workspace."""
+    return b"Bearer key-%s" % workspace.name.encode()
+
+
 def _choose_retry_delay(
     response: listener.Response, remaining_s: float
 ) -> float:
@@ -364,3 +419,27 @@
         sum(r.in_time for r in chosen) / count,
         sum(r.status == 200 for r in chosen) / count,
     )
+
+
+def find_least_served(results: Sequence[Result], min_requests: int) -> float:
+    """Returns the least share of a workspace's requests that is answered.
+
+    Args:
+      results: What became of the requests.
+      min_requests: Workspaces with fewer requests are left out.
+
+    Returns:
+      The share, relative to that of all requests.
+    """
+    by_workspace: dict[str | None, list[Result]] = {}
+    for result in results:
+        by_workspace.setdefault(result.workspace, []).append(result)
+    return min(
+        _compute_served(each)
+        for each in by_workspace.values()
+        if len(each) >= min_requests
+    ) / _compute_served(results)
+
+
+def _compute_served(results: Sequence[Result]) -> float:
+    return sum(result.status == 200 for result in results) / len(results)
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -37,6 +37,9 @@
 # Quantile of attempt latency taken as the duration of a request: a search ends
 # with the slowest of about ten shards, which is near this quantile.
 EXPECTED_QUANTILE = 0.95
+# Quantile of attempt latency taken as the time that a server works on one; the
+# upper ones include queues at servers.
+COST_QUANTILE = 0.25
 # Time after which hosts have told each other whether they reach servers.
 SETTLE_TIME_S = 1.0
 # Retry-After of a host that stops; callers come back to another one.
@@ -493,6 +496,13 @@
         duration_s = self.find_latency_window(route).quantile(EXPECTED_QUANTILE)
         return self.loop.time() + duration_s > self._end_s
 
+    def _find_workspace(
+        self, request: messages.Request
+    ) -> model.Workspace | None:
+        """Returns the workspace of a request's caller, if it has one."""
+        del request
+        return None
+
     def _make_queue_entry(
         self, request: messages.Request, route: model.Route, timeout_s: float
     ) -> admission.QueueEntry:
@@ -502,15 +512,22 @@
             timeout_s, self._longest_timeout_s.get(route.name, 0.0)
         )
         self._longest_timeout_s[route.name] = longest_timeout_s
+        latencies = self.find_latency_window(route)
+        workspace = self._find_workspace(request)
+        has_workspaces = self._route_table.configuration.workspaces is not None
         return admission.make_queue_entry(
             number=self._entry_count,
             route=route,
             arrived_s=request.received_s,
             timeout_s=timeout_s,
             longest_timeout_s=longest_timeout_s,
-            expected_duration_s=self.find_latency_window(route).quantile(
-                EXPECTED_QUANTILE
+            expected_duration_s=latencies.quantile(EXPECTED_QUANTILE),
+            workspace=(
+                workspace.name if workspace else "" if has_workspaces else None
             ),
+            workspace_priority=workspace.priority if workspace else 0,
+            cost_s=max(len(route.shards), 1)
+            * latencies.quantile(COST_QUANTILE),
         )
 
     def _find_queue(
