Merge API keys of workspaces into fair admission

One workspace can no longer use up the budget of extra attempts: beyond what its own requests allow, it may have spent at most as much within a window as is left for the others. The load model's callers send real keys.

--- a/eelgrasshall/gateway/fairness_load_test.py
+++ b/eelgrasshall/gateway/fairness_load_test.py
@@ -9,9 +9,9 @@
 
 import pytest
 
+from eelgrasshall.gateway import admission
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import load_model
-from eelgrasshall.gateway import model
 from eelgrasshall.gateway import simulated_server
 from eelgrasshall.gateway import virtual_time
 
@@ -84,10 +84,8 @@
     hot = simulated_server.Span(_START_S, _END_S, hot_factor)
     return [
         load_model.WorkspaceLoad(
-            model.Workspace(
-                f"w{number}",
-                frozenset(),
-                priority=priorities[number % len(priorities)],
+            load_model.make_workspace(
+                f"w{number}", priority=priorities[number % len(priorities)]
             ),
             share,
             [hot] if f"w{number}" == _HOT else [],
@@ -188,8 +186,11 @@
         return [result for result in results if result.workspace != _HOT]
 
     results = _replay(hot_factor=7.5)
+    make_queue_entry = admission.make_queue_entry
     monkeypatch.setattr(
-        load_model.Simulation, "_find_workspace", lambda self, request: None
+        admission,
+        "make_queue_entry",
+        lambda **kwargs: make_queue_entry(**{**kwargs, "workspace": None}),
     )
     before = _replay(hot_factor=7.5)
     assert len(results) == len(before)
--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -216,6 +216,7 @@
         time-out ends, whichever is first.
       has_waiting: Returns whether requests wait for admission to these
         services.
+      workspace: The workspace whose name each attempt carries, if any.
     """
 
     def __init__(
@@ -228,6 +229,7 @@
         request_id: bytes,
         deadline_s: float,
         has_waiting: Callable[[], bool],
+        workspace: model.Workspace | None = None,
     ):
         self._context = context
         self._has_waiting = has_waiting
@@ -240,7 +242,10 @@
             request.received_s + route.objective_s - OBJECTIVE_MARGIN_S
         )
         self._shards = [ShardState(service=name) for name in services]
-        self._head = messages.encode_request_head(request, context.names)
+        self._workspace_name = workspace.name if workspace else None
+        self._head = messages.encode_request_head(
+            request, context.names, workspace
+        )
         self._latencies = context.find_latency_window(route)
         self._median_latency_s = self._latencies.quantile(0.5)
         quantile = (
@@ -276,7 +281,9 @@
             return self._reject(TOO_FEW_SERVERS, wait_s)
         for shard in self._shards:
             budget = self._context.find_extra_attempt_budget(shard.service)
-            budget.deposit(self._context.loop.time())
+            budget.deposit(
+                self._context.loop.time(), workspace=self._workspace_name
+            )
             self._send_attempt(shard)
         self._check_completion()
         self._schedule_timer()
@@ -342,10 +349,11 @@
             self._context.find_extra_attempt_budget(shard.service)
             for shard in self._shards
         ]
-        if not all(budget.can_withdraw() for budget in budgets):
+        name = self._workspace_name
+        if not all(budget.can_withdraw(workspace=name) for budget in budgets):
             return False
         for budget in budgets:
-            budget.try_withdraw()
+            budget.try_withdraw(workspace=name)
         return True
 
     @property
@@ -484,7 +492,7 @@
                 unsent
                 or self._context.find_extra_attempt_budget(
                     shard.service
-                ).try_withdraw()
+                ).try_withdraw(workspace=self._workspace_name)
             )
             or not self._send_attempt(shard)
         ):
@@ -541,7 +549,9 @@
                 for backend in self._context.find_candidates(shard.service)
                 if backend not in shard.tried and backend.can_accept_hedge(now)
             ]
-            if others and budget.try_withdraw(reserve=RETRY_RESERVE):
+            if others and budget.try_withdraw(
+                reserve=RETRY_RESERVE, workspace=self._workspace_name
+            ):
                 self._hedge_count += 1
                 self._context.count("hedges")
                 self._send_to_best(shard, others, now)
--- a/eelgrasshall/gateway/load_model.py
+++ b/eelgrasshall/gateway/load_model.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 from eelgrasshall.gateway import cold_start
+from eelgrasshall.gateway import credentials
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import hedging
 from eelgrasshall.gateway import listener
@@ -75,7 +76,8 @@
     """The part of all requests that callers of one workspace send.
 
     Attributes:
-      workspace: The workspace; None for callers without one.
+      workspace: The workspace, by `make_workspace`; None for callers without
+        one.
       share: Its share of the requests of each kind.
       bursts: Spans with more requests of it.
     """
@@ -198,6 +200,12 @@
                 for name in shards
             },
             limits=model.CallerLimits(),
+            workspaces={
+                load.workspace.name: load.workspace
+                for load in workspace_loads
+                if load.workspace is not None
+            }
+            or None,
         )
         # The hosts have run for a while, so that they may use their shares.
         loop.advance(-SETTLE_STEPS * shares.MAX_UPDATE_INTERVAL_S)
@@ -233,18 +241,10 @@
         handler.set_extra_share(1.0 / (hosts + 1))
         handler.set_active_host_count(hosts)
         handler.apply_configuration(self._configuration)
-        handler._find_workspace = self._find_workspace
         for server in self.servers.values():
             handler.registry.set_server(server.server.id, server.server, 1)
         return handler
 
-    def _find_workspace(self, request):
-        value = request.get_header(b"authorization")
-        for load in self._workspace_loads:
-            if load.workspace and make_authorization(load.workspace) == value:
-                return load.workspace
-        return None
-
     def remove_server(self, server_id: str) -> None:
         """Deregisters a server at all hosts; what it runs is finished."""
         for handler in self.handlers:
@@ -350,7 +350,8 @@
             (b"X-Budget", b"%d" % int(remaining_s * 1000)),
         ]
         if workspace:
-            headers.append((b"Authorization", make_authorization(workspace)))
+            key = _make_key(workspace.name)
+            headers.append((b"Authorization", b"Bearer " + key))
         request = messages.Request(
             method=b"GET",
             target=kind.route.path_prefix.encode() + b"x",
@@ -364,9 +365,14 @@
         return response
 
 
-def make_authorization(workspace: model.Workspace) -> bytes:
-    """Returns the header with the key of a workspace."""
-    return b"Bearer key-%s" % workspace.name.encode()
+def make_workspace(name: str, *, priority: int = 0) -> model.Workspace:
+    """Returns a workspace with the key that its callers send."""
+    digest = credentials.compute_digest(_make_key(name))
+    return model.Workspace(name, frozenset((digest,)), priority)
+
+
+def _make_key(name: str) -> bytes:
+    return b"key-%s" % name.encode()
 
 
 def _choose_retry_delay(
