Soak with tenants, API keys and checks at the stand-in servers

Callers send keys of several tenants, one of them far beyond its quota, and keys that are unknown or withdrawn; a fault withdraws a key and adds another. At the servers each request must carry the right name and no credential, and none may have a key that was never valid or was withdrawn before the time limit. The check of quotas has its tests and is not called yet, as hosts have no quotas.

--- a/eelgrasshall/platform/fake_server.py
+++ b/eelgrasshall/platform/fake_server.py
@@ -29,6 +29,22 @@
     request_id: str
 
 
+class Identity(NamedTuple):
+    """What a request tells a backend server of its caller.
+
+    Attributes:
+      at_s: Monotonic time.
+      request_id: Id of the try; empty for a health check.
+      names: The workspaces that it states, in the order of its headers.
+      has_credential: Whether it carries a credential.
+    """
+
+    at_s: float
+    request_id: str
+    names: tuple[str, ...]
+    has_credential: bool
+
+
 class FakeBackendServer:
     """A fake backend server that records the requests that it executes.
 
@@ -44,6 +60,8 @@
       on_crash: Called when a request crashes it.
       arrivals: Monotonic time and id of each request, also of those that it
         turned away.
+      identities: What each request, health checks included, tells of its
+        caller.
       limited: Monotonic time and request id of each answer that stated a rate.
       pauses: Monotonic time, request id and end of the pause of each request
         that it turned away because of a pause.
@@ -64,6 +82,7 @@
         self.paused_count = 0
         self.on_crash: Callable[[Crash], None] | None = None
         self.arrivals: list[tuple[float, str]] = []
+        self.identities: list[Identity] = []
         self.limited: list[tuple[float, str]] = []
         self.pauses: list[tuple[float, str, float]] = []
         self._listener = listener.Listener(
@@ -98,6 +117,14 @@
         request_id = (request.get_header(b"x-attempt-id") or b"").decode()
         identity = [(b"X-Instance-Id", self.server_id.encode())]
         now = time.monotonic()
+        self.identities.append(
+            Identity(
+                now,
+                request_id,
+                tuple(_list_values(request, b"x-tenant")),
+                bool(_list_values(request, b"authorization")),
+            )
+        )
         if request_id:
             self.arrivals.append((now, request_id))
         pause_s = self.paused_until_s - now
@@ -127,3 +154,12 @@
         ]
         body = self.server_id.encode().ljust(16, b".")
         return listener.Response(200, headers, body)
+
+
+def _list_values(request: messages.Request, name: bytes) -> list[str]:
+    """Returns the values of all headers with a name in lower case."""
+    return [
+        value.decode("latin-1")
+        for each, value in request.headers
+        if each.lower() == name
+    ]
--- a/eelgrasshall/platform/fleet.py
+++ b/eelgrasshall/platform/fleet.py
@@ -71,6 +71,8 @@
       store_proxies: The fault proxies to the store, by host name.
       processes: The newest process of each host, by host name.
       version: Version of the newest configuration, 0 before the first.
+      tenants: The tenants in the next configurations; None for none.
+      key: The API key of requests that state no other; None for none.
       crash_duration_s: Time after which a crashed server is back, seconds.
       crashes: All crashes of backend servers.
       source_trees: Folders with other versions of the program, for the hosts
@@ -138,6 +140,8 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self._all_processes: list[asyncio.subprocess.Process] = []
         self.version = 0
+        self.tenants: list[dict[str, Any]] | None = None
+        self.key: str | None = None
 
     async def start(self) -> None:
         """Starts the store, the servers, the proxies and all host processes.
@@ -285,6 +289,8 @@
             "services": services,
             "limits": limits,
         }
+        if self.tenants is not None:
+            spec["tenants"] = self.tenants
         self.store.put("config", "main", spec)
 
     async def start_host(self, name: str) -> None:
@@ -328,7 +334,13 @@
         return (self._folder / f"{name}.log").read_text(encoding="utf-8")
 
     async def send_request(
-        self, name: str, target: str, request_id: str, *, budget_ms: int = 2000
+        self,
+        name: str,
+        target: str,
+        request_id: str,
+        *,
+        budget_ms: int = 2000,
+        key: str | None = None,
     ) -> tuple[int, dict[str, str], bytes]:
         """Sends a caller's request to a host on a new connection.
 
@@ -337,6 +349,8 @@
           target: Target of the request.
           request_id: Id of the request.
           budget_ms: Time that the caller waits, as stated in the request, ms.
+          key: API key of the caller.  The request then also states a tenant,
+            which hosts have to drop.
 
         Returns:
           The status, the headers in lower case, and the body.
@@ -344,10 +358,16 @@
         Raises:
           OSError: The host is unreachable or closed the connection early.
         """
+        key = key or self.key
+        identity = (
+            f"Authorization: Bearer {key}\r\nX-Tenant: forged\r\n"
+            if key
+            else ""
+        )
         data = (
             f"POST {target} HTTP/1.1\r\nHost: orders.example\r\n"
             f"X-Attempt-Id: {request_id}\r\nX-Time-Budget: {budget_ms}\r\n"
-            "Connection: close\r\nContent-Length: 2\r\n\r\nhi"
+            f"{identity}Connection: close\r\nContent-Length: 2\r\n\r\nhi"
         )
         return await fetch(self.find_port(name), data.encode())
 
--- a/eelgrasshall/platform/soak.py
+++ b/eelgrasshall/platform/soak.py
@@ -8,9 +8,11 @@
 calls, leaves them unanswered or drops its history or goes back to a copy;
 backend servers drain, announce that they leave, ask for pauses, state how many
 requests they take, hang, crash under a request that is sent again, or lose
-their registration, and recover; and configurations change.  Callers send
-requests throughout.  Invariants are checked on what callers and backend servers
-observe; each breach names its invariant, and the logs stay in the folder.
+their registration, and recover; and configurations change, which add and
+withdraw API keys.  Callers of several tenants send requests throughout, one of
+them far beyond its quota, and some with keys that are not valid.  Invariants
+are checked on what callers and backend servers observe; each breach names its
+invariant, and the logs stay in the folder.
 """
 
 import argparse
@@ -23,6 +25,7 @@
 import signal
 import sys
 import time
+from typing import Any
 from typing import NamedTuple
 
 from eelgrasshall.platform import fault_proxy
@@ -57,7 +60,26 @@
 # time after which a host that was told so counts.
 RATE_WINDOW_S = 4.0
 RATE_NOTICE_S = 0.5
+# Quotas of the tenants, of which the first sends far more, and what is allowed
+# beyond them.
+QUOTAS = {
+    "hot": soak_checks.Quota(4.0, 4.0),
+    "small": soak_checks.Quota(30.0, 30.0),
+}
+QUOTA_WINDOW_S = 5.0
+QUOTA_EXCESS = 0.1
+QUOTA_SLACK = 20.0
+# Id of the requests that check that the fleet has recovered.
+END_ID = "end"
+# The tenant of all that is not sent by the callers; it has no quota.
+OPERATOR = "operator"
+# Shares of the callers' requests with keys of the first tenant, and with keys
+# that are not valid.
+HOT_SHARE = 0.4
+INVALID_SHARE = 0.15
 _OK = 200
+_UNAUTHORIZED = 401
+_OVER_QUOTA = 429
 # Statuses that say that the request was not executed.
 _NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -92,6 +114,10 @@
       rate_spans: The times for which servers stated how many requests they
         take.
       crash_count: Number of requests that crash servers.
+      keys: All API keys that callers use.
+      key_uses: The key of each try, by its id.
+      refused: Ids of the tries that were answered 401 or 429.
+      disturbances: Times of all disturbances.
       leaving: For each server that states that it leaves, the monotonic time at
         which each host first passed on an answer of it.
 
@@ -136,6 +162,20 @@
         self.host_disturbances: dict[str, list[float]] = {}
         self.rate_spans: list[soak_checks.RateSpan] = []
         self.crash_count = 0
+        self.keys = {
+            "key-operator": soak_checks.Key(OPERATOR),
+            **{
+                f"key-{tenant}{number}": soak_checks.Key(tenant)
+                for tenant in QUOTAS
+                for number in range(2)
+            },
+            "key-unknown": soak_checks.Key(None),
+        }
+        self.key_uses: dict[str, soak_checks.KeyUse] = {}
+        self.refused: set[str] = set()
+        self.disturbances: list[float] = []
+        self.fleet.key = "key-operator"
+        self._set_tenants()
         self._interval_s = interval_s
         self._request_count = 0
         self._terminating: set[str] = set()
@@ -164,6 +204,7 @@
             self._check_pauses()
             self._check_cut_hosts()
             self._check_rates()
+            self._check_identities()
         finally:
             await self.fleet.stop()
 
@@ -174,6 +215,7 @@
           host: The host that is ended, started, frozen or woken, if any is.
         """
         self.last_disturbance_s = time.monotonic()
+        self.disturbances.append(self.last_disturbance_s)
         if host is not None:
             self.host_disturbances.setdefault(host, []).append(
                 self.last_disturbance_s
@@ -198,8 +240,80 @@
             self.fleet.mend_host(name)
         self.cuts[-1] = self.cuts[-1]._replace(end_s=time.monotonic())
 
-    def note_try(self, kind: str, request_id: str, host: str) -> None:
-        """Records a try of a caller that is about to be sent."""
+    def is_valid(self, key: soak_checks.Key) -> bool:
+        """Returns whether the newest configuration has a key."""
+        return key.tenant is not None and key.withdrawn_s == math.inf
+
+    def change_keys(
+        self, *, withdrawn: str, added: str, **changes: Any
+    ) -> None:
+        """Publishes a configuration with a key in place of another.
+
+        Args:
+          withdrawn: The key that is withdrawn.
+          added: The new key of the same tenant.
+          **changes: Other changes of the configuration.
+        """
+        now = time.monotonic()
+        old = self.keys[withdrawn]
+        self.keys[withdrawn] = old._replace(withdrawn_s=now)
+        self.keys[added] = soak_checks.Key(old.tenant, now)
+        self._set_tenants()
+        self.fleet.publish_configuration(**changes)
+
+    def choose_valid_key(self) -> str:
+        """Returns a random valid key that is not the operator's."""
+        return self.random.choice(
+            [
+                key
+                for key, each in self.keys.items()
+                if self.is_valid(each) and key != self.fleet.key
+            ]
+        )
+
+    def _set_tenants(self) -> None:
+        """Sets the tenants of the next configurations, with the valid keys."""
+        self.fleet.tenants = [
+            {
+                "name": tenant,
+                "apiKeys": [
+                    key
+                    for key, each in self.keys.items()
+                    if each.tenant == tenant and self.is_valid(each)
+                ],
+                "ratePerS": quota.rate,
+                "burst": quota.burst,
+            }
+            for tenant, quota in {
+                OPERATOR: soak_checks.Quota(0.0, 0.0),
+                **QUOTAS,
+            }.items()
+        ]
+
+    def _choose_key(self) -> str:
+        """Returns a key of a random caller."""
+        draw = self.random.random()
+        valid = [key for key, each in self.keys.items() if self.is_valid(each)]
+        if draw < INVALID_SHARE:
+            return self.random.choice(sorted(self.keys.keys() - set(valid)))
+        if draw < INVALID_SHARE + HOT_SHARE:
+            valid = [key for key in valid if self.keys[key].tenant == "hot"]
+        return self.random.choice(valid)
+
+    def note_try(
+        self, kind: str, request_id: str, host: str, key: str | None = None
+    ) -> None:
+        """Records a try of a caller that is about to be sent.
+
+        Args:
+          kind: Name of its route.
+          request_id: Its id.
+          host: The host that it is sent to.
+          key: Its API key; None for that of the operator.
+        """
+        self.key_uses[request_id] = soak_checks.KeyUse(
+            key or self.fleet.key, time.monotonic()
+        )
         services = {
             "search": tuple(self.fleet.shards),
             "single": (self.fleet.shards[-1],),
@@ -246,17 +360,22 @@
             request_id = f"q{self._request_count}"
             kind = self.random.choice(("search", "search", "once"))
             name = self.random.choice(self.fleet.host_names)
-            self.note_try(kind, request_id, name)
+            key = self._choose_key()
+            self.note_try(kind, request_id, name, key)
             sent_s = time.monotonic()
             try:
                 status, headers, body = await self.fleet.send_request(
-                    name, f"/{kind}/{request_id}", request_id
+                    name, f"/{kind}/{request_id}", request_id, key=key
                 )
             except (OSError, TimeoutError) as error:
                 self.statuses[type(error).__name__] += 1
                 self.served[request_id] = False
                 continue
             self.statuses[str(status)] += 1
+            if status in (_UNAUTHORIZED, _OVER_QUOTA):
+                self.refused.add(request_id)
+                self._check_refused(request_id, status)
+                continue
             self.served[request_id] = status == _OK
             if status == _OK:
                 self._check_response(kind, request_id, headers, body)
@@ -304,6 +423,30 @@
         if self._count_executions(request_id):
             self.record_breach("accurate not-executed status", request_id)
 
+    def _check_refused(self, request_id: str, status: int) -> None:
+        """Checks that a request was refused for a reason and not executed."""
+        if self._count_executions(request_id):
+            self.record_breach("accurate not-executed status", request_id)
+        use = self.key_uses[request_id]
+        key = self.keys[use.key]
+        if (
+            status == _UNAUTHORIZED
+            and self.is_valid(key)
+            and use.sent_s > self._find_force_s(key.added_s)
+        ):
+            self.record_breach("valid keys", f"{request_id}: {use.key}")
+        if status == _OVER_QUOTA and key.tenant not in QUOTAS:
+            self.record_breach("quotas", f"{request_id}: no quota")
+
+    def _find_force_s(self, changed_s: float) -> float:
+        """Returns when a configuration has to be in force at all hosts."""
+        return soak_checks.find_force_s(
+            changed_s,
+            self.disturbances,
+            apply_s=APPLY_BOUND_S,
+            rest_s=STABILIZATION_S,
+        )
+
     def _check_draining(self, request_id: str, sent_s: float) -> None:
         """Checks that no server got the request after its drain time limit."""
         if sent_s - self.last_disturbance_s < STABILIZATION_S:
@@ -362,7 +505,11 @@
         """Checks the bound on extra attempts over all hosts."""
         for service in soak_checks.find_excess(
             self.list_arrivals(),
-            self.tries,
+            [
+                each
+                for each in self.tries
+                if each.request_id not in self.refused
+            ],
             ratio=EXTRA_ATTEMPT_RATIO,
             fixed=EXTRA_ATTEMPTS,
             window_s=EXTRA_ATTEMPT_WINDOW_S,
@@ -430,6 +577,36 @@
         ):
             self.record_breach("rates that servers state", detail)
 
+    def _check_identities(self) -> None:
+        """Checks the names and keys of the requests at servers."""
+        for detail in soak_checks.find_wrong_identities(
+            [
+                each
+                for server in self.fleet.servers.values()
+                for each in server.identities
+                if each.request_id != END_ID
+            ],
+            self.key_uses,
+            self.keys,
+            self.disturbances,
+            apply_s=APPLY_BOUND_S,
+            rest_s=STABILIZATION_S,
+        ):
+            self.record_breach("identities at servers", detail)
+
+    def _check_quotas(self) -> None:
+        """Checks that servers get no more of a tenant than its quota allows."""
+        for detail in soak_checks.find_quota_excess(
+            self.list_arrivals(),
+            self.key_uses,
+            self.keys,
+            QUOTAS,
+            window_s=QUOTA_WINDOW_S,
+            excess=QUOTA_EXCESS,
+            slack=QUOTA_SLACK,
+        ):
+            self.record_breach("quotas", detail)
+
     def _list_disturbances(self) -> dict[str, list[float]]:
         """Returns the disturbances of each host, with the ends of its cuts."""
         found = {
@@ -448,21 +625,30 @@
         listed = self.fleet.store.list_names(soak_faults.HOST_KIND)
         if listed != sorted(self.fleet.host_names):
             self.record_breach("hosts are in the store", str(listed))
+        withdrawn = self.choose_valid_key()
+        added = f"key{len(self.keys)}"
         path = f"v{self.fleet.version + 1}"
-        self.fleet.publish_configuration(pathPrefix=f"/{path}/")
+        self.change_keys(
+            withdrawn=withdrawn, added=added, pathPrefix=f"/{path}/"
+        )
         await asyncio.sleep(APPLY_BOUND_S)
         for name in self.fleet.host_names:
-            try:
-                status, _, _ = await self.fleet.send_request(
-                    name, f"/{path}/x", "end"
-                )
-            except (OSError, TimeoutError) as error:
-                self.record_breach("recovery", f"{name}: {error!r}")
-                continue
-            if status != _OK:
-                self.record_breach(
-                    "configuration in force", f"{name}: {status}"
-                )
+            for key, expected in (
+                (None, {_OK}),
+                (added, {_OK, _OVER_QUOTA}),
+                (withdrawn, {_UNAUTHORIZED}),
+            ):
+                try:
+                    status, _, _ = await self.fleet.send_request(
+                        name, f"/{path}/x", END_ID, key=key
+                    )
+                except (OSError, TimeoutError) as error:
+                    self.record_breach("recovery", f"{name}: {error!r}")
+                    continue
+                if status not in expected:
+                    self.record_breach(
+                        "configuration in force", f"{name}: {key} {status}"
+                    )
 
     async def _end_faults(self) -> None:
         """Ends all active faults and restarts the hosts that are down."""
--- a/eelgrasshall/platform/soak_checks.py
+++ b/eelgrasshall/platform/soak_checks.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import math
 from typing import NamedTuple
 
 from eelgrasshall.platform import fake_server
@@ -92,6 +93,45 @@
     until_s: float
 
 
+class Key(NamedTuple):
+    """An API key, and when the configuration had it.
+
+    Attributes:
+      tenant: The tenant; None for a key that no configuration ever had.
+      added_s: Monotonic time at which a configuration with it was published.
+      withdrawn_s: The same of the first configuration without it; infinity if
+        there is none.
+    """
+
+    tenant: str | None
+    added_s: float = -math.inf
+    withdrawn_s: float = math.inf
+
+
+class KeyUse(NamedTuple):
+    """The key of a try of a caller.
+
+    Attributes:
+      key: The key.
+      sent_s: Monotonic time at which the try was sent.
+    """
+
+    key: str
+    sent_s: float
+
+
+class Quota(NamedTuple):
+    """The requests that a tenant may send, over all hosts.
+
+    Attributes:
+      rate: Requests per second.
+      burst: Requests beyond that at once.
+    """
+
+    rate: float
+    burst: float
+
+
 def find_excess(
     arrivals: Iterable[Arrival],
     tries: Iterable[Try],
@@ -330,6 +370,114 @@
     return found
 
 
+def find_force_s(
+    changed_s: float,
+    disturbances: Iterable[float],
+    *,
+    apply_s: float,
+    rest_s: float,
+) -> float:
+    """Returns when a change of the configuration has to be in force everywhere.
+
+    Args:
+      changed_s: Monotonic time at which it was published.
+      disturbances: Monotonic times of all disturbances.
+      apply_s: Time limit without disturbances, seconds.
+      rest_s: Time after a disturbance after which the limit holds, seconds.
+    """
+    force_s = changed_s + apply_s
+    for at_s in sorted(disturbances):
+        if changed_s - rest_s <= at_s <= force_s:
+            force_s = max(force_s, at_s + rest_s)
+    return force_s
+
+
+def find_wrong_identities(
+    identities: Iterable[fake_server.Identity],
+    uses: Mapping[str, KeyUse],
+    keys: Mapping[str, Key],
+    disturbances: Sequence[float],
+    *,
+    apply_s: float,
+    rest_s: float,
+) -> list[str]:
+    """Returns what reached servers under a wrong name or without a valid key.
+
+    Args:
+      identities: What all requests at servers tell of their callers.
+      uses: The key of each try, by its id.
+      keys: All keys that callers use.
+      disturbances: Monotonic times of all disturbances.
+      apply_s: Time limit for a configuration to be in force, seconds.
+      rest_s: Time after a disturbance after which it holds again, seconds.
+    """
+    found = []
+    for each in identities:
+        if each.has_credential:
+            found.append(f"{each.request_id}: credential")
+        if each.request_id not in uses:
+            if each.names:
+                found.append(f"{each.request_id}: {each.names}")
+            continue
+        use = uses[each.request_id]
+        key = keys[use.key]
+        if key.tenant is None:
+            found.append(f"{each.request_id}: unknown key")
+        elif each.names != (key.tenant,):
+            found.append(f"{each.request_id}: {each.names}")
+        elif use.sent_s > find_force_s(
+            key.withdrawn_s, disturbances, apply_s=apply_s, rest_s=rest_s
+        ):
+            found.append(f"{each.request_id}: withdrawn key")
+    return found
+
+
+def find_quota_excess(
+    arrivals: Iterable[Arrival],
+    uses: Mapping[str, KeyUse],
+    keys: Mapping[str, Key],
+    quotas: Mapping[str, Quota],
+    *,
+    window_s: float,
+    excess: float,
+    slack: float,
+) -> list[str]:
+    """Returns the tenants of which servers got too many requests in a window.
+
+    A request counts once, when its first attempt arrives.
+
+    Args:
+      arrivals: All arrivals at backend servers.
+      uses: The key of each try, by its id.
+      keys: All keys that callers use.
+      quotas: The quotas by tenant.
+      window_s: Length of the window, seconds.
+      excess: Share of the quota that is allowed beyond it.
+      slack: Requests that are allowed beyond that.
+    """
+    first_s: dict[str, float] = {}
+    for arrival in sorted(arrivals):
+        first_s.setdefault(arrival.request_id, arrival.at_s)
+    times: dict[str, list[float]] = {}
+    for request_id, at_s in sorted(first_s.items(), key=lambda item: item[1]):
+        if request_id in uses:
+            tenant = keys[uses[request_id].key].tenant
+            times.setdefault(tenant, []).append(at_s)
+    found = []
+    for tenant, quota in quotas.items():
+        allowed = (quota.rate * window_s + quota.burst) * (1.0 + excess) + slack
+        most = max(
+            (
+                _count(times[tenant], end_s, window_s)
+                for end_s in times.get(tenant, ())
+            ),
+            default=0,
+        )
+        if most > allowed:
+            found.append(f"{tenant}: {most} of {allowed:.0f}")
+    return found
+
+
 def _count(times: Sequence[float], end_s: float, window_s: float) -> int:
     """Returns the number of sorted times in a window that ends at a time."""
     return bisect.bisect_right(times, end_s) - bisect.bisect_right(
--- a/eelgrasshall/platform/soak_checks_test.py
+++ b/eelgrasshall/platform/soak_checks_test.py
@@ -166,3 +166,92 @@
     assert not find(many, told[:1])
     assert not find(many, told, {"b": [11.0]})
     assert find(many, told, {"b": [9.0]})
+
+
+_KEYS = {
+    "good": soak_checks.Key("a"),
+    "old": soak_checks.Key("a", withdrawn_s=10.0),
+    "unknown": soak_checks.Key(None),
+}
+
+
+def _find_wrong(
+    key: str,
+    *,
+    names: tuple[str, ...] = ("a",),
+    sent_s: float = 5.0,
+    has_credential: bool = False,
+    disturbances=(),
+) -> list[str]:
+    """Returns what is wrong with one request at a server."""
+    return soak_checks.find_wrong_identities(
+        [fake_server.Identity(sent_s + 0.1, "q", names, has_credential)],
+        {"q": soak_checks.KeyUse(key, sent_s)},
+        _KEYS,
+        disturbances,
+        apply_s=3.0,
+        rest_s=4.0,
+    )
+
+
+def test_wrong_or_missing_name_at_a_server_is_found():
+    assert not _find_wrong("good")
+    assert _find_wrong("good", names=("b",))
+    assert _find_wrong("good", names=("a", "forged"))
+    assert _find_wrong("good", names=())
+
+
+def test_credential_at_a_server_is_found():
+    assert _find_wrong("good", has_credential=True)
+
+
+def test_name_on_a_health_check_is_found():
+    identities = [fake_server.Identity(1.0, "", ("a",), False)]
+    assert soak_checks.find_wrong_identities(
+        identities, {}, _KEYS, [], apply_s=3.0, rest_s=4.0
+    )
+
+
+def test_request_with_a_key_that_is_not_valid_is_found():
+    assert _find_wrong("unknown", names=())
+    assert not _find_wrong("old", sent_s=12.9)
+    assert _find_wrong("old", sent_s=13.1)
+
+
+def test_withdrawn_key_is_excused_while_hosts_may_not_know_of_it():
+    assert not _find_wrong("old", sent_s=15.9, disturbances=[12.0])
+    assert _find_wrong("old", sent_s=16.1, disturbances=[12.0])
+    assert not _find_wrong("old", sent_s=18.9, disturbances=[15.0, 12.0])
+    # The change was in force before.
+    assert _find_wrong("old", sent_s=15.0, disturbances=[14.0])
+
+
+def _find_quota_excess(times, *, tenant: str = "a") -> list[str]:
+    """Returns the excess over 2 requests/s and a burst of 3, in 5 s."""
+    arrivals = [
+        _arrive(at_s + late_s, f"q{number}", server)
+        for number, at_s in enumerate(times)
+        # Two attempts, of which the second does not count.
+        for late_s, server in ((0.0, "s-0"), (0.2, "s-1"))
+    ]
+    return soak_checks.find_quota_excess(
+        arrivals,
+        {
+            f"q{number}": soak_checks.KeyUse("good", at_s)
+            for number, at_s in enumerate(times)
+        },
+        _KEYS,
+        {tenant: soak_checks.Quota(2.0, 3.0)},
+        window_s=5.0,
+        excess=0.1,
+        slack=20.0,
+    )
+
+
+def test_requests_beyond_a_quota_are_found():
+    # 13 x 1.1 + 20 are allowed in a window.
+    within = [20.0 + number / 10 for number in range(34)]
+    assert not _find_quota_excess(within)
+    assert _find_quota_excess([*within, 23.5]) == ["a: 35 of 34"]
+    assert not _find_quota_excess([*within, 25.1])
+    assert not _find_quota_excess([*within, 23.5], tenant="b")
--- a/eelgrasshall/platform/soak_faults.py
+++ b/eelgrasshall/platform/soak_faults.py
@@ -148,6 +148,14 @@
     soak.fleet.publish_configuration(goalMs=soak.random.choice((200, 300, 400)))
 
 
+@register_fault
+async def change_keys(soak: "soak_module.Soak") -> None:
+    """Publishes a configuration that withdraws one API key and adds another."""
+    soak.change_keys(
+        withdrawn=soak.choose_valid_key(), added=f"key{len(soak.keys)}"
+    )
+
+
 @register_fault
 async def drain_server(soak: "soak_module.Soak") -> None:
     """Drains a backend server, then registers it as ready again."""
