--- a/eelgrasshall/gateway/hedging_test.py
+++ b/eelgrasshall/gateway/hedging_test.py
@@ -240,6 +240,43 @@
     assert share.update(0.4, 28.0 + 5.0) == 0.0
 
 
+def _withdraw_all(budget: hedging.ExtraAttemptBudget, workspace: str) -> int:
+    count = 0
+    while budget.try_withdraw(workspace=workspace):
+        count += 1
+    return count
+
+
+def test_hot_workspaces_leave_extra_attempts_for_others():
+    # One workspace with failing requests used up the budget of all.
+    bound = hedging.ExtraAttemptBound(ratio=0.0, fixed=100.0)
+    budget = hedging.ExtraAttemptBudget(bound=bound, share=1.0)
+    total = 100.0 * hedging.USABLE_SHARE
+    assert 0.4 * total <= _withdraw_all(budget, "hot") <= 0.6 * total
+    assert _withdraw_all(budget, "second") >= 0.2 * total
+    assert budget.try_withdraw(workspace="quiet")
+
+
+def test_workspace_may_spend_what_its_own_requests_allow():
+    bound = hedging.ExtraAttemptBound(ratio=0.2, fixed=20.0)
+    budget = hedging.ExtraAttemptBudget(bound=bound, share=1.0)
+    spent = _withdraw_all(budget, "hot")
+    for number in range(2000):
+        budget.deposit(number / 100, workspace="hot")
+        spent += budget.try_withdraw(workspace="hot")
+    assert spent >= 2000 * bound.ratio * hedging.USABLE_SHARE
+
+
+def test_workspace_may_spend_more_once_a_window_has_passed():
+    bound = hedging.ExtraAttemptBound(ratio=0.2, fixed=100.0)
+    budget = hedging.ExtraAttemptBudget(bound=bound, share=1.0)
+    budget.deposit(0.0, workspace="hot")
+    spent = _withdraw_all(budget, "hot")
+    for number in range(1000):
+        budget.deposit(3 * number * bound.window_s / 1000, workspace="quiet")
+    assert _withdraw_all(budget, "hot") >= 0.8 * spent
+
+
 def test_budget_without_fixed_part_is_used_up():
     budget = hedging.ExtraAttemptBudget(
         bound=hedging.ExtraAttemptBound(0.2, 0.0), share=1.0
--- a/eelgrasshall/platform/fleet.py
+++ b/eelgrasshall/platform/fleet.py
@@ -73,6 +73,8 @@
       store_proxies: The fault proxies to the store, by host name.
       processes: The newest process of each host, by host name.
       version: Version of the newest configuration, 0 before the first.
+      tenants: The tenants in the next configurations; None for none.
+      key: The API key of requests that state no other; None for none.
       crash_duration_s: Time after which a crashed server is back, seconds.
       crashes: All crashes of backend servers.
       source_trees: Folders with other versions of the program, for the hosts
@@ -144,6 +146,8 @@
         self.tenants: list[dict[str, Any]] | None = None
         # Further lines of the bounds in the settings.
         self.more_bounds = ""
+        # Key of callers that state none of their own.
+        self.key: str | None = None
 
     async def start(self) -> None:
         """Starts the store, the servers, the proxies and all host processes.
@@ -343,6 +347,7 @@
         *,
         budget_ms: int = 2000,
         headers: Sequence[tuple[str, str]] = (),
+        key: str | None = None,
     ) -> tuple[int, dict[str, str], bytes]:
         """Sends a caller's request to a host on a new connection.
 
@@ -352,6 +357,8 @@
           request_id: Id of the request.
           budget_ms: Time that the caller waits, as stated in the request, ms.
           headers: Further headers.
+          key: API key of the caller.  The request then also states a tenant,
+            which hosts have to drop.
 
         Returns:
           The status, the headers in lower case, and the body.
@@ -359,7 +366,14 @@
         Raises:
           OSError: The host is unreachable or closed the connection early.
         """
-        lines = "".join(f"{key}: {value}\r\n" for key, value in headers)
+        key = key or self.key
+        if key is not None:
+            identity = [
+                ("Authorization", f"Bearer {key}"),
+                ("X-Tenant", "forged"),
+            ]
+            headers = [*headers, *identity]
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
         data = (
             f"POST {target} HTTP/1.1\r\nHost: orders.example\r\n"
             f"X-Attempt-Id: {request_id}\r\nX-Time-Budget: {budget_ms}\r\n"
