Time to spare is spent on staying in the zone

An attempt at another zone cost a fixed 10 ms, in addition to a latency estimate that one pause of a server distorts for long. So hosts left their zone although the answer would have come well in time, and a long request in flight made its server look paused to short ones.

Attempts now go to the servers of the host's zone whose response is expected within a quarter of the time left until the objective; without one, and for hedges, the fastest of all is chosen. The estimate limits the effect of single slow responses and returns to normal without responses, and an attempt is overdue by its own expected latency. In force where workspaces are configured or the rollout contract is in the settings.

The load model knows delays between zones, and load_replay replays typical loads with the policies side by side.

--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -394,6 +394,7 @@
         self.names = NAMES
         self.random = random.Random(7)
         self.zone = "a"
+        self.keeps_to_zone = False
         self.counts: list[str] = []
         self.backends = {
             shard: [
--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -141,6 +141,7 @@
     names: model.HeaderNames
     random: random_module.Random
     zone: str
+    keeps_to_zone: bool
 
     def get_quarantine_s(self, request: messages.Request) -> float:
         """Returns for how long a request must not run; 0 if it may."""
@@ -408,12 +409,20 @@
         shard: ShardState,
         candidates: Sequence[upstream.Backend],
         now: float,
+        *,
+        is_hedge: bool = False,
     ) -> bool:
         """Sends an attempt to the candidate that answers first, most likely.
 
+        Where this host keeps to its zone, that holds for hedges; other attempts
+        stay in the zone as long as their response is expected well in time.
+
         Returns:
           False if there is no candidate.
         """
+        spare_s = None
+        if self._context.keeps_to_zone:
+            spare_s = 0.0 if is_hedge else self._partial_due_s - now
         chosen = load_balancing.choose_backend(
             candidates,
             expected_latency_s=self._median_latency_s,
@@ -423,6 +432,7 @@
                 shard.service
             ).compute_used_share(),
             random=self._context.random,
+            spare_s=spare_s,
         )
         if chosen is None:
             shard.failed = not shard.active
@@ -544,7 +554,7 @@
             if others and budget.try_withdraw(reserve=RETRY_RESERVE):
                 self._hedge_count += 1
                 self._context.count("hedges")
-                self._send_to_best(shard, others, now)
+                self._send_to_best(shard, others, now, is_hedge=True)
 
     def _on_timer(self) -> None:
         """Sends hedges and checks the deadlines."""
--- a/eelgrasshall/gateway/fanout_test.py
+++ b/eelgrasshall/gateway/fanout_test.py
@@ -378,3 +378,19 @@
     assert len(context.list_busy("orders")) == 1
     assert "hedges" not in context.counts
     task.cancel()
+
+
+async def test_hedge_of_a_host_that_keeps_to_its_zone_goes_to_the_fastest():
+    context = fakes.Context(("s1",), replicas=3)
+    context.keeps_to_zone = True
+    own, slower, fastest = (each.backend for each in context.backends["s1"])
+    slower.latency_ratio = 1.5
+    fastest.server = fastest.server._replace(zone="b")
+    fastest.latency_ratio = 0.5
+    route = fakes.make_route(shards=("s1",), objective_s=0.2)
+    _, task = _start(context, route)
+    await _run_ready_tasks()
+    assert own.pending and not fastest.pending
+    await asyncio.sleep(0.15)
+    assert fastest.pending and not slower.pending
+    task.cancel()
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -89,6 +89,8 @@
       names: The header names.
       readiness_path: Path of the readiness check.
       directory_path: Path of the request for the hosts to use.
+      keeps_to_zone: Whether time to spare is spent on staying in the own
+        availability zone also while the configuration has no workspaces.
     """
 
     host: model.Host
@@ -103,6 +105,7 @@
     names: model.HeaderNames
     readiness_path: str
     directory_path: str
+    keeps_to_zone: bool = False
 
 
 class GatewayHost:
@@ -159,6 +162,7 @@
             metrics=self._metrics,
             on_links_changed=self._handle_links_changed,
             relay=self._relay,
+            keeps_to_zone=options.keeps_to_zone,
         )
         self._registry = self._request_handler.registry
         self._object_cache = object_cache.ObjectCache(
--- a/eelgrasshall/gateway/load_model.py
+++ b/eelgrasshall/gateway/load_model.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Sequence
 import heapq
+import itertools
 import random as random_module
 from typing import NamedTuple
 
@@ -24,6 +25,8 @@
 from eelgrasshall.gateway import simulated_server
 from eelgrasshall.gateway import virtual_time
 
+# The availability zones, in turn those of hosts, callers and servers.
+ZONES = "abc"
 # One-way delay between callers and hosts, seconds.
 CALLER_DELAY_S = 0.001
 # Interval at which a host ends attempts past their deadline.
@@ -116,6 +119,12 @@
       hosts: Number of active entry hosts.
       speeds: Factors of the service times, by replica.
       bursts: Spans with more requests.
+      pause_s: Duration of each pause of a server, seconds.
+      pause_interval_s: Time between the starts of two pauses, seconds.
+      rotate_speeds: Whether each shard has the speeds in another order.
+      cross_zone_delay_s: One-way delay between availability zones in addition
+        to that within one, seconds.
+      keeps_to_zone: Whether hosts spend time to spare on staying in their zone.
     """
 
     def __init__(
@@ -130,13 +139,22 @@
         hosts: int = 3,
         speeds: Sequence[float] = (0.8, 1.0, 1.3),
         bursts: Sequence[simulated_server.Span] = (),
+        pause_s: float = 0.25,
+        pause_interval_s: float = 6.0,
+        rotate_speeds: bool = False,
+        cross_zone_delay_s: float = 0.0,
+        keeps_to_zone: bool = False,
     ):
         self.loop = loop
+        self._cross_zone_delay_s = cross_zone_delay_s
+        self._keeps_to_zone = keeps_to_zone
         self.random = random_module.Random(seed)
         self.results: list[Result] = []
         self.servers: dict[str, simulated_server.Server] = {}
+        # The counters of all hosts together.
+        self.metrics = metrics.Metrics()
         self._kinds = kinds
-        self._bursts = bursts
+        self.bursts = list(bursts)
         self._count = 0
         self._tasks: set[asyncio.Task] = set()
         times_s = {
@@ -144,13 +162,15 @@
             for kind in kinds
         }
         port = 1000
-        for shard in shards:
+        orders = list(itertools.permutations(speeds))
+        for index, shard in enumerate(shards):
+            order = orders[index % len(orders)] if rotate_speeds else speeds
             for number in range(replicas):
                 port += 1
                 registration = fakes.make_server(
                     f"{shard}-{number}",
                     service=shard,
-                    zone="abc"[number % 3],
+                    zone=ZONES[number % len(ZONES)],
                     port=port,
                     slots=slots,
                 )
@@ -159,7 +179,10 @@
                     server=registration,
                     random=self.random,
                     service_times_s=times_s,
-                    speed=speeds[number % len(speeds)],
+                    speed=order[number % len(order)],
+                    pause_s=pause_s,
+                    pause_interval_s=pause_interval_s,
+                    cross_zone_delay_s=cross_zone_delay_s,
                 )
                 self.servers[registration.id] = server
                 loop.add_endpoint(registration.address, server)
@@ -194,13 +217,14 @@
     ) -> request_handler.RequestHandler:
         names = tuple(f"h{i}" for i in range(hosts))
         handler = request_handler.RequestHandler(
-            own=fakes.make_host(names[number], zone="abc"[number % 3]),
+            own=fakes.make_host(names[number], zone=ZONES[number % len(ZONES)]),
             names=fakes.NAMES,
             extra_attempt_bound=EXTRA_ATTEMPT_BOUND,
             cold_start_bound=cold_start.ColdStartBound(1.5, 5.0),
             random=random_module.Random(self.random.random()),
             log=_NoLog(),
-            metrics=metrics.Metrics(),
+            metrics=self.metrics,
+            keeps_to_zone=self._keeps_to_zone,
         )
         handler.set_hosts(hosts + 1, names)
         handler.set_extra_share(1.0 / (hosts + 1))
@@ -227,7 +251,7 @@
             while now < duration_s:
                 now += self.random.expovariate(
                     kind.rate_per_s
-                    * simulated_server.find_factor(self._bursts, now)
+                    * simulated_server.find_factor(self.bursts, now)
                 )
                 heapq.heappush(arrivals, (now, len(arrivals), kind))
         while arrivals:
@@ -295,7 +319,13 @@
 
     async def _try(self, kind: Kind, deadline_s: float) -> listener.Response:
         self._count += 1
-        await asyncio.sleep(CALLER_DELAY_S)
+        handler = self.random.choice(self.handlers)
+        delay_s = CALLER_DELAY_S
+        if self._cross_zone_delay_s and handler.zone != self.random.choice(
+            ZONES
+        ):
+            delay_s += self._cross_zone_delay_s
+        await asyncio.sleep(delay_s)
         remaining_s = deadline_s - self.loop.time()
         request = messages.Request(
             method=b"GET",
@@ -308,9 +338,8 @@
             body=b"",
             received_s=self.loop.time(),
         )
-        handler = self.random.choice(self.handlers)
         response = await handler.handle(request)
-        await asyncio.sleep(CALLER_DELAY_S)
+        await asyncio.sleep(delay_s)
         return response
 
 
--- /dev/null
+++ b/eelgrasshall/gateway/load_replay_test.py
@@ -0,0 +1,31 @@
+"""Tests of load balancing under the loads of `load_replay`."""
+
+from eelgrasshall.gateway import load_replay
+
+_SEED = 1
+
+
+def _replay_both(scenario: load_replay.Scenario):
+    """Returns the figures of the present policy and of the zone policy."""
+    return [
+        load_replay.replay(scenario, _SEED, policy)
+        for policy in ("present", "zone")
+    ]
+
+
+def test_calm_load_stays_in_the_zone_without_late_answers():
+    scenario = load_replay.SCENARIOS["calm"]._replace(duration_s=6.0, end_s=6.0)
+    present, zone = _replay_both(scenario)
+    assert zone.remote < present.remote
+    assert zone.in_time >= present.in_time
+    assert zone.served >= present.served
+    assert zone.credit >= present.credit - 0.002
+
+
+def test_slow_servers_of_the_zone_make_no_answers_late():
+    scenario = load_replay.SCENARIOS["slow"]._replace(duration_s=9.0, end_s=9.0)
+    present, zone = _replay_both(scenario)
+    assert zone.remote < present.remote
+    assert zone.in_time >= present.in_time
+    assert zone.served >= present.served
+    assert zone.credit >= present.credit - 0.002
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -66,6 +66,8 @@
         servers, or has them back.
       relay: Sends requests to other hosts meanwhile; None if they are not to be
         relayed.
+      keeps_to_zone: Whether time to spare is spent on staying in the own
+        availability zone also while the configuration has no workspaces.
     """
 
     def __init__(
@@ -80,9 +82,13 @@
         metrics: metrics_module.Metrics,
         on_links_changed: Callable[[], None] = lambda: None,
         relay: relay_module.Relay | None = None,
+        keeps_to_zone: bool = False,
     ):
         self.names = names
         self.zone = own.zone
+        # Whether time to spare is spent on staying in the zone.
+        self.keeps_to_zone = keeps_to_zone
+        self._always_keeps_to_zone = keeps_to_zone
         self.random = random
         self.loop = asyncio.get_running_loop()
         self.quarantine = quarantine.Quarantine(on_verdict=self._log_verdict)
@@ -143,6 +149,9 @@
     def apply_configuration(self, configuration: model.Configuration) -> None:
         """Puts a configuration in force."""
         self._route_table = routing.RouteTable(configuration=configuration)
+        self.keeps_to_zone = (
+            self._always_keeps_to_zone or configuration.workspaces is not None
+        )
         routes = {route.name for route in configuration.routes}
         self._latencies = {
             name: latencies
--- a/eelgrasshall/gateway/simulated_server.py
+++ b/eelgrasshall/gateway/simulated_server.py
@@ -17,8 +17,10 @@
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import virtual_time
 
-# One-way delay between hosts and backend servers, seconds.
+# One-way delay between hosts and backend servers, seconds, and what another
+# availability zone adds to it.
 SERVER_DELAY_S = 0.0005
+CROSS_ZONE_DELAY_S = 0.0009
 # Standard deviation of the logarithm of service times.
 SERVICE_TIME_SPREAD = 0.34
 
@@ -59,15 +61,18 @@
         self.closed = False
         # Whatever represents the host that opened the connection.
         self.host: object = protocol.backend.environment.observer
+        self._delay_s = SERVER_DELAY_S
+        if server.is_remote_to(self.host):
+            self._delay_s += server.cross_zone_delay_s
 
     def write(self, data: bytes) -> None:
         """Delivers a request to the server after the network delay."""
         loop = self.server.loop
-        loop.call_later(SERVER_DELAY_S, self.server.receive, self, data)
+        loop.call_later(self._delay_s, self.server.receive, self, data)
 
     def deliver(self, data: bytes) -> None:
         """Delivers a response after the network delay."""
-        self.server.loop.call_later(SERVER_DELAY_S, self._deliver_now, data)
+        self.server.loop.call_later(self._delay_s, self._deliver_now, data)
 
     def _deliver_now(self, data: bytes) -> None:
         if not self.closed:
@@ -113,6 +118,8 @@
       pause_interval_s: Time between the starts of two pauses, seconds.
       slowdowns: Spans in which it is slower.
       handshake_s: Time to accept a connection, seconds.
+      cross_zone_delay_s: One-way delay that hosts of other zones have in
+        addition, seconds.
     """
 
     def __init__(
@@ -128,8 +135,10 @@
         pause_interval_s: float = 6.0,
         slowdowns: Sequence[Span] = (),
         handshake_s: float = 0.006,
+        cross_zone_delay_s: float = 0.0,
     ):
         self.loop = loop
+        self.cross_zone_delay_s = cross_zone_delay_s
         self.server = server
         self._handshake_s = handshake_s
         self.slowdowns = list(slowdowns)
@@ -152,6 +161,15 @@
         self._queue: collections.deque[_Work] = collections.deque()
         self._running = 0
 
+    @property
+    def load(self) -> int:
+        """Requests that run or wait for a slot."""
+        return self._running + len(self._queue)
+
+    def is_remote_to(self, host: object) -> bool:
+        """Returns whether a host is in another availability zone."""
+        return getattr(host, "zone", self.server.zone) != self.server.zone
+
     async def accept(self, protocol: asyncio.Protocol) -> ServerTransport:
         """Opens a connection."""
         await asyncio.sleep(self._handshake_s + 2 * SERVER_DELAY_S)
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -38,6 +38,12 @@
 COLD_LATENCY_RATIO = 1.6
 # Upper bound on the latency ratio of one attempt; a higher one means a stall.
 MAX_LATENCY_RATIO = 20.0
+# Upper bound on the ratio of one attempt in the usual ratio: a pause of the
+# server, which a hedge covers, does not make it a slow one.
+MAX_USUAL_RATIO = 4.0
+# Time constant with which the usual ratio returns to 1 without responses, so
+# that a server that was slow is tried again.
+USUAL_RATIO_DECAY_S = 10.0
 # An attempt with no more time than this cannot be answered and is not sent.
 MIN_REMAINING_S = 0.001
 # How long before a silent loss the server may have been down already.
@@ -146,6 +152,8 @@
         )
         # The same as the latency ratio, without the time in the queue here.
         self.service_time_ratio = self.latency_ratio
+        self._usual_ratio = self.latency_ratio
+        self._usual_ratio_time_s = environment.loop.time()
         self.unreachable = False
         # Whether it stays unreachable until its health check succeeds.
         self.probed = False
@@ -320,6 +328,19 @@
             return attempt.started_s
         return math.inf
 
+    def get_oldest(self) -> attempts.Attempt | None:
+        """Returns the oldest pending attempt, if any."""
+        return next(iter(self.pending), None)
+
+    def get_usual_ratio(self, now: float) -> float:
+        """Returns the latency ratio without the effect of short pauses.
+
+        It returns to 1 with the time since the last response.
+        """
+        age_s = now - self._usual_ratio_time_s
+        decay = math.exp(-age_s / USUAL_RATIO_DECAY_S)
+        return 1.0 + (self._usual_ratio - 1.0) * decay
+
     def complete_attempt(
         self,
         connection: connections.Connection,
@@ -425,6 +446,11 @@
         if reply.succeeded:
             expected_s = max(attempt.expected_latency_s, 0.001)
             ratio = (now - attempt.started_s) / expected_s
+            usual = self.get_usual_ratio(now)
+            self._usual_ratio = (
+                usual + (min(ratio, MAX_USUAL_RATIO) - usual) * LATENCY_WEIGHT
+            )
+            self._usual_ratio_time_s = now
             ratio = min(ratio, MAX_LATENCY_RATIO)
             self.latency_ratio += (ratio - self.latency_ratio) * LATENCY_WEIGHT
             ratio = (now - attempt.sent_s) / expected_s
--- a/eelgrasshall/platform/settings.py
+++ b/eelgrasshall/platform/settings.py
@@ -45,6 +45,8 @@
       cold_start_bound: Requests allowed beyond a cold server's stated rate.
       address_ttl_s: Longest time for which a caller may use the addresses
         that it looked up, seconds.
+      keeps_to_zone: Whether time to spare is spent on staying in the own
+        availability zone also while the configuration has no workspaces.
     """
 
     host: model.Host
@@ -60,6 +62,7 @@
     grace_s: float
     cold_start_bound: cold_start.ColdStartBound
     address_ttl_s: float
+    keeps_to_zone: bool
 
 
 def load_settings() -> Settings:
@@ -138,4 +141,5 @@
             slack=float(bounds.get("coldSlack", 0.0)),
         ),
         address_ttl_s=float(bounds["ttl_max_s"]),
+        keeps_to_zone="rollout" in document.get("contracts", ()),
     )
