Count the bytes between zones by cause

What is sent between availability zones was not visible. Counters cross_zone_bytes_* now add up the payload of attempts, hedges and retries, health checks, datagrams between hosts, exchange of objects and relays. Each exchange is counted by one host, so that the counters of all hosts add up.

--- a/eelgrasshall/gateway/attempts.py
+++ b/eelgrasshall/gateway/attempts.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from eelgrasshall.gateway import messages
+from eelgrasshall.gateway import zone_traffic
 
 if TYPE_CHECKING:
     from eelgrasshall.gateway import connections
@@ -41,6 +42,7 @@
         opened connection.
       compute_fingerprint: Returns a hash of the request that is the same when
         the caller retries it; None for a health check.
+      is_extra: Whether it is a hedge or a retry.
     """
 
     __slots__ = (
@@ -52,6 +54,7 @@
         "due_s",
         "encode",
         "expected_latency_s",
+        "is_extra",
         "needs_new_connection",
         "owner",
         "request_id",
@@ -73,7 +76,9 @@
         needs_new_connection: bool,
         due_s: float = math.inf,
         compute_fingerprint: Callable[[], str] | None = None,
+        is_extra: bool = False,
     ):
+        self.is_extra = is_extra
         self.compute_fingerprint = compute_fingerprint
         self.owner = owner
         self.tag = tag
@@ -90,6 +95,15 @@
         self.sent_s = 0.0
         self.done = False
 
+    @property
+    def cause(self) -> zone_traffic.Cause:
+        """Why its bytes are sent."""
+        if self.is_health_check:
+            return zone_traffic.Cause.HEALTH_CHECKS
+        if self.is_extra:
+            return zone_traffic.Cause.EXTRA_ATTEMPTS
+        return zone_traffic.Cause.ATTEMPTS
+
     @property
     def is_health_check(self) -> bool:
         """Whether this host made it, and no caller."""
--- a/eelgrasshall/gateway/client.py
+++ b/eelgrasshall/gateway/client.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import json
 from typing import Any
 from typing import NamedTuple
@@ -69,6 +70,8 @@
         self._address = address
         self._accepted = "Accept-Encoding: gzip\r\n" if accepts_gzip else ""
         self._connection: _Connection | None = None
+        # Bytes that were sent and received, of heads and bodies.
+        self.transferred_bytes = 0
 
     async def call(
         self,
@@ -144,15 +147,24 @@
         ip, port = self._address
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, self._connection = await loop.create_connection(
-                _Connection, ip, port
+                lambda: _Connection(on_transferred=self._add_bytes), ip, port
             )
 
+    def _add_bytes(self, size: int) -> None:
+        """Counts bytes that were sent or received."""
+        self.transferred_bytes += size
+
 
 class _Connection(asyncio.Protocol):
-    """The TCP connection of a client."""
+    """The TCP connection of a client.
+
+    Args:
+      on_transferred: Called with the number of bytes sent or received.
+    """
 
-    def __init__(self):
+    def __init__(self, *, on_transferred: Callable[[int], None]):
         self.closed = False
+        self._on_transferred = on_transferred
         self._parser: response_parser.ResponseParser | None = None
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -188,6 +200,7 @@
             get_max_body_bytes=lambda: MAX_BODY_BYTES,
         )
         self._transport.write(data)
+        self._on_transferred(len(data))
         return self._response_future
 
     def close(self) -> None:
@@ -203,6 +216,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received data; unexpected data closes the connection."""
+        self._on_transferred(len(data))
         if self._response_future is None or self._response_future.done():
             self.close()
             return
--- a/eelgrasshall/gateway/connections.py
+++ b/eelgrasshall/gateway/connections.py
@@ -101,6 +101,7 @@
         self._body: list[bytes] = []
         self._parser = httptools.HttpResponseParser(self)
         self.transport.write(data)
+        self.backend.record_bytes(attempt, len(data))
 
     def close(self) -> None:
         """Closes the connection at once; unsent data is discarded."""
@@ -114,6 +115,7 @@
         if self.attempt is None:
             self.backend.close_connection(self)
             return
+        self.backend.record_bytes(self.attempt, len(data))
         try:
             self._parser.feed_data(data)
         except (
--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -468,6 +468,7 @@
             expected_latency_s=self._median_latency_s,
             needs_new_connection=not self._route.idempotent,
             compute_fingerprint=self._compute_fingerprint,
+            is_extra=bool(shard.tried),
         )
         shard.active.append(attempt)
         shard.tried.append(chosen)
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -34,6 +34,7 @@
 from eelgrasshall.gateway import request_handler
 from eelgrasshall.gateway import supervision
 from eelgrasshall.gateway import watcher
+from eelgrasshall.gateway import zone_traffic
 
 # Interval between checks for timed-out attempts and connections.
 SWEEP_INTERVAL_S = 0.1
@@ -142,6 +143,9 @@
         self._publish = publish
         self._log = log
         self._metrics = metrics.Metrics()
+        self._zone_traffic = zone_traffic.ZoneTraffic(
+            zone=options.host.zone, counters=self._metrics.counters
+        )
         self._supervisor = supervision.Supervisor(
             loop=self._loop, log=log, count=self._metrics.count
         )
@@ -151,6 +155,9 @@
             random=random,
             list_helpers=self._list_helpers,
             count=self._metrics.count,
+            on_transferred=lambda host, size: self._zone_traffic.record(
+                zone_traffic.Cause.RELAYS, host.zone, size
+            ),
         )
         self._request_handler = request_handler.RequestHandler(
             own=options.host,
@@ -183,7 +190,11 @@
             )
             for collection in object_cache.Collection
         ]
-        self._peer_sync = peer_sync.PeerSync(cache=self._object_cache, log=log)
+        self._peer_sync = peer_sync.PeerSync(
+            cache=self._object_cache,
+            log=log,
+            on_transferred=self._record_exchange,
+        )
         self._update_answers = peer_sync.UpdateAnswers(cache=self._object_cache)
         self._notify_scheduled = False
         self._peers = peers.HeartbeatProtocol(
@@ -204,6 +215,9 @@
                 log=log,
                 count=self._metrics.count,
             ),
+            on_sent=lambda host, size: self._zone_traffic.record(
+                zone_traffic.Cause.DATAGRAMS, host.zone, size
+            ),
         )
         self._caller_listener = self._make_listener(self._handle_request)
         self._control_listener = self._make_listener(
@@ -225,6 +239,13 @@
         self._attempts_per_s = 0.0
         self._last_attempts_sent = 0
 
+    def _record_exchange(self, name: str, size: int) -> None:
+        """Counts the bytes of a fetch of objects from another host."""
+        host = self._peers.find_host(name)
+        self._zone_traffic.record(
+            zone_traffic.Cause.OBJECTS, host.zone if host else None, size
+        )
+
     # Life cycle.
 
     async def start(self) -> None:
--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -14,6 +14,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 import gzip
 import json
@@ -325,11 +326,18 @@
     Args:
       cache: The cache to update.
       log: The log for fetches and their failures.
+      on_transferred: Called with the name of the other host and the bytes of a
+        fetch.
     """
 
     def __init__(
-        self, *, cache: object_cache.ObjectCache, log: events.EventLog
+        self,
+        *,
+        cache: object_cache.ObjectCache,
+        log: events.EventLog,
+        on_transferred: Callable[[str, int], None] = lambda name, size: None,
     ):
+        self._on_transferred = on_transferred
         self._cache = cache
         self._log = log
         self._task: asyncio.Task | None = None
@@ -420,6 +428,7 @@
             failure = error
         finally:
             peer_client.close()
+            self._on_transferred(name, peer_client.transferred_bytes)
         cost = {
             "took_ms": round((loop.time() - started_s) * 1000),
             "received_bytes": received_bytes,
--- a/eelgrasshall/gateway/peers.py
+++ b/eelgrasshall/gateway/peers.py
@@ -103,6 +103,7 @@
       on_links_lost: Called when another host has lost its links to the backend
         servers.
       channels: What else is sent next to the heartbeats.
+      on_sent: Called with the receiver and the size of each datagram.
     """
 
     def __init__(
@@ -120,6 +121,7 @@
         on_hosts_changed: Callable[[], None],
         on_links_lost: Callable[[], None],
         channels: Sequence[Channel] = (),
+        on_sent: Callable[[model.Host, int], None] = lambda host, size: None,
     ):
         self.state = heartbeats.State.JOINING
         self._own = own
@@ -134,6 +136,7 @@
         self._on_hosts_changed = on_hosts_changed
         self._on_links_lost = on_links_lost
         self._channels = channels
+        self._on_sent = on_sent
         self._hosts: dict[str, model.Host] = {}
         self._records: dict[str, _HeartbeatRecord] = {}
         self._learned_s: dict[str, float] = {}
@@ -445,6 +448,7 @@
             if datagram is not None:
                 for host in hosts:
                     self._transport.sendto(datagram, tuple(host.peer_address))
+                    self._on_sent(host, len(datagram))
 
     def _choose_targets(self) -> list[model.Host]:
         """Returns the hosts to send to in one period.
@@ -492,10 +496,10 @@
         elif with_table:
             self._roster.write(self._own.name, own)
             table = bytes(self._roster.table)
+        datagram = head + b"\n" + table
         for host in hosts:
-            self._transport.sendto(
-                head + b"\n" + table, tuple(host.peer_address)
-            )
+            self._transport.sendto(datagram, tuple(host.peer_address))
+            self._on_sent(host, len(datagram))
 
     def _encode_named(self) -> bytes:
         """Returns a named table with the heartbeats of a sample of hosts."""
--- a/eelgrasshall/gateway/relay.py
+++ b/eelgrasshall/gateway/relay.py
@@ -125,6 +125,8 @@
       random: Random number generator.
       list_helpers: Returns the hosts that reach the backend servers at present.
       count: Adds one to the counter of a name.
+      on_transferred: Called with a helper and the bytes sent to it or received
+        from it.
     """
 
     def __init__(
@@ -135,12 +137,16 @@
         random: random_module.Random,
         list_helpers: Callable[[], Sequence[relay_choice.Helper]],
         count: Callable[[str], None],
+        on_transferred: Callable[[model.Host, int], None] = (
+            lambda host, size: None
+        ),
     ):
         self._own = own
         self._names = names
         self._random = random
         self._list_helpers = list_helpers
         self._count = count
+        self._on_transferred = on_transferred
         self._loop = asyncio.get_running_loop()
         self._receive_buffer = connections.ReceiveBuffer()
         self._connections: set[_Connection] = set()
@@ -283,6 +289,7 @@
         except ConnectionError as error:
             return _fail(Ending.LOST, host, error)
         finally:
+            self._on_transferred(host, connection.take_transferred())
             if not connection.is_kept:
                 connection.close()
 
@@ -405,8 +412,14 @@
             asyncio.Future[response_parser.ResponseParser] | None
         ) = None
         self._received_bytes = 0
+        self._transferred_bytes = 0
         self._idle_timer: asyncio.TimerHandle | None = None
 
+    def take_transferred(self) -> int:
+        """Returns the bytes sent and received since the last call."""
+        size, self._transferred_bytes = self._transferred_bytes, 0
+        return size
+
     @property
     def is_kept(self) -> bool:
         """Whether the connection waits for the next request."""
@@ -434,6 +447,7 @@
             get_max_body_bytes=self._relay.receive_buffer.get_body_limit,
         )
         self._transport.write(data)
+        self._transferred_bytes += len(data)
         return self._response_future
 
     def close(self) -> None:
@@ -463,6 +477,7 @@
         if self._response_future is None or self._response_future.done():
             self.close()
             return
+        self._transferred_bytes += len(data)
         self._received_bytes += len(data)
         self._relay.receive_buffer.size += len(data)
         try:
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -32,6 +32,7 @@
 from eelgrasshall.gateway import routing
 from eelgrasshall.gateway import shares
 from eelgrasshall.gateway import upstream
+from eelgrasshall.gateway import zone_traffic
 
 # Retry-After of a host without a configuration; it usually gets one by then.
 RETRY_AFTER_UNCONFIGURED_S = 0.3
@@ -103,6 +104,9 @@
                 observer=self,
                 count=metrics.count,
                 receive_buffer=connections.ReceiveBuffer(),
+                traffic=zone_traffic.ZoneTraffic(
+                    zone=own.zone, counters=metrics.counters
+                ),
             )
         )
         self.links = links.Links(
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -23,6 +23,7 @@
 from eelgrasshall.gateway import pauses
 from eelgrasshall.gateway import rate_limits
 from eelgrasshall.gateway import send_queue
+from eelgrasshall.gateway import zone_traffic
 
 # Several round trips to another zone; after that the server is unreachable.
 CONNECT_TIMEOUT_S = 0.4
@@ -115,6 +116,7 @@
       observer: Receives events.
       count: Increments a named counter.
       receive_buffer: Counts the bytes of the responses that arrive.
+      traffic: Counts the bytes between zones; None if they are not counted.
     """
 
     loop: asyncio.AbstractEventLoop
@@ -122,6 +124,7 @@
     observer: Observer
     count: Callable[[str], None]
     receive_buffer: connections.ReceiveBuffer
+    traffic: zone_traffic.ZoneTraffic | None = None
 
 
 class Backend:
@@ -365,6 +368,12 @@
             self._release_connection(connection)
         self._report_outcome(attempt, outcome)
 
+    def record_bytes(self, attempt: attempts.Attempt, size: int) -> None:
+        """Counts bytes of an attempt that were sent or received."""
+        traffic = self.environment.traffic
+        if traffic is not None:
+            traffic.record(attempt.cause, self.server.zone, size)
+
     def close_connection(self, connection: connections.Connection) -> None:
         """Closes a connection and removes it from the pool."""
         connection.close()
