--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -33,6 +33,9 @@
 # Upper bound on the hedge delay, in median latencies.  While many servers are
 # slow, the quantile reflects their slowness instead of normal latency.
 MAX_HEDGE_DELAY_MEDIANS = 1.9
+# The same where this host keeps to its zone and there is time to spare: hedges
+# go to other zones, and most attempts answer soon after the quantile.
+MAX_SPARE_HEDGE_DELAY_MEDIANS = 3.0
 # Lower bound on the hedge delay; differences below it are random.
 MIN_HEDGE_DELAY_S = 0.004
 # Interval at which hedges are tried again that were put off because this host
@@ -141,6 +144,7 @@
     names: model.HeaderNames
     random: random_module.Random
     zone: str
+    keeps_to_zone: bool
 
     def get_quarantine_s(self, request: messages.Request) -> float:
         """Returns for how long a request must not run; 0 if it may."""
@@ -258,6 +262,8 @@
             ),
             MIN_HEDGE_DELAY_S,
         )
+        if context.keeps_to_zone:
+            self._hedge_delay_s = self._extend_hedge_delay_s()
         # When to try again to send hedges that were put off.
         self._hedges_due_s = 0.0
         # Whether it was ended here to be sent through another host.
@@ -267,6 +273,18 @@
         self._timer: asyncio.TimerHandle | None = None
         self._result: asyncio.Future[Outcome] = context.loop.create_future()
 
+    def _extend_hedge_delay_s(self) -> float:
+        """Returns the hedge delay that the time to spare allows.
+
+        A hedge still has as much time for its response then as an attempt needs
+        to be expected well in time.
+        """
+        median_s = self._median_latency_s
+        spare_s = self._partial_due_s - self._context.loop.time()
+        latest_s = spare_s - load_balancing.SPARE_FACTOR * median_s
+        extended_s = min(MAX_SPARE_HEDGE_DELAY_MEDIANS * median_s, latest_s)
+        return max(self._hedge_delay_s, extended_s)
+
     async def run(self) -> Outcome:
         """Sends the request and waits for its outcome.
 
@@ -422,12 +440,20 @@
         shard: ShardState,
         candidates: Sequence[upstream.Backend],
         now: float,
+        *,
+        is_hedge: bool = False,
     ) -> bool:
         """Sends an attempt to the candidate that answers first, most likely.
 
+        Where this host keeps to its zone, that holds for hedges; other attempts
+        stay in the zone as long as their response is expected well in time.
+
         Returns:
           False if there is no candidate.
         """
+        spare_s = None
+        if self._context.keeps_to_zone:
+            spare_s = 0.0 if is_hedge else self._partial_due_s - now
         chosen = load_balancing.choose_backend(
             candidates,
             expected_latency_s=self._median_latency_s,
@@ -437,6 +463,7 @@
                 shard.service
             ).compute_used_share(),
             random=self._context.random,
+            spare_s=spare_s,
         )
         if chosen is None:
             shard.failed = not shard.active
@@ -451,6 +478,7 @@
             expected_latency_s=self._median_latency_s,
             needs_new_connection=not self._route.idempotent,
             compute_fingerprint=self._compute_fingerprint,
+            is_extra=bool(shard.tried),
         )
         shard.active.append(attempt)
         shard.tried.append(chosen)
@@ -560,7 +588,7 @@
             ):
                 self._hedge_count += 1
                 self._context.count("hedges")
-                self._send_to_best(shard, others, now)
+                self._send_to_best(shard, others, now, is_hedge=True)
 
     def _on_timer(self) -> None:
         """Sends hedges and checks the deadlines."""
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -38,6 +38,7 @@
 from eelgrasshall.gateway import supervision
 from eelgrasshall.gateway import watcher
 from eelgrasshall.gateway import workspace_hosts
+from eelgrasshall.gateway import zone_traffic
 
 # Interval between checks for timed-out attempts and connections.
 SWEEP_INTERVAL_S = 0.1
@@ -97,6 +98,8 @@
         configuration could reach this host, seconds.
       quota_bound: Bound on the requests of a workspace; None if their limits
         are not applied.
+      keeps_to_zone: Whether time to spare is spent on staying in the own
+        availability zone also while the configuration has no workspaces.
     """
 
     host: model.Host
@@ -113,6 +116,7 @@
     directory_path: str
     revoke_s: float = math.inf
     quota_bound: quotas.QuotaBound | None = None
+    keeps_to_zone: bool = False
 
 
 class GatewayHost:
@@ -149,6 +153,9 @@
         self._publish = publish
         self._log = log
         self._metrics = metrics.Metrics()
+        self._zone_traffic = zone_traffic.ZoneTraffic(
+            zone=options.host.zone, counters=self._metrics.counters
+        )
         self._supervisor = supervision.Supervisor(
             loop=self._loop, log=log, count=self._metrics.count
         )
@@ -158,6 +165,9 @@
             random=random,
             list_helpers=self._list_helpers,
             count=self._metrics.count,
+            on_transferred=lambda host, size: self._zone_traffic.record(
+                zone_traffic.Cause.RELAYS, host.zone, size
+            ),
         )
         self._request_handler = request_handler.RequestHandler(
             own=options.host,
@@ -171,6 +181,7 @@
             relay=self._relay,
             has_stale_keys=self._has_stale_keys,
             quota_gate=self._make_quota_gate(),
+            keeps_to_zone=options.keeps_to_zone,
         )
         self._workspace_hosts = workspace_hosts.WorkspaceHosts()
         self._started_s = self._loop.time()
@@ -193,7 +204,11 @@
             )
             for collection in object_cache.Collection
         ]
-        self._peer_sync = peer_sync.PeerSync(cache=self._object_cache, log=log)
+        self._peer_sync = peer_sync.PeerSync(
+            cache=self._object_cache,
+            log=log,
+            on_transferred=self._record_exchange,
+        )
         self._update_answers = peer_sync.UpdateAnswers(cache=self._object_cache)
         self._notify_scheduled = False
         self._peers = peers.HeartbeatProtocol(
@@ -214,6 +229,9 @@
                 log=log,
                 count=self._metrics.count,
             ),
+            on_sent=lambda host, size: self._zone_traffic.record(
+                zone_traffic.Cause.DATAGRAMS, host.zone, size
+            ),
         )
         self._caller_listener = self._make_listener(self._handle_request)
         self._control_listener = self._make_listener(
@@ -235,6 +253,13 @@
         self._attempts_per_s = 0.0
         self._last_attempts_sent = 0
 
+    def _record_exchange(self, name: str, size: int) -> None:
+        """Counts the bytes of a fetch of objects from another host."""
+        host = self._peers.find_host(name)
+        self._zone_traffic.record(
+            zone_traffic.Cause.OBJECTS, host.zone if host else None, size
+        )
+
     # Life cycle.
 
     async def start(self) -> None:
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -35,6 +35,7 @@
 from eelgrasshall.gateway import shares
 from eelgrasshall.gateway import upstream
 from eelgrasshall.gateway import workspace_metrics
+from eelgrasshall.gateway import zone_traffic
 
 # Retry-After of a host without a configuration; it usually gets one by then.
 RETRY_AFTER_UNCONFIGURED_S = 0.3
@@ -76,6 +77,8 @@
       has_stale_keys: Returns whether requests that need a key are refused, as
         keys may have been withdrawn that this host holds valid.
       quota_gate: Applies the quotas of workspaces; None if there are none.
+      keeps_to_zone: Whether time to spare is spent on staying in the own
+        availability zone also while the configuration has no workspaces.
     """
 
     def __init__(
@@ -92,9 +95,13 @@
         relay: relay_module.Relay | None = None,
         has_stale_keys: Callable[[], bool] = lambda: False,
         quota_gate: quota_gate_module.QuotaGate | None = None,
+        keeps_to_zone: bool = False,
     ):
         self.names = names
         self.zone = own.zone
+        # Whether time to spare is spent on staying in the zone.
+        self.keeps_to_zone = keeps_to_zone
+        self._always_keeps_to_zone = keeps_to_zone
         self.random = random
         self.loop = asyncio.get_running_loop()
         self.quarantine = quarantine.Quarantine(on_verdict=self._log_verdict)
@@ -108,6 +115,9 @@
                 observer=self,
                 count=metrics.count,
                 receive_buffer=connections.ReceiveBuffer(),
+                traffic=zone_traffic.ZoneTraffic(
+                    zone=own.zone, counters=metrics.counters
+                ),
             )
         )
         self.links = links.Links(
@@ -165,6 +175,9 @@
     def apply_configuration(self, configuration: model.Configuration) -> None:
         """Puts a configuration in force."""
         self._route_table = routing.RouteTable(configuration=configuration)
+        self.keeps_to_zone = (
+            self._always_keeps_to_zone or configuration.workspaces is not None
+        )
         self._keys = None
         if configuration.workspaces is not None:
             self._keys = credentials.KeyTable(
--- a/eelgrasshall/platform/program.py
+++ b/eelgrasshall/platform/program.py
@@ -88,6 +88,7 @@
         directory_path=wire_names.DIRECTORY_PATH,
         revoke_s=settings.revoke_s,
         quota_bound=settings.quota_bound,
+        keeps_to_zone=settings.keeps_to_zone,
     )
 
 
--- a/eelgrasshall/platform/settings.py
+++ b/eelgrasshall/platform/settings.py
@@ -55,6 +55,8 @@
         configuration could reach this host, seconds; infinite by default.
       quota_bound: Bound on the requests of a workspace, for all entry hosts
         together; None if the settings have none.
+      keeps_to_zone: Whether time to spare is spent on staying in the own
+        availability zone also while the configuration has no workspaces.
     """
 
     host: model.Host
@@ -72,6 +74,7 @@
     address_ttl_s: float
     revoke_s: float = math.inf
     quota_bound: quotas.QuotaBound | None = None
+    keeps_to_zone: bool = False
 
 
 def load_settings() -> Settings:
@@ -152,6 +155,7 @@
         address_ttl_s=float(bounds["ttl_max_s"]),
         quota_bound=_decode_quota_bound(bounds),
         revoke_s=_decode_revoke_time(bounds),
+        keeps_to_zone="rollout" in document.get("contracts", ()),
     )
 
 
