A host that has just started reads from the store when a caller wants it

Hosts that start before the seeds refuse callers for up to 0.3 s until a seed has data, and a seed without power holds up the question to the next one for 0.7 s. Change: the first caller makes the host read from the store, which takes milliseconds, and waits for it up to 0.1 s; another seed is asked after 0.15 s. Ruled out: every host reads from the store at once, since each call is priced.

Test: _meet of peer_sync_test slept 30 ms for a fetch that begins after 10 ms; three cases failed once at a load of 13 beside other test runs. It now waits for the fetch itself, which is as strict.

Result: peer_sync_test, host_test and request_handler_test pass, the two new tests fail without the change.

--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -159,6 +159,8 @@
         self._supervisor = supervision.Supervisor(
             loop=self._loop, log=log, count=self._metrics.count
         )
+        # Set by the first caller that this host cannot serve yet.
+        self._data_wanted = asyncio.Event()
         self._relay = relay.Relay(
             own=options.host,
             names=options.names,
@@ -179,6 +181,7 @@
             metrics=self._metrics,
             on_links_changed=self._handle_links_changed,
             relay=self._relay,
+            on_unconfigured=self._data_wanted.set,
             has_stale_keys=self._has_stale_keys,
             quota_gate=self._make_quota_gate(),
             keeps_to_zone=options.keeps_to_zone,
@@ -843,7 +846,7 @@
         own = self._options.host.control_address
         if own not in seeds:
             self._random.shuffle(seeds)
-            await self._peer_sync.fetch_from_seeds(seeds, SEED_TIMEOUT_S)
+            await self._wait_for_seeds(seeds)
         else:
             seeds.remove(own)
             self._supervisor.start(
@@ -853,6 +856,28 @@
         for each in self._watchers:
             self._supervisor.start(f"watch {each.collection.name}", each.run)
 
+    async def _wait_for_seeds(self, seeds: list[model.Address]) -> None:
+        """Fetches the state from seeds, unless a caller wants it earlier.
+
+        When all hosts start at the same time, seeds may be the last.  Callers
+        know a few hosts only, so that few read from the store.
+        """
+        tasks = [
+            self._loop.create_task(
+                self._peer_sync.fetch_from_seeds(seeds, SEED_TIMEOUT_S)
+            ),
+            self._loop.create_task(self._data_wanted.wait()),
+        ]
+        try:
+            done, _ = await asyncio.wait(
+                tasks, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                task.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+
     async def _publish_with_retries(self) -> None:
         """Publishes this host in the store; retries until it succeeds."""
         pause_s = watcher.MIN_BACKOFF_S
--- a/eelgrasshall/gateway/host_test.py
+++ b/eelgrasshall/gateway/host_test.py
@@ -67,8 +67,17 @@
 
 
 @contextlib.asynccontextmanager
-async def _run_host(store: _FakeStore, *, port: int, grace_s: float = 6.0):
-    """Runs a host; yields it and a function that sends a GET request to it."""
+async def _run_host(
+    store: _FakeStore,
+    *,
+    port: int,
+    grace_s: float = 6.0,
+    seeds: tuple[model.Address, ...] = (),
+):
+    """Runs a host; yields it and a function that sends a GET request to it.
+
+    The host is its own seed if none are given.
+    """
 
     async def publish(published):
         return True
@@ -87,7 +96,7 @@
             directory=model.Address("127.0.0.1", port + 3),
             readiness=model.Address("127.0.0.1", port + 4),
             metrics=model.Address("127.0.0.1", port + 5),
-            seeds=(own.control_address,),
+            seeds=seeds or (own.control_address,),
             bounds_s=dict.fromkeys(object_cache.Collection, 3.0),
             extra_attempt_bound=hedging.ExtraAttemptBound(0.2, 54.0),
             cold_start_bound=cold_start.ColdStartBound(1.5, 5.0),
@@ -136,6 +145,21 @@
         assert (await call("/addresses", 3))[0] == 503
 
 
+async def test_first_caller_makes_a_started_host_read_from_the_store():
+    # After a power cut of all hosts, those that started before the seeds
+    # refused callers until a seed had started.
+    store = _FakeStore()
+    store.write(_CONFIGURATION, "main", 5, _make_configuration(7, "/new/"))
+    store.write(object_cache.Collection.SERVERS, "s1", 6, fakes.make_server())
+    seeds = (model.Address("127.0.0.1", 1),)
+    async with _run_host(store, port=20960, seeds=seeds) as (host, call):
+        await asyncio.sleep(0.05)
+        assert host.dump()["version"] == 0
+        # 404: routes are known.
+        assert (await call("/old/x"))[0] == 404
+        assert host.dump()["version"] == 7
+
+
 async def test_older_configuration_version_is_ignored():
     store = _FakeStore()
     store.write(_CONFIGURATION, "main", 5, _make_configuration(7, "/new/"))
--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -38,6 +38,8 @@
 # Time after which the revision of a host that may lack deletions is taken over,
 # if no other host has more: longer than a watch and a deferred deletion take.
 ACCEPT_INCOMPLETE_DELAY_S = 5.0
+# Time for which the next seed is not asked while one may still answer.
+SEED_HEAD_START_S = 0.15
 # Smallest body that is compressed; a smaller one fits into one packet.
 MIN_COMPRESSED_BYTES = 1400
 # Asks for the revisions of a host without its objects: the stated ones are
@@ -378,22 +380,60 @@
     ) -> None:
         """Asks seeds in turn until one answers and all collections are known.
 
+        The next one is asked when the one before has failed, or has not
+        answered for a moment: a host without power does not refuse connections.
+
         Args:
           seeds: Control addresses of the seeds.
           wait_s: Seconds for which to retry; with 0, each is asked once.
         """
         loop = asyncio.get_running_loop()
         latest_s = loop.time() + wait_s
-        while True:
-            for address in seeds:
-                if await self.fetch(str(address), address) and all(
-                    self._cache.get_received_revision(each)
-                    for each in object_cache.Collection
-                ):
-                    return
-            if loop.time() >= latest_s:
-                return
-            await asyncio.sleep(RETRY_DELAY_S)
+        pending: dict[model.Address, asyncio.Task] = {}
+        try:
+            while True:
+                for address in seeds:
+                    if address not in pending:
+                        pending[address] = loop.create_task(
+                            self.fetch(str(address), address)
+                        )
+                    await self._wait_for_any(pending, SEED_HEAD_START_S)
+                    if self._knows_all():
+                        return
+                if loop.time() >= latest_s:
+                    break
+                await asyncio.sleep(RETRY_DELAY_S)
+            while pending and not self._knows_all():
+                await self._wait_for_any(pending, None)
+        finally:
+            for task in pending.values():
+                task.cancel()
+
+    async def _wait_for_any(
+        self, pending: dict[model.Address, asyncio.Task], wait_s: float | None
+    ) -> None:
+        """Waits until a fetch has ended, and removes those that have.
+
+        Args:
+          pending: The fetches in progress, by the address of the source.
+          wait_s: Longest wait, seconds; None for any.
+        """
+        done, _ = await asyncio.wait(
+            pending.values(),
+            timeout=wait_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for address, task in list(pending.items()):
+            if task in done:
+                del pending[address]
+                task.result()
+
+    def _knows_all(self) -> bool:
+        """Returns whether there is data of all collections."""
+        return all(
+            self._cache.get_received_revision(each)
+            for each in object_cache.Collection
+        )
 
     async def fetch(
         self, name: str, address: model.Address, kept_version: int = 0
--- a/eelgrasshall/gateway/peer_sync_test.py
+++ b/eelgrasshall/gateway/peer_sync_test.py
@@ -205,6 +205,29 @@
     assert log.list_events("exchange_failed")
 
 
+async def test_seed_that_hangs_does_not_hold_up_the_next_one():
+    # A host without power does not refuse connections: after a power cut of
+    # all hosts, the first seed took the whole time-out.
+    async def hang(reader, writer):
+        await asyncio.sleep(0.8)
+        writer.close()
+
+    remote, local = _make_cache(), _make_cache()
+    for collection in object_cache.Collection:
+        remote.advance(collection, 5)
+    sync = peer_sync.PeerSync(cache=local, log=fakes.Log())
+    hanging = await asyncio.start_server(hang, "127.0.0.1", 19112)
+    async with _serve(remote, 19113):
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        await sync.fetch_from_seeds(
+            [model.Address("127.0.0.1", 19112 + i) for i in range(2)], 1.0
+        )
+        assert loop.time() - started_s < 0.5
+    hanging.close()
+    assert local.get_received_revision(_SERVERS) == 5
+
+
 async def test_seeds_without_data_are_asked_until_the_wait_is_over():
     remote, local = _make_cache(), _make_cache()
     sync = peer_sync.PeerSync(cache=local, log=fakes.Log())
@@ -447,7 +470,8 @@
                 model.Address("127.0.0.1", port),
                 peer_sync.list_revisions(source.cache),
             )
-            await asyncio.sleep(0.03)
+            if target.sync._task is not None:
+                await asyncio.wait([target.sync._task], timeout=1.0)
             count += len(queries)
     return count
 
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -39,6 +39,11 @@
 
 # Retry-After of a host without a configuration; it usually gets one by then.
 RETRY_AFTER_UNCONFIGURED_S = 0.3
+# Time for which a request waits until a host that has just started has read
+# configuration and servers, and how often it looks: the store answers within
+# milliseconds, and a refused caller comes back once only.
+LOADING_WAIT_S = 0.1
+LOADING_POLL_INTERVAL_S = 0.005
 # Quantile of attempt latency taken as the duration of a request: a search ends
 # with the slowest of about ten shards, which is near this quantile.
 EXPECTED_QUANTILE = 0.95
@@ -74,6 +79,8 @@
         servers, or has them back.
       relay: Sends requests to other hosts meanwhile; None if they are not to be
         relayed.
+      on_unconfigured: Called when a request arrives while there is no
+        configuration.
       has_stale_keys: Returns whether requests that need a key are refused, as
         keys may have been withdrawn that this host holds valid.
       quota_gate: Applies the quotas of workspaces; None if there are none.
@@ -93,6 +100,7 @@
         metrics: metrics_module.Metrics,
         on_links_changed: Callable[[], None] = lambda: None,
         relay: relay_module.Relay | None = None,
+        on_unconfigured: Callable[[], None] = lambda: None,
         has_stale_keys: Callable[[], bool] = lambda: False,
         quota_gate: quota_gate_module.QuotaGate | None = None,
         keeps_to_zone: bool = False,
@@ -130,6 +138,7 @@
         )
         self._on_links_changed = on_links_changed
         self._relay = relay
+        self._on_unconfigured = on_unconfigured
         self._has_stale_keys = has_stale_keys
         self.workspace_metrics = workspace_metrics.WorkspaceMetrics()
         # Senders of the requests in flight while workspaces are configured.
@@ -327,7 +336,7 @@
         Returns:
           The outcome, the route if there is one, and further log fields.
         """
-        if self._route_table is None:
+        if self._route_table is None and not await self._wait_until_loaded():
             return self._reject(
                 503, "no configuration loaded", RETRY_AFTER_UNCONFIGURED_S
             )
@@ -344,6 +353,24 @@
             result[2]["workspace"] = caller.workspace.name
         return result
 
+    async def _wait_until_loaded(self) -> bool:
+        """Waits for a moment until this host knows routes and servers.
+
+        Returns:
+          Whether there is a configuration.
+        """
+        self._on_unconfigured()
+        latest_s = self.loop.time() + LOADING_WAIT_S
+        while self.loop.time() < latest_s and not self._ended:
+            if self._route_table is not None and self.registry.count_servers():
+                break
+            try:
+                await asyncio.sleep(LOADING_POLL_INTERVAL_S)
+            except asyncio.CancelledError:
+                if not self._ended:
+                    raise
+        return self._route_table is not None
+
     async def _process_identified(
         self,
         request: messages.Request,
