--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -584,15 +584,13 @@
         self._request_handler.set_active_host_count(active_count)
         heard = len(self._peers.list_alive()) + 1
         missing = self._peers.count_missing()
-        view = rate_limits.FleetView(
-            tuple(sorted(host.name for host in active)),
-            active_hosts.compute_part(heard=heard, missing=missing),
-        )
-        self._registry.set_fleet_view(view)
-        if self._request_handler.quota_gate is not None:
-            self._request_handler.quota_gate.set_fleet(
-                view, tuple(sorted(names))
+        self._registry.set_fleet_view(
+            rate_limits.FleetView(
+                tuple(sorted(host.name for host in active)),
+                active_hosts.compute_part(heard=heard, missing=missing),
             )
+        )
+        self._update_quota_view()
         self._request_handler.set_extra_share(
             active_hosts.compute_extra_share(
                 is_active=any(host.name == own for host in active),
@@ -602,6 +600,23 @@
             )
         )
 
+    def _update_quota_view(self) -> None:
+        """Tells the quotas what is known of the other hosts."""
+        gate = self._request_handler.quota_gate
+        if gate is None:
+            return
+        names = [host.name for host in self._peers.list_hosts()]
+        gate.set_fleet(
+            rate_limits.FleetView(
+                tuple(sorted(host.name for host in self._list_active_hosts())),
+                active_hosts.compute_part(
+                    heard=len(self._peers.list_alive()) + 1,
+                    missing=self._peers.count_missing(),
+                ),
+            ),
+            tuple(sorted([self._options.host.name, *names])),
+        )
+
     def _apply_configuration(
         self, configuration: model.Configuration, revision: int
     ) -> None:
@@ -776,6 +791,7 @@
             log=self._log,
             count=self._metrics.count,
             send=lambda: self._peers.send_addressed(),
+            refresh=self._update_quota_view,
         )
 
     def _make_listener(
--- a/eelgrasshall/gateway/quota_gate.py
+++ b/eelgrasshall/gateway/quota_gate.py
@@ -21,6 +21,9 @@
 POLL_INTERVAL_S = 0.01
 # Interval at which a charged request is checked for having been sent.
 SEND_CHECK_INTERVAL_S = 0.05
+# Interval between two looks at the other hosts while there are limits: a host
+# that loses its part has to learn of it before another one uses it.
+REFRESH_INTERVAL_S = 0.2
 # Resolution of the Retry-After that callers are told.
 RETRY_AFTER_STEP_S = 0.01
 
@@ -46,6 +49,7 @@
       log: The structured log.
       count: Increments a named counter.
       send: Sends the reports for other hosts at once.
+      refresh: Calls `set_fleet` with what is known now.
     """
 
     def __init__(
@@ -57,12 +61,15 @@
         log: events.EventLog,
         count: Callable[[str], None],
         send: Callable[[], None],
+        refresh: Callable[[], None] = lambda: None,
     ):
         self.quotas = quotas.Quotas(own=own, bound=bound)
         self._loop = loop
         self._log = log
         self._count = count
         self._send = send
+        self._refresh = refresh
+        self._refreshed_s = -math.inf
         self._logged_view: tuple = ()
 
     def configure(self, workspaces: dict[str, model.Workspace] | None) -> None:
@@ -81,8 +88,9 @@
           names: Names of all known hosts, including this one.
         """
         now = self._loop.time()
-        self.quotas.set_view(view, now)
+        self._refreshed_s = now
         self.quotas.set_hosts(names, now)
+        self.quotas.set_view(view, now)
         shares = self.quotas.list_shares()
         logged = (view, min(shares, default=0.0), max(shares, default=0.0))
         if shares and logged != self._logged_view:
@@ -135,6 +143,11 @@
     def build_datagrams(self) -> list[tuple[str, bytes]]:
         """Returns the datagrams to send now, each with its receiver's name."""
         now = self._loop.time()
+        if (
+            self.quotas.is_needed
+            and now - self._refreshed_s >= REFRESH_INTERVAL_S
+        ):
+            self._refresh()
         if not self.quotas.needs_credit(now):
             return []
         by_receiver: dict[str, list[quotas.Report]] = {}
--- a/eelgrasshall/gateway/quota_model.py
+++ b/eelgrasshall/gateway/quota_model.py
@@ -22,11 +22,11 @@
 
 BOUND = quotas.QuotaBound(window_s=5.0, excess=0.1, slack=20.0)
 HEARTBEAT_PERIOD_S = 0.25
-VIEW_PERIOD_S = 1.0
+VIEW_PERIOD_S = 0.25
 # Time until a heartbeat has reached all hosts, and time without one after which
 # a host counts as dead: in small fleets and in large ones.
 DIRECT_DELAY_S, DIRECT_TIMEOUT_S = 0.02, 1.2
-RELAY_DELAY_S, RELAY_TIMEOUT_S = 1.5, 2.5
+RELAY_DELAY_S, RELAY_TIMEOUT_S = 2.0, 2.5
 LARGE_FLEET = 17
 MESSAGE_DELAY_S = 0.003
 # How often a request that waits for credit tries again, and at how many hosts a
@@ -382,8 +382,8 @@
             view = DemandView(
                 active, part, tuple(demands.get(name, 0.0) for name in active)
             )
-        host.quotas.set_view(view, self.now)
         host.quotas.set_hosts(self.names, self.now)
+        host.quotas.set_view(view, self.now)
 
     def _send(self, host: Host) -> None:
         """Sends a host's reports."""
--- a/eelgrasshall/gateway/quotas.py
+++ b/eelgrasshall/gateway/quotas.py
@@ -29,9 +29,11 @@
 from eelgrasshall.gateway import rate_limits
 from eelgrasshall.gateway import shares
 
-# Time after which a larger part takes effect: hosts learn of a change within
-# about 2 s in a fleet of 400, and of a silent host up to as much apart.
+# Time after which a larger part takes effect, and what is added for each known
+# host.  Hosts learn of a change that much apart at most: in a large fleet
+# heartbeats are passed on from host to host.
 SHARE_DELAY_S = 3.0
+SHARE_DELAY_PER_HOST_S = 0.01
 # The same for the reserve, which depends on the names of all hosts only; a
 # host that has just started has read them by then.
 RESERVE_DELAY_S = 1.0
@@ -418,6 +420,14 @@
         ]
         return [missing * each / sum(weights) for each in weights]
 
+    def is_busy(self, now: float) -> bool:
+        """Returns whether there were requests lately that need tokens."""
+        self._refill(now)
+        return (
+            now < self.waiting_until_s
+            or self.demand_per_s * LOW_SUPPLY_S >= 1.0
+        )
+
     def list_answers(self, now: float) -> list[Credit]:
         """Returns the answers of other hosts that count."""
         return [
@@ -566,6 +576,8 @@
         self._view = rate_limits.FleetView((), 0.0)
         self._viewed_s = -math.inf
         self._accounts: dict[str, _Account] = {}
+        # Accounts with recent requests: only these may need credit.
+        self._busy: dict[str, _Account] = {}
         self._answers: list[Credit] = []
         self._last_number = 0
 
@@ -618,8 +630,11 @@
     def set_hosts(self, names: tuple[str, ...], now: float) -> None:
         """Sets the names of all known hosts, alive or not.
 
-        Has to be called every second or so.
+        Has to be called every second or so, before `set_view`.
         """
+        self._views.set_window(
+            SHARE_DELAY_S + SHARE_DELAY_PER_HOST_S * len(names)
+        )
         if self._rosters.update(names, now):
             self._set_all_parts(now)
 
@@ -636,6 +651,7 @@
         if account is None:
             return Grant(limited=False)
         account.note_demand(now)
+        self._busy[workspace_name] = account
         return self._take(account, now)
 
     def retake(self, workspace_name: str, now: float) -> Grant | Refusal:
@@ -677,8 +693,13 @@
 
     def needs_credit(self, now: float) -> bool:
         """Returns whether reports are due, before the next period."""
+        self._busy = {
+            name: account
+            for name, account in self._busy.items()
+            if account.is_busy(now)
+        }
         return bool(self._answers) or any(
-            self._is_due(account, now) for account in self._accounts.values()
+            self._is_due(account, now) for account in self._busy.values()
         )
 
     def list_gossip(self, now: float, max_count: int) -> list[Report]:
@@ -694,7 +715,7 @@
         if not lenders:
             return reports
         asked = 0
-        for account in self._accounts.values():
+        for account in self._busy.values():
             if asked >= max_count:
                 break
             if not self._is_due(account, now):
@@ -741,6 +762,13 @@
             else:
                 self._add_credit(account, each, now)
 
+    @property
+    def is_needed(self) -> bool:
+        """Whether any workspace has a limit."""
+        return any(
+            each.removed_s == math.inf for each in self._accounts.values()
+        )
+
     def list_shares(self) -> list[float]:
         """Returns the parts of all limits that this host may use."""
         return [
--- a/eelgrasshall/gateway/quotas_load_test.py
+++ b/eelgrasshall/gateway/quotas_load_test.py
@@ -285,7 +285,14 @@
 @pytest.mark.parametrize("size", _SIZES)
 @pytest.mark.parametrize(
     "load",
-    ["steady, spread", "steady, one host", "moving", "burst after idleness"],
+    [
+        "steady, spread",
+        "steady, one host",
+        "moving",
+        "burst after idleness",
+        "small",
+        "frozen",
+    ],
 )
 def test_nothing_below_the_limit_is_refused(load, size):
     fleet, _ = _simulate("lending", load, size)
--- a/eelgrasshall/gateway/shares.py
+++ b/eelgrasshall/gateway/shares.py
@@ -40,6 +40,18 @@
             collections.deque([(math.inf, None)])
         )
 
+    def set_window(self, window_s: float) -> None:
+        """Changes the length of the window.
+
+        A longer one also applies to the views that count now.
+        """
+        longer_s = max(window_s - self._window_s, 0.0)
+        self._window_s = window_s
+        if longer_s:
+            self._views = collections.deque(
+                (until_s + longer_s, view) for until_s, view in self._views
+            )
+
     def update(self, view: View, now: float) -> bool:
         """Sets what is known now.
 
--- a/eelgrasshall/platform/quotas_test.py
+++ b/eelgrasshall/platform/quotas_test.py
@@ -104,7 +104,7 @@
 
 async def test_demand_below_the_limit_is_served_at_one_host(tmp_path):
     # The host's own part of the limit is a third of it.
-    async with _run(tmp_path, port=26000) as fleet:
+    async with _run(tmp_path, port=27000) as fleet:
         counts = collections.Counter()
         await _send(fleet, counts, ["host0"], _RATE_PER_S / 1.6, 6.0)
         await _send(fleet, counts, ["host2"], _RATE_PER_S / 1.6, 4.0)
@@ -117,7 +117,7 @@
 
 
 async def _press(tmp_path, fault: str) -> None:
-    ports = {"none": 26200, "restart": 26400, "freeze": 26600}
+    ports = {"none": 27200, "restart": 27400, "freeze": 27600}
     async with _run(tmp_path, port=ports[fault]) as fleet:
         counts = collections.Counter()
         press = asyncio.create_task(
