--- a/eelgrasshall/gateway/hedging.py
+++ b/eelgrasshall/gateway/hedging.py
@@ -8,6 +8,10 @@
 The operator bounds the extra attempts of all hosts in every time window, by a
 part for each request and a fixed part.  Each host spends what its own requests
 allow, and a share of the fixed part (see `shares`).
+
+Callers' workspaces share the budget.  Beyond what its own requests allow, a
+workspace may have spent at most as much lately as is left for the others, so
+that none can use the budget up.
 """
 
 from collections.abc import Sequence
@@ -98,6 +102,9 @@
         # Requests of about one window, decayed exponentially.
         self._recent_requests = 0.0
         self._recent_s = 0.0
+        # By workspace: extra attempts beyond what its requests allow, decayed
+        # exponentially, and the time of that value.
+        self._spent: dict[str, tuple[float, float]] = {}
 
     def set_share(self, share: float) -> None:
         """Changes the share of the fixed part, by a `shares.DelayedShare`."""
@@ -128,33 +135,65 @@
             return 1.0
         return 1.0 - min(self._tokens / self._capacity, 1.0)
 
-    def deposit(self, now: float) -> None:
-        """Adds the extra attempts that one request allows."""
+    def deposit(self, now: float, *, workspace: str | None = None) -> None:
+        """Adds the extra attempts that one request allows.
+
+        Args:
+          now: Monotonic time.
+          workspace: The workspace of its caller, if any.
+        """
         elapsed_s = max(now - self._recent_s, 0.0)
         self._recent_s = now
         self._recent_requests *= math.exp(-elapsed_s / self._bound.window_s)
         self._recent_requests += 1.0
         earned = self._bound.ratio * USABLE_SHARE
         self._tokens = min(self._capacity, self._tokens + earned)
+        if workspace in self._spent:
+            self._add_spent(workspace, -earned)
 
-    def can_withdraw(self, *, reserve: float = 0.0) -> bool:
+    def can_withdraw(
+        self, *, reserve: float = 0.0, workspace: str | None = None
+    ) -> bool:
         """Returns whether an extra attempt may be made.
 
         Args:
           reserve: Share of the capacity that must remain afterwards.
+          workspace: The workspace of the caller, if any.
         """
+        if workspace is not None and (
+            self._get_spent(workspace) + 1.0 > self._tokens
+        ):
+            return False
         return self._tokens - 1.0 >= reserve * self._capacity
 
-    def try_withdraw(self, *, reserve: float = 0.0) -> bool:
+    def try_withdraw(
+        self, *, reserve: float = 0.0, workspace: str | None = None
+    ) -> bool:
         """Withdraws one extra attempt.
 
         Args:
           reserve: Share of the capacity that must remain afterwards.
+          workspace: The workspace of the caller, if any.
 
         Returns:
           Whether the attempt may be made.
         """
-        if not self.can_withdraw(reserve=reserve):
+        if not self.can_withdraw(reserve=reserve, workspace=workspace):
             return False
         self._tokens -= 1.0
+        if workspace is not None:
+            self._add_spent(workspace, 1.0)
         return True
+
+    def _get_spent(self, workspace: str) -> float:
+        """Returns what a workspace has spent lately beyond its own part."""
+        spent, spent_s = self._spent.get(workspace, (0.0, self._recent_s))
+        age_s = self._recent_s - spent_s
+        return spent * math.exp(-age_s / self._bound.window_s)
+
+    def _add_spent(self, workspace: str, amount: float) -> None:
+        spent = max(self._get_spent(workspace) + amount, 0.0)
+        if spent:
+            self._spent[workspace] = (spent, self._recent_s)
+        else:
+            self._spent.pop(workspace, None)
--- a/eelgrasshall/gateway/load_model.py
+++ b/eelgrasshall/gateway/load_model.py
@@ -2,16 +2,19 @@
 
 Request handlers of a few entry hosts run unchanged; simulated backend servers
 answer them.  Callers' requests come at random from a seeded generator; a caller
-retries once, after the time that it was told.
+retries once, after the time that it was told.  Callers may belong to workspaces
+that differ in their rates.
 """
 
 import asyncio
 from collections.abc import Sequence
 import heapq
+import itertools
 import random as random_module
 from typing import NamedTuple
 
 from eelgrasshall.gateway import cold_start
+from eelgrasshall.gateway import credentials
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import hedging
 from eelgrasshall.gateway import listener
@@ -24,6 +27,8 @@
 from eelgrasshall.gateway import simulated_server
 from eelgrasshall.gateway import virtual_time
 
+# The availability zones, in turn those of hosts, callers and servers.
+ZONES = "abc"
 # One-way delay between callers and hosts, seconds.
 CALLER_DELAY_S = 0.001
 # Interval at which a host ends attempts past their deadline.
@@ -58,6 +63,7 @@
       service_time_s: Mean time that a server needs for one, seconds.
       timeout_s: Time for which the caller waits, seconds.
       worth: Credit of an answer in time with all shards.
+      bursts: Spans with more requests of this kind.
     """
 
     route: model.Route
@@ -65,6 +71,22 @@
     service_time_s: float
     timeout_s: float
     worth: float
+    bursts: Sequence[simulated_server.Span] = ()
+
+
+class WorkspaceLoad(NamedTuple):
+    """The part of all requests that callers of one workspace send.
+
+    Attributes:
+      workspace: The workspace, by `make_workspace`; None for callers without
+        one.
+      share: Its share of the requests of each kind.
+      bursts: Spans with more requests of it.
+    """
+
+    workspace: model.Workspace | None
+    share: float
+    bursts: Sequence[simulated_server.Span] = ()
 
 
 class Result(NamedTuple):
@@ -79,6 +101,7 @@
       credit: Credit for the answer, of the worth of its kind.
       worth: The worth of its kind.
       in_time: Whether it was answered within its objective.
+      workspace: Name of the caller's workspace; None if it has none.
     """
 
     kind: str
@@ -89,6 +112,7 @@
     credit: float
     worth: float
     in_time: bool
+    workspace: str | None
 
 
 class _NoLog:
@@ -116,6 +140,15 @@
       hosts: Number of active entry hosts.
       speeds: Factors of the service times, by replica.
       bursts: Spans with more requests.
+      workspace_loads: The workspaces of callers.
+      sharing_hosts: Number of hosts that share the servers' connections, active
+        or not; None for one more than the active ones.
+      pause_s: Duration of each pause of a server, seconds.
+      pause_interval_s: Time between the starts of two pauses, seconds.
+      rotate_speeds: Whether each shard has the speeds in another order.
+      cross_zone_delay_s: One-way delay between availability zones in addition
+        to that within one, seconds.
+      keeps_to_zone: Whether hosts spend time to spare on staying in their zone.
     """
 
     def __init__(
@@ -130,13 +163,26 @@
         hosts: int = 3,
         speeds: Sequence[float] = (0.8, 1.0, 1.3),
         bursts: Sequence[simulated_server.Span] = (),
+        workspace_loads: Sequence[WorkspaceLoad] = (WorkspaceLoad(None, 1.0),),
+        sharing_hosts: int | None = None,
+        pause_s: float = 0.25,
+        pause_interval_s: float = 6.0,
+        rotate_speeds: bool = False,
+        cross_zone_delay_s: float = 0.0,
+        keeps_to_zone: bool = False,
     ):
         self.loop = loop
+        self._cross_zone_delay_s = cross_zone_delay_s
+        self._keeps_to_zone = keeps_to_zone
         self.random = random_module.Random(seed)
         self.results: list[Result] = []
         self.servers: dict[str, simulated_server.Server] = {}
+        # The counters of all hosts together.
+        self.metrics = metrics.Metrics()
         self._kinds = kinds
-        self._bursts = bursts
+        self._workspace_loads = workspace_loads
+        self._sharing_hosts = sharing_hosts or hosts + 1
+        self.bursts = list(bursts)
         self._count = 0
         self._tasks: set[asyncio.Task] = set()
         times_s = {
@@ -144,13 +190,15 @@
             for kind in kinds
         }
         port = 1000
-        for shard in shards:
+        orders = list(itertools.permutations(speeds))
+        for index, shard in enumerate(shards):
+            order = orders[index % len(orders)] if rotate_speeds else speeds
             for number in range(replicas):
                 port += 1
                 registration = fakes.make_server(
                     f"{shard}-{number}",
                     service=shard,
-                    zone="abc"[number % 3],
+                    zone=ZONES[number % len(ZONES)],
                     port=port,
                     slots=slots,
                 )
@@ -159,7 +207,10 @@
                     server=registration,
                     random=self.random,
                     service_times_s=times_s,
-                    speed=speeds[number % len(speeds)],
+                    speed=order[number % len(order)],
+                    pause_s=pause_s,
+                    pause_interval_s=pause_interval_s,
+                    cross_zone_delay_s=cross_zone_delay_s,
                 )
                 self.servers[registration.id] = server
                 loop.add_endpoint(registration.address, server)
@@ -171,6 +222,12 @@
                 for name in shards
             },
             limits=model.CallerLimits(),
+            workspaces={
+                load.workspace.name: load.workspace
+                for load in workspace_loads
+                if load.workspace is not None
+            }
+            or None,
         )
         # The hosts have run for a while, so that they may use their shares.
         loop.advance(-SETTLE_STEPS * shares.MAX_UPDATE_INTERVAL_S)
@@ -194,15 +251,16 @@
     ) -> request_handler.RequestHandler:
         names = tuple(f"h{i}" for i in range(hosts))
         handler = request_handler.RequestHandler(
-            own=fakes.make_host(names[number], zone="abc"[number % 3]),
+            own=fakes.make_host(names[number], zone=ZONES[number % len(ZONES)]),
             names=fakes.NAMES,
             extra_attempt_bound=EXTRA_ATTEMPT_BOUND,
             cold_start_bound=cold_start.ColdStartBound(1.5, 5.0),
             random=random_module.Random(self.random.random()),
             log=_NoLog(),
-            metrics=metrics.Metrics(),
+            metrics=self.metrics,
+            keeps_to_zone=self._keeps_to_zone,
         )
-        handler.set_hosts(hosts + 1, names)
+        handler.set_hosts(self._sharing_hosts, names)
         handler.set_extra_share(1.0 / (hosts + 1))
         handler.set_active_host_count(hosts)
         handler.apply_configuration(self._configuration)
@@ -222,18 +280,22 @@
     async def _run(self, duration_s: float) -> None:
         sweeper = self.loop.create_task(self._sweep())
         arrivals = []
-        for kind in self._kinds:
+        for kind, load in itertools.product(self._kinds, self._workspace_loads):
+            bursts = [*self.bursts, *kind.bursts, *load.bursts]
             now = 0.0
             while now < duration_s:
                 now += self.random.expovariate(
                     kind.rate_per_s
-                    * simulated_server.find_factor(self._bursts, now)
+                    * load.share
+                    * simulated_server.find_factor(bursts, now)
+                )
+                heapq.heappush(
+                    arrivals, (now, len(arrivals), kind, load.workspace)
                 )
-                heapq.heappush(arrivals, (now, len(arrivals), kind))
         while arrivals:
-            arrived_s, _, kind = heapq.heappop(arrivals)
+            arrived_s, _, kind, workspace = heapq.heappop(arrivals)
             await asyncio.sleep(arrived_s - self.loop.time())
-            task = self.loop.create_task(self._call(kind))
+            task = self.loop.create_task(self._call(kind, workspace))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         await asyncio.gather(*self._tasks)
@@ -256,14 +318,16 @@
                 if statements and receiver is not sender:
                     receiver.registry.merge_rates(statements)
 
-    async def _call(self, kind: Kind) -> None:
+    async def _call(
+        self, kind: Kind, workspace: model.Workspace | None
+    ) -> None:
         """Sends one request, and once more after a refusal or failure."""
         arrived_s = self.loop.time()
         deadline_s = arrived_s + kind.timeout_s
         refused_early = False
         for tries in range(1, MAX_TRIES + 1):
             tried_s = self.loop.time()
-            response = await self._try(kind, deadline_s)
+            response = await self._try(kind, workspace, deadline_s)
             if response.status == 200 or tries == MAX_TRIES:
                 break
             now = self.loop.time()
@@ -290,30 +354,55 @@
                 credit=kind.worth * share * _compute_coverage(kind, response),
                 worth=kind.worth,
                 in_time=in_time,
+                workspace=workspace.name if workspace else None,
             )
         )
 
-    async def _try(self, kind: Kind, deadline_s: float) -> listener.Response:
+    async def _try(
+        self,
+        kind: Kind,
+        workspace: model.Workspace | None,
+        deadline_s: float,
+    ) -> listener.Response:
         self._count += 1
-        await asyncio.sleep(CALLER_DELAY_S)
+        handler = self.random.choice(self.handlers)
+        delay_s = CALLER_DELAY_S
+        if self._cross_zone_delay_s and handler.zone != self.random.choice(
+            ZONES
+        ):
+            delay_s += self._cross_zone_delay_s
+        await asyncio.sleep(delay_s)
         remaining_s = deadline_s - self.loop.time()
+        headers = [
+            (b"Host", kind.route.host.encode()),
+            (b"X-Id", b"r%d" % self._count),
+            (b"X-Budget", b"%d" % int(remaining_s * 1000)),
+        ]
+        if workspace:
+            key = _make_key(workspace.name)
+            headers.append((b"Authorization", b"Bearer " + key))
         request = messages.Request(
             method=b"GET",
             target=kind.route.path_prefix.encode() + b"x",
-            headers=[
-                (b"Host", kind.route.host.encode()),
-                (b"X-Id", b"r%d" % self._count),
-                (b"X-Budget", b"%d" % int(remaining_s * 1000)),
-            ],
+            headers=headers,
             body=b"",
             received_s=self.loop.time(),
         )
-        handler = self.random.choice(self.handlers)
         response = await handler.handle(request)
-        await asyncio.sleep(CALLER_DELAY_S)
+        await asyncio.sleep(delay_s)
         return response
 
 
+def make_workspace(name: str, *, priority: int = 0) -> model.Workspace:
+    """Returns a workspace with the key that its callers send."""
+    digest = credentials.compute_digest(_make_key(name))
+    return model.Workspace(name, frozenset((digest,)), priority)
+
+
+def _make_key(name: str) -> bytes:
+    return b"key-%s" % name.encode()
+
+
 def _choose_retry_delay(
     response: listener.Response, remaining_s: float
 ) -> float:
@@ -364,3 +453,27 @@
         sum(r.in_time for r in chosen) / count,
         sum(r.status == 200 for r in chosen) / count,
     )
+
+
+def find_least_served(results: Sequence[Result], min_requests: int) -> float:
+    """Returns the least share of a workspace's requests that is answered.
+
+    Args:
+      results: What became of the requests.
+      min_requests: Workspaces with fewer requests are left out.
+
+    Returns:
+      The share, relative to that of all requests.
+    """
+    by_workspace: dict[str | None, list[Result]] = {}
+    for result in results:
+        by_workspace.setdefault(result.workspace, []).append(result)
+    return min(
+        _compute_served(each)
+        for each in by_workspace.values()
+        if len(each) >= min_requests
+    ) / _compute_served(results)
+
+
+def _compute_served(results: Sequence[Result]) -> float:
+    return sum(result.status == 200 for result in results) / len(results)
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -23,6 +23,7 @@
 from eelgrasshall.gateway import pauses
 from eelgrasshall.gateway import rate_limits
 from eelgrasshall.gateway import send_queue
+from eelgrasshall.gateway import zone_traffic
 
 # Several round trips to another zone; after that the server is unreachable.
 CONNECT_TIMEOUT_S = 0.4
@@ -38,6 +39,12 @@
 COLD_LATENCY_RATIO = 1.6
 # Upper bound on the latency ratio of one attempt; a higher one means a stall.
 MAX_LATENCY_RATIO = 20.0
+# Upper bound on the ratio of one attempt in the usual ratio: a pause of the
+# server, which a hedge covers, does not make it a slow one.
+MAX_USUAL_RATIO = 4.0
+# Time constant with which the usual ratio returns to 1 without responses, so
+# that a server that was slow is tried again.
+USUAL_RATIO_DECAY_S = 10.0
 # An attempt with no more time than this cannot be answered and is not sent.
 MIN_REMAINING_S = 0.001
 # How long before a silent loss the server may have been down already.
@@ -109,6 +116,7 @@
       observer: Receives events.
       count: Increments a named counter.
       receive_buffer: Counts the bytes of the responses that arrive.
+      traffic: Counts the bytes between zones; None if they are not counted.
     """
 
     loop: asyncio.AbstractEventLoop
@@ -116,6 +124,7 @@
     observer: Observer
     count: Callable[[str], None]
     receive_buffer: connections.ReceiveBuffer
+    traffic: zone_traffic.ZoneTraffic | None = None
 
 
 class Backend:
@@ -146,6 +155,8 @@
         )
         # The same as the latency ratio, without the time in the queue here.
         self.service_time_ratio = self.latency_ratio
+        self._usual_ratio = self.latency_ratio
+        self._usual_ratio_time_s = environment.loop.time()
         self.unreachable = False
         # Whether it stays unreachable until its health check succeeds.
         self.probed = False
@@ -320,6 +331,19 @@
             return attempt.started_s
         return math.inf
 
+    def get_oldest(self) -> attempts.Attempt | None:
+        """Returns the oldest pending attempt, if any."""
+        return next(iter(self.pending), None)
+
+    def get_usual_ratio(self, now: float) -> float:
+        """Returns the latency ratio without the effect of short pauses.
+
+        It returns to 1 with the time since the last response.
+        """
+        age_s = now - self._usual_ratio_time_s
+        decay = math.exp(-age_s / USUAL_RATIO_DECAY_S)
+        return 1.0 + (self._usual_ratio - 1.0) * decay
+
     def complete_attempt(
         self,
         connection: connections.Connection,
@@ -344,6 +368,12 @@
             self._release_connection(connection)
         self._report_outcome(attempt, outcome)
 
+    def record_bytes(self, attempt: attempts.Attempt, size: int) -> None:
+        """Counts bytes of an attempt that were sent or received."""
+        traffic = self.environment.traffic
+        if traffic is not None:
+            traffic.record(attempt.cause, self.server.zone, size)
+
     def close_connection(self, connection: connections.Connection) -> None:
         """Closes a connection and removes it from the pool."""
         connection.close()
@@ -425,6 +455,11 @@
         if reply.succeeded:
             expected_s = max(attempt.expected_latency_s, 0.001)
             ratio = (now - attempt.started_s) / expected_s
+            usual = self.get_usual_ratio(now)
+            self._usual_ratio = (
+                usual + (min(ratio, MAX_USUAL_RATIO) - usual) * LATENCY_WEIGHT
+            )
+            self._usual_ratio_time_s = now
             ratio = min(ratio, MAX_LATENCY_RATIO)
             self.latency_ratio += (ratio - self.latency_ratio) * LATENCY_WEIGHT
             ratio = (now - attempt.sent_s) / expected_s
--- a/eelgrasshall/platform/fleet.py
+++ b/eelgrasshall/platform/fleet.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import os
 import pathlib
 import signal
@@ -54,7 +55,7 @@
 coldMultiplier = 1.5
 coldSlack = 5
 ttl_max_s = 5
-{quota_bound}
+{more_bounds}
 [platform]
 address = "127.0.0.1:{store}"
 """
@@ -72,6 +73,8 @@
       store_proxies: The fault proxies to the store, by host name.
       processes: The newest process of each host, by host name.
       version: Version of the newest configuration, 0 before the first.
+      tenants: The tenants in the next configurations; None for none.
+      key: The API key of requests that state no other; None for none.
       crash_duration_s: Time after which a crashed server is back, seconds.
       crashes: All crashes of backend servers.
       source_trees: Folders with other versions of the program, for the hosts
@@ -89,9 +92,6 @@
         that.
       links: Whether each host has links of its own to the backend servers.
         They take one more port for each pair.
-      workspaces: The workspaces of the configuration; None if it has none.
-      quota_bound: Window, excess and slack of the bound on quotas; None if
-        quotas are not applied.
     """
 
     def __init__(
@@ -104,14 +104,10 @@
         replicas: int = 2,
         extra_attempts: tuple[float, float] = (0.2, 54.0),
         links: bool = False,
-        workspaces: list[dict[str, Any]] | None = None,
-        quota_bound: tuple[float, float, float] | None = None,
     ):
         self._folder = folder
         self._extra_attempts = extra_attempts
         self._links = links
-        self.workspaces = workspaces
-        self._quota_bound = quota_bound
         self._port = port
         self.store = fake_store.FakeStore()
         self._store_address = model.Address("127.0.0.1", port)
@@ -146,6 +142,12 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self._all_processes: list[asyncio.subprocess.Process] = []
         self.version = 0
+        # The customer organisations of the configuration, if any.
+        self.tenants: list[dict[str, Any]] | None = None
+        # Further lines of the bounds in the settings.
+        self.more_bounds = ""
+        # Key of callers that state none of their own.
+        self.key: str | None = None
 
     async def start(self) -> None:
         """Starts the store, the servers, the proxies and all host processes.
@@ -293,8 +295,8 @@
             "services": services,
             "limits": limits,
         }
-        if self.workspaces is not None:
-            spec["tenants"] = self.workspaces
+        if self.tenants is not None:
+            spec["tenants"] = self.tenants
         self.store.put("config", "main", spec)
 
     async def start_host(self, name: str) -> None:
@@ -344,6 +346,7 @@
         request_id: str,
         *,
         budget_ms: int = 2000,
+        headers: Sequence[tuple[str, str]] = (),
         key: str | None = None,
     ) -> tuple[int, dict[str, str], bytes]:
         """Sends a caller's request to a host on a new connection.
@@ -353,7 +356,9 @@
           target: Target of the request.
           request_id: Id of the request.
           budget_ms: Time that the caller waits, as stated in the request, ms.
-          key: The API key; None if the caller sends none.
+          headers: Further headers.
+          key: API key of the caller.  The request then also states a tenant,
+            which hosts have to drop.
 
         Returns:
           The status, the headers in lower case, and the body.
@@ -361,11 +366,18 @@
         Raises:
           OSError: The host is unreachable or closed the connection early.
         """
+        key = key or self.key
+        if key is not None:
+            identity = [
+                ("Authorization", f"Bearer {key}"),
+                ("X-Tenant", "forged"),
+            ]
+            headers = [*headers, *identity]
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
         data = (
             f"POST {target} HTTP/1.1\r\nHost: orders.example\r\n"
             f"X-Attempt-Id: {request_id}\r\nX-Time-Budget: {budget_ms}\r\n"
-            + (f"Authorization: Bearer {key}\r\n" if key else "")
-            + "Connection: close\r\nContent-Length: 2\r\n\r\nhi"
+            f"{lines}Connection: close\r\nContent-Length: 2\r\n\r\nhi"
         )
         return await fetch(self.find_port(name), data.encode())
 
@@ -429,13 +441,7 @@
         seeds = [
             f"127.0.0.1:{self.find_port(n, 2)}" for n in self.host_names[:3]
         ]
-        quota_bound = ""
-        if self._quota_bound is not None:
-            quota_bound = (
-                "quotaWindowS = {}\nquotaExcess = {}\nquotaSlack = {}"
-            ).format(*self._quota_bound)
         return _SETTINGS.format(
-            quota_bound=quota_bound,
             name=name,
             zone=_ZONES[self.host_names.index(name) % 3],
             front=first,
@@ -448,6 +454,7 @@
             extra_fixed=self._extra_attempts[1],
             seeds=str(seeds).replace("'", '"'),
             store=first + _STORE_PROXY_PORT_OFFSET,
+            more_bounds=self.more_bounds,
         )
 
 
--- a/eelgrasshall/platform/quotas_test.py
+++ b/eelgrasshall/platform/quotas_test.py
@@ -44,8 +44,12 @@
         hosts=3,
         shards=1,
         replicas=2,
-        workspaces=[_WORKSPACE],
-        quota_bound=_BOUND,
+    )
+    fleet.tenants = [_WORKSPACE]
+    fleet.more_bounds = (
+        f"quotaWindowS = {_BOUND.window_s}\n"
+        f"quotaExcess = {_BOUND.excess}\n"
+        f"quotaSlack = {_BOUND.slack}\n"
     )
     for server in fleet.servers.values():
         server.executed = _TimedList()
@@ -83,7 +87,10 @@
     async def send_one(name: str, number: int) -> None:
         try:
             status, headers, _ = await fleet.send_request(
-                name, "/once/x", f"{name}-{number}-{time.time_ns()}", key=_KEY
+                name,
+                "/once/x",
+                f"{name}-{number}-{time.time_ns()}",
+                headers=[("Authorization", f"Bearer {_KEY}")],
             )
         except (OSError, TimeoutError):
             counts["none"] += 1
