Quotas use the bound beyond the limit, and confirm parts after a restart of all

Change: what the bound allows beyond the limit raises the rate and the capacity of the bucket, less a reserve; a host takes the part that is due at once when all others that hold parts have told theirs and the sum fits, with an empty bucket. Ruled out: an allowance of requests for started hosts, which adds up where hosts restart in turn.

Result: the state machine and all loads of the quota tests keep the bound and refuse nothing below the limit; the two new tests fail without the confirmation. With a rate share of 0.75 and a reserve of 0.2 two loads of small workspaces failed, so these are 0.5 and 0.3.

--- a/eelgrasshall/gateway/quotas.py
+++ b/eelgrasshall/gateway/quotas.py
@@ -7,11 +7,17 @@
 adds any.  Hosts send nothing for workspaces whose callers are served by the
 parts of the hosts that they use.
 
-What the bound allows beyond the limit serves two ends.  One half enlarges the
-bucket that the active hosts divide.  The other half is a reserve, which is
+What the bound allows beyond the limit serves callers too, since a request
+within the bound counts as owed.  Most of it raises the rate and the capacity of
+the bucket that the active hosts divide.  The rest is a reserve, which is
 divided among all known hosts by their names alone.  A host spends it where its
 part does not suffice and it does not know that the limit is used up.
 
+A larger part takes effect after a delay, in which all hosts learn of the
+change, or as soon as all others with parts have told theirs and the sum fits.
+So hosts that were all restarted at once do not refuse callers for the delay;
+their buckets are empty, which counts for what the processes before have used.
+
 Tokens taken for requests that have not been sent yet also keep their room in
 the bucket empty: otherwise requests that waited in a queue could be sent
 together with those of the refilled bucket.
@@ -60,11 +66,15 @@
 # limit.  With less, others may have tokens left.
 KNOWN_SHARE = 0.6
 MIN_HEARD_PART = 0.5
+# Part of the limit that the heard hosts need for confirming each other's parts.
+MIN_CONFIRMING_PART = 0.9
 # Part of the limit that has to be known as used up before the reserve is kept
 # back for times in which parts are missing.
 WHOLE_SHARE = 0.9
-# Part of what the bound allows beyond the limit that is the reserve.
-RESERVE_SHARE = 0.5
+# Part of what the bound allows beyond the limit that is the reserve, and part
+# of the rest that raises the rate of the bucket rather than its capacity.
+RESERVE_SHARE = 0.3
+RATE_SHARE = 0.5
 # Retry-After where other hosts may have tokens left.
 RETRY_ELSEWHERE_S = 0.1
 # Largest Retry-After beyond the time until the next token.
@@ -234,7 +244,10 @@
 
     Attributes:
       workspace: The workspace with its limit.
+      rate_per_s: Requests per second that all hosts together may send.
       capacity: Requests that all hosts together may send at once.
+      confirmed_share: Part of the limit that the other hosts have confirmed,
+        before the delay of larger parts is over.
       removed_s: When the workspace was removed; infinity if it was not.
       waiting_until_s: Until when a refused request may wait for credit.
       heard_part: Part of the limit that is due to the hosts that are heard.
@@ -248,15 +261,17 @@
 
     Args:
       workspace: The workspace with its limit.
-      capacity: Requests that all hosts together may send at once.
+      division: How the bound on its requests is used.
       now: Monotonic time.
     """
 
     def __init__(
-        self, *, workspace: model.Workspace, capacity: float, now: float
+        self, *, workspace: model.Workspace, division: "Division", now: float
     ):
         self.workspace = workspace
-        self.capacity = capacity
+        self.rate_per_s = division.rate_per_s
+        self.capacity = division.capacity
+        self.confirmed_share = 0.0
         self.removed_s = math.inf
         self.waiting_until_s = -math.inf
         self.heard_part = 0.0
@@ -280,12 +295,13 @@
         self._promised_s = -math.inf
 
     def set_limit(
-        self, workspace: model.Workspace, capacity: float, now: float
+        self, workspace: model.Workspace, division: "Division", now: float
     ) -> None:
         """Changes the limit; nothing is given back."""
         self._refill(now)
         self.workspace = workspace
-        self.capacity = capacity
+        self.rate_per_s = division.rate_per_s
+        self.capacity = division.capacity
         self._refill(now)
 
     def set_share(self, share: float, now: float) -> None:
@@ -367,7 +383,7 @@
     def lend(self, wanted: float, now: float) -> float:
         """Lends tokens that are not needed here; returns how many."""
         self._refill(now)
-        income = self.workspace.rate_per_s * self.share
+        income = self.rate_per_s * self.share
         needed = (self.demand_per_s - income) * LOW_SUPPLY_S
         if self.demand_per_s > MIN_DEMAND_PER_S:
             needed = max(needed, min(1.0, self._tokens / 2.0))
@@ -413,7 +429,7 @@
         known = {each.sender: each for each in self.list_answers(now)}
         if not known.keys() >= set(receivers):
             return [missing / len(receivers)] * len(receivers)
-        rate = self.workspace.rate_per_s * EMPTY_ASK_INTERVAL_S
+        rate = self.rate_per_s * EMPTY_ASK_INTERVAL_S
         weights = [
             known[name].left + known[name].share * rate + _EPSILON
             for name in receivers
@@ -464,8 +480,8 @@
         Requests that are refused together are told different times, as the
         tokens come one after the other.
         """
-        own = self.workspace.rate_per_s * self.share
-        rate = max(own, self._borrowed_per_s, self.workspace.rate_per_s * 0.05)
+        own = self.rate_per_s * self.share
+        rate = max(own, self._borrowed_per_s, self.rate_per_s * 0.05)
         missing_s = (1.0 - min(self.count_tokens(now), 1.0)) / rate
         earliest_s = now + missing_s
         self._promised_s = min(
@@ -513,7 +529,7 @@
             - sum(amount for _, amount in self._lent)
             - sum(each.own for each in self._taken)
         )
-        income = elapsed_s * self.workspace.rate_per_s * self.share
+        income = elapsed_s * self.rate_per_s * self.share
         self._tokens = max(min(self._tokens + income, room), 0.0)
         taken = sum(each.reserve for each in self._taken)
         self._reserve = max(
@@ -529,11 +545,13 @@
     """How the bound on the requests of a workspace is used.
 
     Attributes:
-      capacity: Requests that all hosts together may send at once.
+      rate_per_s: Requests per second that all hosts together may send.
+      capacity: Requests that they may send at once.
       reserve: Requests in a window beyond the bucket of that capacity, over all
         hosts.
     """
 
+    rate_per_s: float
     capacity: float
     reserve: int
 
@@ -543,9 +561,11 @@
     limit = workspace.rate_per_s * bound.window_s + workspace.burst
     beyond = limit * bound.excess + bound.slack
     reserve = math.floor(beyond * RESERVE_SHARE)
-    capacity = workspace.burst + beyond - reserve
+    extra = beyond - reserve
+    rate_per_s = workspace.rate_per_s + extra * RATE_SHARE / bound.window_s
+    capacity = workspace.burst + extra * (1.0 - RATE_SHARE)
     # A bucket that holds less than one request would never permit one.
-    return Division(max(capacity, 1.0), reserve)
+    return Division(rate_per_s, max(capacity, 1.0), reserve)
 
 
 class Quotas:
@@ -603,16 +623,16 @@
             elif now - account.removed_s > RETENTION_S:
                 del self._accounts[name]
         for name, workspace in limited.items():
-            capacity = divide_bound(workspace, self._bound).capacity
+            division = divide_bound(workspace, self._bound)
             account = self._accounts.get(name)
             if account is None:
                 account = _Account(
-                    workspace=workspace, capacity=capacity, now=now
+                    workspace=workspace, division=division, now=now
                 )
                 account.heard_part = self._view.part
                 self._accounts[name] = account
             elif account.workspace != workspace:
-                account.set_limit(workspace, capacity, now)
+                account.set_limit(workspace, division, now)
             self._set_parts(account, now)
 
     def set_view(self, view: rate_limits.FleetView, now: float) -> None:
@@ -761,6 +781,7 @@
                 )
             else:
                 self._add_credit(account, each, now)
+                self._confirm_share(account, now)
 
     @property
     def is_needed(self) -> bool:
@@ -850,6 +871,26 @@
         account.answers[credit.sender] = (now, credit)
         account.borrow(credit.amount, asked_s + CREDIT_LIFE_S, now)
 
+    def _confirm_share(self, account: _Account, now: float) -> None:
+        """Takes the part that is due at once if the other hosts' parts allow.
+
+        Only where most hosts are heard: the others may be cut off and use parts
+        that they have not told.
+        """
+        view, name = self._view, account.workspace.name
+        due = self._share_rule(view, self._own, name, account.capacity)
+        holders = _choose_holders(view.active, name, account.capacity)
+        told = {each.sender: each.share for each in account.list_answers(now)}
+        others = [host for host in holders if host != self._own]
+        if (
+            due > account.share
+            and view.part >= MIN_CONFIRMING_PART
+            and all(host in told for host in others)
+            and due + sum(told.values()) <= view.part + _EPSILON
+        ):
+            account.confirmed_share = due
+            self._set_parts(account, now)
+
     def _check_view(self, now: float) -> None:
         """Drops all parts after a suspension of this process.
 
@@ -858,6 +899,7 @@
         """
         if now - self._viewed_s > shares.MAX_UPDATE_INTERVAL_S:
             for account in self._accounts.values():
+                account.confirmed_share = 0.0
                 account.set_share(0.0, now)
 
     def _set_all_parts(self, now: float) -> None:
@@ -868,14 +910,14 @@
     def _set_parts(self, account: _Account, now: float) -> None:
         """Sets the parts of this host of a limit and its reserve."""
         name = account.workspace.name
-        account.set_share(
-            self._views.find_least(
-                lambda view: self._share_rule(
-                    view, self._own, name, account.capacity
-                )
-            ),
-            now,
+        least = self._views.find_least(
+            lambda view: self._share_rule(
+                view, self._own, name, account.capacity
+            )
         )
+        due = self._share_rule(self._view, self._own, name, account.capacity)
+        account.confirmed_share = min(account.confirmed_share, due)
+        account.set_share(max(least, account.confirmed_share), now)
         reserve = divide_bound(account.workspace, self._bound).reserve
         count = self._rosters.find_least(
             lambda names: compute_reserve(names, self._own, name, reserve)
--- a/eelgrasshall/gateway/quotas_test.py
+++ b/eelgrasshall/gateway/quotas_test.py
@@ -2,7 +2,9 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import pytest
 
+from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import quotas
 from eelgrasshall.gateway import rate_limits
@@ -262,3 +264,76 @@
         rate * _BOUND.window_s + division.capacity + division.reserve
         <= (rate * _BOUND.window_s + burst) * 1.1 + 20.0 + 1e-6
     )
+
+
+def _make_restarted(names, view, now, *, workspace):
+    """Returns the quotas of hosts that have all just started."""
+    hosts = {}
+    for name in names:
+        host = quotas.Quotas(own=name, bound=quotas.QuotaBound(5.0, 0.1, 20.0))
+        host.configure({workspace.name: workspace}, now)
+        host.set_hosts(names, now)
+        host.set_view(view, now)
+        hosts[name] = host
+    return hosts
+
+
+def _exchange_reports(hosts, now):
+    """Delivers all questions, and then all answers."""
+    for _ in range(2):
+        for host in hosts.values():
+            for report in host.list_gossip(now, 16):
+                if report.receiver in hosts:
+                    hosts[report.receiver].merge([report], now)
+
+
+def _count_granted(hosts, now) -> int:
+    return sum(
+        isinstance(host.take("w", now), quotas.Grant) for host in hosts.values()
+    )
+
+
+def test_hosts_that_were_all_restarted_do_not_refuse_for_the_delay():
+    # Callers were refused for three seconds and more after a power cut of all
+    # hosts, though no other host could have a part.
+    names = ("h1", "h2", "h3")
+    workspace = fakes.make_workspace("w", rate_per_s=30.0, burst=30.0)
+    hosts = _make_restarted(
+        names, rate_limits.FleetView(names, 1.0), 10.0, workspace=workspace
+    )
+    _count_granted(hosts, 10.0)
+    _exchange_reports(hosts, 10.05)
+    assert _count_granted(hosts, 10.4) == 3
+    # Their buckets were empty.
+    taken = sum(_count_granted(hosts, 10.4) for _ in range(100))
+    assert taken <= 30.0 * 0.4 + 20.0
+
+
+def test_a_part_is_not_taken_early_while_others_hold_the_whole():
+    # A host that joins would otherwise add its part to those of the others.
+    names = ("h1", "h2", "h3")
+    workspace = fakes.make_workspace("w", rate_per_s=30.0, burst=30.0)
+    hosts = _make_restarted(
+        names[:2],
+        rate_limits.FleetView(names[:2], 1.0),
+        10.0,
+        workspace=workspace,
+    )
+    for tenth in range(100):
+        for host in hosts.values():
+            host.set_view(
+                rate_limits.FleetView(names[:2], 1.0), 10 + tenth / 10
+            )
+    joined = _make_restarted(
+        names, rate_limits.FleetView(names, 1.0), 20.0, workspace=workspace
+    )
+    hosts["h3"] = joined["h3"]
+    _count_granted(hosts, 20.0)
+    _exchange_reports(hosts, 20.05)
+    assert hosts["h3"].list_shares() == [0.0]
+    for name in names[:2]:
+        hosts[name].set_view(rate_limits.FleetView(names, 1.0), 20.1)
+    while isinstance(hosts["h3"].take("w", 20.6), quotas.Grant):
+        pass  # Uses up what it has borrowed.
+    _exchange_reports(hosts, 20.65)
+    assert hosts["h3"].list_shares() == [pytest.approx(1 / 3)]
