--- a/eelgrasshall/gateway/hedging.py
+++ b/eelgrasshall/gateway/hedging.py
@@ -88,13 +88,23 @@
     Args:
       bound: The bound for all hosts.
       share: This host's share of its fixed part.
+      usable_share: Share of the bound that is used.
+      initial: Attempts allowed at the start beyond the share.
     """
 
-    def __init__(self, *, bound: ExtraAttemptBound, share: float):
+    def __init__(
+        self,
+        *,
+        bound: ExtraAttemptBound,
+        share: float,
+        usable_share: float = USABLE_SHARE,
+        initial: float = MIN_CAPACITY,
+    ):
         self._bound = bound
         self._share = share
+        self._usable_share = usable_share
         self._fixed = self._compute_fixed()
-        self._tokens = self._fixed + min(MIN_CAPACITY, bound.fixed)
+        self._tokens = self._fixed + min(initial, bound.fixed)
         # Requests of about one window, decayed exponentially.
         self._recent_requests = 0.0
         self._recent_s = 0.0
@@ -120,7 +130,7 @@
 
     def _compute_fixed(self) -> float:
         """Returns this host's share of the fixed part."""
-        return self._bound.fixed * USABLE_SHARE * self._share
+        return self._bound.fixed * self._usable_share * self._share
 
     def compute_used_share(self) -> float:
         """Returns the used share of the budget, from 0 to 1."""
@@ -134,7 +144,7 @@
         self._recent_s = now
         self._recent_requests *= math.exp(-elapsed_s / self._bound.window_s)
         self._recent_requests += 1.0
-        earned = self._bound.ratio * USABLE_SHARE
+        earned = self._bound.ratio * self._usable_share
         self._tokens = min(self._capacity, self._tokens + earned)
 
     def can_withdraw(self, *, reserve: float = 0.0) -> bool:
