--- a/eelgrasshall/gateway/attempts.py
+++ b/eelgrasshall/gateway/attempts.py
@@ -41,6 +41,7 @@
         opened connection.
       compute_fingerprint: Returns a hash of the request that is the same when
         the caller retries it; None for a health check.
+      route_name: The route of the request; empty for a health check.
     """
 
     __slots__ = (
@@ -55,6 +56,7 @@
         "needs_new_connection",
         "owner",
         "request_id",
+        "route_name",
         "sent",
         "sent_s",
         "started_s",
@@ -73,7 +75,9 @@
         needs_new_connection: bool,
         due_s: float = math.inf,
         compute_fingerprint: Callable[[], str] | None = None,
+        route_name: str = "",
     ):
+        self.route_name = route_name
         self.compute_fingerprint = compute_fingerprint
         self.owner = owner
         self.tag = tag
--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -37,6 +37,7 @@
     draining: bool = False,
     cold_remaining_s: float = 0.0,
     started_at_ms: int = 1,
+    version: str = "",
 ) -> model.Server:
     """Returns a registered backend server."""
     return model.Server(
@@ -48,6 +49,7 @@
         draining=draining,
         cold_remaining_s=cold_remaining_s,
         started_at_ms=started_at_ms,
+        version=version,
     )
 
 
@@ -411,6 +413,7 @@
             for shard in shards
         }
         self._latencies: dict[str, hedging.LatencyWindow] = {}
+        self.trial_servers: dict[str, list[upstream.Backend]] = {}
         self.quarantine_s = 0.0
         self.links_in_doubt = False
 
@@ -422,6 +425,10 @@
         """Returns all backend servers of a service."""
         return [each.backend for each in self.backends.get(service, ())]
 
+    def take_trial_servers(self, service: str) -> list[upstream.Backend]:
+        """Returns the servers that a test has put on trial."""
+        return self.trial_servers.get(service, [])
+
     def find_extra_attempt_budget(
         self, service: str
     ) -> hedging.ExtraAttemptBudget:
--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -148,6 +148,13 @@
     def find_candidates(self, service: str) -> Sequence[upstream.Backend]:
         """Returns the backend servers of a service that may get requests."""
 
+    def take_trial_servers(self, service: str) -> Sequence[upstream.Backend]:
+        """Returns the servers on trial for one first attempt at a service.
+
+        Each call counts as one request, and as one at the trial servers if it
+        returns any; it returns none unless one of them can be sent to now.
+        """
+
     def find_extra_attempt_budget(
         self, service: str
     ) -> hedging.ExtraAttemptBudget:
@@ -277,7 +284,7 @@
         for shard in self._shards:
             budget = self._context.find_extra_attempt_budget(shard.service)
             budget.deposit(self._context.loop.time())
-            self._send_attempt(shard)
+            self._send_first_attempt(shard)
         self._check_completion()
         self._schedule_timer()
         try:
@@ -386,6 +393,14 @@
             f"{description} after {took_s * 1000:.0f} ms"
         )
 
+    def _send_first_attempt(self, shard: ShardState) -> None:
+        """Sends the first attempt of a shard, perhaps to a trial server."""
+        servers = self._context.take_trial_servers(shard.service)
+        if servers:
+            self._send_to_best(shard, servers, self._context.loop.time())
+        else:
+            self._send_attempt(shard)
+
     def _send_attempt(self, shard: ShardState) -> bool:
         """Sends an attempt to a server of a shard not tried before.
 
@@ -437,6 +452,7 @@
             expected_latency_s=self._median_latency_s,
             needs_new_connection=not self._route.idempotent,
             compute_fingerprint=self._compute_fingerprint,
+            route_name=self._route.name,
         )
         shard.active.append(attempt)
         shard.tried.append(chosen)
--- a/eelgrasshall/gateway/fanout_test.py
+++ b/eelgrasshall/gateway/fanout_test.py
@@ -378,3 +378,31 @@
     assert len(context.list_busy("orders")) == 1
     assert "hedges" not in context.counts
     task.cancel()
+
+
+async def test_only_the_first_attempt_goes_to_a_trial_server():
+    # Retries go to the version in use, so that callers recover quickly.
+    context = fakes.Context(("orders", "trial"))
+    trial = context.backends["trial"]
+    context.trial_servers["orders"] = [each.backend for each in trial]
+    _, task = _start(context, fakes.make_route())
+    await _run_ready_tasks()
+    (busy,) = context.list_busy("trial")
+    assert not context.list_busy("orders")
+    busy.feed(_ERROR)
+    assert not context.list_busy("trial")
+    context.send_reply("orders", b"x")
+    outcome = await task
+    assert outcome.status == 200
+
+
+async def test_hedge_of_a_trial_goes_to_the_version_in_use():
+    context = fakes.Context(("orders", "trial"))
+    trial = context.backends["trial"]
+    context.trial_servers["orders"] = [each.backend for each in trial]
+    _, task = _start(context, fakes.make_route())
+    await asyncio.sleep(0.1)
+    assert len(context.list_busy("trial")) == 1
+    assert len(context.list_busy("orders")) == 1
+    context.send_reply("orders", b"x")
+    assert (await task).status == 200
--- a/eelgrasshall/gateway/gossip_channels.py
+++ b/eelgrasshall/gateway/gossip_channels.py
@@ -6,12 +6,15 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 
 from eelgrasshall.gateway import crash_gossip
 from eelgrasshall.gateway import events
+from eelgrasshall.gateway import model
 from eelgrasshall.gateway import peers
 from eelgrasshall.gateway import rate_gossip
 from eelgrasshall.gateway import request_handler
+from eelgrasshall.gateway import rollout_gossip
 
 
 def make_channels(
@@ -20,6 +23,7 @@
     loop: asyncio.AbstractEventLoop,
     log: events.EventLog,
     count: Callable[[str], None],
+    list_active_hosts: Callable[[], Sequence[model.Host]] = lambda: (),
 ) -> list[peers.Channel]:
     """Returns the channels of a host.
 
@@ -28,6 +32,7 @@
       loop: The event loop.
       log: The log for malformed datagrams.
       count: Increments a named counter.
+      list_active_hosts: Returns the hosts that callers use.
     """
 
     def build_crash_datagram() -> bytes | None:
@@ -58,7 +63,19 @@
 
         return receive
 
+    channels = []
+    if handler.rollouts is not None:
+        channels.append(
+            peers.Channel(
+                rollout_gossip.PREFIX,
+                handler.rollouts.build_datagram,
+                make_receiver(rollout_gossip.decode, handler.rollouts.merge),
+                # They count nearly all answers.
+                list_active_hosts,
+            )
+        )
     return [
+        *channels,
         peers.Channel(
             crash_gossip.PREFIX,
             build_crash_datagram,
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -32,6 +32,8 @@
 from eelgrasshall.gateway import relay
 from eelgrasshall.gateway import relay_choice
 from eelgrasshall.gateway import request_handler
+from eelgrasshall.gateway import rollout_writer
+from eelgrasshall.gateway import rollouts
 from eelgrasshall.gateway import supervision
 from eelgrasshall.gateway import watcher
 
@@ -89,6 +91,8 @@
       names: The header names.
       readiness_path: Path of the readiness check.
       directory_path: Path of the request for the hosts to use.
+      rollout_bound: What a rollout may cost; None where rollouts are not in
+        force.
     """
 
     host: model.Host
@@ -103,6 +107,7 @@
     names: model.HeaderNames
     readiness_path: str
     directory_path: str
+    rollout_bound: rollouts.Bound | None = None
 
 
 class GatewayHost:
@@ -149,6 +154,15 @@
             list_helpers=self._list_helpers,
             count=self._metrics.count,
         )
+        self._orders: rollouts.Rollouts | None = None
+        collections = object_cache.BASE_COLLECTIONS
+        if options.rollout_bound is not None:
+            collections += (object_cache.Collection.ROLLOUTS,)
+            self._orders = rollouts.Rollouts(
+                own=options.host.name,
+                incarnation=incarnation,
+                bound=options.rollout_bound,
+            )
         self._request_handler = request_handler.RequestHandler(
             own=options.host,
             names=options.names,
@@ -159,6 +173,7 @@
             metrics=self._metrics,
             on_links_changed=self._handle_links_changed,
             relay=self._relay,
+            orders=self._orders,
         )
         self._registry = self._request_handler.registry
         self._object_cache = object_cache.ObjectCache(
@@ -166,6 +181,7 @@
             on_update=self._handle_update,
             on_new_era=self._handle_new_era,
             supersedes=_supersedes,
+            collections=collections,
         )
         self._watchers = [
             watcher.Watcher(
@@ -177,8 +193,9 @@
                 should_watch=self._should_watch,
                 bound_s=options.bounds_s[collection],
             )
-            for collection in object_cache.Collection
+            for collection in collections
         ]
+        self._store = store
         self._peer_sync = peer_sync.PeerSync(cache=self._object_cache, log=log)
         self._update_answers = peer_sync.UpdateAnswers(cache=self._object_cache)
         self._notify_scheduled = False
@@ -199,6 +216,7 @@
                 loop=self._loop,
                 log=log,
                 count=self._metrics.count,
+                list_active_hosts=self._list_active_hosts,
             ),
         )
         self._caller_listener = self._make_listener(self._handle_request)
@@ -391,6 +409,7 @@
 
     def _render_metrics(self) -> bytes:
         """Returns the metrics in the Prometheus text format."""
+        tracker = self._request_handler.rollouts
         return self._metrics.render(
             {
                 "configuration_version": self._request_handler.version,
@@ -400,6 +419,7 @@
                 "store_reachable": int(self._reaches_store()),
                 "servers_reachable": int(self._reaches_servers()),
                 "log_lines_dropped": self._log.dropped,
+                **(tracker.list_gauges() if tracker is not None else {}),
             }
         )
 
@@ -413,13 +433,13 @@
                 each.name: object_cache.split_revision(
                     self._object_cache.get_received_revision(each)
                 )[1]
-                for each in object_cache.Collection
+                for each in self._object_cache.collections
             },
             "eras": {
                 each.name: object_cache.get_era(
                     self._object_cache.get_received_revision(each)
                 )
-                for each in object_cache.Collection
+                for each in self._object_cache.collections
             },
             "listens": self._reaches_store(),
             "reaches_servers": self._reaches_servers(),
@@ -491,6 +511,12 @@
             self._registry.set_server(update.name, value, update.revision)
         elif update.collection is object_cache.Collection.EVACUATIONS:
             self._registry.set_evacuated(update.name, value is not None)
+        elif update.collection is object_cache.Collection.ROLLOUTS:
+            # An unreadable order changes nothing.
+            if value is not None or update.document is None:
+                self._request_handler.rollouts.set_order(
+                    update.name, value, update.revision
+                )
         elif value is None:
             self._peers.remove_host(update.name)
         else:
@@ -732,6 +758,28 @@
             )
         for each in self._watchers:
             self._supervisor.start(f"watch {each.collection.name}", each.run)
+        if self._orders is not None:
+            writer = rollout_writer.RolloutWriter(
+                orders=self._orders,
+                store=self._store,
+                cache=self._object_cache,
+                get_fleet=self._describe_fleet,
+                loop=self._loop,
+                log=self._log,
+                count=self._metrics.count,
+            )
+            self._supervisor.start("write rollouts", writer.run)
+
+    def _describe_fleet(self) -> rollout_writer.Fleet:
+        """Returns what this host knows of the hosts that write a status."""
+        host = self._options.host
+        heard = self._peers.list_alive()
+        return rollout_writer.Fleet(
+            election.Candidate(host.name, host.zone, self._reaches_store()),
+            tuple(self._peers.list_candidates()),
+            tuple(other.name for other, _ in heard),
+            (len(heard) + 1) * 2 < len(heard) + 1 + self._peers.count_missing(),
+        )
 
     async def _publish_with_retries(self) -> None:
         """Publishes this host in the store; retries until it succeeds."""
@@ -745,6 +793,8 @@
         self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         self._log.flush()
         self._registry.sweep(self._loop.time())
+        if self._request_handler.rollouts is not None:
+            self._request_handler.rollouts.update()
 
     def _make_listener(
         self,
--- a/eelgrasshall/gateway/host_test.py
+++ b/eelgrasshall/gateway/host_test.py
@@ -19,6 +19,8 @@
 from eelgrasshall.gateway import object_cache
 from eelgrasshall.gateway import peer_sync
 from eelgrasshall.gateway import quarantine
+from eelgrasshall.gateway import rate_gossip
+from eelgrasshall.gateway import rollouts
 from eelgrasshall.gateway import supervision
 from eelgrasshall.gateway import watcher
 
@@ -66,7 +68,13 @@
 
 
 @contextlib.asynccontextmanager
-async def _run_host(store: _FakeStore, *, port: int, grace_s: float = 6.0):
+async def _run_host(
+    store: _FakeStore,
+    *,
+    port: int,
+    grace_s: float = 6.0,
+    rollout_bound: rollouts.Bound | None = None,
+):
     """Runs a host; yields it and a function that sends a GET request to it."""
 
     async def publish(published):
@@ -94,6 +102,7 @@
             names=fakes.NAMES,
             readiness_path="/ready",
             directory_path="/addresses",
+            rollout_bound=rollout_bound,
         ),
         store=store,
         decode=decode,
@@ -638,3 +647,71 @@
         await asyncio.sleep(0.6)
         assert len(sweeps) >= 4
         assert host.dump()["counters"]["unexpected_errors"] == 2
+
+
+class _RolloutStore(_FakeStore):
+    """A store that also takes the status of orders."""
+
+    async def write_rollout_status(self, rollout, revision):
+        collection = object_cache.Collection.ROLLOUTS
+        if revision != _find_last_revision(self.updates[collection]):
+            return False
+        old = self.updates[collection].pop()
+        document = old.document._replace(state=rollout.state)
+        self.write(collection, rollout.service, revision + 1, document)
+        return True
+
+
+async def test_host_follows_an_order_and_rejects_an_unreadable_one():
+    store = _RolloutStore()
+    store.write(_CONFIGURATION, "main", 5, _make_configuration(7, "/new/"))
+    rollouts_collection = object_cache.Collection.ROLLOUTS
+    order = model.Rollout("orders", "v2", 60.0)
+    store.write(rollouts_collection, "others", 5, "bad")
+    store.write(rollouts_collection, "orders", 6, order)
+    bound = rollouts.Bound()
+    async with _run_host(store, port=19340, rollout_bound=bound) as (
+        host,
+        call,
+    ):
+        await asyncio.sleep(0.6)
+        (found,) = [
+            each
+            for each in store.updates[rollouts_collection]
+            if each.name == "orders"
+        ]
+        assert found.document.state is model.RolloutState.RUNNING
+        _, data = await call("/metrics", 5)
+        assert b'eelgrasshall_rollout_phase{service="orders"} 0' in data
+        assert b"eelgrasshall_unreadable_objects_total" in data
+        # An order that becomes unreadable changes nothing.
+        store.write(rollouts_collection, "orders", 9, "bad")
+        await asyncio.sleep(0.1)
+        assert "orders" in host._orders.list_phases()
+        assert (await call("/ready", 4))[0] == 200
+
+
+async def test_host_without_the_contract_neither_watches_nor_states_orders():
+    store = _FakeStore()
+    store.write(_CONFIGURATION, "main", 5, _make_configuration(7, "/new/"))
+    asked = set()
+    wait_for_changes = store.wait_for_changes
+
+    def record(collection, revision, wait_s):
+        asked.add(collection)
+        return wait_for_changes(collection, revision, wait_s)
+
+    store.wait_for_changes = record
+    async with _run_host(store, port=19350) as (host, call):
+        await asyncio.sleep(0.2)
+        assert asked == set(object_cache.BASE_COLLECTIONS)
+        assert len(host._build_gossip()[0]) == 8
+        _, data = await call("/metrics", 5)
+        assert b"rollout" not in data
+        assert set(host.dump()["revisions"]) == {
+            each.name for each in object_cache.BASE_COLLECTIONS
+        }
+        assert [each.prefix for each in host._peers._channels] == [
+            crash_gossip.PREFIX,
+            rate_gossip.PREFIX,
+        ]
--- a/eelgrasshall/gateway/object_cache.py
+++ b/eelgrasshall/gateway/object_cache.py
@@ -49,6 +49,16 @@
     SERVERS = "s"
     EVACUATIONS = "e"
     HOSTS = "h"
+    ROLLOUTS = "r"
+
+
+# The collections that every host watches, whatever its settings are.
+BASE_COLLECTIONS = (
+    Collection.CONFIGURATION,
+    Collection.SERVERS,
+    Collection.EVACUATIONS,
+    Collection.HOSTS,
+)
 
 
 class Update(NamedTuple):
@@ -110,8 +120,10 @@
       supersedes: Returns whether the value of a later era replaces the one that
         is known.  Given are the collection and both decoded values, the new one
         first; None stands for an unreadable or deleted object.
+      collections: The collections in use, those of `BASE_COLLECTIONS` first.
 
     Attributes:
+      collections: The collections in use.
       generation: Changes with everything that other hosts may fetch.
     """
 
@@ -124,7 +136,9 @@
         supersedes: Callable[[Collection, Any, Any], bool] = (
             lambda collection, new, old: True
         ),
+        collections: tuple[Collection, ...] = BASE_COLLECTIONS,
     ):
+        self.collections = collections
         self.generation = 0
         self._decode = decode
         self._on_update = on_update
--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -11,6 +11,9 @@
 
 A host that keeps a configuration which the store has lost states its version.
 Hosts that know only an earlier one, under the same revision, fetch it.
+
+Hosts of the previous version know four collections.  What belongs to a further
+one goes behind what they read, and only where that collection is in use.
 """
 
 import asyncio
@@ -61,7 +64,9 @@
         collection.value: _encode_collection(
             cache, collection, revisions.get(collection, 0)
         )
-        for collection in object_cache.Collection
+        for collection in cache.collections
+        if collection in object_cache.BASE_COLLECTIONS
+        or collection in revisions
     }
 
 
@@ -109,12 +114,15 @@
 def list_revisions(cache: object_cache.ObjectCache) -> list[int]:
     """Returns the applied revisions as hosts state them to each other.
 
-    These are the store's numbers of all collections, in the order of
-    `Collection`, then their eras, and then the version of the configuration if
-    the store lacks it.
+    These are the store's numbers of the base collections, then their eras, and
+    then the version of the configuration if the store lacks it.  If there are
+    further collections, that version is 0 if the store has it, and the number
+    and the era of each of them follow.
     """
-    kept = [cache.kept_version] if cache.kept_version else []
-    return make_query(cache) + kept
+    base = make_query(cache)[: 2 * len(object_cache.BASE_COLLECTIONS)]
+    further = _list_further(cache)
+    kept = [cache.kept_version] if cache.kept_version or further else []
+    return base + kept + further
 
 
 def make_query(
@@ -129,15 +137,29 @@
     """
     revisions = {
         each: cache.get_applied_revision(each)
-        for each in object_cache.Collection
+        for each in object_cache.BASE_COLLECTIONS
     }
     if whole_configuration:
         revisions[object_cache.Collection.CONFIGURATION] = 0
     pairs = [
         object_cache.split_revision(revisions[each])
-        for each in object_cache.Collection
+        for each in object_cache.BASE_COLLECTIONS
     ]
-    return [number for _, number in pairs] + [era for era, _ in pairs]
+    base = [number for _, number in pairs] + [era for era, _ in pairs]
+    further = _list_further(cache)
+    # The place of the kept version, which a query does not state.
+    return base + [0] + further if further else base
+
+
+def _list_further(cache: object_cache.ObjectCache) -> list[int]:
+    """Returns number and era of each collection beyond the base ones."""
+    further = []
+    for each in cache.collections[len(object_cache.BASE_COLLECTIONS) :]:
+        era, number = object_cache.split_revision(
+            cache.get_applied_revision(each)
+        )
+        further += [number, era]
+    return further
 
 
 def find_kept_version(
@@ -154,7 +176,7 @@
       the same era; otherwise 0.
     """
     collection = object_cache.Collection.CONFIGURATION
-    kept = numbers[2 * len(object_cache.Collection) :]
+    kept = numbers[2 * len(object_cache.BASE_COLLECTIONS) :]
     stated = decode_revisions(cache, numbers).get(collection, 0)
     received = cache.get_received_revision(collection)
     if (
@@ -175,32 +197,39 @@
       cache: The cache of this host, whose eras are used if none are stated.
       numbers: The result of the other host's `list_revisions`.
     """
-    count = len(object_cache.Collection)
+    base = object_cache.BASE_COLLECTIONS
+    count = len(base)
     eras = numbers[count : 2 * count] or _list_eras(cache)
-    return {
+    revisions = {
         collection: object_cache.make_revision(era, number)
-        for collection, number, era in zip(
-            object_cache.Collection, numbers, eras, strict=False
-        )
+        for collection, number, era in zip(base, numbers, eras, strict=False)
     }
+    further = numbers[2 * count + 1 :]
+    for collection, number, era in zip(
+        cache.collections[count:], further[::2], further[1::2], strict=False
+    ):
+        revisions[collection] = object_cache.make_revision(era, number)
+    return revisions
 
 
 def _list_eras(cache: object_cache.ObjectCache) -> list[int]:
-    """Returns the eras of all collections."""
+    """Returns the eras of the base collections."""
     return [
         object_cache.get_era(cache.get_received_revision(each))
-        for each in object_cache.Collection
+        for each in object_cache.BASE_COLLECTIONS
     ]
 
 
 def read_eras(document: dict[str, Any]) -> list[int]:
-    """Returns the eras of all collections in a host's answer.
+    """Returns the eras of the base collections in a host's answer.
 
     Raises:
       KeyError: The document is malformed, or from an earlier version.
       TypeError: The document is malformed.
     """
-    return [document[each.value]["era"] for each in object_cache.Collection]
+    return [
+        document[each.value]["era"] for each in object_cache.BASE_COLLECTIONS
+    ]
 
 
 def apply_updates(
@@ -228,8 +257,7 @@
       ValueError: The document is malformed.
     """
     changed = 0
-    for collection in object_cache.Collection:
-        part = document[collection.value]
+    for collection, part in _list_parts(cache, document):
         received = cache.get_received_revision(collection)
         era = part.get("era", object_cache.get_era(received))
         if era < object_cache.get_era(received):
@@ -257,6 +285,23 @@
     return changed
 
 
+def _list_parts(
+    cache: object_cache.ObjectCache, document: dict[str, Any]
+) -> list[tuple[object_cache.Collection, Any]]:
+    """Returns the parts of a host's answer, by collection.
+
+    Hosts that do not use a collection beyond the base ones do not send it.
+
+    Raises:
+      KeyError: A base collection is missing.
+    """
+    return [
+        (each, document[each.value])
+        for each in cache.collections
+        if each in object_cache.BASE_COLLECTIONS or each.value in document
+    ]
+
+
 class UpdateAnswers:
     """Answers other hosts' requests for the updates that they lack.
 
@@ -380,7 +425,7 @@
             for address in seeds:
                 if await self.fetch(str(address), address) and all(
                     self._cache.get_received_revision(each)
-                    for each in object_cache.Collection
+                    for each in object_cache.BASE_COLLECTIONS
                 ):
                     return
             if loop.time() >= latest_s:
@@ -447,12 +492,19 @@
             document,
             accept_incomplete=now - since_s >= ACCEPT_INCOMPLETE_DELAY_S,
         )
-        parts = [document[each.value] for each in object_cache.Collection]
-        revisions = decode_revisions(
-            self._cache,
-            [part["revision"] for part in parts]
-            + [part["era"] for part in parts if "era" in part],
-        )
+        parts = _list_parts(self._cache, document)
+        revisions = {
+            collection: object_cache.make_revision(
+                part.get(
+                    "era",
+                    object_cache.get_era(
+                        self._cache.get_received_revision(collection)
+                    ),
+                ),
+                part["revision"],
+            )
+            for collection, part in parts
+        }
         if self._has_all(revisions):
             self._incomplete = None
         else:
--- a/eelgrasshall/gateway/peer_sync_test.py
+++ b/eelgrasshall/gateway/peer_sync_test.py
@@ -553,3 +553,87 @@
     assert restored.apply(_make_update("a", era_1(21), "written again"))
     # The other way round nothing is fetched, as the numbers are lower.
     assert peer_sync.list_revisions(_make_restored_cache())[1] < 20
+
+
+_ROLLOUTS = object_cache.Collection.ROLLOUTS
+
+
+def _make_cache_with_rollouts() -> object_cache.ObjectCache:
+    return object_cache.ObjectCache(
+        decode=lambda collection, name, document: document,
+        on_update=lambda update, value: None,
+        collections=tuple(object_cache.Collection),
+    )
+
+
+def _fill(cache: object_cache.ObjectCache, revision: int) -> None:
+    for collection in object_cache.Collection:
+        cache.apply(object_cache.Update(collection, "a", revision, "x"))
+        cache.advance(collection, revision)
+
+
+def test_hosts_of_the_build_before_read_what_they_know_of_revisions():
+    # That build reads four revisions, four eras and a kept version, which it
+    # would take the revision of a fifth collection for.
+    cache = _make_cache_with_rollouts()
+    _fill(cache, object_cache.make_revision(3, 9))
+    assert peer_sync.list_revisions(cache) == [9] * 4 + [3] * 4 + [0, 9, 3]
+    old = _make_cache()
+    numbers = peer_sync.list_revisions(cache)
+    assert peer_sync.find_kept_version(old, numbers) == 0
+    assert set(peer_sync.decode_revisions(old, numbers)) == set(
+        object_cache.BASE_COLLECTIONS
+    )
+
+
+def test_rollouts_are_exchanged_only_between_hosts_that_use_them():
+    base, using = _make_cache(), _make_cache_with_rollouts()
+    _fill(using, 9)
+    for asking, keys in (
+        (base, {"c", "s", "e", "h"}),
+        (_make_cache_with_rollouts(), {"c", "s", "e", "h", "r"}),
+    ):
+        query = peer_sync.make_query(asking)
+        revisions = peer_sync.decode_revisions(using, query)
+        document = peer_sync.encode_updates(using, revisions)
+        assert set(document) == keys
+        peer_sync.apply_updates(asking, json.loads(json.dumps(document)))
+        assert asking.get_received_revision(_SERVERS) == 9
+    assert asking.get_received_revision(_ROLLOUTS) == 9
+    assert base.get_received_revision(_ROLLOUTS) == 0
+
+
+def test_answer_of_the_build_before_is_applied_without_rollouts():
+    base, using = _make_cache(), _make_cache_with_rollouts()
+    _fill(base, 9)
+    query = peer_sync.make_query(using)
+    # As that build reads it.
+    assert peer_sync.decode_revisions(base, query[:8]) == dict.fromkeys(
+        object_cache.BASE_COLLECTIONS, 0
+    )
+    document = peer_sync.encode_updates(
+        base, peer_sync.decode_revisions(base, query)
+    )
+    assert peer_sync.apply_updates(using, document) == 4
+
+
+def test_host_behind_in_rollouts_alone_fetches_them():
+    ahead, behind = _make_cache_with_rollouts(), _make_cache_with_rollouts()
+    for cache in (ahead, behind):
+        _fill(cache, 9)
+    ahead.apply(object_cache.Update(_ROLLOUTS, "a", 12, "y"))
+    ahead.advance(_ROLLOUTS, 12)
+    stated = peer_sync.decode_revisions(behind, peer_sync.list_revisions(ahead))
+    assert stated[_ROLLOUTS] == 12 > behind.get_applied_revision(_ROLLOUTS)
+
+
+async def test_fetch_from_a_host_without_rollouts_is_complete():
+    # A collection that the other host lacks must not count as missing: the
+    # fetch would be repeated for as long as that host is ahead.
+    base, using = _make_cache(), _make_cache_with_rollouts()
+    _fill(base, 9)
+    sync = peer_sync.PeerSync(cache=using, log=fakes.Log())
+    async with _serve(base, 19109):
+        assert await sync.fetch("h2", model.Address("127.0.0.1", 19109))
+    assert using.get_applied_revision(_SERVERS) == 9
+    assert sync._incomplete is None
--- a/eelgrasshall/gateway/peers.py
+++ b/eelgrasshall/gateway/peers.py
@@ -59,11 +59,14 @@
       prefix: Identifies the datagrams; no heartbeat begins like this.
       build: Returns the datagram of a period, or None.
       handle: Called with a datagram of another host.
+      list_receivers: Returns hosts that get it in each period, whatever the
+        size of the fleet.
     """
 
     prefix: bytes
     build: Callable[[], bytes | None]
     handle: Callable[[bytes], None]
+    list_receivers: Callable[[], Sequence[model.Host]] = lambda: ()
 
 
 class _HeartbeatRecord(NamedTuple):
@@ -440,8 +443,11 @@
         for channel in self._channels:
             datagram = channel.build()
             if datagram is not None:
-                for host in hosts:
-                    self._transport.sendto(datagram, tuple(host.peer_address))
+                for host in dict.fromkeys([*hosts, *channel.list_receivers()]):
+                    if host != self._own:
+                        self._transport.sendto(
+                            datagram, tuple(host.peer_address)
+                        )
 
     def _choose_targets(self) -> list[model.Host]:
         """Returns the hosts to send to in one period.
--- a/eelgrasshall/gateway/registry.py
+++ b/eelgrasshall/gateway/registry.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 import math
 from typing import Any
@@ -18,6 +19,7 @@
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import object_cache
 from eelgrasshall.gateway import rate_limits
+from eelgrasshall.gateway import rollouts
 from eelgrasshall.gateway import shares
 from eelgrasshall.gateway import upstream
 
@@ -49,6 +51,8 @@
 # Least time between two log lines on the rate that one server states.
 RATE_LOG_INTERVAL_S = 1.0
 
+VersionPolicy = Callable[[str, Sequence[model.Server]], rollouts.Versions]
+
 
 class Registry:
     """Tracks the backend servers of each service and selects candidates.
@@ -90,6 +94,11 @@
         self._rate_limits = rate_limits.RateLimits(
             own=own, on_changed=self._apply_rate
         )
+        # Chooses the versions in use; None if all are.
+        self._choose_versions: VersionPolicy | None = None
+        self._on_outcome: upstream.OutcomeHandler | None = None
+        # The servers on trial, by service.
+        self._trials: dict[str, list[upstream.Backend]] = {}
         # When the last change of a server's rate was logged.
         self._rate_logged_s: dict[str, float] = {}
 
@@ -109,6 +118,83 @@
             subset = self._subsets[service] = self._choose_subset(service)
         return subset
 
+    def set_version_policy(
+        self,
+        choose_versions: VersionPolicy,
+        *,
+        on_outcome: upstream.OutcomeHandler,
+    ) -> None:
+        """Sets what chooses the versions in use; before there are servers.
+
+        Args:
+          choose_versions: Returns the versions of a service, given its servers.
+          on_outcome: See `upstream.Backend.on_outcome`.
+        """
+        self._choose_versions = choose_versions
+        self._on_outcome = on_outcome
+
+    def find_trial_servers(self, service: str) -> Sequence[upstream.Backend]:
+        """Returns the servers of a service that get some first attempts."""
+        if service not in self._subsets:
+            self.find_candidates(service)
+        return self._trials.get(service, ())
+
+    def refresh_versions(self, service: str) -> None:
+        """Chooses the servers of a service by their versions anew.
+
+        Attempts that wait at servers which get no requests any more are placed
+        anew.
+        """
+        self._forget_subset(service)
+        used = {*self.find_candidates(service), *self._trials.get(service, ())}
+        for backend in list(self._candidates.get(service, ())):
+            if backend not in used:
+                backend.release_queued()
+
+    def count_pending_old(self, service: str) -> int:
+        """Returns the attempts at servers that get no requests any more."""
+        used = {
+            *self.find_candidates(service),
+            *self.find_trial_servers(service),
+        }
+        return sum(
+            len(backend.pending)
+            for backend in self._candidates.get(service, ())
+            if backend not in used
+        )
+
+    def _forget_subset(self, service: str) -> None:
+        """Lets the servers of a service be chosen anew."""
+        self._subsets.pop(service, None)
+        self._trials.pop(service, None)
+
+    def _select_versions(self, service: str) -> list[upstream.Backend]:
+        """Returns the candidates of the versions of a service in use."""
+        backends = self._candidates.get(service, [])
+        if self._choose_versions is None:
+            return backends
+        self._trials.pop(service, None)
+        versions = self._choose_versions(
+            service,
+            [
+                each
+                for each in self._servers.values()
+                if each.service == service
+            ],
+        )
+        current = [
+            each for each in backends if each.server.version == versions.current
+        ]
+        if not current:
+            return backends
+        if versions.trial is not None:
+            self._trials[service] = [
+                each
+                for each in backends
+                if each.server.version == versions.trial
+            ]
+        return current
+
     def count_servers(self) -> int:
         """Returns the number of candidates of all services."""
         return sum(len(each) for each in self._candidates.values())
@@ -229,6 +315,8 @@
             if server.cold_remaining_s > 0:
                 self._mark_cold(server_id, server.cold_remaining_s)
             state = "draining" if server.draining else "ready"
+        if self._choose_versions is not None:
+            self.refresh_versions((server or old).service)
         self._log.record(
             "server",
             server=server_id,
@@ -532,9 +620,10 @@
             connection_limit=self._compute_connection_limit(server, service),
         )
         self._set_limiter(self._backends[server.id])
+        self._backends[server.id].on_outcome = self._on_outcome
         candidates = self._candidates.setdefault(server.service, [])
         candidates.append(self._backends[server.id])
-        self._subsets.pop(server.service, None)
+        self._forget_subset(server.service)
         for each in list(candidates):
             self._end_last_resort(each.server.id)
 
@@ -550,7 +639,7 @@
         if timer is not None:
             timer.cancel()
         self._candidates[backend.server.service].remove(backend)
-        self._subsets.pop(backend.server.service, None)
+        self._forget_subset(backend.server.service)
         # Last, as attempts that wait there are placed anew.
         backend.close()
 
@@ -560,7 +649,7 @@
         Each host ranks the servers by hashes of its own, so that each server is
         used by about as many hosts as it has connections for.
         """
-        backends = self._candidates.get(service, [])
+        backends = self._select_versions(service)
         settings = self._services.get(service)
         if settings is None:
             # The configuration has dropped it; its servers are being removed.
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -28,6 +28,8 @@
 from eelgrasshall.gateway import quarantine
 from eelgrasshall.gateway import registry
 from eelgrasshall.gateway import relay as relay_module
+from eelgrasshall.gateway import rollout_tracker
+from eelgrasshall.gateway import rollouts
 from eelgrasshall.gateway import routing
 from eelgrasshall.gateway import shares
 from eelgrasshall.gateway import upstream
@@ -66,6 +68,10 @@
         servers, or has them back.
       relay: Sends requests to other hosts meanwhile; None if they are not to be
         relayed.
+      orders: The orders of rollouts; None where these are not in force.
+
+    Attributes:
+      rollouts: Follows the orders; None where rollouts are not in force.
     """
 
     def __init__(
@@ -80,6 +86,7 @@
         metrics: metrics_module.Metrics,
         on_links_changed: Callable[[], None] = lambda: None,
         relay: relay_module.Relay | None = None,
+        orders: rollouts.Rollouts | None = None,
     ):
         self.names = names
         self.zone = own.zone
@@ -98,6 +105,15 @@
                 receive_buffer=connections.ReceiveBuffer(),
             )
         )
+        self.rollouts: rollout_tracker.RolloutTracker | None = None
+        if orders is not None:
+            self.rollouts = rollout_tracker.RolloutTracker(
+                orders=orders,
+                registry=self.registry,
+                loop=self.loop,
+                log=log,
+                count=metrics.count,
+            )
         self.links = links.Links(
             loop=self.loop,
             random=random,
@@ -179,6 +195,8 @@
 
         Has to be called every second or so.
         """
+        if self.rollouts is not None:
+            self.rollouts.set_share(share)
         share = self._delayed_share.update(share, self.loop.time())
         if share != self._extra_share:
             self._extra_share = share
@@ -598,6 +616,12 @@
         """Returns the backend servers of a service that may get requests."""
         return self.registry.find_candidates(service)
 
+    def take_trial_servers(self, service: str) -> Sequence[upstream.Backend]:
+        """Returns the servers on trial for one first attempt, if it is due."""
+        if self.rollouts is None:
+            return ()
+        return self.rollouts.take_trial_servers(service)
+
     def find_extra_attempt_budget(
         self, service: str
     ) -> hedging.ExtraAttemptBudget:
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -118,6 +118,12 @@
     receive_buffer: connections.ReceiveBuffer
 
 
+OutcomeHandler = Callable[
+    ["Backend", attempts.Attempt, messages.Reply | messages.Failure | None],
+    None,
+]
+
+
 class Backend:
     """One backend server: its connections, attempts and statistics.
 
@@ -140,6 +146,9 @@
         self.service = service
         self.environment = environment
         self.connection_limit = connection_limit
+        # Called with each caller's attempt that was sent and has ended, and its
+        # outcome; None if the attempt was aborted.
+        self.on_outcome: OutcomeHandler | None = None
         self.cold_start = cold_start.ColdStartLimiter()
         self.latency_ratio = (
             COLD_LATENCY_RATIO if server.cold_remaining_s > 0 else 1.0
@@ -233,6 +242,10 @@
             if not limiter.may_send(now, waiting=waiting - 1):
                 self._fail_queued()
 
+    def release_queued(self) -> None:
+        """Lets attempts that wait here be placed anew."""
+        self._fail_queued()
+
     def get_pause_s(self, now: float) -> float:
         """Returns for how long the server wants no request; 0 if it does."""
         return max(self._paused_until_s - now, 0.0)
@@ -691,5 +704,11 @@
             return
         attempt.done = True
         self.pending.pop(attempt, None)
+        if (
+            self.on_outcome is not None
+            and attempt.sent
+            and not attempt.is_health_check
+        ):
+            self.on_outcome(self, attempt, outcome)
         if attempt.owner is not None and outcome is not None:
             attempt.owner.handle_outcome(attempt, outcome)
--- a/eelgrasshall/platform/codec.py
+++ b/eelgrasshall/platform/codec.py
@@ -11,6 +11,11 @@
 from eelgrasshall.gateway import object_cache
 
 _MS_PER_S = 1000.0
+_ROLLOUT_STATES = {
+    "running": model.RolloutState.RUNNING,
+    "completed": model.RolloutState.COMPLETED,
+    "rolled_back": model.RolloutState.ROLLED_BACK,
+}
 
 
 class DecodeError(ValueError):
@@ -22,11 +27,12 @@
 
     Args:
       collection: The collection that the object belongs to.
-      document: The object's name and `spec`, as `{"name": ..., "spec": ...}`.
+      document: The object's name and `spec`, as `{"name": ..., "spec": ...}`;
+        for a rollout its `status` too.
 
     Returns:
-      A `model.Configuration`, `model.Server` or `model.Host`; True for an
-      evacuated availability zone, whose name is all that matters.
+      A `model.Configuration`, `model.Server`, `model.Host` or `model.Rollout`;
+      True for an evacuated availability zone, whose name is all that matters.
 
     Raises:
       DecodeError: The document does not conform to the platform's format.
@@ -39,6 +45,8 @@
             return _decode_server(name, spec)
         if collection is object_cache.Collection.HOSTS:
             return _decode_host(name, spec)
+        if collection is object_cache.Collection.ROLLOUTS:
+            return _decode_rollout(name, spec, document.get("status"))
     except (
         KeyError,
         TypeError,
@@ -90,9 +98,46 @@
         # The remaining cold period, not the time since the start.
         cold_remaining_s=_check_number(spec["coldLeftMs"]) / _MS_PER_S,
         started_at_ms=int(_check_number(spec.get("born", 0))),
+        version=_decode_version(spec.get("version")),
     )
 
 
+def _decode_version(value: Any) -> str:
+    """Returns the version of a server; empty if it is not a text.
+
+    Servers of deployments without rollouts may state anything there.
+    """
+    return value if isinstance(value, str) else ""
+
+
+def _decode_rollout(name: str, spec: Any, status: Any) -> model.Rollout:
+    """Decodes an order to move a service to another version.
+
+    A status of another target version is that of an earlier order.
+    """
+    service = _check_text(spec["service"])
+    if service != name:
+        raise ValueError(f"the order of {name!r} names service {service!r}")
+    period_s = _check_number(spec["periodS"])
+    if not period_s:
+        raise ValueError("the period is 0")
+    target = _check_text(spec["targetVersion"])
+    state = model.RolloutState.NEW
+    if status and status.get("targetVersion") == target:
+        state = _ROLLOUT_STATES[status["state"]]
+    return model.Rollout(service, target, float(period_s), state)
+
+
+def encode_rollout_status(rollout: model.Rollout) -> dict[str, str]:
+    """Encodes the `status` of a rollout's order."""
+    (state,) = (
+        name
+        for name, state in _ROLLOUT_STATES.items()
+        if state is rollout.state
+    )
+    return {"state": state, "targetVersion": rollout.target_version}
+
+
 def _decode_configuration(spec: Any) -> model.Configuration:
     """Decodes a configuration."""
     limits = spec["limits"]
--- a/eelgrasshall/platform/codec_test.py
+++ b/eelgrasshall/platform/codec_test.py
@@ -89,6 +89,7 @@
         draining=False,
         cold_remaining_s=1.5,
         started_at_ms=77,
+        version="v1",
     )
 
 
@@ -170,3 +171,57 @@
             object_cache.Collection.SERVERS,
             {"name": "s1", "spec": {**_SERVER, field: value}},
         )
+
+
+_ORDER = {"service": "huvo11a", "targetVersion": "v2", "periodS": 12}
+
+
+def _decode_order(spec, status=None) -> model.Rollout:
+    return codec.decode(
+        object_cache.Collection.ROLLOUTS,
+        {"name": "huvo11a", "spec": spec, "status": status},
+    )
+
+
+@pytest.mark.parametrize("state", model.RolloutState)
+def test_decodes_the_order_of_a_rollout(state):
+    rollout = model.Rollout("huvo11a", "v2", 12.0, state)
+    status = None
+    if state is not model.RolloutState.NEW:
+        status = codec.encode_rollout_status(rollout)
+    assert _decode_order(_ORDER, status) == rollout
+
+
+def test_status_of_another_target_is_that_of_an_earlier_order():
+    status = {"state": "rolled_back", "targetVersion": "v1"}
+    assert _decode_order(_ORDER, status).state is model.RolloutState.NEW
+
+
+@pytest.mark.parametrize(
+    ("changes", "status"),
+    [
+        ({"service": "other"}, None),
+        ({"service": ""}, None),
+        ({"targetVersion": 2}, None),
+        ({"targetVersion": None}, None),
+        ({"periodS": 0}, None),
+        ({"periodS": -1}, None),
+        ({"periodS": "12"}, None),
+        ({"periodS": float("nan")}, None),
+        ({}, {"state": "paused", "targetVersion": "v2"}),
+        ({}, {"targetVersion": "v2"}),
+        ({}, "running"),
+        ({}, {"state": [], "targetVersion": "v2"}),
+    ],
+)
+def test_malformed_orders_are_rejected_as_a_whole(changes, status):
+    with pytest.raises(codec.DecodeError):
+        _decode_order(_ORDER | changes, status)
+
+
+@pytest.mark.parametrize("version", [None, 5, ["v1"], {}])
+def test_server_with_a_malformed_version_is_used_without_one(version):
+    # Deployments without rollouts may have anything there.
+    spec = _SERVER | {"version": version}
+    server = _decode(object_cache.Collection.SERVERS, spec, "i-1")
+    assert server.version == ""
--- a/eelgrasshall/platform/console.py
+++ b/eelgrasshall/platform/console.py
@@ -81,7 +81,7 @@
     store = store_module.StoreClient(address=address)
     listings = {}
     try:
-        for collection in object_cache.Collection:
+        for collection in object_cache.BASE_COLLECTIONS:
             listing = await store.read_all(collection)
             if isinstance(listing, watcher.Unavailable):
                 return listing
--- a/eelgrasshall/platform/fake_server.py
+++ b/eelgrasshall/platform/fake_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import random
 import time
 from typing import NamedTuple
 
@@ -41,6 +42,8 @@
       paused_until_s: Monotonic time until which it turns all requests away and
         states for how long.
       paused_count: Number of requests that it turned away so.
+      failure_share: Share of the requests that it answers with status 500.
+      slow_share: Share of the requests that take five times as long.
       on_crash: Called when a request crashes it.
       arrivals: Monotonic time and id of each request, also of those that it
         turned away.
@@ -62,6 +65,9 @@
         self.rate_limit: float | None = None
         self.paused_until_s = 0.0
         self.paused_count = 0
+        self.failure_share = 0.0
+        self.slow_share = 0.0
+        self._random = random.Random(server_id)
         self.on_crash: Callable[[Crash], None] | None = None
         self.arrivals: list[tuple[float, str]] = []
         self.limited: list[tuple[float, str]] = []
@@ -119,7 +125,10 @@
                 Crash(self.server_id, now, request.target, request_id)
             )
             await asyncio.Event().wait()
-        await asyncio.sleep(self.service_time_s)
+        is_slow = self._random.random() < self.slow_share
+        await asyncio.sleep(self.service_time_s * (5 if is_slow else 1))
+        if self._random.random() < self.failure_share:
+            return listener.Response(500, identity, b"")
         seal = f"{self.server_id}.{request_id}".encode()
         headers = [
             (b"X-Attempt-Id", request_id.encode()),
--- a/eelgrasshall/platform/fake_store.py
+++ b/eelgrasshall/platform/fake_store.py
@@ -72,9 +72,14 @@
 
     def put(self, kind: str, name: str, spec: Any) -> None:
         """Creates or replaces an object."""
+        old = self._objects.get(kind, {}).get(name, {})
+        self._replace(kind, name, {**old, "spec": spec})
+
+    def _replace(self, kind: str, name: str, content: dict[str, Any]) -> None:
+        """Gives an object a new revision and content."""
         self._revision += 1
         meta = {"name": name, "revision": self._revision}
-        self._objects.setdefault(kind, {})[name] = {"meta": meta, "spec": spec}
+        self._objects.setdefault(kind, {})[name] = {**content, "meta": meta}
         self._record_event(
             kind, {"object": self._objects[kind][name], "deleted": False}
         )
@@ -113,6 +118,10 @@
         """Returns the spec of an object."""
         return self._objects[kind][name]["spec"]
 
+    def get_status(self, kind: str, name: str) -> Any:
+        """Returns the status of an object; None if it has none."""
+        return self._objects[kind][name].get("status")
+
     def list_names(self, kind: str) -> list[str]:
         """Returns the sorted names of the objects of a kind."""
         return sorted(self._objects.get(kind, {}))
@@ -139,6 +148,9 @@
             return listener.Response(503, [], b"")
         kind, _, name = request.path.removeprefix(_PATH_PREFIX).partition("/")
         name = urllib.parse.unquote(name)
+        name, _, part = name.partition("/")
+        if request.method == b"PUT" and part == "status":
+            return self._write_status(request, kind, name)
         if request.method in (b"POST", b"PUT"):
             return self._write(request, kind, name)
         query = dict(
@@ -161,6 +173,19 @@
         self.put(kind, name, document["spec"])
         return listener.Response(200, [*_JSON], b"{}")
 
+    def _write_status(
+        self, request: messages.Request, kind: str, name: str
+    ) -> listener.Response:
+        """Writes the status of an object if the stated revision is its own."""
+        document = json.loads(request.body)
+        found = self._objects.get(kind, {}).get(name)
+        if found is None:
+            return listener.Response(404, [*_JSON], b"{}")
+        if document["meta"]["revision"] != found["meta"]["revision"]:
+            return listener.Response(409, [*_JSON], b"{}")
+        self._replace(kind, name, {**found, "status": document["status"]})
+        return _make_response(self._objects[kind][name])
+
     def _list(self, kind: str, after: str) -> listener.Response:
         """Returns a page of the objects of a kind, after a given name."""
         objects = self._objects.get(kind, {})
--- a/eelgrasshall/platform/fleet.py
+++ b/eelgrasshall/platform/fleet.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Callable
+import json
 import os
 import pathlib
 import signal
@@ -33,6 +34,7 @@
 region = "r"
 innerPorts = [{inner}, {inner_last}]
 seeds = {seeds}
+{contracts}
 [listen]
 front = "127.0.0.1:{front}"
 readyAddr = "127.0.0.1:{ready}"
@@ -76,6 +78,8 @@
       source_trees: Folders with other versions of the program, for the hosts
         that are to run them from their next start on.
       on_restart: Called with the id of a crashed server before it is back.
+      versions: The versions that servers state, by server id.
+      held_back: Ids of the servers that do not register at the start.
 
     Args:
       folder: Directory for settings files and logs.
@@ -86,6 +90,7 @@
       replicas: Number of backend servers of each service.
       extra_attempts: The bound on extra attempts, for each request and beside
         that.
+      contracts: The contracts in the settings of the hosts.
       links: Whether each host has links of its own to the backend servers.
         They take one more port for each pair.
     """
@@ -100,10 +105,14 @@
         replicas: int = 2,
         extra_attempts: tuple[float, float] = (0.2, 54.0),
         links: bool = False,
+        contracts: tuple[str, ...] = (),
     ):
         self._folder = folder
         self._extra_attempts = extra_attempts
         self._links = links
+        self._contracts = contracts
+        self.versions: dict[str, str] = {}
+        self.held_back: set[str] = set()
         self._port = port
         self.store = fake_store.FakeStore()
         self._store_address = model.Address("127.0.0.1", port)
@@ -154,7 +163,8 @@
             server.on_crash = self.crash_server
             await server.start(self._addresses[name])
             await self._start_server_proxy(name)
-            self.register_server(name)
+            if name not in self.held_back:
+                self.register_server(name)
         self.publish_configuration()
         for name in self.host_names:
             await self.start_host(name)
@@ -206,6 +216,8 @@
             "coldLeftMs": 0,
             "born": self.servers[name].started_at_ms,
         }
+        if name in self.versions:
+            spec["version"] = self.versions[name]
         self.store.put("servers", name, spec)
 
     def crash_server(self, crash: fake_server.Crash) -> None:
@@ -423,6 +435,9 @@
             extra_ratio=self._extra_attempts[0],
             extra_fixed=self._extra_attempts[1],
             seeds=str(seeds).replace("'", '"'),
+            contracts=f"contracts = {json.dumps(self._contracts)}"
+            if self._contracts
+            else "",
             store=first + _STORE_PROXY_PORT_OFFSET,
         )
 
--- a/eelgrasshall/platform/program.py
+++ b/eelgrasshall/platform/program.py
@@ -86,6 +86,7 @@
         names=wire_names.HEADERS,
         readiness_path=wire_names.READINESS_PATH,
         directory_path=wire_names.DIRECTORY_PATH,
+        rollout_bound=settings.rollout_bound,
     )
 
 
--- a/eelgrasshall/platform/settings.py
+++ b/eelgrasshall/platform/settings.py
@@ -8,6 +8,7 @@
 from eelgrasshall.gateway import hedging
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import object_cache
+from eelgrasshall.gateway import rollouts
 
 SETTINGS_VARIABLE = "EELGRASSHALL_NODE_FILE"
 SETTINGS_PATH = "/etc/eelgrasshall/node.toml"
@@ -15,6 +16,10 @@
 # Entry hosts discover each other by heartbeats; the store only keeps their
 # addresses durably, so a change may take longer than in other collections.
 HOSTS_BOUND_S = 25.0
+# Time in which an order of a rollout is in force; a part of its period.
+ROLLOUTS_BOUND_S = 3.0
+# In the list of contracts, asks for rollouts.
+ROLLOUT_CONTRACT = "rollout"
 
 _PEERS_PORT_OFFSET = 0
 _METRICS_PORT_OFFSET = 1
@@ -45,6 +50,8 @@
       cold_start_bound: Requests allowed beyond a cold server's stated rate.
       address_ttl_s: Longest time for which a caller may use the addresses
         that it looked up, seconds.
+      rollout_bound: What a rollout may cost; None where rollouts are not in
+        force.
     """
 
     host: model.Host
@@ -60,6 +67,7 @@
     grace_s: float
     cold_start_bound: cold_start.ColdStartBound
     address_ttl_s: float
+    rollout_bound: rollouts.Bound | None = None
 
 
 def load_settings() -> Settings:
@@ -100,6 +108,7 @@
     limits = document["limits"]
     ip = document["ip"]
     first_port = int(document["innerPorts"][0])
+    rollout_bound = _decode_rollout_bound(document)
     return Settings(
         host=model.Host(
             name=document["nodeName"],
@@ -125,6 +134,7 @@
             object_cache.Collection.SERVERS: bounds["drainMs"] / 1000.0,
             object_cache.Collection.EVACUATIONS: bounds["evacuateMs"] / 1000.0,
             object_cache.Collection.HOSTS: HOSTS_BOUND_S,
+            object_cache.Collection.ROLLOUTS: ROLLOUTS_BOUND_S,
         },
         extra_attempt_bound=hedging.ExtraAttemptBound(
             ratio=float(bounds["budgetRatio"]),
@@ -138,4 +148,17 @@
             slack=float(bounds.get("coldSlack", 0.0)),
         ),
         address_ttl_s=float(bounds["ttl_max_s"]),
+        rollout_bound=rollout_bound,
+    )
+
+
+def _decode_rollout_bound(document: dict) -> rollouts.Bound | None:
+    """Decodes the bound on rollouts; None without the contract."""
+    if ROLLOUT_CONTRACT not in document.get("contracts", ()):
+        return None
+    bounds = document["bounds"]
+    return rollouts.Bound(
+        expose_share=float(bounds.get("exposeShare", 0.1)),
+        expose_slack=float(bounds.get("exposeSlack", 50)),
+        rollback_s=float(bounds.get("rollbackMs", 5000)) / 1000.0,
     )
--- a/eelgrasshall/platform/settings_test.py
+++ b/eelgrasshall/platform/settings_test.py
@@ -82,3 +82,18 @@
     monkeypatch.setenv(settings.SETTINGS_VARIABLE, str(tmp_path / "none"))
     with pytest.raises(settings.SettingsError, match="EELGRASSHALL_NODE_FILE"):
         settings.load_settings()
+
+
+def test_rollouts_are_in_force_only_by_contract(tmp_path, monkeypatch):
+    assert _load(tmp_path, monkeypatch, _SETTINGS).rollout_bound is None
+    other = 'contracts = ["other"]\n' + _SETTINGS
+    assert _load(tmp_path, monkeypatch, other).rollout_bound is None
+    text = 'contracts = ["other", "rollout"]\n' + _SETTINGS
+    loaded = _load(tmp_path, monkeypatch, text)
+    assert loaded.rollout_bound == (0.1, 50.0, 5.0)
+    text = text.replace(
+        "graceS = 6",
+        "graceS = 6\nexposeShare = 0.2\nexposeSlack = 9\nrollbackMs = 700",
+    )
+    loaded = _load(tmp_path, monkeypatch, text)
+    assert loaded.rollout_bound == (0.2, 9.0, 0.7)
--- a/eelgrasshall/platform/store.py
+++ b/eelgrasshall/platform/store.py
@@ -22,6 +22,7 @@
 _CREATED = 201
 _CONFLICT = 409
 _GONE = 410
+_SERVER_ERROR = 500
 
 
 class StoreClient:
@@ -154,6 +155,43 @@
             publisher.close()
         return response.status in (_OK, _CREATED)
 
+    async def write_rollout_status(
+        self, rollout: model.Rollout, revision: int
+    ) -> bool | None:
+        """Writes the state of a rollout to its order's status.
+
+        Args:
+          rollout: The order, with the state to write.
+          revision: The revision of the order that the state is based on, with
+            its era; the store refuses the write if the order has another one.
+
+        Returns:
+          Whether the store has accepted the write; None if it gave no answer
+          and may have accepted it.
+        """
+        collection = object_cache.Collection.ROLLOUTS
+        path = (
+            f"{wire_names.OBJECTS_PATH}/{wire_names.OBJECT_KINDS[collection]}/"
+            f"{urllib.parse.quote(rollout.service)}/status"
+        )
+        _, number = object_cache.split_revision(revision)
+        document = {
+            "meta": {"name": rollout.service, "revision": number},
+            "status": codec.encode_rollout_status(rollout),
+        }
+        writer = client.JsonClient(address=self._address)
+        try:
+            response = await writer.call(
+                "PUT", path, document, timeout_s=CALL_TIMEOUT_S
+            )
+        except client.CallError:
+            return None
+        finally:
+            writer.close()
+        if response.status >= _SERVER_ERROR:
+            return None
+        return response.status in (_OK, _CREATED)
+
     def close(self) -> None:
         """Closes all connections."""
         for each in self._clients.values():
@@ -210,6 +248,8 @@
         document = None
         if not deleted:
             document = {"name": name, "spec": each.get("spec")}
+            if collection is object_cache.Collection.ROLLOUTS:
+                document["status"] = each.get("status")
         updates.append(
             object_cache.Update(collection, name, revision, document)
         )
--- a/eelgrasshall/platform/store_test.py
+++ b/eelgrasshall/platform/store_test.py
@@ -188,3 +188,34 @@
         assert listing.revision == 1
         changes = await client.wait_for_changes(_SERVERS, 1, 0.01)
         assert changes.revision == 1
+
+
+_ROLLOUTS = object_cache.Collection.ROLLOUTS
+_RUNNING = model.Rollout("orders", "v2", 12.0, model.RolloutState.RUNNING)
+
+
+async def test_status_of_a_rollout_is_written_on_its_revision_only():
+    async with _open(18921) as (fake, client):
+        spec = {"service": "orders", "targetVersion": "v2", "periodS": 12}
+        fake.put("rollouts", "orders", spec)
+        revision = object_cache.make_revision(2, 1)
+        assert await client.write_rollout_status(_RUNNING, revision) is True
+        status = {"state": "running", "targetVersion": "v2"}
+        assert fake.get_status("rollouts", "orders") == status
+        assert fake.get_spec("rollouts", "orders") == spec
+        ended = _RUNNING._replace(state=model.RolloutState.ROLLED_BACK)
+        # The revision is the one before the last write.
+        assert await client.write_rollout_status(ended, revision) is False
+        assert fake.get_status("rollouts", "orders") == status
+        listing = await client.read_all(_ROLLOUTS)
+        (update,) = listing.updates
+        assert update.revision == 2
+        assert update.document["status"] == status
+        assert ("PUT", "/-/objects/rollouts/orders/status") in fake.calls
+
+
+async def test_write_without_an_answer_is_neither_accepted_nor_refused():
+    async with _open(18922) as (fake, client):
+        fake.put("rollouts", "orders", {})
+        fake.down = True
+        assert await client.write_rollout_status(_RUNNING, 1) is None
--- a/eelgrasshall/platform/wire_names.py
+++ b/eelgrasshall/platform/wire_names.py
@@ -31,6 +31,7 @@
     object_cache.Collection.SERVERS: "servers",
     object_cache.Collection.EVACUATIONS: "evacuations",
     object_cache.Collection.HOSTS: "eelgrasshall-hosts",
+    object_cache.Collection.ROLLOUTS: "rollouts",
 }
 # The one configuration object that is used; others of its kind are ignored.
 CONFIGURATION_NAME = "main"
