--- a/eelgrasshall/gateway/peers_test.py
+++ b/eelgrasshall/gateway/peers_test.py
@@ -441,3 +441,33 @@
     for protocol in protocols:
         protocol.stop()
     assert received and set(received) == {datagram}
+
+
+async def test_channel_reaches_its_receivers_in_a_large_fleet():
+    # Counts of a rollout would take a second and more by random hosts alone.
+    sent = []
+
+    class Transport:
+        def sendto(self, data, address):
+            if data == b"counts\n":
+                sent.append(address)
+
+    hosts = _make_hosts(40, port=20000)
+    receivers = hosts[:6]
+    protocol, _ = _make_protocol(hosts[0])
+    protocol._channels = [
+        peers.Channel(
+            b"counts\n",
+            lambda: b"counts\n",
+            lambda data: None,
+            lambda: receivers,
+        )
+    ]
+    protocol.connection_made(Transport())
+    for host in hosts:
+        protocol.add_host(host)
+    protocol._tick()
+    protocol._timer.cancel()
+    expected = {tuple(host.peer_address) for host in receivers[1:]}
+    assert expected <= set(sent)
+    assert len(sent) == len(set(sent)) <= len(expected) + 2
