Slow answers of cold servers do not count; rollout beside the build before

Cause: all servers of a new version are cold at first, and any version is slower then. Hosts of the build before run beside this one during an upgrade.

Change: a server knows until when it is cold, also where its service limits no rate; slow answers to requests sent before that are left out. The state dump has the orders. A test runs a rollout with two hosts of this build and one of the build before, restarts of both, and a change of the configuration.

--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -425,6 +425,7 @@
 
     def dump(self) -> dict[str, Any]:
         """Returns the state of this process as JSON-serializable values."""
+        tracker = self._request_handler.rollouts
         return {
             "host": self._options.host.name,
             "state": self._peers.state.name,
@@ -453,6 +454,7 @@
                 self._loop.time()
             ),
             "counters": dict(self._metrics.counters),
+            **({"rollouts": tracker.list_gauges()} if tracker else {}),
         }
 
     def log_state_dump(self) -> None:
--- a/eelgrasshall/gateway/registry.py
+++ b/eelgrasshall/gateway/registry.py
@@ -673,10 +673,13 @@
             after a start.
         """
         backend = self._backends.get(server_id)
-        if backend is None or not backend.service.cold_rate_per_s:
+        if backend is None:
             return
         remaining_s = backend.service.cold_s if cold_s is None else cold_s
         now = self._environment.loop.time()
+        backend.cold_until_s = max(backend.cold_until_s, now + remaining_s)
+        if not backend.service.cold_rate_per_s:
+            return
         if not backend.cold_start.is_cold(now):
             self._log.record(
                 "server_cold", server=server_id, left_s=remaining_s
--- a/eelgrasshall/gateway/rollout_tracker.py
+++ b/eelgrasshall/gateway/rollout_tracker.py
@@ -160,7 +160,11 @@
             )
         is_slow = took_s > rollouts.SLOW_FACTOR * latencies.quantile(0.5)
         answer = classify(outcome, is_slow=is_slow)
-        if answer is None:
+        if answer is None or (
+            # Any version is slow while it is cold.
+            answer is rollouts.Answer.SLOW
+            and attempt.sent_s < backend.cold_until_s
+        ):
             return
         version = backend.server.version
         self.orders.record_answer(
--- a/eelgrasshall/gateway/rollout_tracker_test.py
+++ b/eelgrasshall/gateway/rollout_tracker_test.py
@@ -231,6 +231,24 @@
     assert gauges['rollout_target_slow{service="orders"}'] == 1
 
 
+async def test_slow_answers_of_a_cold_server_do_not_count():
+    # All servers of a new version are cold at first.
+    host = _make_host()
+    host.add("b1", "v2", cold_remaining_s=9.0)
+    host.tracker.set_order("orders", _NEW, 5)
+    (backend,) = host.registry.find_trial_servers("orders")
+    connection = connections.Connection(backend=backend)
+    connection.connection_made(fakes.Transport())
+    backend.add_connection(connection)
+    for delay_s in (0.04, 0.0):
+        backend.submit(fakes.make_attempt(fakes.OutcomeRecorder(), "q"))
+        await asyncio.sleep(delay_s)
+        connection.data_received(_reply(200))
+    gauges = host.tracker.list_gauges()
+    assert gauges['rollout_target_answers{service="orders"}'] == 1
+    assert gauges['rollout_target_slow{service="orders"}'] == 0
+
+
 async def test_operator_sees_the_verdict_with_its_inputs():
     host = _make_host()
     host.tracker.set_order("orders", _NEW, 5)
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -150,6 +150,9 @@
         # outcome; None if the attempt was aborted.
         self.on_outcome: OutcomeHandler | None = None
         self.cold_start = cold_start.ColdStartLimiter()
+        # Monotonic time until which the server is cold, and slower for that,
+        # whether or not its service limits the requests meanwhile.
+        self.cold_until_s = -math.inf
         self.latency_ratio = (
             COLD_LATENCY_RATIO if server.cold_remaining_s > 0 else 1.0
         )
--- a/eelgrasshall/platform/builds_test.py
+++ b/eelgrasshall/platform/builds_test.py
@@ -288,3 +288,50 @@
         _check_tries(fleet, callers.tries, served=0.99)
     finally:
         await fleet.stop()
+
+
+async def test_rollout_beside_a_host_that_does_not_know_rollouts(
+    tmp_path, old_build
+):
+    # The revisions of the fifth collection stand where the build before could
+    # read a kept version, and it gets datagrams that it does not know.
+    fleet = fleet_module.Fleet(
+        folder=tmp_path, port=28500, hosts=3, contracts=("rollout",)
+    )
+    fleet.versions = {
+        name: "v2" if name.endswith("-1") else "v1" for name in fleet.servers
+    }
+    fleet.source_trees["host2"] = old_build
+    service = fleet.shards[-1]
+    callers = None
+    try:
+        await fleet.start()
+        for name in fleet.host_names:
+            await fleet.wait_ready(name)
+        callers = _Callers(fleet, kinds=("single",))
+        callers.hosts = fleet.host_names[:2]
+        await asyncio.sleep(1.0)
+        spec = {"service": service, "targetVersion": "v2", "periodS": 20}
+        fleet.store.put("rollouts", service, spec)
+        await _check_configuration(fleet, "/moved/")
+        status = {"state": "running", "targetVersion": "v2"}
+        assert fleet.store.get_status("rollouts", service) == status
+        await asyncio.sleep(18.0)
+        status = {"state": "completed", "targetVersion": "v2"}
+        assert fleet.store.get_status("rollouts", service) == status
+        await callers.stop()
+        assert {each.status for each in callers.tries} == {200}
+        # One that has just started fetches from a host of the other build.
+        for name in ("host2", "host0"):
+            fleet.signal_host(name, signal.SIGKILL)
+            await fleet.processes[name].wait()
+            await fleet.start_host(name)
+            await fleet.wait_ready(name)
+        await _check_configuration(fleet, "/again/")
+        for name in fleet.host_names:
+            for event in ("malformed_datagram", "unreadable", "task_failed"):
+                assert f'"event": "{event}"' not in fleet.read_log(name)
+    finally:
+        if callers is not None:
+            callers.hosts = []
+        await fleet.stop()
