--- a/eelgrasshall/gateway/attempts.py
+++ b/eelgrasshall/gateway/attempts.py
@@ -42,6 +42,7 @@
         opened connection.
       compute_fingerprint: Returns a hash of the request that is the same when
         the caller retries it; None for a health check.
+      route_name: The route of the request; empty for a health check.
       is_extra: Whether it is a hedge or a retry.
     """
 
@@ -58,6 +59,7 @@
         "needs_new_connection",
         "owner",
         "request_id",
+        "route_name",
         "sent",
         "sent_s",
         "started_s",
@@ -76,8 +78,10 @@
         needs_new_connection: bool,
         due_s: float = math.inf,
         compute_fingerprint: Callable[[], str] | None = None,
+        route_name: str = "",
         is_extra: bool = False,
     ):
+        self.route_name = route_name
         self.is_extra = is_extra
         self.compute_fingerprint = compute_fingerprint
         self.owner = owner
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -35,6 +35,8 @@
 from eelgrasshall.gateway import relay
 from eelgrasshall.gateway import relay_choice
 from eelgrasshall.gateway import request_handler
+from eelgrasshall.gateway import rollout_writer
+from eelgrasshall.gateway import rollouts
 from eelgrasshall.gateway import supervision
 from eelgrasshall.gateway import watcher
 from eelgrasshall.gateway import workspace_hosts
@@ -94,6 +96,8 @@
       names: The header names.
       readiness_path: Path of the readiness check.
       directory_path: Path of the request for the hosts to use.
+      rollout_bound: What a rollout may cost; None where rollouts are not in
+        force.
       revoke_s: Longest time for which keys are accepted while no change of the
         configuration could reach this host, seconds.
       quota_bound: Bound on the requests of a workspace; None if their limits
@@ -114,6 +118,7 @@
     names: model.HeaderNames
     readiness_path: str
     directory_path: str
+    rollout_bound: rollouts.Bound | None = None
     revoke_s: float = math.inf
     quota_bound: quotas.QuotaBound | None = None
     keeps_to_zone: bool = False
@@ -171,6 +176,15 @@
                 zone_traffic.Cause.RELAYS, host.zone, size
             ),
         )
+        self._orders: rollouts.Rollouts | None = None
+        collections = object_cache.BASE_COLLECTIONS
+        if options.rollout_bound is not None:
+            collections += (object_cache.Collection.ROLLOUTS,)
+            self._orders = rollouts.Rollouts(
+                own=options.host.name,
+                incarnation=incarnation,
+                bound=options.rollout_bound,
+            )
         self._request_handler = request_handler.RequestHandler(
             own=options.host,
             names=options.names,
@@ -182,6 +196,7 @@
             on_links_changed=self._handle_links_changed,
             relay=self._relay,
             on_unconfigured=self._data_wanted.set,
+            orders=self._orders,
             has_stale_keys=self._has_stale_keys,
             quota_gate=self._make_quota_gate(),
             keeps_to_zone=options.keeps_to_zone,
@@ -194,6 +209,7 @@
             on_update=self._handle_update,
             on_new_era=self._handle_new_era,
             supersedes=_supersedes,
+            collections=collections,
         )
         self._watchers = [
             watcher.Watcher(
@@ -205,8 +221,9 @@
                 should_watch=self._should_watch,
                 bound_s=options.bounds_s[collection],
             )
-            for collection in object_cache.Collection
+            for collection in collections
         ]
+        self._store = store
         self._peer_sync = peer_sync.PeerSync(
             cache=self._object_cache,
             log=log,
@@ -231,6 +248,7 @@
                 loop=self._loop,
                 log=log,
                 count=self._metrics.count,
+                list_active_hosts=self._list_active_hosts,
             ),
             on_sent=lambda host, size: self._zone_traffic.record(
                 zone_traffic.Cause.DATAGRAMS, host.zone, size
@@ -456,6 +474,7 @@
 
     def _render_metrics(self) -> bytes:
         """Returns the metrics in the Prometheus text format."""
+        tracker = self._request_handler.rollouts
         metrics_text = self._metrics.render(
             {
                 "configuration_version": self._request_handler.version,
@@ -465,12 +484,14 @@
                 "store_reachable": int(self._reaches_store()),
                 "servers_reachable": int(self._reaches_servers()),
                 "log_lines_dropped": self._log.dropped,
+                **(tracker.list_gauges() if tracker is not None else {}),
             }
         )
         return metrics_text + self._request_handler.workspace_metrics.render()
 
     def dump(self) -> dict[str, Any]:
         """Returns the state of this process as JSON-serializable values."""
+        tracker = self._request_handler.rollouts
         gate = self._request_handler.quota_gate
         quota_state = {}
         if gate is not None:
@@ -483,13 +504,13 @@
                 each.name: object_cache.split_revision(
                     self._object_cache.get_received_revision(each)
                 )[1]
-                for each in object_cache.Collection
+                for each in self._object_cache.collections
             },
             "eras": {
                 each.name: object_cache.get_era(
                     self._object_cache.get_received_revision(each)
                 )
-                for each in object_cache.Collection
+                for each in self._object_cache.collections
             },
             "listens": self._reaches_store(),
             "reaches_servers": self._reaches_servers(),
@@ -503,6 +524,7 @@
                 self._loop.time()
             ),
             "counters": dict(self._metrics.counters),
+            **({"rollouts": tracker.list_gauges()} if tracker else {}),
             **quota_state,
         }
 
@@ -562,6 +584,12 @@
             self._registry.set_server(update.name, value, update.revision)
         elif update.collection is object_cache.Collection.EVACUATIONS:
             self._registry.set_evacuated(update.name, value is not None)
+        elif update.collection is object_cache.Collection.ROLLOUTS:
+            # An unreadable order changes nothing.
+            if value is not None or update.document is None:
+                self._request_handler.rollouts.set_order(
+                    update.name, value, update.revision
+                )
         elif value is None:
             self._peers.remove_host(update.name)
         else:
@@ -870,6 +898,28 @@
             )
         for each in self._watchers:
             self._supervisor.start(f"watch {each.collection.name}", each.run)
+        if self._orders is not None:
+            writer = rollout_writer.RolloutWriter(
+                orders=self._orders,
+                store=self._store,
+                cache=self._object_cache,
+                get_fleet=self._describe_fleet,
+                loop=self._loop,
+                log=self._log,
+                count=self._metrics.count,
+            )
+            self._supervisor.start("write rollouts", writer.run)
+
+    def _describe_fleet(self) -> rollout_writer.Fleet:
+        """Returns what this host knows of the hosts that write a status."""
+        host = self._options.host
+        heard = self._peers.list_alive()
+        return rollout_writer.Fleet(
+            election.Candidate(host.name, host.zone, self._reaches_store()),
+            tuple(self._peers.list_candidates()),
+            tuple(other.name for other, _ in heard),
+            (len(heard) + 1) * 2 < len(heard) + 1 + self._peers.count_missing(),
+        )
 
     async def _wait_for_seeds(self, seeds: list[model.Address]) -> None:
         """Fetches the state from seeds, unless a caller wants it earlier.
@@ -905,6 +955,8 @@
         self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         self._log.flush()
         self._registry.sweep(self._loop.time())
+        if self._request_handler.rollouts is not None:
+            self._request_handler.rollouts.update()
 
     def _make_quota_gate(self) -> quota_gate.QuotaGate | None:
         """Returns the quotas of workspaces if they are to be applied."""
--- a/eelgrasshall/gateway/peers.py
+++ b/eelgrasshall/gateway/peers.py
@@ -65,12 +65,15 @@
       handle: Called with a datagram of another host.
       build_addressed: Returns the datagrams for single hosts, each with the
         name of its receiver; also called after `handle`, for answers.
+      list_receivers: Returns hosts that get it in each period, whatever the
+        size of the fleet.
     """
 
     prefix: bytes
     build: Callable[[], bytes | None]
     handle: Callable[[bytes], None]
     build_addressed: Callable[[], list[tuple[str, bytes]]] = list
+    list_receivers: Callable[[], Sequence[model.Host]] = lambda: ()
 
 
 class _HeartbeatRecord(NamedTuple):
@@ -461,9 +464,12 @@
         for channel in self._channels:
             datagram = channel.build()
             if datagram is not None:
-                for host in hosts:
-                    self._transport.sendto(datagram, tuple(host.peer_address))
-                    self._on_sent(host, len(datagram))
+                for host in dict.fromkeys([*hosts, *channel.list_receivers()]):
+                    if host != self._own:
+                        self._transport.sendto(
+                            datagram, tuple(host.peer_address)
+                        )
+                        self._on_sent(host, len(datagram))
             self._send_addressed(channel)
 
     def _send_addressed(self, channel: Channel) -> None:
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -31,6 +31,8 @@
 from eelgrasshall.gateway import quotas
 from eelgrasshall.gateway import registry
 from eelgrasshall.gateway import relay as relay_module
+from eelgrasshall.gateway import rollout_tracker
+from eelgrasshall.gateway import rollouts
 from eelgrasshall.gateway import routing
 from eelgrasshall.gateway import shares
 from eelgrasshall.gateway import upstream
@@ -81,11 +83,15 @@
         relayed.
       on_unconfigured: Called when a request arrives while there is no
         configuration.
+      orders: The orders of rollouts; None where these are not in force.
       has_stale_keys: Returns whether requests that need a key are refused, as
         keys may have been withdrawn that this host holds valid.
       quota_gate: Applies the quotas of workspaces; None if there are none.
       keeps_to_zone: Whether time to spare is spent on staying in the own
         availability zone also while the configuration has no workspaces.
+
+    Attributes:
+      rollouts: Follows the orders; None where rollouts are not in force.
     """
 
     def __init__(
@@ -101,6 +107,7 @@
         on_links_changed: Callable[[], None] = lambda: None,
         relay: relay_module.Relay | None = None,
         on_unconfigured: Callable[[], None] = lambda: None,
+        orders: rollouts.Rollouts | None = None,
         has_stale_keys: Callable[[], bool] = lambda: False,
         quota_gate: quota_gate_module.QuotaGate | None = None,
         keeps_to_zone: bool = False,
@@ -128,6 +135,15 @@
                 ),
             )
         )
+        self.rollouts: rollout_tracker.RolloutTracker | None = None
+        if orders is not None:
+            self.rollouts = rollout_tracker.RolloutTracker(
+                orders=orders,
+                registry=self.registry,
+                loop=self.loop,
+                log=log,
+                count=metrics.count,
+            )
         self.links = links.Links(
             loop=self.loop,
             random=random,
@@ -246,6 +262,8 @@
 
         Has to be called every second or so.
         """
+        if self.rollouts is not None:
+            self.rollouts.set_share(share)
         share = self._delayed_share.update(share, self.loop.time())
         if share != self._extra_share:
             self._extra_share = share
@@ -910,6 +928,12 @@
         """Returns the backend servers of a service that may get requests."""
         return self.registry.find_candidates(service)
 
+    def take_trial_servers(self, service: str) -> Sequence[upstream.Backend]:
+        """Returns the servers on trial for one first attempt, if it is due."""
+        if self.rollouts is None:
+            return ()
+        return self.rollouts.take_trial_servers(service)
+
     def find_extra_attempt_budget(
         self, service: str
     ) -> hedging.ExtraAttemptBudget:
--- a/eelgrasshall/platform/settings_test.py
+++ b/eelgrasshall/platform/settings_test.py
@@ -94,6 +94,21 @@
         settings.load_settings()
 
 
+def test_rollouts_are_in_force_only_by_contract(tmp_path, monkeypatch):
+    assert _load(tmp_path, monkeypatch, _SETTINGS).rollout_bound is None
+    other = 'contracts = ["other"]\n' + _SETTINGS
+    assert _load(tmp_path, monkeypatch, other).rollout_bound is None
+    text = 'contracts = ["other", "rollout"]\n' + _SETTINGS
+    loaded = _load(tmp_path, monkeypatch, text)
+    assert loaded.rollout_bound == (0.1, 50.0, 5.0)
+    text = text.replace(
+        "graceS = 6",
+        "graceS = 6\nexposeShare = 0.2\nexposeSlack = 9\nrollbackMs = 700",
+    )
+    loaded = _load(tmp_path, monkeypatch, text)
+    assert loaded.rollout_bound == (0.2, 9.0, 0.7)
+
+
 def test_keys_stay_valid_without_the_store_unless_revocation_is_strict(
     tmp_path, monkeypatch
 ):
