--- a/eelgrasshall/gateway/workspace_hosts.py
+++ b/eelgrasshall/gateway/workspace_hosts.py
@@ -20,8 +20,8 @@
 # hosts, as bytes between zones are priced.
 PASS_ON_SHARE = 0.5
 # Time after which a statement that was not repeated does not count any more.
-# At 400 hosts, with a fifth of the datagrams lost, the statements in use are up
-# to half as old in the simulation of the test.
+# In a simulation of 400 hosts, with a fifth of the datagrams lost, the newest
+# known ones are up to 15 s old.
 STATEMENT_TTL_S = 25.0
 # Ages are sent in such steps, rounded up: rounded down, statements that hosts
 # pass on to each other in turn would never expire.
