Tests of quotas for mechanisms that none had covered

Taking these out left all tests green: the refill of lent room from its expiry on only, the memory of removed workspaces, the least heard part for a 429, and the new token after a wait.

--- a/eelgrasshall/gateway/quota_gate_test.py
+++ b/eelgrasshall/gateway/quota_gate_test.py
@@ -284,3 +284,18 @@
             charge.close()
 
     deployment.run(play)
+
+
+def test_waiting_requests_are_refused_if_the_limit_was_lowered_meanwhile():
+    deployment = _Deployment()
+
+    async def play():
+        charges = [await deployment.gate.take("acme") for _ in range(4)]
+        deployment.gate.configure({"acme": _ACME._replace(burst=1.0)})
+        await asyncio.sleep(0.1)
+        refusals = [charge.renew() for charge in charges]
+        assert refusals.count(None) <= 1
+        for charge in charges:
+            charge.close()
+
+    deployment.run(play)
--- a/eelgrasshall/gateway/quotas.py
+++ b/eelgrasshall/gateway/quotas.py
@@ -382,7 +382,7 @@
         """Adds credit."""
         self._refill(now)
         self._borrowed_per_s += amount / DEMAND_TIME_S
-        if amount > 0.0 and now < until_s:
+        if amount > 0.0:
             self._borrowed.append((until_s, amount))
             self._borrowed.sort()
 
--- a/eelgrasshall/gateway/quotas_test.py
+++ b/eelgrasshall/gateway/quotas_test.py
@@ -216,6 +216,13 @@
     assert _count_grants(hosts[1], 13.0) == 3
 
 
+def test_room_of_a_credit_is_not_refilled_for_the_time_before_its_expiry():
+    # The borrower may have used it up to that moment.
+    hosts = _make_hosts()
+    hosts[1].merge([quotas.Ask("b", "a", 1, "w", 3.0)], 10.0)
+    assert _count_grants(hosts[1], 10.05 + quotas.CREDIT_LIFE_S) == 0
+
+
 def test_suspended_host_sends_nothing_before_it_has_a_new_view():
     # Others may have taken over its part, and requests arrive first.
     hosts = _make_hosts()
@@ -239,6 +246,21 @@
     assert _count_grants(host, 10.0) == 0
 
 
+def test_removed_workspace_keeps_what_it_has_lent():
+    hosts = _make_hosts()
+    hosts[1].merge([quotas.Ask("b", "a", 1, "w", 3.0)], 10.0)
+    hosts[1].configure({}, 10.0)
+    hosts[1].configure({"w": _make_workspace()}, 10.0)
+    assert _count_grants(hosts[1], 9.95 + quotas.CREDIT_LIFE_S) == 0
+
+
+def test_host_that_hears_less_than_half_does_not_say_used_up():
+    # The hosts on the other side of a partition may have tokens left.
+    (host,) = _make_hosts(("a",), part=0.4)
+    _count_grants(host, 10.0)
+    assert not host.take("w", 10.0).over_quota
+
+
 @hypothesis.given(
     count=st.integers(1, 80),
     total=st.integers(0, 60),
