--- a/eelgrasshall/gateway/quotas_test.py
+++ b/eelgrasshall/gateway/quotas_test.py
@@ -195,6 +195,34 @@
     assert _count_grants(hosts[0], late_s) <= 3
 
 
+def test_credit_that_was_not_used_in_time_is_lost():
+    # The lender refills its room from then on.
+    hosts = _make_hosts()
+    _count_grants(hosts[0], 10.0, 9)
+    _exchange(hosts, 10.0)
+    late_s = 10.0 + quotas.CREDIT_LIFE_S
+    assert _count_grants(hosts[0], late_s) <= 3
+
+
+def test_host_that_becomes_active_waits_until_all_others_know():
+    # The host that it replaces goes on until it learns of that.
+    (host,) = _make_hosts(("d",))
+    _advance([host], 10.0, 20.0, active=_NAMES, names=(*_NAMES, "d"))
+    assert _count_grants(host, 20.0) == 0
+    active = ("b", "c", "d")
+    due_s = 20.0 + quotas.SHARE_DELAY_S
+    _advance([host], 20.0, due_s, active=active, names=(*_NAMES, "d"))
+    assert _count_grants(host, due_s) == 0
+    _advance([host], due_s, due_s + 2.0, active=active, names=(*_NAMES, "d"))
+    assert _count_grants(host, due_s + 2.0) > 0
+
+
+def test_hosts_of_both_sides_of_a_partition_share_the_limit():
+    view = rate_limits.FleetView(_NAMES, 0.5)
+    parts = [quotas.compute_share(view, name, "w", 9.0) for name in _NAMES]
+    assert parts == [1 / 6] * 3
+
+
 def test_answer_to_another_process_is_ignored():
     # An answer may arrive after the host that asked was restarted.
     hosts = _make_hosts()
