--- a/eelgrasshall/gateway/quotas_test.py
+++ b/eelgrasshall/gateway/quotas_test.py
@@ -197,6 +197,34 @@
     assert _count_grants(hosts[0], late_s) <= 3
 
 
+def test_credit_that_was_not_used_in_time_is_lost():
+    # The lender refills its room from then on.
+    hosts = _make_hosts()
+    _count_grants(hosts[0], 10.0, 9)
+    _exchange(hosts, 10.0)
+    late_s = 10.0 + quotas.CREDIT_LIFE_S
+    assert _count_grants(hosts[0], late_s) <= 3
+
+
+def test_host_that_becomes_active_waits_until_all_others_know():
+    # The host that it replaces goes on until it learns of that.
+    (host,) = _make_hosts(("d",))
+    _advance([host], 10.0, 20.0, active=_NAMES, names=(*_NAMES, "d"))
+    assert _count_grants(host, 20.0) == 0
+    active = ("b", "c", "d")
+    due_s = 20.0 + quotas.SHARE_DELAY_S
+    _advance([host], 20.0, due_s, active=active, names=(*_NAMES, "d"))
+    assert _count_grants(host, due_s) == 0
+    _advance([host], due_s, due_s + 2.0, active=active, names=(*_NAMES, "d"))
+    assert _count_grants(host, due_s + 2.0) > 0
+
+
+def test_hosts_of_both_sides_of_a_partition_share_the_limit():
+    view = rate_limits.FleetView(_NAMES, 0.5)
+    parts = [quotas.compute_share(view, name, "w", 9.0) for name in _NAMES]
+    assert parts == [1 / 6] * 3
+
+
 def test_answer_to_another_process_is_ignored():
     # An answer may arrive after the host that asked was restarted.
     hosts = _make_hosts()
@@ -218,6 +246,13 @@
     assert _count_grants(hosts[1], 13.0) == 3
 
 
+def test_room_of_a_credit_is_not_refilled_for_the_time_before_its_expiry():
+    # The borrower may have used it up to that moment.
+    hosts = _make_hosts()
+    hosts[1].merge([quotas.Ask("b", "a", 1, "w", 3.0)], 10.0)
+    assert _count_grants(hosts[1], 10.05 + quotas.CREDIT_LIFE_S) == 0
+
+
 def test_suspended_host_sends_nothing_before_it_has_a_new_view():
     # Others may have taken over its part, and requests arrive first.
     hosts = _make_hosts()
@@ -241,6 +276,21 @@
     assert _count_grants(host, 10.0) == 0
 
 
+def test_removed_workspace_keeps_what_it_has_lent():
+    hosts = _make_hosts()
+    hosts[1].merge([quotas.Ask("b", "a", 1, "w", 3.0)], 10.0)
+    hosts[1].configure({}, 10.0)
+    hosts[1].configure({"w": _make_workspace()}, 10.0)
+    assert _count_grants(hosts[1], 9.95 + quotas.CREDIT_LIFE_S) == 0
+
+
+def test_host_that_hears_less_than_half_does_not_say_used_up():
+    # The hosts on the other side of a partition may have tokens left.
+    (host,) = _make_hosts(("a",), part=0.4)
+    _count_grants(host, 10.0)
+    assert not host.take("w", 10.0).over_quota
+
+
 @hypothesis.given(
     count=st.integers(1, 80),
     total=st.integers(0, 60),
