--- a/eelgrasshall/gateway/peers.py
+++ b/eelgrasshall/gateway/peers.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
+import math
 import random as random_module
 import struct
 from typing import NamedTuple
@@ -62,11 +63,14 @@
       prefix: Identifies the datagrams; no heartbeat begins like this.
       build: Returns the datagram of a period, or None.
       handle: Called with a datagram of another host.
+      build_addressed: Returns the datagrams for single hosts, each with the
+        name of its receiver; also called after `handle`, for answers.
     """
 
     prefix: bytes
     build: Callable[[], bytes | None]
     handle: Callable[[bytes], None]
+    build_addressed: Callable[[], list[tuple[str, bytes]]] = list
 
 
 class _HeartbeatRecord(NamedTuple):
@@ -103,6 +107,7 @@
       on_links_lost: Called when another host has lost its links to the backend
         servers.
       channels: What else is sent next to the heartbeats.
+      on_sent: Called with the receiver and the size of each datagram.
     """
 
     def __init__(
@@ -120,8 +125,12 @@
         on_hosts_changed: Callable[[], None],
         on_links_lost: Callable[[], None],
         channels: Sequence[Channel] = (),
+        on_sent: Callable[[model.Host, int], None] = lambda host, size: None,
     ):
         self.state = heartbeats.State.JOINING
+        # When a heartbeat of a host that reaches the store last arrived, in
+        # monotonic seconds.
+        self.store_contact_s = -math.inf
         self._own = own
         self._incarnation = incarnation
         self._loop = loop
@@ -134,6 +143,7 @@
         self._on_hosts_changed = on_hosts_changed
         self._on_links_lost = on_links_lost
         self._channels = channels
+        self._on_sent = on_sent
         self._hosts: dict[str, model.Host] = {}
         self._records: dict[str, _HeartbeatRecord] = {}
         self._learned_s: dict[str, float] = {}
@@ -276,6 +286,11 @@
         self._increment_beat()
         self._send_to(self._choose_targets(), with_table=self._is_large)
 
+    def send_addressed(self) -> None:
+        """Sends the datagrams for single hosts without waiting."""
+        for channel in self._channels:
+            self._send_addressed(channel)
+
     # Callbacks of the event loop.
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
@@ -290,6 +305,7 @@
         for channel in self._channels:
             if data.startswith(channel.prefix):
                 channel.handle(data)
+                self._send_addressed(channel)
                 return
         head, _, table = data.partition(b"\n")
         try:
@@ -406,6 +422,8 @@
             heartbeat, self._loop.time(), incarnation
         )
         self._roster.write(name, heartbeat)
+        if heartbeat.reaches_store:
+            self.store_contact_s = self._loop.time()
         if (
             had_links
             and not heartbeat.reaches_servers
@@ -445,6 +463,18 @@
             if datagram is not None:
                 for host in hosts:
                     self._transport.sendto(datagram, tuple(host.peer_address))
+                    self._on_sent(host, len(datagram))
+            self._send_addressed(channel)
+
+    def _send_addressed(self, channel: Channel) -> None:
+        """Sends the datagrams of a channel that are for single hosts."""
+        if self._transport is None:
+            return
+        for name, datagram in channel.build_addressed():
+            host = self._hosts.get(name)
+            if host is not None:
+                self._transport.sendto(datagram, tuple(host.peer_address))
+                self._on_sent(host, len(datagram))
 
     def _choose_targets(self) -> list[model.Host]:
         """Returns the hosts to send to in one period.
@@ -492,10 +522,10 @@
         elif with_table:
             self._roster.write(self._own.name, own)
             table = bytes(self._roster.table)
+        datagram = head + b"\n" + table
         for host in hosts:
-            self._transport.sendto(
-                head + b"\n" + table, tuple(host.peer_address)
-            )
+            self._transport.sendto(datagram, tuple(host.peer_address))
+            self._on_sent(host, len(datagram))
 
     def _encode_named(self) -> bytes:
         """Returns a named table with the heartbeats of a sample of hosts."""
--- a/eelgrasshall/platform/fleet.py
+++ b/eelgrasshall/platform/fleet.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import os
 import pathlib
 import signal
@@ -54,6 +55,7 @@
 coldMultiplier = 1.5
 coldSlack = 5
 ttl_max_s = 5
+{more_bounds}
 [platform]
 address = "127.0.0.1:{store}"
 """
@@ -140,7 +142,11 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self._all_processes: list[asyncio.subprocess.Process] = []
         self.version = 0
+        # The customer organisations of the configuration, if any.
         self.tenants: list[dict[str, Any]] | None = None
+        # Further lines of the bounds in the settings.
+        self.more_bounds = ""
+        # Key of callers that state none of their own.
         self.key: str | None = None
 
     async def start(self) -> None:
@@ -340,6 +346,7 @@
         request_id: str,
         *,
         budget_ms: int = 2000,
+        headers: Sequence[tuple[str, str]] = (),
         key: str | None = None,
     ) -> tuple[int, dict[str, str], bytes]:
         """Sends a caller's request to a host on a new connection.
@@ -349,6 +356,7 @@
           target: Target of the request.
           request_id: Id of the request.
           budget_ms: Time that the caller waits, as stated in the request, ms.
+          headers: Further headers.
           key: API key of the caller.  The request then also states a tenant,
             which hosts have to drop.
 
@@ -359,15 +367,17 @@
           OSError: The host is unreachable or closed the connection early.
         """
         key = key or self.key
-        identity = (
-            f"Authorization: Bearer {key}\r\nX-Tenant: forged\r\n"
-            if key
-            else ""
-        )
+        if key is not None:
+            identity = [
+                ("Authorization", f"Bearer {key}"),
+                ("X-Tenant", "forged"),
+            ]
+            headers = [*headers, *identity]
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
         data = (
             f"POST {target} HTTP/1.1\r\nHost: orders.example\r\n"
             f"X-Attempt-Id: {request_id}\r\nX-Time-Budget: {budget_ms}\r\n"
-            f"{identity}Connection: close\r\nContent-Length: 2\r\n\r\nhi"
+            f"{lines}Connection: close\r\nContent-Length: 2\r\n\r\nhi"
         )
         return await fetch(self.find_port(name), data.encode())
 
@@ -444,6 +454,7 @@
             extra_fixed=self._extra_attempts[1],
             seeds=str(seeds).replace("'", '"'),
             store=first + _STORE_PROXY_PORT_OFFSET,
+            more_bounds=self.more_bounds,
         )
 
 
