Hosts with few responses of a server learn as fast as others

With many active hosts, each gets a few responses per second from a server and needed seconds to find out that it is slow while it kept to its zone. A response now also replaces older ones by the time since the last one.

The replay also compares other policies: two random choices, spare capacity, subsets, gossip about requests in flight, more jitter.

--- a/eelgrasshall/gateway/load_balancing.py
+++ b/eelgrasshall/gateway/load_balancing.py
@@ -62,7 +62,7 @@
         1.
     """
     time_s = expected_latency_s * backend.latency_ratio
-    time_s *= 1.0 + _estimate_load(backend)
+    time_s *= 1.0 + estimate_load(backend)
     time_s += _estimate_failure_cost_s(
         backend, expected_latency_s, now, budget_used
     )
@@ -74,7 +74,7 @@
     return time_s
 
 
-def _estimate_load(backend: upstream.Backend) -> float:
+def estimate_load(backend: upstream.Backend) -> float:
     """Returns the load of a server, relative to its slots."""
     slots = max(backend.server.slots, 1)
     return len(backend.pending) * IN_FLIGHT_WEIGHT / slots
@@ -123,7 +123,7 @@
         > OVERDUE_FACTOR * oldest.expected_latency_s * max(ratio, 1.0)
     ):
         return False
-    time_s = expected_latency_s * ratio * (1.0 + _estimate_load(backend))
+    time_s = expected_latency_s * ratio * (1.0 + estimate_load(backend))
     time_s += _estimate_failure_cost_s(
         backend, expected_latency_s, now, budget_used
     )
@@ -155,18 +155,17 @@
         staying in the zone; None if another zone has a fixed cost.
     """
     if spare_s is not None:
-        candidates = [
-            backend
-            for backend in candidates
-            if backend.server.zone == zone
-            and is_expected_in_time(
-                backend,
+        candidates = (
+            list_in_time(
+                candidates,
                 expected_latency_s=expected_latency_s,
-                spare_s=spare_s,
+                zone=zone,
                 now=now,
                 budget_used=budget_used,
+                spare_s=spare_s,
             )
-        ] or candidates
+            or candidates
+        )
     cross_zone_cost_s = CROSS_ZONE_COST_S if spare_s is None else 0.0
     best = None
     least_s = 0.0
@@ -183,3 +182,27 @@
         if best is None or time_s < least_s:
             best, least_s = backend, time_s
     return best
+
+
+def list_in_time(
+    candidates: Sequence[upstream.Backend],
+    *,
+    expected_latency_s: float,
+    zone: str,
+    now: float,
+    budget_used: float,
+    spare_s: float,
+) -> list[upstream.Backend]:
+    """Returns the servers of the zone that are expected well in time."""
+    return [
+        backend
+        for backend in candidates
+        if backend.server.zone == zone
+        and is_expected_in_time(
+            backend,
+            expected_latency_s=expected_latency_s,
+            spare_s=spare_s,
+            now=now,
+            budget_used=budget_used,
+        )
+    ]
--- a/eelgrasshall/gateway/load_replay.py
+++ b/eelgrasshall/gateway/load_replay.py
@@ -15,11 +15,14 @@
 from typing import Any
 from typing import NamedTuple
 from unittest import mock
+import zlib
 
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import hedging
+from eelgrasshall.gateway import load_balancing
 from eelgrasshall.gateway import load_model
 from eelgrasshall.gateway import simulated_server
+from eelgrasshall.gateway import upstream
 from eelgrasshall.gateway import virtual_time
 
 SHARD_COUNT = 36
@@ -30,6 +33,10 @@
 PAUSE_INTERVAL_S = 2.4
 # Time that is left out of the results, until latencies are known.
 WARM_UP_S = 2.0
+# Time constant with which hosts forget what others had in flight.
+GOSSIP_DECAY_S = 0.5
+# Jitter that lets only a part of the hosts move to a slightly better server.
+BOUNDED_MOVES_JITTER = 1.0
 # Interval at which the load of all servers is observed.
 SAMPLE_INTERVAL_S = 0.01
 
@@ -318,6 +325,140 @@
     yield {"keeps_to_zone": True}
 
 
+def _choose_in_zone(
+    choose: Callable[..., upstream.Backend],
+) -> Callable[..., upstream.Backend | None]:
+    """Returns a policy that chooses among the servers that keep to the zone."""
+
+    def choose_backend(
+        candidates: Sequence[upstream.Backend],
+        *,
+        random: random_module.Random,
+        **signals: Any,
+    ) -> upstream.Backend | None:
+        chosen = load_balancing.list_in_time(candidates, **signals)
+        chosen = chosen or list(candidates)
+        return choose(chosen, random, signals) if chosen else None
+
+    return choose_backend
+
+
+def _estimate(backend: upstream.Backend, signals: dict[str, Any]) -> float:
+    """Returns the expected time that the policy in force uses."""
+    return load_balancing.estimate_time_s(
+        backend,
+        expected_latency_s=signals["expected_latency_s"],
+        now=signals["now"],
+        budget_used=signals["budget_used"],
+    )
+
+
+def _choose_of_two(
+    candidates: list[upstream.Backend],
+    random: random_module.Random,
+    signals: dict[str, Any],
+) -> upstream.Backend:
+    """Chooses the one of two random servers with fewer requests in flight."""
+    two = random.sample(candidates, min(2, len(candidates)))
+    return min(
+        two, key=lambda each: (len(each.pending), _estimate(each, signals))
+    )
+
+
+def _choose_by_spare_capacity(
+    candidates: list[upstream.Backend],
+    random: random_module.Random,
+    signals: dict[str, Any],
+) -> upstream.Backend:
+    """Chooses with probabilities by the inverse squares of expected times."""
+    weights = [_estimate(each, signals) ** -2 for each in candidates]
+    return random.choices(candidates, weights)[0]
+
+
+def _choose_in_subset(
+    candidates: list[upstream.Backend],
+    random: random_module.Random,
+    signals: dict[str, Any],
+) -> upstream.Backend:
+    """Chooses among two servers of a shard by rendezvous hash if there are."""
+
+    def hash_pair(backend: upstream.Backend) -> int:
+        host = id(backend.environment.observer)
+        return zlib.crc32(f"{host} {backend.server.id}".encode())
+
+    subset = sorted(candidates, key=hash_pair)[:2]
+    return min(
+        subset,
+        key=lambda each: (
+            _estimate(each, signals)
+            * (1.0 + load_balancing.JITTER * random.random())
+        ),
+    )
+
+
+class _InFlightGossip:
+    """Requests in flight at each server, as all hosts last told each other.
+
+    Args:
+      interval_s: Time between two rounds of gossip, seconds.
+    """
+
+    def __init__(self, interval_s: float):
+        self._interval_s = interval_s
+        self._told_s = 0.0
+        self._backends: dict[str, set[upstream.Backend]] = {}
+        self._told: dict[upstream.Backend, int] = {}
+        self._totals: dict[str, int] = {}
+
+    def estimate_load(self, backend: upstream.Backend) -> float:
+        """Replaces the estimate that doubles what this host has in flight."""
+        now = backend.environment.loop.time()
+        server = backend.server
+        self._backends.setdefault(server.id, set()).add(backend)
+        if now - self._told_s >= self._interval_s:
+            self._told_s = now
+            self._told = {
+                each: len(each.pending)
+                for backends in self._backends.values()
+                for each in backends
+            }
+            self._totals = {
+                server_id: sum(self._told[each] for each in backends)
+                for server_id, backends in self._backends.items()
+            }
+        others = self._totals.get(server.id, 0) - self._told.get(backend, 0)
+        others *= math.exp(-(now - self._told_s) / GOSSIP_DECAY_S)
+        return (len(backend.pending) + others) / max(server.slots, 1)
+
+
+@contextlib.contextmanager
+def _use_choice(
+    choose: Callable[..., upstream.Backend],
+) -> Iterator[dict[str, Any]]:
+    """Compares another choice among the servers that keep to the zone."""
+    with mock.patch.object(
+        load_balancing, "choose_backend", _choose_in_zone(choose)
+    ):
+        yield {"keeps_to_zone": True}
+
+
+@contextlib.contextmanager
+def _use_gossip(interval_s: float) -> Iterator[dict[str, Any]]:
+    """Compares the choice in force with what other hosts have in flight."""
+    gossip = _InFlightGossip(interval_s)
+    with mock.patch.object(
+        load_balancing, "estimate_load", gossip.estimate_load
+    ):
+        yield {"keeps_to_zone": True}
+
+
+@contextlib.contextmanager
+def _use_bounded_moves() -> Iterator[dict[str, Any]]:
+    """Compares more jitter, so that fewer hosts move at the same moment."""
+    with mock.patch.object(load_balancing, "JITTER", BOUNDED_MOVES_JITTER):
+        yield {"keeps_to_zone": True}
+
+
 # What to compare.  Each gives the options of the simulation, and replaces code
 # while it is entered.
 POLICIES: dict[
@@ -325,6 +466,13 @@
 ] = {
     "present": _use_present_policy,
     "zone": _use_zone_policy,
+    "two_choices": lambda: _use_choice(_choose_of_two),
+    "spare_capacity": lambda: _use_choice(_choose_by_spare_capacity),
+    "subset": lambda: _use_choice(_choose_in_subset),
+    "gossip_0s": lambda: _use_gossip(0.0),
+    "gossip_1s": lambda: _use_gossip(1.0),
+    "gossip_2s": lambda: _use_gossip(2.0),
+    "bounded_moves": _use_bounded_moves,
 }
 
 
--- a/eelgrasshall/gateway/load_replay_test.py
+++ b/eelgrasshall/gateway/load_replay_test.py
@@ -31,3 +31,14 @@
     assert zone.in_time >= present.in_time
     assert zone.served >= present.served
     assert zone.credit >= present.credit - 0.002
+
+
+def test_many_hosts_find_slow_servers_by_few_responses():
+    """Guards against an estimate that needs more responses than a host gets."""
+    scenario = load_replay.SCENARIOS["slow30"]._replace(
+        duration_s=9.0, end_s=9.0
+    )
+    present, zone = _replay_both(scenario)
+    assert zone.remote <= present.remote * 1.05
+    assert zone.served >= present.served
+    assert zone.credit >= present.credit
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -42,6 +42,9 @@
 # Upper bound on the ratio of one attempt in the usual ratio: a pause of the
 # server, which a hedge covers, does not make it a slow one.
 MAX_USUAL_RATIO = 4.0
+# Time constant with which responses take the place of older ones in the usual
+# ratio where they are rare: with many hosts, each gets few from a server.
+USUAL_RATIO_WINDOW_S = 1.0
 # Time constant with which the usual ratio returns to 1 without responses, so
 # that a server that was slow is tried again.
 USUAL_RATIO_DECAY_S = 10.0
@@ -455,11 +458,7 @@
         if reply.succeeded:
             expected_s = max(attempt.expected_latency_s, 0.001)
             ratio = (now - attempt.started_s) / expected_s
-            usual = self.get_usual_ratio(now)
-            self._usual_ratio = (
-                usual + (min(ratio, MAX_USUAL_RATIO) - usual) * LATENCY_WEIGHT
-            )
-            self._usual_ratio_time_s = now
+            self._record_usual_ratio(min(ratio, MAX_USUAL_RATIO), now)
             ratio = min(ratio, MAX_LATENCY_RATIO)
             self.latency_ratio += (ratio - self.latency_ratio) * LATENCY_WEIGHT
             ratio = (now - attempt.sent_s) / expected_s
@@ -478,6 +477,14 @@
         elif reply.status >= 500:
             self._record_error(now)
 
+    def _record_usual_ratio(self, ratio: float, now: float) -> None:
+        """Adds the latency ratio of a response to the usual ratio."""
+        age_s = now - self._usual_ratio_time_s
+        weight = 1.0 - math.exp(-age_s / USUAL_RATIO_WINDOW_S)
+        usual = self.get_usual_ratio(now)
+        usual += (ratio - usual) * max(weight, LATENCY_WEIGHT)
+        self._usual_ratio, self._usual_ratio_time_s = usual, now
+
     def _pause(self, retry_after: bytes, now: float) -> None:
         """Sends nothing for as long as the server asks."""
         pause_s = pauses.parse_pause_s(retry_after)
