--- a/eelgrasshall/gateway/load_replay.py
+++ b/eelgrasshall/gateway/load_replay.py
@@ -289,6 +289,25 @@
     _slow_servers(simulation, random)
 
 
+def _slow_shards(
+    count: int, factor: float
+) -> Callable[[load_model.Simulation, random_module.Random], None]:
+    """Returns what makes all servers of some shards slow for 2 s."""
+
+    def prepare(
+        simulation: load_model.Simulation, random: random_module.Random
+    ) -> None:
+        shards = sorted(
+            {each.server.service for each in simulation.servers.values()}
+        )
+        chosen = random.sample(shards, count)
+        for server in simulation.servers.values():
+            if server.server.service in chosen:
+                server.slowdowns.append(simulated_server.Span(4.0, 6.0, factor))
+
+    return prepare
+
+
 SCENARIOS = {
     "calm": Scenario(),
     "calm6": Scenario(hosts=6),
@@ -306,6 +325,22 @@
         hosts=130, start_s=4.0, end_s=12.0, prepare=_slow_servers
     ),
     "slow_server": Scenario(start_s=4.0, end_s=12.0, prepare=_slow_server),
+    # Whole shards: few enough for partial answers, and too many.
+    "shards_slow": Scenario(
+        duration_s=10.0, start_s=4.0, end_s=6.0, prepare=_slow_shards(4, 12.0)
+    ),
+    "shards_stuck": Scenario(
+        duration_s=10.0, start_s=4.0, end_s=6.0, prepare=_slow_shards(4, 100.0)
+    ),
+    "many_shards_stuck": Scenario(
+        duration_s=10.0, start_s=4.0, end_s=6.0, prepare=_slow_shards(8, 100.0)
+    ),
+    "after_shards_stuck": Scenario(
+        duration_s=10.0, start_s=6.0, end_s=8.0, prepare=_slow_shards(4, 100.0)
+    ),
+    "after_many_shards_stuck": Scenario(
+        duration_s=10.0, start_s=6.0, end_s=8.0, prepare=_slow_shards(8, 100.0)
+    ),
     "burst": Scenario(start_s=6.0, end_s=10.0, prepare=_burst),
     "burst_slow": Scenario(
         start_s=6.0, end_s=10.0, prepare=_burst_and_slow_servers
