--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -27,11 +27,14 @@
 from eelgrasshall.gateway import metrics as metrics_module
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import quarantine
+from eelgrasshall.gateway import quota_gate as quota_gate_module
+from eelgrasshall.gateway import quotas
 from eelgrasshall.gateway import registry
 from eelgrasshall.gateway import relay as relay_module
 from eelgrasshall.gateway import routing
 from eelgrasshall.gateway import shares
 from eelgrasshall.gateway import upstream
+from eelgrasshall.gateway import workspace_metrics
 from eelgrasshall.gateway import zone_traffic
 
 # Retry-After of a host without a configuration; it usually gets one by then.
@@ -39,6 +42,9 @@
 # Quantile of attempt latency taken as the duration of a request: a search ends
 # with the slowest of about ten shards, which is near this quantile.
 EXPECTED_QUANTILE = 0.95
+# Quantile of attempt latency taken as the time that a server works on one; the
+# upper ones include queues at servers.
+COST_QUANTILE = 0.25
 # Time after which hosts have told each other whether they reach servers.
 SETTLE_TIME_S = 1.0
 # Retry-After of a host that stops; callers come back to another one.
@@ -68,6 +74,9 @@
         servers, or has them back.
       relay: Sends requests to other hosts meanwhile; None if they are not to be
         relayed.
+      has_stale_keys: Returns whether requests that need a key are refused, as
+        keys may have been withdrawn that this host holds valid.
+      quota_gate: Applies the quotas of workspaces; None if there are none.
       keeps_to_zone: Whether time to spare is spent on staying in the own
         availability zone also while the configuration has no workspaces.
     """
@@ -84,6 +93,8 @@
         metrics: metrics_module.Metrics,
         on_links_changed: Callable[[], None] = lambda: None,
         relay: relay_module.Relay | None = None,
+        has_stale_keys: Callable[[], bool] = lambda: False,
+        quota_gate: quota_gate_module.QuotaGate | None = None,
         keeps_to_zone: bool = False,
     ):
         self.names = names
@@ -119,6 +130,13 @@
         )
         self._on_links_changed = on_links_changed
         self._relay = relay
+        self._has_stale_keys = has_stale_keys
+        self.workspace_metrics = workspace_metrics.WorkspaceMetrics()
+        # Senders of the requests in flight while workspaces are configured.
+        self._callers: dict[
+            fanout.Fanout, tuple[credentials.Caller, model.Route]
+        ] = {}
+        self.quota_gate = quota_gate
         # Servers that were found unreachable while the links are checked.
         self._unreachable: dict[str, upstream.Backend] = {}
         # Requests in flight that may be sent through another host.
@@ -180,6 +198,24 @@
             or configuration.services.keys() >= {*services}
         }
         self.registry.set_services(configuration.services)
+        if self.quota_gate is not None:
+            self.quota_gate.configure(configuration.workspaces)
+        self._end_withdrawn()
+
+    def _end_withdrawn(self) -> None:
+        """Ends requests that wait to be sent, if their key is withdrawn."""
+        for request_fanout, (caller, route) in list(self._callers.items()):
+            if self._keys is None or request_fanout.was_sent:
+                continue
+            fault = self._check(caller.credential, route).fault
+            if fault is not None:
+                outcome, _, _ = self._reject_caller(fault, route)
+                request_fanout.end(outcome)
+
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether workspaces are configured."""
+        return self._keys is not None
 
     def get_caller_limits(self) -> model.CallerLimits:
         """Returns the limits on callers in force."""
@@ -302,6 +338,24 @@
         if caller.fault is not None:
             return self._reject_caller(caller.fault, route)
         request = self._remove_credentials(request)
+        result = await self._process_identified(request, route, caller)
+        self._record_served(caller.workspace, result[0])
+        if caller.workspace is not None:
+            result[2]["workspace"] = caller.workspace.name
+        return result
+
+    async def _process_identified(
+        self,
+        request: messages.Request,
+        route: model.Route,
+        caller: credentials.Caller,
+    ) -> tuple[fanout.Outcome, model.Route | None, dict[str, Any]]:
+        """Admits and runs a request whose sender may send it.
+
+        Returns:
+          The outcome, the route if there is one, and further log fields.
+        """
+        self.workspace_metrics.add(workspace_metrics.RECEIVED, caller.workspace)
         request_id = request.get_header(self.names.request_id)
         if not request_id:
             return self._reject(400, "request id header missing", route=route)
@@ -312,11 +366,61 @@
             return self._reject(
                 503, STOPPING, RETRY_AFTER_STOPPING_S, route=route
             )
-        if self.links.lost:
-            relayed = await self._relay_in_doubt(request, route, caller)
-            if relayed is not None:
-                return relayed
-        return await self._serve(request, route, request_id, caller)
+        charge = await self._charge(caller)
+        if isinstance(charge, quotas.Refusal):
+            return self._refuse_by_quota(charge, route)
+        try:
+            if self.quota_gate is not None:
+                # It may have waited for a token.
+                caller = self._identify_again(request, route, caller)
+                if caller.fault is not None:
+                    return self._reject_caller(caller.fault, route)
+            if self.links.lost:
+                relayed = await self._relay_in_doubt(
+                    request, route, caller, charge
+                )
+                if relayed is not None:
+                    return relayed
+            return await self._serve(request, route, request_id, caller, charge)
+        finally:
+            charge.close()
+
+    async def _charge(
+        self, caller: credentials.Caller
+    ) -> quota_gate_module.Charge | quotas.Refusal:
+        """Charges a request to its workspace.
+
+        A host that relays a request has charged it if it names the workspace;
+        those of the previous build do neither.
+
+        Args:
+          caller: The sender of the request.
+        """
+        if (
+            self.quota_gate is None
+            or caller.workspace is None
+            or caller.credential.name is not None
+        ):
+            return quota_gate_module.make_free_charge(self.loop)
+        try:
+            return await self.quota_gate.take(caller.workspace.name)
+        except asyncio.CancelledError:
+            if not self._ended:
+                raise
+            return quotas.Refusal(False, RETRY_AFTER_STOPPING_S)
+
+    def _refuse_by_quota(
+        self, refusal: quotas.Refusal, route: model.Route
+    ) -> tuple[fanout.Outcome, model.Route | None, dict[str, Any]]:
+        """Returns the refusal of a request beyond its workspace's quota.
+
+        Where other hosts may have tokens left, the caller should try them.
+        """
+        status, reason = 503, quota_gate_module.NO_SHARE
+        if refusal.over_quota:
+            status, reason = 429, quota_gate_module.OVER_QUOTA
+        outcome, _, _ = self._reject(status, reason, refusal.wait_s)
+        return outcome, route, {"quota": refusal.detail}
 
     async def _serve(
         self,
@@ -324,6 +428,7 @@
         route: model.Route,
         request_id: bytes,
         caller: credentials.Caller,
+        charge: quota_gate_module.Charge,
     ) -> tuple[fanout.Outcome, model.Route | None, dict[str, Any]]:
         """Admits a request and runs it.
 
@@ -335,7 +440,7 @@
         )
         wait_s = fanout.find_return_s(self, route, services)
         if wait_s is not None:
-            relayed = await self._relay_in_doubt(request, route, caller)
+            relayed = await self._relay_in_doubt(request, route, caller, charge)
             return relayed or self._reject(
                 503, fanout.TOO_FEW_SERVERS, wait_s, route=route
             )
@@ -353,6 +458,7 @@
             return self._reject(
                 503, STOPPING, RETRY_AFTER_STOPPING_S, route=route
             )
+        self._record_wait(caller.workspace, request)
         caller = self._identify_again(request, route, caller)
         if caller.fault is not None:
             if admitted:
@@ -360,7 +466,7 @@
             return self._reject_caller(caller.fault, route)
         request = self._remove_credentials(request)
         if not admitted:
-            relayed = await self._relay_in_doubt(request, route, caller)
+            relayed = await self._relay_in_doubt(request, route, caller, charge)
             if relayed is not None:
                 return relayed
             self.count("turned_away")
@@ -373,6 +479,10 @@
                 503, "too many concurrent requests", wait_s
             )
             return outcome, route, queue.limiter.get_log_fields()
+        refusal = charge.renew()
+        if refusal is not None:
+            queue.release_unused()
+            return self._refuse_by_quota(refusal, route)
         request_fanout = fanout.Fanout(
             context=self,
             request=request,
@@ -383,8 +493,9 @@
             has_waiting=lambda: queue.limiter.has_waiting,
             workspace=caller.workspace,
         )
+        charge.watch(request_fanout)
         return await self._run(
-            request, route, services, request_fanout, queue, caller
+            request, route, services, request_fanout, queue, caller, charge
         )
 
     async def _run(
@@ -395,6 +506,7 @@
         request_fanout: fanout.Fanout,
         queue: admission_queue.AdmissionQueue,
         caller: credentials.Caller,
+        charge: quota_gate_module.Charge,
     ) -> tuple[fanout.Outcome, model.Route, dict[str, Any]]:
         """Runs an admitted request, here or at last through another host.
 
@@ -404,6 +516,8 @@
         started_s = self.loop.time()
         if self._may_relay(request):
             self._relayable.add(request_fanout)
+        if caller.credential is not None:
+            self._callers[request_fanout] = (caller, route)
         try:
             outcome = await request_fanout.run()
         except asyncio.CancelledError:
@@ -416,6 +530,7 @@
                 )
         finally:
             self._relayable.discard(request_fanout)
+            self._callers.pop(request_fanout, None)
             if queue.finish(started_s=started_s, objective_s=route.objective_s):
                 self._log.record(
                     "admission",
@@ -436,6 +551,7 @@
                 request,
                 route,
                 caller,
+                charge,
                 may_have_run=request_fanout.may_have_run,
             )
             if relayed is not None:
@@ -484,6 +600,10 @@
     ) -> credentials.Caller:
         """Checks a credential against the configuration in force."""
         if self._keys is not None:
+            if not route.keyless and self._has_stale_keys():
+                return credentials.Caller(
+                    None, credentials.Fault.STALE, credential
+                )
             return self._keys.check(credential, keyless=route.keyless)
         fault = None
         if credential.name is not None:
@@ -502,19 +622,40 @@
         self, fault: credentials.Fault, route: model.Route
     ) -> tuple[fanout.Outcome, model.Route | None, dict[str, Any]]:
         """Returns the rejection of a request that identifies no workspace."""
-        if fault is credentials.Fault.NOT_CONFIGURED:
+        if fault not in credentials.CHALLENGES:
             return self._reject(
                 503, fault.value, fanout.RETRY_AFTER_REFUSAL_S, route=route
             )
+        self.workspace_metrics.count_unauthorized()
         outcome, _, log_fields = self._reject(401, fault.value)
         headers = [(b"WWW-Authenticate", credentials.CHALLENGES[fault])]
         return outcome._replace(headers=headers), route, log_fields
 
+    def _record_wait(
+        self, workspace: model.Workspace | None, request: messages.Request
+    ) -> None:
+        """Records the time from the arrival of a request to its admission."""
+        waited_s = self.loop.time() - request.received_s
+        self.workspace_metrics.add(workspace_metrics.WAITED, workspace)
+        self.workspace_metrics.add(
+            workspace_metrics.WAITED_S, workspace, float(waited_s)
+        )
+
+    def _record_served(
+        self, workspace: model.Workspace | None, outcome: fanout.Outcome
+    ) -> None:
+        """Records how a request of a workspace ended."""
+        if outcome.verdict in (fanout.Verdict.ANSWERED, fanout.Verdict.PARTIAL):
+            self.workspace_metrics.add(workspace_metrics.SERVED, workspace)
+        elif outcome.status == 429:
+            self.workspace_metrics.add(workspace_metrics.OVER_QUOTA, workspace)
+
     async def _relay_in_doubt(
         self,
         request: messages.Request,
         route: model.Route,
         caller: credentials.Caller,
+        charge: quota_gate_module.Charge,
     ) -> tuple[fanout.Outcome, model.Route, dict[str, Any]] | None:
         """Serves a request that was sent nowhere through another host.
 
@@ -524,7 +665,7 @@
         """
         if not (self.links.in_doubt and self._may_relay(request)):
             return None
-        return await self._relay_request(request, route, caller)
+        return await self._relay_request(request, route, caller, charge)
 
     def _may_relay(self, request: messages.Request) -> bool:
         """Returns whether a request is served through another host."""
@@ -547,6 +688,7 @@
         else:
             is_ended_by_links = (
                 outcome.verdict is fanout.Verdict.REFUSED
+                and outcome.status == 503
                 and outcome.reason != fanout.QUARANTINED
             )
         return is_ended_by_links and (
@@ -558,6 +700,7 @@
         request: messages.Request,
         route: model.Route,
         caller: credentials.Caller,
+        charge: quota_gate_module.Charge,
         *,
         may_have_run: bool = False,
     ) -> tuple[fanout.Outcome, model.Route, dict[str, Any]] | None:
@@ -567,6 +710,7 @@
           request: The request.
           route: Its route.
           caller: Its sender.
+          charge: Its charge to its workspace.
           may_have_run: Whether it may have run at servers of this host.
 
         Returns:
@@ -574,6 +718,7 @@
           such host.
         """
         deadline_s = request.received_s + self._compute_timeout(request, route)
+        charge.set_relayed(True)
         try:
             result = await self._relay.send(
                 request,
@@ -587,6 +732,7 @@
             if not self._ended:
                 raise
             return _ENDED, route, {}
+        charge.set_relayed(not result.not_run)
         if not result.helper:
             return None
         if result.not_run:
@@ -635,16 +781,21 @@
             timeout_s, self._longest_timeout_s.get(route.name, 0.0)
         )
         self._longest_timeout_s[route.name] = longest_timeout_s
+        latencies = self.find_latency_window(route)
+        has_workspaces = self._route_table.configuration.workspaces is not None
         return admission.make_queue_entry(
             number=self._entry_count,
             route=route,
             arrived_s=request.received_s,
             timeout_s=timeout_s,
             longest_timeout_s=longest_timeout_s,
-            expected_duration_s=self.find_latency_window(route).quantile(
-                EXPECTED_QUANTILE
+            expected_duration_s=latencies.quantile(EXPECTED_QUANTILE),
+            workspace=(
+                workspace.name if workspace else "" if has_workspaces else None
             ),
-            workspace=workspace,
+            workspace_priority=workspace.priority if workspace else 0,
+            cost_s=max(len(route.shards), 1)
+            * latencies.quantile(COST_QUANTILE),
         )
 
     def _find_queue(
--- a/eelgrasshall/platform/settings.py
+++ b/eelgrasshall/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads the settings file that the platform writes for each process."""
 
+import math
 import os
 import tomllib
 from typing import NamedTuple
@@ -8,6 +9,7 @@
 from eelgrasshall.gateway import hedging
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import object_cache
+from eelgrasshall.gateway import quotas
 
 SETTINGS_VARIABLE = "EELGRASSHALL_NODE_FILE"
 SETTINGS_PATH = "/etc/eelgrasshall/node.toml"
@@ -16,6 +18,10 @@
 # addresses durably, so a change may take longer than in other collections.
 HOSTS_BOUND_S = 25.0
 
+# Longest time for which keys are accepted, where strictRevoke is set and
+# revokeMs is not.
+REVOKE_MS = 5000.0
+
 _PEERS_PORT_OFFSET = 0
 _METRICS_PORT_OFFSET = 1
 
@@ -45,6 +51,10 @@
       cold_start_bound: Requests allowed beyond a cold server's stated rate.
       address_ttl_s: Longest time for which a caller may use the addresses
         that it looked up, seconds.
+      revoke_s: Longest time for which keys are accepted while no change of the
+        configuration could reach this host, seconds; infinite by default.
+      quota_bound: Bound on the requests of a workspace, for all entry hosts
+        together; None if the settings have none.
       keeps_to_zone: Whether time to spare is spent on staying in the own
         availability zone also while the configuration has no workspaces.
     """
@@ -62,7 +72,9 @@
     grace_s: float
     cold_start_bound: cold_start.ColdStartBound
     address_ttl_s: float
-    keeps_to_zone: bool
+    revoke_s: float = math.inf
+    quota_bound: quotas.QuotaBound | None = None
+    keeps_to_zone: bool = False
 
 
 def load_settings() -> Settings:
@@ -141,5 +153,46 @@
             slack=float(bounds.get("coldSlack", 0.0)),
         ),
         address_ttl_s=float(bounds["ttl_max_s"]),
+        quota_bound=_decode_quota_bound(bounds),
+        revoke_s=_decode_revoke_time(bounds),
         keeps_to_zone="rollout" in document.get("contracts", ()),
     )
+
+
+def _decode_quota_bound(bounds: dict) -> quotas.QuotaBound | None:
+    """Decodes the bound on the requests of workspaces, if it is set.
+
+    Raises:
+      KeyError: A field is missing, but not all of them.
+      ValueError: A number is out of range.
+    """
+    names = ("quotaWindowS", "quotaExcess", "quotaSlack")
+    if not any(name in bounds for name in names):
+        return None
+    bound = quotas.QuotaBound(*(float(bounds[name]) for name in names))
+    if not (
+        all(map(math.isfinite, bound))
+        and bound.window_s > 0.0
+        and bound.excess >= 0.0
+        and bound.slack >= 0.0
+    ):
+        raise ValueError(f"{', '.join(names)}: out of range")
+    return bound
+
+
+def _decode_revoke_time(bounds: dict) -> float:
+    """Returns the longest time for which keys are accepted, in seconds.
+
+    Raises:
+      TypeError: `strictRevoke` is not a boolean.
+      ValueError: `revokeMs` is not a finite number above 0.
+    """
+    strict = bounds.get("strictRevoke", False)
+    if not isinstance(strict, bool):
+        raise TypeError("strictRevoke is neither true nor false")
+    if not strict:
+        return math.inf
+    revoke_s = float(bounds.get("revokeMs", REVOKE_MS)) / 1000.0
+    if not 0.0 < revoke_s < math.inf:
+        raise ValueError("revokeMs is not a finite number above 0")
+    return revoke_s
