--- a/eelgrasshall/gateway/load_replay.py
+++ b/eelgrasshall/gateway/load_replay.py
@@ -410,25 +410,33 @@
     return random.choices(candidates, weights)[0]
 
 
-def _choose_in_subset(
-    candidates: list[upstream.Backend],
-    random: random_module.Random,
-    signals: dict[str, Any],
-) -> upstream.Backend:
-    """Chooses among two servers of a shard by rendezvous hash if there are."""
+class _Subsets:
+    """Chooses among two servers of a shard, by rendezvous hash of the host."""
 
-    def hash_pair(backend: upstream.Backend) -> int:
-        host = id(backend.environment.observer)
-        return zlib.crc32(f"{host} {backend.server.id}".encode())
+    def __init__(self):
+        # The hosts are numbered in the order in which they first choose.
+        self._numbers: dict[upstream.Observer, int] = {}
 
-    subset = sorted(candidates, key=hash_pair)[:2]
-    return min(
-        subset,
-        key=lambda each: (
-            _estimate(each, signals)
-            * (1.0 + load_balancing.JITTER * random.random())
-        ),
-    )
+    def choose(
+        self,
+        candidates: list[upstream.Backend],
+        random: random_module.Random,
+        signals: dict[str, Any],
+    ) -> upstream.Backend:
+        """Chooses the fastest server of the host's subset."""
+        host = candidates[0].environment.observer
+        number = self._numbers.setdefault(host, len(self._numbers))
+        subset = sorted(
+            candidates,
+            key=lambda each: zlib.crc32(f"{number} {each.server.id}".encode()),
+        )[:2]
+        return min(
+            subset,
+            key=lambda each: (
+                _estimate(each, signals)
+                * (1.0 + load_balancing.JITTER * random.random())
+            ),
+        )
 
 
 class _InFlightGossip:
@@ -503,7 +511,7 @@
     "zone": _use_zone_policy,
     "two_choices": lambda: _use_choice(_choose_of_two),
     "spare_capacity": lambda: _use_choice(_choose_by_spare_capacity),
-    "subset": lambda: _use_choice(_choose_in_subset),
+    "subset": lambda: _use_choice(_Subsets().choose),
     "gossip_0s": lambda: _use_gossip(0.0),
     "gossip_1s": lambda: _use_gossip(1.0),
     "gossip_2s": lambda: _use_gossip(2.0),
--- a/eelgrasshall/gateway/load_replay_test.py
+++ b/eelgrasshall/gateway/load_replay_test.py
@@ -1,6 +1,9 @@
 """Tests of load balancing under the loads of `load_replay`."""
 
+from eelgrasshall.gateway import fakes
+from eelgrasshall.gateway import load_model
 from eelgrasshall.gateway import load_replay
+from eelgrasshall.gateway import virtual_time
 
 _SEED = 1
 
@@ -42,3 +45,25 @@
     assert zone.remote <= present.remote * 1.05
     assert zone.served >= present.served
     assert zone.credit >= present.credit
+
+
+def test_hosts_keep_to_their_zone_only_where_workspaces_are_configured():
+    """Guards against other decisions in deployments that ask for nothing."""
+    loop = virtual_time.VirtualTimeLoop()
+    route = fakes.make_route(shards=("s1",))
+    simulation = load_model.Simulation(
+        loop=loop,
+        seed=_SEED,
+        kinds=[load_model.Kind(route, 1.0, 0.01, 2.0, 1.0)],
+        shards=route.shards,
+    )
+    handler = simulation.handlers[0]
+    assert not handler.keeps_to_zone
+    configuration = fakes.make_configuration(2, routes=(route,))
+    handler.apply_configuration(configuration._replace(workspaces={}))
+    assert handler.keeps_to_zone
+    handler.apply_configuration(configuration._replace(version=3))
+    assert not handler.keeps_to_zone
+    for each in simulation.handlers:
+        each.close()
+    loop.close()
