--- a/eelgrasshall/gateway/zone_traffic_test.py
+++ b/eelgrasshall/gateway/zone_traffic_test.py
@@ -15,6 +15,7 @@
 from eelgrasshall.gateway import load_model
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import object_cache
+from eelgrasshall.gateway import peers
 from eelgrasshall.gateway import relay
 from eelgrasshall.gateway import relay_choice
 from eelgrasshall.gateway import simulated_server
@@ -169,6 +170,9 @@
         def sendto(self, data, address):
             sent.append(len(data))
 
+        def close(self):
+            pass
+
     host._peers.connection_made(Transport())
     host._peers.add_host(other)
     sent.clear()
@@ -176,6 +180,14 @@
     counters.clear()
     host._peers.announce(heartbeats.State.READY)
     assert counters["cross_zone_bytes_datagrams"] == sum(sent) > 0
+    # Channels send beside the heartbeats of each period.
+    host._peers._channels = [
+        peers.Channel(b"x", lambda: b"x" * 50, lambda datagram: None)
+    ]
+    host._peers._tick()
+    assert 50 in sent
+    assert counters["cross_zone_bytes_datagrams"] == sum(sent)
+    host._peers.stop()
 
     responder = _Responder(loop)
     loop.add_endpoint(other.control_address, responder)
