--- a/eelgrasshall/gateway/load_replay_test.py
+++ b/eelgrasshall/gateway/load_replay_test.py
@@ -1,6 +1,9 @@
 """Tests of load balancing under the loads of `load_replay`."""
 
+from eelgrasshall.gateway import fakes
+from eelgrasshall.gateway import load_model
 from eelgrasshall.gateway import load_replay
+from eelgrasshall.gateway import virtual_time
 
 _SEED = 1
 
@@ -31,3 +34,36 @@
     assert zone.in_time >= present.in_time
     assert zone.served >= present.served
     assert zone.credit >= present.credit - 0.002
+
+
+def test_many_hosts_find_slow_servers_by_few_responses():
+    """Guards against an estimate that needs more responses than a host gets."""
+    scenario = load_replay.SCENARIOS["slow30"]._replace(
+        duration_s=9.0, end_s=9.0
+    )
+    present, zone = _replay_both(scenario)
+    assert zone.remote <= present.remote * 1.05
+    assert zone.served >= present.served
+    assert zone.credit >= present.credit
+
+
+def test_hosts_keep_to_their_zone_only_where_workspaces_are_configured():
+    """Guards against other decisions in deployments that ask for nothing."""
+    loop = virtual_time.VirtualTimeLoop()
+    route = fakes.make_route(shards=("s1",))
+    simulation = load_model.Simulation(
+        loop=loop,
+        seed=_SEED,
+        kinds=[load_model.Kind(route, 1.0, 0.01, 2.0, 1.0)],
+        shards=route.shards,
+    )
+    handler = simulation.handlers[0]
+    assert not handler.keeps_to_zone
+    configuration = fakes.make_configuration(2, routes=(route,))
+    handler.apply_configuration(configuration._replace(workspaces={}))
+    assert handler.keeps_to_zone
+    handler.apply_configuration(configuration._replace(version=3))
+    assert not handler.keeps_to_zone
+    for each in simulation.handlers:
+        each.close()
+    loop.close()
