The choice of zone follows from the configuration alone

Cause: hosts kept to their zone also where the settings have the rollout contract, which has nothing to do with zones, and an earlier deployment would have been served otherwise than before.

--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -102,8 +102,6 @@
         configuration could reach this host, seconds.
       quota_bound: Bound on the requests of a workspace; None if their limits
         are not applied.
-      keeps_to_zone: Whether time to spare is spent on staying in the own
-        availability zone also while the configuration has no workspaces.
     """
 
     host: model.Host
@@ -121,7 +119,6 @@
     rollout_bound: rollouts.Bound | None = None
     revoke_s: float = math.inf
     quota_bound: quotas.QuotaBound | None = None
-    keeps_to_zone: bool = False
 
 
 class GatewayHost:
@@ -199,7 +196,6 @@
             orders=self._orders,
             has_stale_keys=self._has_stale_keys,
             quota_gate=self._make_quota_gate(),
-            keeps_to_zone=options.keeps_to_zone,
         )
         self._workspace_hosts = workspace_hosts.WorkspaceHosts()
         self._started_s = self._loop.time()
--- a/eelgrasshall/platform/program.py
+++ b/eelgrasshall/platform/program.py
@@ -89,7 +89,6 @@
         rollout_bound=settings.rollout_bound,
         revoke_s=settings.revoke_s,
         quota_bound=settings.quota_bound,
-        keeps_to_zone=settings.keeps_to_zone,
     )
 
 
--- a/eelgrasshall/platform/settings.py
+++ b/eelgrasshall/platform/settings.py
@@ -62,8 +62,6 @@
         configuration could reach this host, seconds; infinite by default.
       quota_bound: Bound on the requests of a workspace, for all entry hosts
         together; None if the settings have none.
-      keeps_to_zone: Whether time to spare is spent on staying in the own
-        availability zone also while the configuration has no workspaces.
     """
 
     host: model.Host
@@ -82,7 +80,6 @@
     rollout_bound: rollouts.Bound | None = None
     revoke_s: float = math.inf
     quota_bound: quotas.QuotaBound | None = None
-    keeps_to_zone: bool = False
 
 
 def load_settings() -> Settings:
@@ -166,7 +163,6 @@
         rollout_bound=rollout_bound,
         quota_bound=_decode_quota_bound(bounds),
         revoke_s=_decode_revoke_time(bounds),
-        keeps_to_zone="rollout" in document.get("contracts", ()),
     )
 
 
