Hosts confirm parts of quotas when half of a limit is heard

Cause: in a fleet of 59 hosts nine tenths of them are heard only seconds after a restart of all, since the small ones start late. Change: half suffices, as for saying that a limit is used up; parts are scaled by what is heard in any case.

--- a/eelgrasshall/gateway/quotas.py
+++ b/eelgrasshall/gateway/quotas.py
@@ -67,7 +67,7 @@
 KNOWN_SHARE = 0.6
 MIN_HEARD_PART = 0.5
 # Part of the limit that the heard hosts need for confirming each other's parts.
-MIN_CONFIRMING_PART = 0.9
+MIN_CONFIRMING_PART = 0.5
 # Part of the limit that has to be known as used up before the reserve is kept
 # back for times in which parts are missing.
 WHOLE_SHARE = 0.9
