--- a/eelgrasshall/gateway/rollout_tracker_test.py
+++ b/eelgrasshall/gateway/rollout_tracker_test.py
@@ -216,7 +216,11 @@
     assert tuple(found) == counts
 
 
-async def test_slow_answers_are_counted_by_the_old_versions_median():
+async def test_slow_answers_are_counted_by_the_old_versions_median(monkeypatch):
+    loop = asyncio.get_running_loop()
+    now = loop.time()
+    # A clock of its own: on a busy machine a sleep is as long as a slow answer.
+    monkeypatch.setattr(loop, "time", lambda: now)
     host = _make_host()
     host.tracker.set_order("orders", _NEW, 5)
     for server_id, delays_s in (
@@ -237,7 +241,7 @@
         backend.add_connection(connection)
         for delay_s in delays_s:
             backend.submit(fakes.make_attempt(fakes.OutcomeRecorder(), "q"))
-            await asyncio.sleep(delay_s)
+            now += delay_s
             connection.data_received(_reply(200))
     gauges = host.tracker.list_gauges()
     # Answers of the target do not change what counts as slow.
--- a/eelgrasshall/platform/api_keys_test.py
+++ b/eelgrasshall/platform/api_keys_test.py
@@ -6,6 +6,7 @@
 import pytest
 
 from eelgrasshall.gateway import peer_sync
+from eelgrasshall.gateway import watcher
 from eelgrasshall.platform import fault_proxy
 from eelgrasshall.platform import fleet as fleet_module
 
@@ -215,7 +216,10 @@
         refused = {503} if strict else {200}
         assert await _get_statuses(fleet, _authorize(_OLD_KEY)) == refused
         fleet.store_proxies["host1"].mend("")
-        await asyncio.sleep(2.5)
+        # A host counts as reaching the store once its next watch has ended.
+        await asyncio.sleep(
+            watcher.MAX_BACKOFF_S + watcher.MAX_WATCH_WAIT_S + 1.0
+        )
         assert await _get_statuses(fleet, _authorize(_OLD_KEY)) == {200}
     finally:
         await fleet.stop()
