--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -38,6 +38,7 @@
     draining: bool = False,
     cold_remaining_s: float = 0.0,
     started_at_ms: int = 1,
+    version: str = "",
 ) -> model.Server:
     """Returns a registered backend server."""
     return model.Server(
@@ -49,6 +50,7 @@
         draining=draining,
         cold_remaining_s=cold_remaining_s,
         started_at_ms=started_at_ms,
+        version=version,
     )
 
 
@@ -430,6 +432,7 @@
             for shard in shards
         }
         self._latencies: dict[str, hedging.LatencyWindow] = {}
+        self.trial_servers: dict[str, list[upstream.Backend]] = {}
         self.quarantine_s = 0.0
         self.links_in_doubt = False
 
@@ -441,6 +444,10 @@
         """Returns all backend servers of a service."""
         return [each.backend for each in self.backends.get(service, ())]
 
+    def take_trial_servers(self, service: str) -> list[upstream.Backend]:
+        """Returns the servers that a test has put on trial."""
+        return self.trial_servers.get(service, [])
+
     def find_extra_attempt_budget(
         self, service: str
     ) -> hedging.ExtraAttemptBudget:
