--- a/eelgrasshall/platform/program_test.py
+++ b/eelgrasshall/platform/program_test.py
@@ -180,7 +180,7 @@
         copy = fleet.store.take_copy()
         # As if it were older than the hosts' own objects.
         kind = wire_names.OBJECT_KINDS[object_cache.Collection.HOSTS]
-        copy.objects.pop(kind, None)
+        del copy.objects[kind]
         # Lost by the store: a version, and a server that has drained.
         fleet.publish_configuration(pathPrefix="/moved/")
         fleet.register_server("shard0-0", state="draining")
