--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -26,8 +26,11 @@
 # Exit codes of a case.
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 STORE_DELAY_S = 0.004
+LOWEST_PORT, HIGHEST_PORT = 12000, 31000
 KEEP_ALIVE_S = 15
 
+_taken: set[int] = set()
+
 
 class Message(NamedTuple):
     """A request or a response.
@@ -78,15 +81,38 @@
     return Message(first.split(" ", 2), headers, body)
 
 
-def find_ports(count: int) -> list[int]:
-    """Returns free ports of the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((ADDRESS, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+def find_ports(count: int, *, together: bool = False) -> list[int]:
+    """Returns free ports of the loopback address, for TCP and UDP.
+
+    They are below those from which outgoing connections get theirs, and none is
+    returned twice.
+
+    Args:
+      count: How many.
+      together: Whether they have to follow each other.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        step = count if together else 1
+        first = random.SystemRandom().randrange(LOWEST_PORT, HIGHEST_PORT)
+        ports = range(first, first + step)
+        if all(_is_free(port) for port in ports):
+            found += ports
+            _taken.update(ports)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    """Returns whether nothing uses a port."""
+    if port in _taken:
+        return False
+    try:
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(type=kind) as probe:
+                probe.bind((ADDRESS, port))
+    except OSError:
+        return False
+    return True
 
 
 class Record:
@@ -430,7 +456,7 @@
             self.directory,
             self._inner,
             self._metrics,
-        ) = _find_host_ports()
+        ) = [*find_ports(4), *find_ports(2, together=True)]
         self._folder = folder
         self._store_port = store_port
         self._seeds = seeds
@@ -542,21 +568,6 @@
 """
 
 
-def _find_host_ports() -> list[int]:
-    """Returns four free ports and two that follow each other."""
-    ports = find_ports(4)
-    while True:
-        (first,) = find_ports(1)
-        try:
-            for number in (first, first + 1):
-                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                    with socket.socket(type=kind) as probe:
-                        probe.bind((ADDRESS, number))
-        except OSError:
-            continue
-        return [*ports, first, first + 1]
-
-
 class Answer(NamedTuple):
     """What a client got.
 
