--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -382,11 +382,7 @@
         self._writers.add(writer)
         try:
             while (request := await read_message(reader)) is not None:
-                data = await self._answer(request)
-                cut = self.spoil(data)
-                writer.write(data if cut is None else data[:cut])
-                await writer.drain()
-                if cut is not None:
+                if not await self._send(await self._answer(request), writer):
                     return
         except (OSError, ValueError):
             pass
@@ -394,6 +390,13 @@
             self._writers.discard(writer)
             writer.close()
 
+    async def _send(self, data: bytes, writer: asyncio.StreamWriter) -> bool:
+        """Sends an answer; returns whether the connection stays open."""
+        cut = self.spoil(data)
+        writer.write(data if cut is None else data[:cut])
+        await writer.drain()
+        return cut is None
+
     async def _answer(self, request: Message) -> bytes:
         """Runs a request and returns the bytes of its answer."""
         request_id = request.headers.get("x-attempt-id")
