Count a response as whole only after its whole head

Cause: a response without a stated length ends with its connection, and whether it is of that kind was decided from the headers read so far, without asking whether the head had ended.

Related paths: hedges, retries, parts and health checks share this class; answers of other hosts and of the store use response_parser, which held before.

--- a/eelgrasshall/gateway/connections.py
+++ b/eelgrasshall/gateway/connections.py
@@ -211,12 +211,11 @@
         self._received_bytes = 0
 
     def _is_close_delimited(self) -> bool:
-        """Returns whether the response has a head but states no length."""
-        try:
-            status = self._parser.get_status_code()
-        except AttributeError:
-            return False
-        if not status or not self._headers:
+        """Returns whether the response has a whole head but states no length.
+
+        A head that is cut off may lack the header that states it.
+        """
+        if self._head_bytes is None:
             return False
         framing = (b"content-length", b"transfer-encoding")
         return not any(key.lower() in framing for key, _ in self._headers)
