Keep deletions that no running host can name

Cause: the hosts that watch the store for all were killed and started again. Their listings tell what there is, not what was, so that they could not name the deletion to the others. These saw hosts that reach the store, did not watch themselves, and took over the revision of those hosts after 5 s; from then on nothing told them.

A host that does not know the deletions which another one needs now gives the names of all its objects; what the other one has beyond that is deleted. A revision is taken over only if all changes up to it are known. Hosts of the version before give no names; then the host reads the store itself.

The same cause on related paths: - a listing after a lost history did not raise since when deletions are known, so that what was created and deleted in between was lost to others - the answer of a seed that arrived after the listing of a host that starts brought a deleted server back; it is now known to be gone

Replaced tests: two demanded that an incomplete revision is taken over after some seconds, which is the fault; it is now never taken over. Two demanded that a second listing leaves since when deletions are known; it is raised.

--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -861,6 +861,8 @@
 
     def _should_watch(self) -> bool:
         """Returns whether this host should watch the store."""
+        if self._peer_sync.lacks_deletions:
+            return True
         now = self._loop.time()
         if now - self._watch_elected_time_s >= VIEW_TTL_S:
             host = self._options.host
--- a/eelgrasshall/gateway/object_cache.py
+++ b/eelgrasshall/gateway/object_cache.py
@@ -14,6 +14,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Container
 import enum
 from typing import Any
 from typing import NamedTuple
@@ -169,8 +170,8 @@
     def get_complete_since(self, collection: Collection) -> int:
         """Returns the revision since which all deletions are known.
 
-        A host that starts with a listing does not know what was deleted before
-        it, so it cannot tell another host that still has such an object.
+        A host that lists the store does not know what was deleted before that,
+        so it cannot name this to another host that still has such an object.
         """
         return self._complete_since[collection]
 
@@ -184,20 +185,23 @@
         """Version of a configuration that the store lacks; 0 if it has it."""
         return self._configuration_version if self._keeps_configuration else 0
 
-    def start_at(self, collection: Collection, revision: int) -> None:
-        """Records that nothing is known of deletions up to a revision.
+    def raise_complete_since(
+        self, collection: Collection, revision: int
+    ) -> None:
+        """Records that deletions up to a revision may be unknown here.
 
-        Has no effect unless this is the first data of the collection, or of a
-        later era.
+        That is so after a listing and after the objects of another host that
+        does not know them: they tell what there is, not what there was.
         """
-        received = self._received[collection]
-        if not received or get_era(revision) > get_era(received):
+        if revision > self._complete_since[collection]:
             self._complete_since[collection] = revision
             self.generation += 1
 
     def defer(self, update: Update, *, after: int | None = None) -> None:
         """Records a received update that is to be applied later, if at all.
 
+        What is recorded of an earlier one of the same object stays in force.
+
         Args:
           update: The update.
           after: The revision after which the change may have been made, if it
@@ -206,6 +210,9 @@
         if after is None:
             after = update.revision - 1
         deferred = self._deferred[update.collection]
+        known = deferred.get(update.name)
+        if known is not None:
+            after = min(after, known.after)
         deferred[update.name] = _Deferral(update.revision, after)
         self.generation += 1
 
@@ -322,20 +329,43 @@
                 self._keeps_configuration = True
 
     def infer_deletions(
-        self, listing: Listing, collection: Collection
+        self, collection: Collection, present: Container[str], revision: int
     ) -> list[Update]:
-        """Returns deletions of the cached objects that a full listing lacks.
+        """Returns deletions of the objects that are known only here.
 
         Objects of an earlier era are left out: see `list_unconfirmed`.
+
+        Args:
+          collection: The collection.
+          present: The names of all objects that there are at a revision.
+          revision: The revision.
         """
-        present = {update.name for update in listing.updates}
         return [
-            Update(collection, name, listing.revision, None)
+            Update(collection, name, revision, None)
             for name, old in self._latest[collection].items()
             if old.document is not None
             and name not in present
-            and old.revision <= listing.revision
-            and get_era(old.revision) == get_era(listing.revision)
+            and old.revision <= revision
+            and get_era(old.revision) == get_era(revision)
+        ]
+
+    def is_obsolete(self, update: Update) -> bool:
+        """Returns whether the object of another host's update is gone.
+
+        An object that is not known here although all changes up to its revision
+        are has been deleted since.
+        """
+        return (
+            update.revision <= self._received[update.collection]
+            and update.name not in self._latest[update.collection]
+        )
+
+    def list_names(self, collection: Collection) -> list[str]:
+        """Returns the names of all objects that are not deleted."""
+        return [
+            name
+            for name, update in self._latest[collection].items()
+            if update.document is not None
         ]
 
     def list_unconfirmed(self, collection: Collection) -> list[Update]:
--- a/eelgrasshall/gateway/object_cache_test.py
+++ b/eelgrasshall/gateway/object_cache_test.py
@@ -69,8 +69,7 @@
     host = _Host()
     host.cache.apply(_make_update("a", 3, "x"))
     host.cache.apply(_make_update("b", 9, "x"))
-    listing = object_cache.Listing((), 5)
-    deletions = host.cache.infer_deletions(listing, _SERVERS)
+    deletions = host.cache.infer_deletions(_SERVERS, (), 5)
     assert [update.name for update in deletions] == ["a"]
 
 
@@ -149,17 +148,42 @@
         document = peer_sync.encode_updates(self.hosts[sender].cache, received)
         peer_sync.apply_updates(self.hosts[receiver].cache, document)
 
+    @stateful.rule(host=strategies.integers(0, host_count - 1))
+    def restart(self, host):
+        """A host starts again and knows nothing."""
+        self.hosts[host] = _Host()
+
+    @stateful.rule(host=strategies.integers(0, host_count - 1))
+    def list_store(self, host):
+        """A host lists the store, as after a start or a lost history."""
+        cache = self.hosts[host].cache
+        stored = self._find_stored(self.revision)
+        if self.revision > cache.get_received_revision(_SERVERS):
+            cache.raise_complete_since(_SERVERS, self.revision)
+        for update in stored.values():
+            cache.apply(update)
+        for update in cache.infer_deletions(_SERVERS, stored, self.revision):
+            cache.apply(update)
+        cache.advance(_SERVERS, self.revision)
+
+    def _find_stored(self, revision: int) -> dict[str, object_cache.Update]:
+        """Returns the objects that the store has at a revision."""
+        stored = {
+            update.name: update
+            for update in self.log
+            if update.revision <= revision
+        }
+        return {k: v for k, v in stored.items() if v.document is not None}
+
     @stateful.invariant()
     def matches_the_store_at_the_received_revision(self):
         """Each cache equals the store's state at its received revision."""
         for host in self.hosts:
             reached = host.cache.get_received_revision(_SERVERS)
-            stored = {}
-            for update in self.log:
-                if update.revision <= reached:
-                    stored[update.name] = update.document
-            expected = {k: v for k, v in stored.items() if v is not None}
-            assert host.values == expected
+            assert host.values == {
+                name: update.document
+                for name, update in self._find_stored(reached).items()
+            }
 
 
 TestCacheSync = CacheSync.TestCase
@@ -181,7 +205,7 @@
     listing = object_cache.Listing(
         (_make_update("a", object_cache.make_revision(1, 3), "x"),), revision
     )
-    assert host.cache.infer_deletions(listing, _SERVERS) == []
+    assert host.cache.infer_deletions(_SERVERS, {"a"}, revision) == []
     for update in listing.updates:
         host.cache.apply(update)
     host.cache.advance(_SERVERS, revision)
@@ -195,15 +219,16 @@
     assert host.values == {"a": "x", "b": "again"}
 
 
-def test_deletions_of_a_new_era_are_known_since_its_first_listing():
+def test_deletions_of_a_new_era_are_known_since_its_latest_listing():
+    # What was created and deleted between two listings is in neither.
     cache = _Host().cache
-    cache.start_at(_SERVERS, 9)
+    cache.raise_complete_since(_SERVERS, 9)
     cache.advance(_SERVERS, 9)
     first = object_cache.make_revision(1, 5)
-    for revision in (first, first + 2):
-        cache.start_at(_SERVERS, revision)
+    for revision in (first, first + 2, 12, first + 1):
+        cache.raise_complete_since(_SERVERS, revision)
         cache.advance(_SERVERS, revision)
-    assert cache.get_complete_since(_SERVERS) == first
+    assert cache.get_complete_since(_SERVERS) == first + 2
 
 
 def test_new_era_is_reported_once_and_drops_deferrals():
@@ -323,10 +348,12 @@
         cache = self.hosts[host].cache
         revision = object_cache.make_revision(self.era, self.number)
         listing = object_cache.Listing(tuple(self.objects.values()), revision)
-        cache.start_at(self.collection, revision)
+        cache.raise_complete_since(self.collection, revision)
         for update in listing.updates:
             cache.apply(update)
-        for update in cache.infer_deletions(listing, self.collection):
+        for update in cache.infer_deletions(
+            self.collection, set(self.objects), revision
+        ):
             cache.apply(update)
         cache.advance(self.collection, revision)
 
@@ -458,10 +485,11 @@
     host.cache.advance(configuration, 30)
     for each in (host, fresh):
         revision = object_cache.make_revision(1, 25)
-        each.cache.start_at(configuration, revision)
-        listing = object_cache.Listing((), revision)
+        each.cache.raise_complete_since(configuration, revision)
         for _ in range(2):
-            for update in each.cache.infer_deletions(listing, configuration):
+            for update in each.cache.infer_deletions(
+                configuration, (), revision
+            ):
                 each.cache.apply(update)
             each.cache.advance(configuration, revision)
     assert host.cache.kept_version == 1
--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -9,6 +9,11 @@
 beside it.  Hosts of an earlier version neither send nor read eras; theirs is
 taken to be that of the receiver.
 
+What a host states at a revision, and what follows from it, is in
+docs/DESIGN.md.  In short: all changes up to the revision are in force there.
+To a host that needs to know of deletions which the sender cannot name, it gives
+the names of all objects; what is missing there is deleted.
+
 A host that keeps a configuration which the store has lost states its version.
 Hosts that know only an earlier one, under the same revision, fetch it.
 
@@ -22,7 +27,6 @@
 import gzip
 import json
 from typing import Any
-from typing import NamedTuple
 
 from eelgrasshall.gateway import client
 from eelgrasshall.gateway import events
@@ -38,9 +42,6 @@
 BATCH_DELAY_S = 0.01
 # Delay after a failed fetch, or one whose revision was not taken over.
 RETRY_DELAY_S = 0.2
-# Time after which the revision of a host that may lack deletions is taken over,
-# if no other host has more: longer than a watch and a deferred deletion take.
-ACCEPT_INCOMPLETE_DELAY_S = 5.0
 # Time for which the next seed is not asked while one may still answer.
 SEED_HEAD_START_S = 0.15
 # Smallest body that is compressed; a smaller one fits into one packet.
@@ -49,8 +50,15 @@
 # higher than any.
 REVISIONS_TARGET = f"{UPDATES_PATH}?{','.join([str(1 << 40)] * 8)}"
 
+
 _JSON = [(b"Content-Type", b"application/json")]
 
+# Applies deletions that follow from the objects of another host, given the
+# collection and the revision after which they may have been made.
+InferenceHandler = Callable[
+    [object_cache.Collection, Sequence[object_cache.Update], int], None
+]
+
 
 def encode_updates(
     cache: object_cache.ObjectCache,
@@ -104,6 +112,8 @@
             and object_cache.get_era(update.revision) == era
         ],
     }
+    if 0 < revision < cache.get_complete_since(collection):
+        part["present"] = cache.list_names(collection)
     if _is_configuration(collection) and cache.kept_version:
         part["kept"] = True
     return part
@@ -239,17 +249,19 @@
     cache: object_cache.ObjectCache,
     document: dict[str, Any],
     *,
-    accept_incomplete: bool = False,
+    on_inferred: InferenceHandler | None = None,
 ) -> int:
     """Applies the updates that another host has sent.
 
-    The sender's revision is not taken over if the sender may lack deletions
-    that this host has not seen either; they come from another host.
+    The sender's revision is taken over only if all changes up to it are known
+    then.  Hosts of an earlier version do not give the names of their objects,
+    so that this host may lack deletions.
 
     Args:
       cache: The cache to update.
       document: The document of the other host.
-      accept_incomplete: Whether to take over the revision all the same.
+      on_inferred: Applies deletions that the sender could not name; by default
+        they are applied at once.
 
     Returns:
       The number of updates that changed the cache.
@@ -265,26 +277,41 @@
         era = part.get("era", object_cache.get_era(received))
         if era < object_cache.get_era(received):
             continue
+        revision = object_cache.make_revision(era, part["revision"])
+        # Hosts of an earlier version do not send it.
+        since = object_cache.make_revision(era, part.get("since", 0))
         for name, number, value in part["news"]:
-            revision = object_cache.make_revision(era, number)
-            update = object_cache.Update(collection, name, revision, value)
+            update = object_cache.Update(
+                collection,
+                name,
+                object_cache.make_revision(era, number),
+                value,
+            )
             if part.get("kept") and _is_configuration(collection):
                 changed += cache.adopt(update)
-            else:
+            elif not cache.is_obsolete(update):
                 changed += cache.apply(update)
-        # Hosts of an earlier version do not send it.
-        since = object_cache.make_revision(era, part.get("since", 0))
-        cache.start_at(collection, since)
-        if (
-            accept_incomplete
-            or not received
-            # All objects of a later era are in the document.
-            or era > object_cache.get_era(received)
-            or cache.get_applied_revision(collection) >= since
-        ):
-            cache.advance(
-                collection, object_cache.make_revision(era, part["revision"])
-            )
+        if revision <= received:
+            continue
+        # All objects of a later era are in the document.
+        lacks_deletions = since > received and (
+            received and era == object_cache.get_era(received)
+        )
+        if lacks_deletions and "present" not in part:
+            continue
+        if lacks_deletions:
+            present = frozenset(part["present"])
+            inferred = cache.infer_deletions(collection, present, revision)
+            changed += len(inferred)
+            after = cache.get_applied_revision(collection)
+            if on_inferred is not None:
+                on_inferred(collection, inferred, after)
+            else:
+                for update in inferred:
+                    cache.apply(update)
+        if since > received:
+            cache.raise_complete_since(collection, since)
+        cache.advance(collection, revision)
     return changed
 
 
@@ -355,18 +382,6 @@
     return [int(each) for each in query.split(",")] if query else []
 
 
-class _Incomplete(NamedTuple):
-    """Fetches whose revision was not taken over.
-
-    Attributes:
-      since_s: Monotonic time of the first one.
-      revisions: The revisions of the latest one.
-    """
-
-    since_s: float
-    revisions: dict[object_cache.Collection, int]
-
-
 class PeerSync:
     """Fetches updates from other hosts.
 
@@ -375,6 +390,7 @@
       log: The log for fetches and their failures.
       on_transferred: Called with the name of the other host and the bytes of a
         fetch.
+      on_inferred: See `apply_updates`.
     """
 
     def __init__(
@@ -383,18 +399,34 @@
         cache: object_cache.ObjectCache,
         log: events.EventLog,
         on_transferred: Callable[[str, int], None] = lambda name, size: None,
+        on_inferred: InferenceHandler | None = None,
     ):
+        self._on_inferred = on_inferred
         self._on_transferred = on_transferred
         self._cache = cache
         self._log = log
         self._task: asyncio.Task | None = None
-        self._incomplete: _Incomplete | None = None
+        # The revisions of the last answer that was not taken over.
+        self._missing: dict[object_cache.Collection, int] = {}
         # Era and version of the last kept configuration that was fetched; one
         # that turned out to be of no use is not fetched again.
         self._fetched_version = (0, 0)
 
+    @property
+    def lacks_deletions(self) -> bool:
+        """Whether no other host could tell this one of all deletions so far.
+
+        They are in the store only then.
+        """
+        if self._missing and self._has_all(self._missing):
+            self._missing = {}
+        return bool(self._missing)
+
     def handle_revisions(
-        self, name: str, address: model.Address, numbers: Sequence[int]
+        self,
+        name: str,
+        address: model.Address,
+        numbers: Sequence[int],
     ) -> None:
         """Starts a fetch if a host is ahead and no such fetch is running.
 
@@ -403,11 +435,10 @@
           address: Its control address.
           numbers: What it has applied; see `list_revisions`.
         """
+        stated = decode_revisions(self._cache, numbers)
         behind = any(
             revision > self._cache.get_applied_revision(collection)
-            for collection, revision in decode_revisions(
-                self._cache, numbers
-            ).items()
+            for collection, revision in stated.items()
         )
         kept_version = find_kept_version(self._cache, numbers)
         if (self._get_era(), kept_version) <= self._fetched_version:
@@ -505,7 +536,7 @@
             received_bytes = response.received_bytes
             if response.status != 200:
                 raise client.CallError(f"status {response.status}")
-            changed = self._apply(response.document)
+            changed = self._apply(response)
         except client.CallError as error:
             failure = error
             received_bytes = max(received_bytes, error.received_bytes)
@@ -529,19 +560,12 @@
             self._log.record("exchange", peer=name, changed=changed, **cost)
         return True
 
-    def _apply(self, document: dict[str, Any]) -> int:
-        """Applies a document and notes whether it was incomplete."""
-        now = asyncio.get_running_loop().time()
-        if self._incomplete and self._has_all(self._incomplete.revisions):
-            # Another host has sent what was missing.
-            self._incomplete = None
-        since_s = self._incomplete.since_s if self._incomplete else now
+    def _apply(self, response: client.Response) -> int:
+        """Applies an answer and notes which revisions were not taken over."""
+        document = response.document
         changed = apply_updates(
-            self._cache,
-            document,
-            accept_incomplete=now - since_s >= ACCEPT_INCOMPLETE_DELAY_S,
+            self._cache, document, on_inferred=self._on_inferred
         )
-        parts = _list_parts(self._cache, document)
         revisions = {
             collection: object_cache.make_revision(
                 part.get(
@@ -552,12 +576,9 @@
                 ),
                 part["revision"],
             )
-            for collection, part in parts
+            for collection, part in _list_parts(self._cache, document)
         }
-        if self._has_all(revisions):
-            self._incomplete = None
-        else:
-            self._incomplete = _Incomplete(since_s, revisions)
+        self._missing = {} if self._has_all(revisions) else revisions
         return changed
 
     def _has_all(self, revisions: dict[object_cache.Collection, int]) -> bool:
@@ -584,5 +605,5 @@
         """Fetches after a delay, and waits before a retry is allowed."""
         await asyncio.sleep(BATCH_DELAY_S)
         fetched = await self.fetch(name, address, kept_version)
-        if not fetched or self._incomplete is not None:
+        if not fetched or self.lacks_deletions:
             await asyncio.sleep(RETRY_DELAY_S)
--- a/eelgrasshall/gateway/peer_sync_test.py
+++ b/eelgrasshall/gateway/peer_sync_test.py
@@ -96,7 +96,7 @@
     """Returns the cache of a host that has just listed the store."""
     cache = _make_cache()
     for collection in object_cache.Collection:
-        cache.start_at(collection, revision)
+        cache.raise_complete_since(collection, revision)
     for update in updates:
         cache.apply(update)
     for collection in object_cache.Collection:
@@ -104,11 +104,21 @@
     return cache
 
 
-def _exchange(source, target, **kwargs) -> None:
-    """Lets a host fetch from another one."""
+def _exchange(source, target, *, by_name: bool = True) -> None:
+    """Lets a host fetch from another one.
+
+    Args:
+      source: The cache of the other host.
+      target: The cache of the host that fetches.
+      by_name: Whether the other host gives the names of its objects, as hosts
+        of earlier versions do not.
+    """
     have = {e: target.get_applied_revision(e) for e in object_cache.Collection}
     document = json.loads(json.dumps(peer_sync.encode_updates(source, have)))
-    peer_sync.apply_updates(target, document, **kwargs)
+    for part in document.values():
+        if not by_name:
+            part.pop("present", None)
+    peer_sync.apply_updates(target, document)
 
 
 def _is_live(cache: object_cache.ObjectCache, name: str) -> bool:
@@ -119,32 +129,82 @@
 
 
 def test_deletion_arrives_after_an_exchange_with_a_host_that_does_not_know_it():
-    # A host that has just listed the store knows nothing of a server that was
-    # deleted before.  While the watchers deferred that deletion, its revision
-    # was taken over by the others, which then never got the deletion
-    # (inc-f889: requests reached the server 6 s after it had left).
+    # A host of an earlier version that has just listed the store knows nothing
+    # of a server that was deleted before.  While the watchers deferred that
+    # deletion, its revision was taken over by the others, which then never got
+    # the deletion (inc-f889: requests reached the server 6 s after it had
+    # left).
     local = _make_fresh_cache(5, _make_update("a", 3, "x"))
     fresh = _make_fresh_cache(9, _make_update("b", 8, "y"))
     watching = _make_fresh_cache(5, _make_update("a", 3, "x"))
     watching.apply(_make_update("a", 7))
     watching.apply(_make_update("b", 8, "y"))
     watching.advance(_SERVERS, 9)
-    _exchange(fresh, local)
+    _exchange(fresh, local, by_name=False)
     assert _is_live(local, "b")
     assert local.get_applied_revision(_SERVERS) == 5
-    _exchange(watching, local)
+    _exchange(watching, local, by_name=False)
     assert not _is_live(local, "a")
     assert local.get_applied_revision(_SERVERS) == 9
 
 
+def test_what_a_host_that_has_listed_the_store_does_not_have_is_deleted():
+    # Nobody was left who could name the deletion, so that it was lost (DRAIN,
+    # review/3).
+    local = _make_fresh_cache(
+        5, _make_update("a", 3, "x"), _make_update("c", 4, "z")
+    )
+    fresh = _make_fresh_cache(
+        9, _make_update("b", 8, "y"), _make_update("c", 4, "z")
+    )
+    _exchange(fresh, local)
+    assert not _is_live(local, "a")
+    assert _is_live(local, "b") and _is_live(local, "c")
+    assert local.get_applied_revision(_SERVERS) == 9
+    # It does not know all deletions before 9 either, so it gives names too.
+    third = _make_fresh_cache(6, _make_update("d", 6, "w"))
+    _exchange(local, third)
+    assert not _is_live(third, "d")
+
+
+def test_newer_object_than_the_revision_of_the_sender_stays():
+    local = _make_fresh_cache(5, _make_update("a", 3, "x"))
+    local.apply(_make_update("b", 12, "y"))
+    _exchange(_make_fresh_cache(9), local)
+    assert _is_live(local, "b") and not _is_live(local, "a")
+
+
+def test_names_are_given_only_to_hosts_that_need_them():
+    fresh = _make_fresh_cache(9, _make_update("b", 8, "y"))
+    for revision, needs in ((0, False), (5, True), (9, False)):
+        have = dict.fromkeys(object_cache.Collection, revision)
+        part = peer_sync.encode_updates(fresh, have)["s"]
+        assert ("present" in part) == needs
+
+
+def test_late_answer_of_a_seed_does_not_bring_back_a_deleted_server():
+    # A host that starts lists the store and asks other hosts at the same time.
+    local = _make_fresh_cache(9, _make_update("b", 8, "y"))
+    document = peer_sync.encode_updates(
+        _make_fresh_cache(5, _make_update("a", 3, "x")),
+        dict.fromkeys(object_cache.Collection, 0),
+    )
+    peer_sync.apply_updates(local, document)
+    assert not _is_live(local, "a") and _is_live(local, "b")
+    assert local.get_applied_revision(_SERVERS) == 9
+
+
 def test_host_without_data_takes_over_what_its_source_does_not_know():
     fresh = _make_fresh_cache(9, _make_update("b", 8, "y"))
     local = _make_cache()
     _exchange(fresh, local)
     assert local.get_applied_revision(_SERVERS) == 9
     older = _make_fresh_cache(5, _make_update("a", 3, "x"))
-    _exchange(local, older)
+    _exchange(local, older, by_name=False)
     assert older.get_applied_revision(_SERVERS) == 5
+    _exchange(local, older)
+    assert older.get_applied_revision(_SERVERS) == 9
+    assert not _is_live(older, "a")
 
 
 def test_document_of_an_earlier_version_is_complete():
@@ -158,36 +218,58 @@
     assert local.get_applied_revision(_SERVERS) == 9
 
 
-async def test_revision_is_taken_over_if_no_other_host_has_it(monkeypatch):
-    monkeypatch.setattr(peer_sync, "ACCEPT_INCOMPLETE_DELAY_S", 0.1)
+@contextlib.asynccontextmanager
+async def _serve_without_names(remote: object_cache.ObjectCache, port: int):
+    """Serves a cache as a host of the version before does."""
+
+    async def answer(request):
+        query = request.target.partition(b"?")[2].decode()
+        numbers = peer_sync.parse_revisions(query)
+        revisions = peer_sync.decode_revisions(remote, numbers)
+        document = peer_sync.encode_updates(remote, revisions)
+        for part in document.values():
+            part.pop("present", None)
+        queries.append(query)
+        return listener.Response(200, [], json.dumps(document).encode())
+
+    queries: list[str] = []
+    server = listener.Listener(handler=answer, get_limits=model.CallerLimits)
+    await server.start(model.Address("127.0.0.1", port))
+    try:
+        yield queries
+    finally:
+        server.stop()
+
+
+async def test_revision_of_a_host_that_lacks_deletions_is_never_taken_over(
+    monkeypatch,
+):
+    # It was taken over after 5 s, and with it the deletions before were lost.
+    # Now the host reads them from the store itself.
     monkeypatch.setattr(peer_sync, "RETRY_DELAY_S", 0.05)
     fresh, local = _make_fresh_cache(9), _make_fresh_cache(5)
+    local.apply(_make_update("a", 3, "x"))
     sync = peer_sync.PeerSync(cache=local, log=fakes.Log())
-    async with _serve(fresh, 19106) as queries:
+    async with _serve_without_names(fresh, 19106) as queries:
         address = model.Address("127.0.0.1", 19106)
         for _ in range(40):
             sync.handle_revisions("h2", address, [9, 9, 9, 9])
             await asyncio.sleep(0.01)
-    assert local.get_applied_revision(_SERVERS) == 9
-    assert 2 <= len(queries) <= 6
+    assert local.get_applied_revision(_SERVERS) == 5
+    assert sync.lacks_deletions
+    assert 2 <= len(queries) <= 8
+    for collection in object_cache.Collection:
+        local.advance(collection, 9)
+    assert not sync.lacks_deletions
 
 
-async def test_delay_starts_anew_once_the_missing_changes_have_arrived(
-    monkeypatch,
-):
-    monkeypatch.setattr(peer_sync, "ACCEPT_INCOMPLETE_DELAY_S", 0.1)
+async def test_host_that_names_its_objects_leaves_no_deletion_to_the_store():
     local = _make_fresh_cache(5, _make_update("a", 3, "x"))
     sync = peer_sync.PeerSync(cache=local, log=fakes.Log())
-    address = model.Address("127.0.0.1", 19107)
     async with _serve(_make_fresh_cache(9), 19107):
-        assert await sync.fetch("h2", address)
-    for collection in object_cache.Collection:
-        local.advance(collection, 9)
-    await asyncio.sleep(0.15)
-    async with _serve(_make_fresh_cache(20), 19108):
-        address = model.Address("127.0.0.1", 19108)
-        assert await sync.fetch("h3", address)
-    assert local.get_applied_revision(_SERVERS) == 9
+        assert await sync.fetch("h2", model.Address("127.0.0.1", 19107))
+    assert not sync.lacks_deletions
+    assert not _is_live(local, "a")
 
 
 async def test_a_failing_seed_is_logged_and_the_next_one_asked():
@@ -347,7 +429,7 @@
     """Returns the cache of a host that listed a store which came back older."""
     era_1 = functools.partial(object_cache.make_revision, 1)
     cache = _make_fresh_cache(9, _make_update("a", 3, "x"))
-    cache.start_at(_SERVERS, era_1(5))
+    cache.raise_complete_since(_SERVERS, era_1(5))
     cache.apply(_make_update("a", era_1(3), "x"))
     cache.apply(_make_update("b", era_1(4), "y"))
     cache.advance(_SERVERS, era_1(5))
@@ -442,7 +524,7 @@
     def read(self, era: int, number: int, version: int, revision: int) -> None:
         """Applies the store's listing or change."""
         reached = object_cache.make_revision(era, revision)
-        self.cache.start_at(_CONFIGURATION, reached)
+        self.cache.raise_complete_since(_CONFIGURATION, reached)
         self.cache.apply(
             object_cache.Update(
                 _CONFIGURATION,
@@ -660,4 +742,4 @@
     async with _serve(base, 19109):
         assert await sync.fetch("h2", model.Address("127.0.0.1", 19109))
     assert using.get_applied_revision(_SERVERS) == 9
-    assert sync._incomplete is None
+    assert not sync.lacks_deletions
--- a/eelgrasshall/gateway/watcher.py
+++ b/eelgrasshall/gateway/watcher.py
@@ -205,10 +205,14 @@
             # back.
             self._grace_start_s = asyncio.get_running_loop().time()
         applied = self._cache.get_applied_revision(self._collection)
-        self._cache.start_at(self._collection, listing.revision)
+        if listing.revision > received:
+            self._cache.raise_complete_since(self._collection, listing.revision)
         for update in listing.updates:
             self._apply_or_defer(update)
-        for update in self._cache.infer_deletions(listing, self._collection):
+        present = {update.name for update in listing.updates}
+        for update in self._cache.infer_deletions(
+            self._collection, present, listing.revision
+        ):
             self._apply_or_defer(update, after=applied)
         self._cache.advance(self._collection, listing.revision)
         self._listed = True
--- a/eelgrasshall/gateway/watcher_test.py
+++ b/eelgrasshall/gateway/watcher_test.py
@@ -90,17 +90,6 @@
     assert watcher.DELETION_GRACE_S + watcher.MAX_BATCH_DELAY_S < _BOUND_S
 
 
-def test_incomplete_revision_is_taken_over_after_the_others_had_their_time():
-    # No test failed when the delay was a hundred times as long, and a host
-    # would have fetched everything five times a second meanwhile.
-    others_s = (
-        watcher.MAX_WATCH_WAIT_S
-        + watcher.MAX_BATCH_DELAY_S
-        + watcher.DELETION_GRACE_S
-    )
-    assert others_s < peer_sync.ACCEPT_INCOMPLETE_DELAY_S < 2 * _BOUND_S
-
-
 async def test_watch_leaves_others_most_of_the_bound_to_take_over():
     # A watcher whose calls are swallowed notices it when the wait has timed
     # out.  In a large fleet heartbeats, the fallback and the exchange between
@@ -268,7 +257,10 @@
     assert run.cache.get_complete_since(_SERVERS) == 5
 
 
-async def test_later_listing_does_not_change_since_when_deletions_are_known():
+async def test_later_listing_raises_since_when_deletions_are_known():
+    # The host does not know what was created and deleted between the two.  It
+    # stated the first listing, so that others which knew such a server took
+    # over its revision and kept the server.
     store = _Store(
         listings=[_make_listing(5), _make_listing(9)],
         answers=[watcher.HistoryGone()],
@@ -276,7 +268,7 @@
     run = _WatcherRun(store)
     await run.run_for(0.05)
     assert store.calls.count("list") == 2
-    assert run.cache.get_complete_since(_SERVERS) == 5
+    assert run.cache.get_complete_since(_SERVERS) == 9
 
 
 async def test_servers_that_an_older_copy_lacks_are_kept(monkeypatch):
