Doubt deletions from the last certain moment, not from when they are seen

Cause: the loss is noticed after 1.2 s, and a host that begins to watch doubted each deletion for 2.4 s from then on, since the store might have been out of reach. The delays add up.

Hosts now state how old their knowledge is, beside the revision. Without a sign of an outage (a failed call since then, a later era, knowledge older than the bound allows) a deletion is in force by the time up to which the host knew everything, plus the bound, less 0.6 s. The doubt of hosts that start and of deletions inferred from another host's objects go the same way; the decision is in deletions.py, apart from watches.

Hosts of the version before ignore the age, and where they state none all is as before.

--- /dev/null
+++ b/eelgrasshall/gateway/deletions.py
@@ -0,0 +1,178 @@
+"""Decides when the deletion of an object takes effect.
+
+The entry of a server may lapse while the store is out of reach, although the
+server is alive; it then registers again within about two seconds.  A deletion
+that may be of this kind is put off that long.  Whether the store was out of
+reach is not always known: a host that has not followed the store for a while
+knows only when it was last up to date.  Without a sign of an outage, a deletion
+takes effect within its bound from then on, since the server may just as well
+have left right after that.
+"""
+
+import asyncio
+from collections.abc import Sequence
+import math
+
+from eelgrasshall.gateway import events
+from eelgrasshall.gateway import object_cache
+
+# Time within which servers whose entries expired register again: the two
+# seconds that the platform states, and a margin until the update arrives here.
+DELETION_GRACE_S = 2.4
+# Part of the bound on a deletion that is left for passing it on to all hosts.
+DISTRIBUTION_S = 0.6
+
+
+def choose_grace_s(gap_s: float, bound_s: float) -> float:
+    """Returns for how long deletions made in a gap of knowledge are doubted.
+
+    The load pattern is a fleet that loses the hosts that follow the store,
+    while servers leave as planned.
+
+    Args:
+      gap_s: Time since this host was last known to be up to date, seconds;
+        infinite if it never was.
+      bound_s: Time within which a deletion must be in force, seconds.
+
+    Returns:
+      The time, seconds.  After a gap that is longer than the bound allows,
+      deletions are late in any case, and an outage is the likely reason.
+    """
+    remaining_s = bound_s - DISTRIBUTION_S - gap_s
+    if remaining_s < 0.0:
+        return DELETION_GRACE_S
+    return min(remaining_s, DELETION_GRACE_S)
+
+
+class Deletions:
+    """Applies the changes of one collection, doubtful deletions later.
+
+    Only deletions of servers are doubted: no other object expires.
+
+    Args:
+      collection: The collection.
+      cache: The cache to update.
+      log: The log for doubts.
+      bound_s: Time within which a deletion must be in force, seconds.
+
+    Attributes:
+      following: Whether the store would tell this host of any change at once.
+    """
+
+    def __init__(
+        self,
+        *,
+        collection: object_cache.Collection,
+        cache: object_cache.ObjectCache,
+        log: events.EventLog,
+        bound_s: float,
+    ):
+        self.following = False
+        self._collection = collection
+        self._cache = cache
+        self._log = log
+        self._bound_s = bound_s
+        self._expires = collection is object_cache.Collection.SERVERS
+        self._failed_s = -math.inf
+        self._doubt_until_s = -math.inf
+        self._deferred: dict[str, asyncio.TimerHandle] = {}
+
+    @property
+    def _outage_suspected(self) -> bool:
+        """Whether a call failed since this host was last up to date."""
+        return self._failed_s > self._cache.get_current_s(self._collection)
+
+    def record_failure(self) -> None:
+        """Records that a call to the store has failed."""
+        self._failed_s = _get_time_s()
+
+    def doubt(self, *, since_s: float | None = None, outage=False) -> None:
+        """Begins to doubt deletions, those of the answer that follows included.
+
+        Args:
+          since_s: Monotonic time of the question to the store; now if None.
+          outage: Whether the store certainly was out of reach.
+        """
+        now = _get_time_s() if since_s is None else since_s
+        gap_s = now - self._cache.get_current_s(self._collection)
+        if outage or self._outage_suspected:
+            grace_s = DELETION_GRACE_S
+        else:
+            grace_s = choose_grace_s(gap_s, self._bound_s)
+        self._doubt_until_s = max(self._doubt_until_s, now + grace_s)
+        if self._expires:
+            self._log.record(
+                "deletions_doubted",
+                gap_ms=None if gap_s == math.inf else round(gap_s * 1000),
+                grace_ms=round(grace_s * 1000),
+                outage=outage or self._outage_suspected,
+            )
+
+    def apply(
+        self, update: object_cache.Update, *, after: int | None = None
+    ) -> None:
+        """Applies an update, but defers a deletion that is in doubt.
+
+        A deletion that is deferred already is not put off any longer.
+
+        Args:
+          update: The update.
+          after: See `object_cache.ObjectCache.defer`.
+        """
+        until_s = self._doubt_until_s
+        deferred = self._deferred.pop(update.name, None)
+        if deferred is not None:
+            deferred.cancel()
+            until_s = min(until_s, deferred.when())
+        remaining_s = until_s - _get_time_s()
+        if update.document is None and self._expires and remaining_s > 0:
+            self._cache.defer(update, after=after)
+            loop = asyncio.get_running_loop()
+            self._deferred[update.name] = loop.call_later(
+                remaining_s, self._apply_deferred, update
+            )
+            return
+        if deferred is not None:
+            self._cache.cancel_deferral(update)
+        self._cache.apply(update)
+
+    def infer(
+        self, updates: Sequence[object_cache.Update], *, after: int
+    ) -> None:
+        """Applies deletions that follow from the objects of another host.
+
+        Args:
+          updates: The deletions.
+          after: The revision after which they may have been made.
+        """
+        found = [each for each in updates if each.name not in self._deferred]
+        if found:
+            self.doubt()
+        for update in found:
+            self.apply(update, after=after)
+
+    def get_age_s(self) -> float | None:
+        """Returns how old the knowledge of this host may be, in seconds.
+
+        All changes that were made longer ago are in force here, up to the
+        applied revision.  None if that is not known, or if the store may be out
+        of reach.
+        """
+        if self._outage_suspected:
+            return None
+        now = _get_time_s()
+        if self.following:
+            self._cache.record_current(self._collection, now)
+        applied_s = self._cache.get_applied_current_s(self._collection)
+        return None if applied_s == -math.inf else now - applied_s
+
+    def _apply_deferred(self, update: object_cache.Update) -> None:
+        """Applies a deferred deletion that no later update has replaced."""
+        self._deferred.pop(update.name, None)
+        self._cache.cancel_deferral(update)
+        self._cache.apply(update)
+
+
+def _get_time_s() -> float:
+    """Returns the monotonic time, seconds."""
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/eelgrasshall/gateway/deletions_test.py
@@ -0,0 +1,150 @@
+"""Tests of when deletions take effect."""
+
+import asyncio
+import math
+
+import pytest
+
+from eelgrasshall.gateway import deletions
+from eelgrasshall.gateway import fakes
+from eelgrasshall.gateway import object_cache
+
+_SERVERS = object_cache.Collection.SERVERS
+
+
+class _Applied:
+    """A cache whose deletions are put off, on a scale of tenths of seconds."""
+
+    def __init__(self, *, collection=_SERVERS, bound_s: float = 0.3):
+        self.values: dict[str, object] = {}
+        self.log = fakes.Log()
+        self.collection = collection
+        self.cache = object_cache.ObjectCache(
+            decode=lambda collection, name, document: document,
+            on_update=self._on_update,
+        )
+        self.deletions = deletions.Deletions(
+            collection=collection,
+            cache=self.cache,
+            log=self.log,
+            bound_s=bound_s,
+        )
+        for name in ("a", "b"):
+            self.cache.apply(self.make_update(name, 3, "x"))
+        self.cache.advance(collection, 5)
+
+    def _on_update(self, update, value):
+        if value is None:
+            self.values.pop(update.name, None)
+        else:
+            self.values[update.name] = value
+
+    def make_update(self, name, revision, document=None):
+        return object_cache.Update(self.collection, name, revision, document)
+
+    def record_age(self, age_s: float) -> None:
+        now = asyncio.get_running_loop().time()
+        self.cache.record_current(self.collection, now - age_s)
+
+
+@pytest.fixture(autouse=True)
+def _shorten(monkeypatch):
+    monkeypatch.setattr(deletions, "DELETION_GRACE_S", 0.24)
+    monkeypatch.setattr(deletions, "DISTRIBUTION_S", 0.06)
+
+
+@pytest.mark.parametrize(
+    ("gap_s", "bound_s", "grace_s"),
+    [
+        # Up to date until now: as long as a lapsed entry may take.
+        (0.0, 0.3, 0.24),
+        (0.16, 0.3, 0.08),
+        # Beyond the bound an outage is likely.
+        (0.25, 0.3, 0.24),
+        (math.inf, 0.3, 0.24),
+        # A bound that leaves time for both.
+        (0.26, 0.6, 0.24),
+    ],
+)
+def test_doubt_ends_within_the_bound_from_the_last_certain_moment(
+    gap_s, bound_s, grace_s
+):
+    assert deletions.choose_grace_s(gap_s, bound_s) == pytest.approx(grace_s)
+
+
+async def test_deletion_without_doubt_is_applied_at_once():
+    applied = _Applied()
+    applied.deletions.apply(applied.make_update("a", 6))
+    assert applied.values == {"b": "x"}
+
+
+async def test_only_servers_lapse():
+    applied = _Applied(collection=object_cache.Collection.EVACUATIONS)
+    applied.deletions.doubt(outage=True)
+    applied.deletions.apply(applied.make_update("a", 6))
+    assert applied.values == {"b": "x"}
+
+
+async def test_inferred_deletion_holds_back_revision_and_age_while_in_doubt():
+    applied = _Applied()
+    applied.record_age(0.1)
+    applied.deletions.infer([applied.make_update("a", 9)], after=5)
+    applied.cache.advance(_SERVERS, 9)
+    applied.record_age(0.0)
+    assert applied.values == {"a": "x", "b": "x"}
+    assert applied.cache.get_applied_revision(_SERVERS) == 5
+    assert applied.deletions.get_age_s() >= 0.1
+    await asyncio.sleep(0.18)
+    assert applied.values == {"b": "x"}
+    assert applied.cache.get_applied_revision(_SERVERS) == 9
+    assert applied.deletions.get_age_s() >= 0.15
+
+
+async def test_second_report_of_a_deletion_does_not_put_it_off_again():
+    applied = _Applied()
+    applied.record_age(0.1)
+    applied.deletions.infer([applied.make_update("a", 9)], after=5)
+    await asyncio.sleep(0.1)
+    applied.deletions.doubt(outage=True)
+    applied.deletions.apply(applied.make_update("a", 12))
+    applied.deletions.infer([applied.make_update("a", 14)], after=7)
+    assert applied.cache.get_applied_revision(_SERVERS) == 5
+    await asyncio.sleep(0.07)
+    assert applied.values == {"b": "x"}
+
+
+async def test_server_that_registers_again_is_kept():
+    applied = _Applied()
+    applied.deletions.doubt(outage=True)
+    applied.deletions.apply(applied.make_update("a", 7))
+    applied.deletions.apply(applied.make_update("a", 8, "again"))
+    await asyncio.sleep(0.3)
+    assert applied.values == {"a": "again", "b": "x"}
+
+
+async def test_deletion_after_another_host_told_of_the_new_entry_is_not_lost():
+    applied = _Applied()
+    applied.deletions.doubt(outage=True)
+    applied.deletions.apply(applied.make_update("a", 7))
+    applied.cache.apply(applied.make_update("a", 8, "again"))
+    applied.deletions.apply(applied.make_update("a", 9))
+    await asyncio.sleep(0.3)
+    assert applied.values == {"b": "x"}
+
+
+async def test_age_is_unknown_without_contact_and_after_a_failure():
+    applied = _Applied()
+    assert applied.deletions.get_age_s() is None
+    applied.record_age(0.1)
+    assert applied.deletions.get_age_s() == pytest.approx(0.1, abs=0.05)
+    applied.deletions.record_failure()
+    assert applied.deletions.get_age_s() is None
+    applied.record_age(-0.01)
+    assert applied.deletions.get_age_s() is not None
+
+
+async def test_host_that_follows_the_store_knows_everything_until_now():
+    applied = _Applied()
+    applied.record_age(1.0)
+    applied.deletions.following = True
+    assert applied.deletions.get_age_s() == pytest.approx(0.0, abs=0.05)
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import json
 import math
 import random as random_module
@@ -16,6 +17,7 @@
 
 from eelgrasshall.gateway import active_hosts
 from eelgrasshall.gateway import cold_start
+from eelgrasshall.gateway import deletions
 from eelgrasshall.gateway import directory
 from eelgrasshall.gateway import election
 from eelgrasshall.gateway import events
@@ -207,11 +209,21 @@
             supersedes=_supersedes,
             collections=collections,
         )
+        self._deletions = {
+            collection: deletions.Deletions(
+                collection=collection,
+                cache=self._object_cache,
+                log=log,
+                bound_s=options.bounds_s[collection],
+            )
+            for collection in collections
+        }
         self._watchers = [
             watcher.Watcher(
                 collection=collection,
                 store=store,
                 cache=self._object_cache,
+                deletions=self._deletions[collection],
                 log=log,
                 random=random,
                 should_watch=self._should_watch,
@@ -224,8 +236,11 @@
             cache=self._object_cache,
             log=log,
             on_transferred=self._record_exchange,
+            on_inferred=self._handle_inferred_deletions,
+        )
+        self._update_answers = peer_sync.UpdateAnswers(
+            cache=self._object_cache, get_age_s=self._get_servers_age_s
         )
-        self._update_answers = peer_sync.UpdateAnswers(cache=self._object_cache)
         self._notify_scheduled = False
         self._peers = peers.HeartbeatProtocol(
             own=options.host,
@@ -591,6 +606,19 @@
         else:
             self._peers.add_host(value)
 
+    def _handle_inferred_deletions(
+        self,
+        collection: object_cache.Collection,
+        updates: Sequence[object_cache.Update],
+        after: int,
+    ) -> None:
+        """Applies deletions that another host could not name."""
+        self._deletions[collection].infer(updates, after=after)
+
+    def _get_servers_age_s(self) -> float | None:
+        """Returns how old this host's knowledge of the servers may be."""
+        return self._deletions[object_cache.Collection.SERVERS].get_age_s()
+
     def _handle_new_era(
         self, collection: object_cache.Collection, old: int, new: int
     ) -> None:
@@ -617,7 +645,7 @@
         if collection is not object_cache.Collection.CONFIGURATION:
             delay_s = UNCONFIRMED_RETENTION_S
             if collection is object_cache.Collection.SERVERS:
-                delay_s = watcher.DELETION_GRACE_S
+                delay_s = deletions.DELETION_GRACE_S
             self._loop.call_later(
                 delay_s, self._delete_unconfirmed, collection, era
             )
@@ -734,9 +762,10 @@
         self._peers.send_now()
 
     def _build_gossip(self) -> list:
-        """Returns the gossip of this host: revisions and announcements.
+        """Returns the gossip of this host: revisions, announcements, age.
 
-        Hosts of earlier versions ignore entries of the second list.
+        Hosts of earlier versions ignore entries of the second list, and what
+        follows it.
         """
         entries = []
         if self._request_handler.has_workspaces:
@@ -752,7 +781,11 @@
                     names, self._loop.time()
                 )
             )
-        return [peer_sync.list_revisions(self._object_cache), entries]
+        return [
+            peer_sync.list_revisions(self._object_cache),
+            entries,
+            peer_sync.encode_age(self._get_servers_age_s()),
+        ]
 
     def _handle_gossip(self, sender: str, gossip: list) -> None:
         """Fetches newer objects from another host."""
@@ -767,7 +800,10 @@
         host = self._peers.find_host(sender)
         if host is not None:
             self._peer_sync.handle_revisions(
-                sender, host.control_address, revisions
+                sender,
+                host.control_address,
+                revisions,
+                peer_sync.decode_age(gossip[2] if len(gossip) > 2 else None),
             )
 
     def _merge_announcement(self, sender: str, entries: list) -> None:
--- a/eelgrasshall/gateway/host_test.py
+++ b/eelgrasshall/gateway/host_test.py
@@ -8,6 +8,7 @@
 
 from eelgrasshall.gateway import cold_start
 from eelgrasshall.gateway import crash_gossip
+from eelgrasshall.gateway import deletions
 from eelgrasshall.gateway import events
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import fanout
@@ -371,7 +372,7 @@
     monkeypatch,
 ):
     monkeypatch.setattr(host_module, "UNCONFIRMED_RETENTION_S", 0.2)
-    monkeypatch.setattr(watcher, "DELETION_GRACE_S", 0.1)
+    monkeypatch.setattr(deletions, "DELETION_GRACE_S", 0.1)
     evacuations = object_cache.Collection.EVACUATIONS
     servers = object_cache.Collection.SERVERS
     store = _FakeStore()
--- a/eelgrasshall/gateway/object_cache.py
+++ b/eelgrasshall/gateway/object_cache.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable
 from collections.abc import Container
 import enum
+import math
 from typing import Any
 from typing import NamedTuple
 
@@ -97,10 +98,12 @@
     Attributes:
       revision: Its revision.
       after: The revision up to which all changes are applied meanwhile.
+      after_s: Monotonic time up to which they are, seconds.
     """
 
     revision: int
     after: int
+    after_s: float
 
 
 Decoder = Callable[[Collection, str, Any], Any]
@@ -150,6 +153,7 @@
         }
         self._received = dict.fromkeys(Collection, 0)
         self._complete_since = dict.fromkeys(Collection, 0)
+        self._current_s = dict.fromkeys(Collection, -math.inf)
         self._configuration_version = 0
         self._keeps_configuration = False
         self._deferred: dict[Collection, dict[str, _Deferral]] = {
@@ -197,6 +201,24 @@
             self._complete_since[collection] = revision
             self.generation += 1
 
+    def get_current_s(self, collection: Collection) -> float:
+        """Returns the time up to which all changes have been received.
+
+        That is monotonic time in seconds, minus infinity if unknown.
+        """
+        return self._current_s[collection]
+
+    def get_applied_current_s(self, collection: Collection) -> float:
+        """Returns the time up to which all changes have been applied."""
+        deferred = self._deferred[collection].values()
+        return min(
+            [self._current_s[collection], *(each.after_s for each in deferred)]
+        )
+
+    def record_current(self, collection: Collection, time_s: float) -> None:
+        """Records that all changes up to a time have been received."""
+        self._current_s[collection] = max(self._current_s[collection], time_s)
+
     def defer(self, update: Update, *, after: int | None = None) -> None:
         """Records a received update that is to be applied later, if at all.
 
@@ -209,11 +231,15 @@
         """
         if after is None:
             after = update.revision - 1
+        after_s = self._current_s[update.collection]
         deferred = self._deferred[update.collection]
         known = deferred.get(update.name)
         if known is not None:
-            after = min(after, known.after)
-        deferred[update.name] = _Deferral(update.revision, after)
+            after, after_s = (
+                min(after, known.after),
+                min(after_s, known.after_s),
+            )
+        deferred[update.name] = _Deferral(update.revision, after, after_s)
         self.generation += 1
 
     def cancel_deferral(self, update: Update) -> None:
--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -12,7 +12,8 @@
 What a host states at a revision, and what follows from it, is in
 docs/DESIGN.md.  In short: all changes up to the revision are in force there.
 To a host that needs to know of deletions which the sender cannot name, it gives
-the names of all objects; what is missing there is deleted.
+the names of all objects; what is missing there is deleted.  With the revision
+goes its age: all changes that were made longer ago are in it.
 
 A host that keeps a configuration which the store has lost states its version.
 Hosts that know only an earlier one, under the same revision, fetch it.
@@ -26,6 +27,7 @@
 from collections.abc import Sequence
 import gzip
 import json
+import math
 from typing import Any
 
 from eelgrasshall.gateway import client
@@ -50,6 +52,9 @@
 # higher than any.
 REVISIONS_TARGET = f"{UPDATES_PATH}?{','.join([str(1 << 40)] * 8)}"
 
+_SERVERS = object_cache.Collection.SERVERS
+_AGE_HEADER = b"Eelgrasshall-Age-Ms"
+_MAX_AGE_DIGITS = 9
 
 _JSON = [(b"Content-Type", b"application/json")]
 
@@ -340,10 +345,18 @@
 
     Args:
       cache: The cache of this host.
+      get_age_s: Returns the age of what this host knows of the servers; None
+        if it is unknown.
     """
 
-    def __init__(self, *, cache: object_cache.ObjectCache):
+    def __init__(
+        self,
+        *,
+        cache: object_cache.ObjectCache,
+        get_age_s: Callable[[], float | None] = lambda: None,
+    ):
         self._cache = cache
+        self._get_age_s = get_age_s
         self._key: tuple[int, bytes, bool] | None = None
         self._latest: listener.Response | None = None
 
@@ -354,7 +367,11 @@
         if self._latest is None or key != self._key:
             self._key = key
             self._latest = self._encode(request.target, b"gzip" in accepted)
-        return self._latest
+        age_ms = encode_age(self._get_age_s())
+        if age_ms is None:
+            return self._latest
+        header = (_AGE_HEADER, b"%d" % age_ms)
+        return self._latest._replace(headers=[*self._latest.headers, header])
 
     def _encode(self, target: bytes, accepts_gzip: bool) -> listener.Response:
         """Returns the response to a request."""
@@ -373,6 +390,21 @@
         return listener.Response(200, headers, gzip.compress(body, 1, mtime=0))
 
 
+def encode_age(age_s: float | None) -> int | None:
+    """Returns an age in whole milliseconds, not less than it is."""
+    return None if age_s is None else math.ceil(age_s * 1000)
+
+
+def decode_age(value: Any) -> float | None:
+    """Returns the age that a host has stated, seconds; None if it has not."""
+    if isinstance(value, bytes):
+        valid = value.isdigit() and len(value) <= _MAX_AGE_DIGITS
+        value = int(value) if valid else None
+    if type(value) is not int or not 0 <= value < 10**_MAX_AGE_DIGITS:
+        return None
+    return value / 1000.0
+
+
 def parse_revisions(query: str) -> list[int]:
     """Parses the comma-separated numbers in a host's query.
 
@@ -427,6 +459,7 @@
         name: str,
         address: model.Address,
         numbers: Sequence[int],
+        age_s: float | None = None,
     ) -> None:
         """Starts a fetch if a host is ahead and no such fetch is running.
 
@@ -434,12 +467,15 @@
           name: The name of the host.
           address: Its control address.
           numbers: What it has applied; see `list_revisions`.
+          age_s: How old its knowledge of the servers may be, seconds.
         """
         stated = decode_revisions(self._cache, numbers)
         behind = any(
             revision > self._cache.get_applied_revision(collection)
             for collection, revision in stated.items()
         )
+        now = asyncio.get_running_loop().time()
+        self._record_age(stated.get(_SERVERS, 0), age_s, now)
         kept_version = find_kept_version(self._cache, numbers)
         if (self._get_era(), kept_version) <= self._fetched_version:
             kept_version = 0
@@ -536,7 +572,7 @@
             received_bytes = response.received_bytes
             if response.status != 200:
                 raise client.CallError(f"status {response.status}")
-            changed = self._apply(response)
+            changed = self._apply(response, started_s)
         except client.CallError as error:
             failure = error
             received_bytes = max(received_bytes, error.received_bytes)
@@ -560,7 +596,7 @@
             self._log.record("exchange", peer=name, changed=changed, **cost)
         return True
 
-    def _apply(self, response: client.Response) -> int:
+    def _apply(self, response: client.Response, asked_s: float) -> int:
         """Applies an answer and notes which revisions were not taken over."""
         document = response.document
         changed = apply_updates(
@@ -579,8 +615,28 @@
             for collection, part in _list_parts(self._cache, document)
         }
         self._missing = {} if self._has_all(revisions) else revisions
+        age_s = decode_age(response.headers.get(_AGE_HEADER.lower()))
+        self._record_age(revisions[_SERVERS], age_s, asked_s)
         return changed
 
+    def _record_age(
+        self, revision: int, age_s: float | None, time_s: float
+    ) -> None:
+        """Records how old a revision was at a time, if this host has it.
+
+        Args:
+          revision: A revision of the servers that another host has applied.
+          age_s: How old its knowledge was; None if that is not known.
+          time_s: The monotonic time, seconds.
+        """
+        received = self._cache.get_received_revision(_SERVERS)
+        if (
+            age_s is not None
+            and 0 < revision <= received
+            and object_cache.get_era(revision) == object_cache.get_era(received)
+        ):
+            self._cache.record_current(_SERVERS, time_s - age_s)
+
     def _has_all(self, revisions: dict[object_cache.Collection, int]) -> bool:
         """Returns whether all changes up to these revisions were received."""
         return all(
--- a/eelgrasshall/gateway/peer_sync_test.py
+++ b/eelgrasshall/gateway/peer_sync_test.py
@@ -5,6 +5,7 @@
 import functools
 import itertools
 import json
+import math
 from typing import NamedTuple
 
 import pytest
@@ -272,6 +273,49 @@
     assert not _is_live(local, "a")
 
 
+async def test_age_of_a_revision_counts_for_hosts_that_have_it():
+    remote, local = _make_fresh_cache(9), _make_fresh_cache(9)
+    sync = peer_sync.PeerSync(cache=local, log=fakes.Log())
+    address = model.Address("127.0.0.1", 1)
+    now = asyncio.get_running_loop().time()
+    stated = peer_sync.list_revisions(remote)
+    sync.handle_revisions("h2", address, stated, 0.5)
+    assert abs(local.get_current_s(_SERVERS) - (now - 0.5)) < 0.1
+    # Older knowledge and unknown ages change nothing.
+    sync.handle_revisions("h2", address, stated, 5.0)
+    sync.handle_revisions("h2", address, stated, None)
+    assert abs(local.get_current_s(_SERVERS) - (now - 0.5)) < 0.1
+    # This host does not have what the age is of.
+    behind = _make_fresh_cache(8)
+    sync = peer_sync.PeerSync(cache=behind, log=fakes.Log())
+    sync.handle_revisions("h2", address, stated, 0.5)
+    sync.stop()
+    assert behind.get_current_s(_SERVERS) == -math.inf
+
+
+async def test_fetch_takes_over_the_age():
+    remote, local = _make_fresh_cache(9), _make_cache()
+    sync = peer_sync.PeerSync(cache=local, log=fakes.Log())
+    answers = peer_sync.UpdateAnswers(cache=remote, get_age_s=lambda: 2.0)
+
+    async def answer(request):
+        return answers.answer(request)
+
+    server = listener.Listener(handler=answer, get_limits=model.CallerLimits)
+    await server.start(model.Address("127.0.0.1", 19117))
+    now = asyncio.get_running_loop().time()
+    assert await sync.fetch("h2", model.Address("127.0.0.1", 19117))
+    server.stop()
+    assert abs(local.get_current_s(_SERVERS) - (now - 2.0)) < 0.1
+
+
+@pytest.mark.parametrize(
+    "value", [None, "5", -1, 10**12, True, 1.5, [1], b"", b"x", b"9" * 40]
+)
+def test_malformed_age_is_unknown(value):
+    assert peer_sync.decode_age(value) is None
+
+
 async def test_a_failing_seed_is_logged_and_the_next_one_asked():
     remote, local = _make_cache(), _make_cache()
     for collection in object_cache.Collection:
--- a/eelgrasshall/gateway/watcher.py
+++ b/eelgrasshall/gateway/watcher.py
@@ -1,9 +1,4 @@
-"""Watches the platform's store: one listing, then watches, per collection.
-
-A deletion that is seen just after the store was unreachable may be that of an
-entry that expired meanwhile although its server is alive.  Such servers
-register again within about two seconds, so the deletion is deferred that long.
-"""
+"""Watches the platform's store: one listing, then watches, per collection."""
 
 import asyncio
 from collections.abc import Callable
@@ -12,6 +7,7 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from eelgrasshall.gateway import deletions as deletions_module
 from eelgrasshall.gateway import events
 from eelgrasshall.gateway import object_cache
 
@@ -31,6 +27,9 @@
 # force in time.
 MIN_BATCH_DELAY_S = 0.1
 MAX_BATCH_DELAY_S = 0.3
+# A host whose watch begins within this time after an answer follows the store,
+# which would tell it of any change.
+FOLLOWING_GAP_S = 2 * MAX_BATCH_DELAY_S
 # A watch that took less time than this was answered immediately.
 IMMEDIATE_ANSWER_S = 0.5
 # How often a host that does not watch checks whether it should.
@@ -40,9 +39,6 @@
 # Number of servers that disappear together from which on expired entries are
 # more likely than servers that all stopped at the same moment.
 MASS_DELETION_COUNT = 3
-# Time within which servers whose entries expired register again: the two
-# seconds that the platform states, and a margin until the update arrives here.
-DELETION_GRACE_S = 2.4
 
 
 def choose_batch_delay_s(last_s: float, waited_s: float) -> float:
@@ -95,6 +91,7 @@
       collection: The collection.
       store: The platform's store.
       cache: The cache to update.
+      deletions: Applies what the store tells to the cache.
       log: The log for loss and recovery of the store.
       random: The source of jitter.
       should_watch: Returns whether this host is one of those that watch.
@@ -107,6 +104,7 @@
         collection: object_cache.Collection,
         store: Store,
         cache: object_cache.ObjectCache,
+        deletions: deletions_module.Deletions,
         log: events.EventLog,
         random: random_module.Random,
         should_watch: Callable[[], bool],
@@ -115,15 +113,14 @@
         self._collection = collection
         self._store = store
         self._cache = cache
+        self._deletions = deletions
         self._log = log
         self._random = random
         self._should_watch = should_watch
         self._wait_s = min(bound_s * WATCH_TIMEOUT_SHARE, MAX_WATCH_WAIT_S)
         self._failures = 0
-        self._grace_start_s = -DELETION_GRACE_S
         self._listed = False
         self._watching = False
-        self._deferred: dict[str, asyncio.TimerHandle] = {}
         # When the store last answered a call, in monotonic seconds.
         self.answered_s = -math.inf
 
@@ -147,6 +144,7 @@
         while True:
             if self._cache.get_received_revision(self._collection):
                 await self._watch()
+            asked_s = asyncio.get_running_loop().time()
             listing = await self._store.read_all(self._collection)
             if isinstance(listing, Unavailable):
                 await self._back_off(listing.reason)
@@ -154,6 +152,7 @@
             self._record_answer()
             known = self._cache.get_received_revision(self._collection)
             self._apply_listing(listing)
+            self._cache.record_current(self._collection, asked_s)
             if known and listing.revision <= known:
                 # The next watch may fail for the same reason.
                 await asyncio.sleep(MIN_BACKOFF_S)
@@ -169,9 +168,16 @@
             resumed, self._watching = not self._watching, True
             revision = self._cache.get_received_revision(self._collection)
             asked_s = loop.time()
-            result = await self._store.wait_for_changes(
-                self._collection, revision, self._wait_s
+            self._deletions.following = (
+                not self._failures
+                and asked_s - self.answered_s < FOLLOWING_GAP_S
             )
+            try:
+                result = await self._store.wait_for_changes(
+                    self._collection, revision, self._wait_s
+                )
+            finally:
+                self._deletions.following = False
             if isinstance(result, HistoryGone):
                 self._log.record(
                     "history_gone",
@@ -183,11 +189,16 @@
                 await self._back_off(result.reason)
                 continue
             self._record_answer()
-            if resumed or self._is_mass_deletion(result.updates):
-                self._grace_start_s = loop.time()
+            if resumed:
+                self._deletions.doubt(since_s=asked_s)
+            else:
+                self._cache.record_current(self._collection, loop.time())
+                if self._is_mass_deletion(result.updates):
+                    self._deletions.doubt()
             for update in result.updates:
-                self._apply_or_defer(update)
+                self._deletions.apply(update)
             self._cache.advance(self._collection, result.revision)
+            self._cache.record_current(self._collection, loop.time())
             batch_delay_s = choose_batch_delay_s(
                 batch_delay_s, loop.time() - asked_s
             )
@@ -203,17 +214,17 @@
             # Entries learned from other hosts may have expired while the store
             # was unreachable, or been written after the copy from which it came
             # back.
-            self._grace_start_s = asyncio.get_running_loop().time()
+            self._deletions.doubt(outage=later_era)
         applied = self._cache.get_applied_revision(self._collection)
         if listing.revision > received:
             self._cache.raise_complete_since(self._collection, listing.revision)
         for update in listing.updates:
-            self._apply_or_defer(update)
+            self._deletions.apply(update)
         present = {update.name for update in listing.updates}
         for update in self._cache.infer_deletions(
             self._collection, present, listing.revision
         ):
-            self._apply_or_defer(update, after=applied)
+            self._deletions.apply(update, after=applied)
         self._cache.advance(self._collection, listing.revision)
         self._listed = True
 
@@ -224,44 +235,11 @@
         deleted = sum(1 for each in updates if each.document is None)
         return deleted >= MASS_DELETION_COUNT
 
-    def _apply_or_defer(
-        self, update: object_cache.Update, *, after: int | None = None
-    ) -> None:
-        """Applies an update, but defers a deletion in the grace period.
-
-        Args:
-          update: The update.
-          after: See `object_cache.ObjectCache.defer`.
-        """
-        deferred = self._deferred.pop(update.name, None)
-        if deferred is not None:
-            deferred.cancel()
-            self._cache.cancel_deferral(update)
-        loop = asyncio.get_running_loop()
-        remaining_s = self._grace_start_s + DELETION_GRACE_S - loop.time()
-        if (
-            update.document is None
-            and self._collection is object_cache.Collection.SERVERS
-            and remaining_s > 0
-        ):
-            self._cache.defer(update, after=after)
-            self._deferred[update.name] = loop.call_later(
-                remaining_s, self._apply_deferred, update
-            )
-            return
-        self._cache.apply(update)
-
-    def _apply_deferred(self, update: object_cache.Update) -> None:
-        """Applies a deferred deletion that no later update has replaced."""
-        self._deferred.pop(update.name, None)
-        self._cache.cancel_deferral(update)
-        self._cache.apply(update)
-
     def _record_answer(self) -> None:
         """Records that the store answered, and logs a recovery."""
         self.answered_s = asyncio.get_running_loop().time()
         if self._failures:
-            self._grace_start_s = asyncio.get_running_loop().time()
+            self._deletions.doubt()
             self._log.record(
                 "store_regained",
                 collection=self._collection.name,
@@ -271,6 +249,7 @@
 
     async def _back_off(self, reason: str) -> None:
         """Waits after a failed call, with exponential backoff and jitter."""
+        self._deletions.record_failure()
         if not self._failures:
             self._log.record(
                 "store_lost",
--- a/eelgrasshall/gateway/watcher_test.py
+++ b/eelgrasshall/gateway/watcher_test.py
@@ -4,6 +4,9 @@
 import functools
 import random
 
+import pytest
+
+from eelgrasshall.gateway import deletions
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import object_cache
 from eelgrasshall.gateway import peer_sync
@@ -63,6 +66,12 @@
             collection=_SERVERS,
             store=store,
             cache=self.cache,
+            deletions=deletions.Deletions(
+                collection=_SERVERS,
+                cache=self.cache,
+                log=self.log,
+                bound_s=bound_s,
+            ),
             log=self.log,
             random=random.Random(1),
             should_watch=should_watch,
@@ -83,11 +92,12 @@
 
 def _override(monkeypatch, **constants: float):
     for name, value in constants.items():
-        monkeypatch.setattr(watcher, name, value)
+        module = deletions if hasattr(deletions, name) else watcher
+        monkeypatch.setattr(module, name, value)
 
 
 def test_deferred_deletions_are_in_force_within_the_bound():
-    assert watcher.DELETION_GRACE_S + watcher.MAX_BATCH_DELAY_S < _BOUND_S
+    assert deletions.DELETION_GRACE_S + watcher.MAX_BATCH_DELAY_S < _BOUND_S
 
 
 async def test_watch_leaves_others_most_of_the_bound_to_take_over():
@@ -271,6 +281,74 @@
     assert run.cache.get_complete_since(_SERVERS) == 9
 
 
+async def _begin_to_watch(
+    monkeypatch, *, gap_s: float, deleted: int
+) -> _WatcherRun:
+    """Lets a host watch that was up to date some time ago; see `_override`.
+
+    The bound is 3 s and its scale a tenth of that in use.
+    """
+    _override(
+        monkeypatch,
+        MIN_BATCH_DELAY_S=0.0,
+        DELETION_GRACE_S=0.24,
+        DISTRIBUTION_S=0.06,
+        INITIAL_ROLE_DELAY_S=0.0,
+    )
+    names = [f"s{number}" for number in range(deleted)]
+    deletions_seen = [_make_update(name, 8) for name in names]
+    store = _Store(listings=[], answers=[_make_listing(9, *deletions_seen)])
+    run = _WatcherRun(store, bound_s=0.3)
+    for name in names:
+        run.cache.apply(_make_update(name, 3, "x"))
+    run.cache.advance(_SERVERS, 5)
+    loop = asyncio.get_running_loop()
+    run.cache.record_current(_SERVERS, loop.time() - gap_s)
+    return run
+
+
+@pytest.mark.parametrize("deleted", [1, 5])
+async def test_doubt_of_a_host_that_begins_to_watch_ends_within_the_bound(
+    monkeypatch, deleted
+):
+    # It doubted deletions for 2.4 s from the moment at which it saw them,
+    # 1.6 s after the hosts that watched were lost (DRAIN, review/4).
+    run = await _begin_to_watch(monkeypatch, gap_s=0.16, deleted=deleted)
+    task = asyncio.create_task(run.watcher.run())
+    await asyncio.sleep(0.04)
+    assert len(run.values) == deleted
+    assert run.cache.get_applied_revision(_SERVERS) == 7
+    await asyncio.sleep(0.08)
+    assert run.values == {}
+    assert run.cache.get_applied_revision(_SERVERS) == 9
+    task.cancel()
+
+
+async def test_deletions_after_a_gap_beyond_the_bound_are_doubted_in_full(
+    monkeypatch,
+):
+    # Nobody has reached the store for so long that entries may have lapsed.
+    run = await _begin_to_watch(monkeypatch, gap_s=0.5, deleted=2)
+    task = asyncio.create_task(run.watcher.run())
+    await asyncio.sleep(0.2)
+    assert len(run.values) == 2
+    await asyncio.sleep(0.1)
+    assert run.values == {}
+    task.cancel()
+
+
+async def test_failed_call_shows_an_outage_whatever_others_state(monkeypatch):
+    run = await _begin_to_watch(monkeypatch, gap_s=0.16, deleted=2)
+    _override(monkeypatch, MIN_BACKOFF_S=0.02)
+    run.watcher._store.answers.insert(0, watcher.Unavailable("reset"))
+    task = asyncio.create_task(run.watcher.run())
+    await asyncio.sleep(0.2)
+    assert len(run.values) == 2
+    await asyncio.sleep(0.1)
+    assert run.values == {}
+    task.cancel()
+
+
 async def test_servers_that_an_older_copy_lacks_are_kept(monkeypatch):
     _override(monkeypatch, MIN_BATCH_DELAY_S=0.0, DELETION_GRACE_S=0.1)
     era_1 = functools.partial(object_cache.make_revision, 1)
--- a/eelgrasshall/platform/lost_watchers_test.py
+++ b/eelgrasshall/platform/lost_watchers_test.py
@@ -96,3 +96,12 @@
         tmp_path, port=21200, more_killed=0, restart_s=0.4
     )
     assert latest_s < _DRAIN_S
+
+
+async def test_hosts_that_begin_to_watch_do_not_doubt_for_too_long(tmp_path):
+    # Others noticed the loss after 1.2 s and doubted the deletion for 2.4 s
+    # from then on (DRAIN, review/4).
+    latest_s = await _measure_latest_s(
+        tmp_path, port=21300, more_killed=1, restart_s=2.0
+    )
+    assert latest_s < _DRAIN_S
