Give a listing of several pages the revision of its first page

Cause: the listing had the revision of its last page. What was deleted from a page that had already been read was in the listing, and the deletion lay before the watch that followed.

The watch now begins at the first page's revision. Changes that are read twice do no harm, as each object has its own revision.

Evidence: store_test with changes before the second and the third page; both failed before.

--- a/eelgrasshall/platform/store.py
+++ b/eelgrasshall/platform/store.py
@@ -53,10 +53,15 @@
     async def read_all(
         self, collection: object_cache.Collection
     ) -> object_cache.Listing | watcher.Unavailable:
-        """Reads all pages of a collection."""
+        """Reads all pages of a collection.
+
+        The listing has the revision of the first page: what changes in a page
+        after it has been read is found by a watch from there.
+        """
         updates: list[object_cache.Update] = []
         after = ""
         era: int | None = None
+        first_revision: int | None = None
         while True:
             query = f"?after={urllib.parse.quote(after)}" if after else ""
             response = await self._call(collection, query, CALL_TIMEOUT_S)
@@ -78,8 +83,10 @@
                 after = page[-1]["meta"]["name"] if page else ""
             except (KeyError, TypeError, IndexError) as error:
                 return watcher.Unavailable(f"malformed list: {error!r}")
+            if first_revision is None:
+                first_revision = revision
             if not more:
-                return object_cache.Listing(tuple(updates), revision)
+                return object_cache.Listing(tuple(updates), first_revision)
 
     async def wait_for_changes(
         self, collection: object_cache.Collection, revision: int, wait_s: float
--- a/eelgrasshall/platform/store_test.py
+++ b/eelgrasshall/platform/store_test.py
@@ -40,6 +40,40 @@
         assert listing.revision == 8
 
 
+@pytest.mark.parametrize("changed_before_page", [2, 3])
+async def test_changes_between_two_pages_are_found_by_the_next_watch(
+    changed_before_page,
+):
+    # The listing had the revision of its last page, so that a server which was
+    # deleted from a page that had been read stayed for good (DRAIN, review/5).
+    async with _open(18915) as (fake, client):
+        fake.page_size = 3
+        for number in range(8):
+            fake.put("servers", f"i-{number}", {"n": number})
+        list_page, pages = fake._list, []
+
+        def change_between_pages(kind, after):
+            pages.append(after)
+            if len(pages) == changed_before_page:
+                fake.delete("servers", "i-1")
+                fake.put("servers", "i-00", {"n": 8})
+                fake.put("servers", "i-2", {"n": 9})
+                fake.delete("servers", "i-7")
+            return list_page(kind, after)
+
+        fake._list = change_between_pages
+        listing = await client.read_all(_SERVERS)
+        known = {each.name: each.document for each in listing.updates}
+        assert len(pages) == 3 and "i-1" in known
+        changes = await client.wait_for_changes(_SERVERS, listing.revision, 1.0)
+        known.update({each.name: each.document for each in changes.updates})
+        servers = {name for name, document in known.items() if document}
+        assert servers == {f"i-{number}" for number in (0, 2, 3, 4, 5, 6)} | {
+            "i-00"
+        }
+        assert known["i-2"]["spec"] == {"n": 9}
+
+
 async def test_wait_returns_changes_and_deletions():
     async with _open(18902) as (fake, client):
         fake.put("servers", "i-1", {"n": 1})
