Pass on deletions that are put off, with the time at which they are due

Cause: 22 servers left at once, so that the hosts which watch put the deletions off for 2.4 s. They stated only what was in force. All of them were killed 1.8 s later, and nobody else had heard of the deletions.

Deletions that are put off now go along with each answer between hosts, with the time at which they are due on the sender's clock and that clock itself. Heartbeats state the revision that has been received beside the applied one, so that all hosts ask at once.

--- a/eelgrasshall/gateway/deletions.py
+++ b/eelgrasshall/gateway/deletions.py
@@ -99,8 +99,8 @@
             grace_s = DELETION_GRACE_S
         else:
             grace_s = choose_grace_s(gap_s, self._bound_s)
-        self._doubt_until_s = max(self._doubt_until_s, now + grace_s)
         if self._expires:
+            self._doubt_until_s = max(self._doubt_until_s, now + grace_s)
             self._log.record(
                 "deletions_doubted",
                 gap_ms=None if gap_s == math.inf else round(gap_s * 1000),
@@ -124,18 +124,34 @@
         if deferred is not None:
             deferred.cancel()
             until_s = min(until_s, deferred.when())
-        remaining_s = until_s - _get_time_s()
-        if update.document is None and self._expires and remaining_s > 0:
-            self._cache.defer(update, after=after)
-            loop = asyncio.get_running_loop()
-            self._deferred[update.name] = loop.call_later(
-                remaining_s, self._apply_deferred, update
-            )
+        if update.document is None and until_s > _get_time_s():
+            self._defer(update, after, until_s)
             return
         if deferred is not None:
             self._cache.cancel_deferral(update)
         self._cache.apply(update)
 
+    def adopt(
+        self, update: object_cache.Update, *, after: int, until_s: float
+    ) -> None:
+        """Defers a deletion that another host doubts, for as long as that one.
+
+        So it takes effect in time though that host may be lost meanwhile.
+
+        Args:
+          update: The deletion.
+          after: See `object_cache.ObjectCache.defer`.
+          until_s: Monotonic time at which it is to be applied, seconds.
+        """
+        deferred = self._deferred.get(update.name)
+        if deferred is not None and deferred.when() <= until_s:
+            return
+        if not self._cache.is_live(update):
+            return
+        if deferred is not None:
+            deferred.cancel()
+        self._defer(update, after, until_s)
+
     def infer(
         self, updates: Sequence[object_cache.Update], *, after: int
     ) -> None:
@@ -166,6 +182,16 @@
         applied_s = self._cache.get_applied_current_s(self._collection)
         return None if applied_s == -math.inf else now - applied_s
 
+    def _defer(
+        self, update: object_cache.Update, after: int | None, until_s: float
+    ) -> None:
+        """Puts a deletion off until a monotonic time."""
+        self._cache.defer(update, after=after, until_s=until_s)
+        loop = asyncio.get_running_loop()
+        self._deferred[update.name] = loop.call_at(
+            until_s, self._apply_deferred, update
+        )
+
     def _apply_deferred(self, update: object_cache.Update) -> None:
         """Applies a deferred deletion that no later update has replaced."""
         self._deferred.pop(update.name, None)
--- a/eelgrasshall/gateway/deletions_test.py
+++ b/eelgrasshall/gateway/deletions_test.py
@@ -132,6 +132,41 @@
     assert applied.values == {"b": "x"}
 
 
+async def test_deletion_that_another_host_doubts_is_due_when_it_is_due_there():
+    applied = _Applied()
+    now = asyncio.get_running_loop().time()
+    applied.deletions.adopt(
+        applied.make_update("a", 9), after=6, until_s=now + 0.1
+    )
+    # A later time changes nothing, an earlier one does.
+    applied.deletions.adopt(
+        applied.make_update("a", 9), after=6, until_s=now + 0.3
+    )
+    applied.deletions.adopt(
+        applied.make_update("a", 9), after=6, until_s=now + 0.05
+    )
+    applied.cache.advance(_SERVERS, 9)
+    assert applied.values == {"a": "x", "b": "x"}
+    assert applied.cache.get_applied_revision(_SERVERS) == 6
+    await asyncio.sleep(0.08)
+    assert applied.values == {"b": "x"}
+    assert applied.cache.get_applied_revision(_SERVERS) == 9
+
+
+async def test_deletion_of_what_is_unknown_or_newer_is_not_adopted():
+    applied = _Applied()
+    applied.cache.apply(applied.make_update("b", 12, "again"))
+    applied.cache.advance(_SERVERS, 12)
+    now = asyncio.get_running_loop().time()
+    for name in ("b", "unknown"):
+        applied.deletions.adopt(
+            applied.make_update(name, 9), after=6, until_s=now + 0.05
+        )
+    assert applied.cache.get_applied_revision(_SERVERS) == 12
+    await asyncio.sleep(0.08)
+    assert applied.values == {"a": "x", "b": "again"}
+
+
 async def test_age_is_unknown_without_contact_and_after_a_failure():
     applied = _Applied()
     assert applied.deletions.get_age_s() is None
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -236,10 +236,12 @@
             cache=self._object_cache,
             log=log,
             on_transferred=self._record_exchange,
-            on_inferred=self._handle_inferred_deletions,
+            deletions=self._deletions,
         )
         self._update_answers = peer_sync.UpdateAnswers(
-            cache=self._object_cache, get_age_s=self._get_servers_age_s
+            cache=self._object_cache,
+            get_age_s=self._get_servers_age_s,
+            get_time_s=self._loop.time,
         )
         self._notify_scheduled = False
         self._peers = peers.HeartbeatProtocol(
@@ -606,15 +608,6 @@
         else:
             self._peers.add_host(value)
 
-    def _handle_inferred_deletions(
-        self,
-        collection: object_cache.Collection,
-        updates: Sequence[object_cache.Update],
-        after: int,
-    ) -> None:
-        """Applies deletions that another host could not name."""
-        self._deletions[collection].infer(updates, after=after)
-
     def _get_servers_age_s(self) -> float | None:
         """Returns how old this host's knowledge of the servers may be."""
         return self._deletions[object_cache.Collection.SERVERS].get_age_s()
@@ -762,10 +755,11 @@
         self._peers.send_now()
 
     def _build_gossip(self) -> list:
-        """Returns the gossip of this host: revisions, announcements, age.
+        """Returns the gossip of this host: revisions and announcements.
 
-        Hosts of earlier versions ignore entries of the second list, and what
-        follows it.
+        What follows concerns the servers: how old the knowledge of them is, and
+        up to which revision all changes have been received.  Hosts of earlier
+        versions ignore that, and entries of the second list.
         """
         entries = []
         if self._request_handler.has_workspaces:
@@ -785,6 +779,9 @@
             peer_sync.list_revisions(self._object_cache),
             entries,
             peer_sync.encode_age(self._get_servers_age_s()),
+            self._object_cache.get_received_revision(
+                object_cache.Collection.SERVERS
+            ),
         ]
 
     def _handle_gossip(self, sender: str, gossip: list) -> None:
@@ -803,7 +800,7 @@
                 sender,
                 host.control_address,
                 revisions,
-                peer_sync.decode_age(gossip[2] if len(gossip) > 2 else None),
+                *_read_servers_state(gossip[2:]),
             )
 
     def _merge_announcement(self, sender: str, entries: list) -> None:
@@ -1020,6 +1017,19 @@
         )
 
 
+def _read_servers_state(fields: Sequence[Any]) -> tuple[float | None, int]:
+    """Returns what another host states of its knowledge of the servers.
+
+    Returns:
+      Its age in seconds, and the revision up to which all changes have been
+      received; None and 0 if the host, of an earlier version, states none.
+    """
+    age, received = [*fields[:2], None, None][:2]
+    if type(received) is not int:
+        received = 0
+    return peer_sync.decode_time(age), received
+
+
 def _supersedes(
     collection: object_cache.Collection, new: Any, old: Any
 ) -> bool:
--- a/eelgrasshall/gateway/object_cache.py
+++ b/eelgrasshall/gateway/object_cache.py
@@ -92,18 +92,20 @@
     revision: int
 
 
-class _Deferral(NamedTuple):
-    """An update that is to be applied later, if at all.
+class Deferral(NamedTuple):
+    """A deletion that is to be applied later, if at all.
 
     Attributes:
-      revision: Its revision.
+      update: The deletion.
       after: The revision up to which all changes are applied meanwhile.
       after_s: Monotonic time up to which they are, seconds.
+      until_s: Monotonic time at which it is to be applied, seconds.
     """
 
-    revision: int
+    update: Update
     after: int
     after_s: float
+    until_s: float
 
 
 Decoder = Callable[[Collection, str, Any], Any]
@@ -156,7 +158,7 @@
         self._current_s = dict.fromkeys(Collection, -math.inf)
         self._configuration_version = 0
         self._keeps_configuration = False
-        self._deferred: dict[Collection, dict[str, _Deferral]] = {
+        self._deferred: dict[Collection, dict[str, Deferral]] = {
             collection: {} for collection in Collection
         }
 
@@ -219,15 +221,22 @@
         """Records that all changes up to a time have been received."""
         self._current_s[collection] = max(self._current_s[collection], time_s)
 
-    def defer(self, update: Update, *, after: int | None = None) -> None:
-        """Records a received update that is to be applied later, if at all.
+    def defer(
+        self,
+        update: Update,
+        *,
+        after: int | None = None,
+        until_s: float = math.inf,
+    ) -> None:
+        """Records a received deletion that is to be applied later, if at all.
 
         What is recorded of an earlier one of the same object stays in force.
 
         Args:
-          update: The update.
+          update: The deletion.
           after: The revision after which the change may have been made, if it
             was inferred from a listing; None if it is the update's own.
+          until_s: Monotonic time at which it is to be applied, seconds.
         """
         if after is None:
             after = update.revision - 1
@@ -235,13 +244,15 @@
         deferred = self._deferred[update.collection]
         known = deferred.get(update.name)
         if known is not None:
-            after, after_s = (
-                min(after, known.after),
-                min(after_s, known.after_s),
-            )
-        deferred[update.name] = _Deferral(update.revision, after, after_s)
+            after = min(after, known.after)
+            after_s = min(after_s, known.after_s)
+        deferred[update.name] = Deferral(update, after, after_s, until_s)
         self.generation += 1
 
+    def list_deferred(self, collection: Collection) -> list[Deferral]:
+        """Returns the deletions that are to be applied later."""
+        return list(self._deferred[collection].values())
+
     def cancel_deferral(self, update: Update) -> None:
         """Forgets the deferred update of an object."""
         self._deferred[update.collection].pop(update.name, None)
@@ -313,7 +324,7 @@
             self._keeps_configuration = is_kept
         deferral = self._deferred[update.collection].get(update.name)
         if deferral is not None and (
-            deferral.revision <= update.revision
+            deferral.update.revision <= update.revision
             or (update.document is None and deferral.after < update.revision)
         ):
             # Another host has confirmed the update that is deferred here.
@@ -386,6 +397,15 @@
             and update.name not in self._latest[update.collection]
         )
 
+    def is_live(self, deletion: Update) -> bool:
+        """Returns whether the object that an update deletes is known here."""
+        old = self._latest[deletion.collection].get(deletion.name)
+        return (
+            old is not None
+            and old.document is not None
+            and old.revision <= deletion.revision
+        )
+
     def list_names(self, collection: Collection) -> list[str]:
         """Returns the names of all objects that are not deleted."""
         return [
--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -13,7 +13,9 @@
 docs/DESIGN.md.  In short: all changes up to the revision are in force there.
 To a host that needs to know of deletions which the sender cannot name, it gives
 the names of all objects; what is missing there is deleted.  With the revision
-goes its age: all changes that were made longer ago are in it.
+goes its age: all changes that were made longer ago are in it.  Deletions that
+the sender has received and puts off go along, with the time at which they are
+due, so that they are not lost with it.
 
 A host that keeps a configuration which the store has lost states its version.
 Hosts that know only an earlier one, under the same revision, fetch it.
@@ -24,13 +26,16 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import gzip
 import json
 import math
+import time
 from typing import Any
 
 from eelgrasshall.gateway import client
+from eelgrasshall.gateway import deletions as deletions_module
 from eelgrasshall.gateway import events
 from eelgrasshall.gateway import listener
 from eelgrasshall.gateway import messages
@@ -54,14 +59,14 @@
 
 _SERVERS = object_cache.Collection.SERVERS
 _AGE_HEADER = b"Eelgrasshall-Age-Ms"
-_MAX_AGE_DIGITS = 9
+_CLOCK_HEADER = b"Eelgrasshall-Clock-Ms"
+_MAX_TIME_DIGITS = 12
 
 _JSON = [(b"Content-Type", b"application/json")]
 
-# Applies deletions that follow from the objects of another host, given the
-# collection and the revision after which they may have been made.
-InferenceHandler = Callable[
-    [object_cache.Collection, Sequence[object_cache.Update], int], None
+# What applies the deletions of each collection.
+DeletionsByCollection = Mapping[
+    object_cache.Collection, deletions_module.Deletions
 ]
 
 
@@ -117,6 +122,8 @@
             and object_cache.get_era(update.revision) == era
         ],
     }
+    if cache.list_deferred(collection):
+        part.update(_encode_deferred(cache, collection, era))
     if 0 < revision < cache.get_complete_since(collection):
         part["present"] = cache.list_names(collection)
     if _is_configuration(collection) and cache.kept_version:
@@ -124,6 +131,37 @@
     return part
 
 
+def _encode_deferred(
+    cache: object_cache.ObjectCache,
+    collection: object_cache.Collection,
+    era: int,
+) -> dict[str, Any]:
+    """Returns the deletions that are put off, and the revision with them.
+
+    Nothing if one of them has no time or belongs to an earlier era.
+    """
+    deferred = cache.list_deferred(collection)
+    received_era, received = object_cache.split_revision(
+        cache.get_received_revision(collection)
+    )
+    if received_era != era or any(
+        each.until_s == math.inf for each in deferred
+    ):
+        return {}
+    return {
+        "received": received,
+        "deferred": [
+            (
+                each.update.name,
+                object_cache.split_revision(each.update.revision)[1],
+                object_cache.split_revision(each.after)[1],
+                math.floor(each.until_s * 1000),
+            )
+            for each in deferred
+        ],
+    }
+
+
 def _is_configuration(collection: object_cache.Collection) -> bool:
     """Returns whether a collection is that of the configuration."""
     return collection is object_cache.Collection.CONFIGURATION
@@ -254,7 +292,8 @@
     cache: object_cache.ObjectCache,
     document: dict[str, Any],
     *,
-    on_inferred: InferenceHandler | None = None,
+    deletions: DeletionsByCollection | None = None,
+    clock_s: float | None = None,
 ) -> int:
     """Applies the updates that another host has sent.
 
@@ -265,8 +304,10 @@
     Args:
       cache: The cache to update.
       document: The document of the other host.
-      on_inferred: Applies deletions that the sender could not name; by default
+      deletions: Applies deletions that the sender could not name; by default
         they are applied at once.
+      clock_s: What the sender's clock shows when this host's shows 0, seconds;
+        None if it is unknown.
 
     Returns:
       The number of updates that changed the cache.
@@ -282,7 +323,6 @@
         era = part.get("era", object_cache.get_era(received))
         if era < object_cache.get_era(received):
             continue
-        revision = object_cache.make_revision(era, part["revision"])
         # Hosts of an earlier version do not send it.
         since = object_cache.make_revision(era, part.get("since", 0))
         for name, number, value in part["news"]:
@@ -296,6 +336,12 @@
                 changed += cache.adopt(update)
             elif not cache.is_obsolete(update):
                 changed += cache.apply(update)
+        revision = object_cache.make_revision(era, part["revision"])
+        if deletions is not None and clock_s is not None and "deferred" in part:
+            _adopt_deferred(
+                deletions[collection], collection, era, part, clock_s
+            )
+            revision = object_cache.make_revision(era, part["received"])
         if revision <= received:
             continue
         # All objects of a later era are in the document.
@@ -308,9 +354,9 @@
             present = frozenset(part["present"])
             inferred = cache.infer_deletions(collection, present, revision)
             changed += len(inferred)
-            after = cache.get_applied_revision(collection)
-            if on_inferred is not None:
-                on_inferred(collection, inferred, after)
+            if deletions is not None:
+                after = cache.get_applied_revision(collection)
+                deletions[collection].infer(inferred, after=after)
             else:
                 for update in inferred:
                     cache.apply(update)
@@ -320,6 +366,24 @@
     return changed
 
 
+def _adopt_deferred(
+    deletions: deletions_module.Deletions,
+    collection: object_cache.Collection,
+    era: int,
+    part: dict[str, Any],
+    clock_s: float,
+) -> None:
+    """Puts off the deletions that the sender puts off, as long as it does."""
+    for name, number, after, until_ms in part["deferred"]:
+        deletions.adopt(
+            object_cache.Update(
+                collection, name, object_cache.make_revision(era, number), None
+            ),
+            after=object_cache.make_revision(era, after),
+            until_s=until_ms / 1000.0 - clock_s,
+        )
+
+
 def _list_parts(
     cache: object_cache.ObjectCache, document: dict[str, Any]
 ) -> list[tuple[object_cache.Collection, Any]]:
@@ -347,6 +411,7 @@
       cache: The cache of this host.
       get_age_s: Returns the age of what this host knows of the servers; None
         if it is unknown.
+      get_time_s: Returns the monotonic time, seconds.
     """
 
     def __init__(
@@ -354,8 +419,10 @@
         *,
         cache: object_cache.ObjectCache,
         get_age_s: Callable[[], float | None] = lambda: None,
+        get_time_s: Callable[[], float] = time.monotonic,
     ):
         self._cache = cache
+        self._get_time_s = get_time_s
         self._get_age_s = get_age_s
         self._key: tuple[int, bytes, bool] | None = None
         self._latest: listener.Response | None = None
@@ -367,11 +434,16 @@
         if self._latest is None or key != self._key:
             self._key = key
             self._latest = self._encode(request.target, b"gzip" in accepted)
+        headers = list(self._latest.headers)
         age_ms = encode_age(self._get_age_s())
-        if age_ms is None:
+        if age_ms is not None:
+            headers.append((_AGE_HEADER, b"%d" % age_ms))
+        if any(self._cache.list_deferred(e) for e in self._cache.collections):
+            clock_ms = math.floor(self._get_time_s() * 1000)
+            headers.append((_CLOCK_HEADER, b"%d" % clock_ms))
+        if headers == self._latest.headers:
             return self._latest
-        header = (_AGE_HEADER, b"%d" % age_ms)
-        return self._latest._replace(headers=[*self._latest.headers, header])
+        return self._latest._replace(headers=headers)
 
     def _encode(self, target: bytes, accepts_gzip: bool) -> listener.Response:
         """Returns the response to a request."""
@@ -395,12 +467,16 @@
     return None if age_s is None else math.ceil(age_s * 1000)
 
 
-def decode_age(value: Any) -> float | None:
-    """Returns the age that a host has stated, seconds; None if it has not."""
+def decode_time(value: Any) -> float | None:
+    """Returns a time or an age that a host has stated in milliseconds.
+
+    Returns:
+      It in seconds; None if the host has stated none.
+    """
     if isinstance(value, bytes):
-        valid = value.isdigit() and len(value) <= _MAX_AGE_DIGITS
+        valid = value.isdigit() and len(value) <= _MAX_TIME_DIGITS
         value = int(value) if valid else None
-    if type(value) is not int or not 0 <= value < 10**_MAX_AGE_DIGITS:
+    if type(value) is not int or not 0 <= value < 10**_MAX_TIME_DIGITS:
         return None
     return value / 1000.0
 
@@ -422,7 +498,7 @@
       log: The log for fetches and their failures.
       on_transferred: Called with the name of the other host and the bytes of a
         fetch.
-      on_inferred: See `apply_updates`.
+      deletions: See `apply_updates`.
     """
 
     def __init__(
@@ -431,9 +507,9 @@
         cache: object_cache.ObjectCache,
         log: events.EventLog,
         on_transferred: Callable[[str, int], None] = lambda name, size: None,
-        on_inferred: InferenceHandler | None = None,
+        deletions: DeletionsByCollection | None = None,
     ):
-        self._on_inferred = on_inferred
+        self._deletions = deletions
         self._on_transferred = on_transferred
         self._cache = cache
         self._log = log
@@ -460,6 +536,7 @@
         address: model.Address,
         numbers: Sequence[int],
         age_s: float | None = None,
+        received: int = 0,
     ) -> None:
         """Starts a fetch if a host is ahead and no such fetch is running.
 
@@ -468,12 +545,15 @@
           address: Its control address.
           numbers: What it has applied; see `list_revisions`.
           age_s: How old its knowledge of the servers may be, seconds.
+          received: The revision of the servers up to which it has received all
+            changes, with the era; 0 if it has stated none.
         """
         stated = decode_revisions(self._cache, numbers)
         behind = any(
             revision > self._cache.get_applied_revision(collection)
             for collection, revision in stated.items()
         )
+        behind |= received > self._cache.get_received_revision(_SERVERS)
         now = asyncio.get_running_loop().time()
         self._record_age(stated.get(_SERVERS, 0), age_s, now)
         kept_version = find_kept_version(self._cache, numbers)
@@ -599,8 +679,12 @@
     def _apply(self, response: client.Response, asked_s: float) -> int:
         """Applies an answer and notes which revisions were not taken over."""
         document = response.document
+        clock_s = decode_time(response.headers.get(_CLOCK_HEADER.lower()))
         changed = apply_updates(
-            self._cache, document, on_inferred=self._on_inferred
+            self._cache,
+            document,
+            deletions=self._deletions,
+            clock_s=None if clock_s is None else clock_s - asked_s,
         )
         revisions = {
             collection: object_cache.make_revision(
@@ -615,7 +699,7 @@
             for collection, part in _list_parts(self._cache, document)
         }
         self._missing = {} if self._has_all(revisions) else revisions
-        age_s = decode_age(response.headers.get(_AGE_HEADER.lower()))
+        age_s = decode_time(response.headers.get(_AGE_HEADER.lower()))
         self._record_age(revisions[_SERVERS], age_s, asked_s)
         return changed
 
--- a/eelgrasshall/gateway/peer_sync_test.py
+++ b/eelgrasshall/gateway/peer_sync_test.py
@@ -11,6 +11,7 @@
 import pytest
 
 from eelgrasshall.gateway import client
+from eelgrasshall.gateway import deletions
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import listener
 from eelgrasshall.gateway import messages
@@ -44,7 +45,9 @@
 async def _serve(remote: object_cache.ObjectCache, port: int):
     """Serves a cache as a host does; yields the queries received."""
     queries: list[str] = []
-    answers = peer_sync.UpdateAnswers(cache=remote)
+    answers = peer_sync.UpdateAnswers(
+        cache=remote, get_time_s=asyncio.get_running_loop().time
+    )
 
     async def answer(request):
         queries.append(request.target.partition(b"?")[2].decode())
@@ -309,11 +312,60 @@
     assert abs(local.get_current_s(_SERVERS) - (now - 2.0)) < 0.1
 
 
+def _make_deletions(cache: object_cache.ObjectCache):
+    """Returns what applies the deletions of each collection."""
+    return {
+        collection: deletions.Deletions(
+            collection=collection, cache=cache, log=fakes.Log(), bound_s=3.0
+        )
+        for collection in object_cache.Collection
+    }
+
+
+async def test_deletion_that_is_put_off_is_due_at_all_hosts_at_the_same_time(
+    monkeypatch,
+):
+    # Only the hosts that watch knew of deletions that they doubted.  When all
+    # of them were lost meanwhile, the deletions were late (DRAIN, review/3 as
+    # a day, seed 3).
+    monkeypatch.setattr(deletions, "DELETION_GRACE_S", 0.3)
+    remote, local = (
+        _make_fresh_cache(5, _make_update("a", 3, "x")) for _ in range(2)
+    )
+    watching = _make_deletions(remote)[_SERVERS]
+    watching.doubt(outage=True)
+    watching.apply(_make_update("a", 7))
+    remote.apply(_make_update("b", 8, "y"))
+    remote.advance(_SERVERS, 8)
+    stated = peer_sync.list_revisions(remote)
+    assert stated[1] == 6
+    sync = peer_sync.PeerSync(
+        cache=local, log=fakes.Log(), deletions=_make_deletions(local)
+    )
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    async with _serve(remote, 19118) as queries:
+        # The clocks of hosts have nothing to do with each other.
+        address = model.Address("127.0.0.1", 19118)
+        sync.handle_revisions("h2", address, [5, 6, 5, 5], None, 8)
+        await asyncio.sleep(0.1)
+        assert len(queries) == 1
+        sync.handle_revisions("h2", address, [5, 6, 5, 5], None, 8)
+        await asyncio.sleep(0.05)
+        assert len(queries) == 1
+    assert _is_live(local, "a") and _is_live(local, "b")
+    assert local.get_received_revision(_SERVERS) == 8
+    assert local.get_applied_revision(_SERVERS) == 6
+    await asyncio.sleep(began_s + 0.34 - loop.time())
+    assert not _is_live(local, "a")
+    assert local.get_applied_revision(_SERVERS) == 8
+
+
 @pytest.mark.parametrize(
-    "value", [None, "5", -1, 10**12, True, 1.5, [1], b"", b"x", b"9" * 40]
+    "value", [None, "5", -1, 10**15, True, 1.5, [1], b"", b"x", b"9" * 40]
 )
 def test_malformed_age_is_unknown(value):
-    assert peer_sync.decode_age(value) is None
+    assert peer_sync.decode_time(value) is None
 
 
 async def test_a_failing_seed_is_logged_and_the_next_one_asked():
--- a/eelgrasshall/platform/lost_watchers_test.py
+++ b/eelgrasshall/platform/lost_watchers_test.py
@@ -15,10 +15,11 @@
 
 # Time within which a host no longer sends to a server whose entry is gone.
 _DRAIN_S = 3.0
-_LEAVING = "shard0-0"
+_ONE = ("shard0-0",)
+# As many as are doubted while nothing else happens.
+_MANY = ("shard0-0", "shard0-1", "shard1-1")
 _HOSTS = 7
 _SETTLING_S = 3.5
-_REMOVED_AFTER_S = 0.1
 _CHECKED_S = 5.5
 _PAUSE_S = 0.02
 _REACHES_STORE = re.compile(rb"store_reachable 1\b")
@@ -45,14 +46,22 @@
         await asyncio.sleep(_PAUSE_S)
 
 
-async def _restart(fleet, names: list[str]) -> None:
-    """Starts hosts that have been killed."""
-    for name in names:
-        await fleet.start_host(name)
+async def _measure_latest_s(
+    folder, *, port, leaving, more_killed, killed_s, restart_s
+) -> float:
+    """Returns when the servers that leave got their last search.
 
+    Args:
+      folder: The folder for files.
+      port: The first port.
+      leaving: The servers that leave.
+      more_killed: How many hosts are killed that do not watch the store.
+      killed_s: When hosts are killed.
+      restart_s: When they start again.
 
-async def _measure_latest_s(folder, *, port, more_killed, restart_s) -> float:
-    """Returns how long after the removal the server got its last search."""
+    Returns:
+      The time, in seconds after the entries were removed, as are all times.
+    """
     fleet = fleet_module.Fleet(
         folder=folder, port=port, hosts=_HOSTS, shards=2, replicas=3
     )
@@ -72,17 +81,29 @@
             for name in survivors
         ]
         await asyncio.sleep(0.5)
-        for name in killed:
-            fleet.signal_host(name, signal.SIGKILL)
-        await asyncio.sleep(_REMOVED_AFTER_S)
-        fleet.store.delete("servers", _LEAVING)
-        removed_s = time.monotonic()
-        await asyncio.sleep(restart_s - _REMOVED_AFTER_S)
-        await _restart(fleet, killed)
-        await asyncio.sleep(removed_s + _CHECKED_S - time.monotonic())
-        arrivals = fleet.servers[_LEAVING].arrivals
+        removed_s = time.monotonic() + max(-killed_s, 0.0)
+
+        async def wait_until(time_s: float) -> None:
+            await asyncio.sleep(removed_s + time_s - time.monotonic())
+
+        async def kill_and_restart() -> None:
+            await wait_until(killed_s)
+            for name in killed:
+                fleet.signal_host(name, signal.SIGKILL)
+            await wait_until(restart_s)
+            for name in killed:
+                await fleet.start_host(name)
+
+        tasks.append(asyncio.create_task(kill_and_restart()))
+        await wait_until(0.0)
+        for name in leaving:
+            fleet.store.delete("servers", name)
+        await wait_until(_CHECKED_S)
+        arrivals = [
+            at_s for name in leaving for at_s, _ in fleet.servers[name].arrivals
+        ]
         assert arrivals
-        return max(at_s for at_s, _ in arrivals) - removed_s
+        return max(arrivals) - removed_s
     finally:
         for task in tasks:
             task.cancel()
@@ -93,7 +114,12 @@
     # The watchers start again at once.  Their listings lack the server, and
     # those who still had it never learned that it was gone (DRAIN, review/3).
     latest_s = await _measure_latest_s(
-        tmp_path, port=21200, more_killed=0, restart_s=0.4
+        tmp_path,
+        port=21200,
+        leaving=_ONE,
+        more_killed=0,
+        killed_s=-0.1,
+        restart_s=0.3,
     )
     assert latest_s < _DRAIN_S
 
@@ -102,6 +128,27 @@
     # Others noticed the loss after 1.2 s and doubted the deletion for 2.4 s
     # from then on (DRAIN, review/4).
     latest_s = await _measure_latest_s(
-        tmp_path, port=21300, more_killed=1, restart_s=2.0
+        tmp_path,
+        port=21300,
+        leaving=_ONE,
+        more_killed=1,
+        killed_s=-0.1,
+        restart_s=1.9,
+    )
+    assert latest_s < _DRAIN_S
+
+
+async def test_doubted_deletions_are_not_lost_with_the_hosts_that_doubt(
+    tmp_path,
+):
+    # Those that watched had doubted many deletions for most of the time.  The
+    # others did not know of them before (DRAIN, the day of review/3, seed 3).
+    latest_s = await _measure_latest_s(
+        tmp_path,
+        port=21300,
+        leaving=_MANY,
+        more_killed=0,
+        killed_s=1.8,
+        restart_s=2.3,
     )
     assert latest_s < _DRAIN_S
