Refuse requests that may run once when a stop leaves them too little time

Requests that became complete late in the grace time of a planned stop were passed on, and the slow ones among those that may run once ended with 504, which their callers may not repeat. None was cut without an answer.

Cause: whether the time left suffices was decided by the time that 19 in 20 requests do not exceed, for all kinds of requests, and only before a request waited for its turn.

planned_stop.py now decides. It is asked again after the wait. A request whose time-out ends before the host does is never refused.

--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -31,6 +31,7 @@
 from eelgrasshall.gateway import object_cache
 from eelgrasshall.gateway import peer_sync
 from eelgrasshall.gateway import peers
+from eelgrasshall.gateway import planned_stop
 from eelgrasshall.gateway import quota_account
 from eelgrasshall.gateway import quota_gate
 from eelgrasshall.gateway import rate_limits
@@ -333,11 +334,14 @@
         period is nearly over.  Requests that have not ended by then are
         answered with a failure, or a refusal if they were not sent anywhere.
         """
-        latest_s = self._loop.time() + self._options.grace_s - SHUTDOWN_MARGIN_S
+        now = self._loop.time()
+        latest_s = now + self._options.grace_s - SHUTDOWN_MARGIN_S
         self._log.record("leaving", in_flight=self._caller_listener.busy_count)
         self._announce(heartbeats.State.LEAVING)
         self._caller_listener.start_draining()
-        self._request_handler.set_end(latest_s)
+        self._request_handler.set_stop(
+            planned_stop.Stop(moved_s=now + DRAIN_DELAY_S, end_s=latest_s)
+        )
         await asyncio.sleep(DRAIN_DELAY_S)
         self._caller_listener.stop_accepting()
         if await self._wait_for_callers(latest_s):
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -26,6 +26,7 @@
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import metrics as metrics_module
 from eelgrasshall.gateway import model
+from eelgrasshall.gateway import planned_stop
 from eelgrasshall.gateway import quarantine
 from eelgrasshall.gateway import quota_gate as quota_gate_module
 from eelgrasshall.gateway import quotas
@@ -187,7 +188,7 @@
         self._entry_count = 0
         self._tasks: set[asyncio.Task] = set()
         # When this host stops, and whether it has ended all requests for that.
-        self._end_s = math.inf
+        self._stop: planned_stop.Stop | None = None
         self._ended = False
 
     @property
@@ -294,12 +295,17 @@
             self._settlement.cancel()
         self.registry.close()
 
-    def set_end(self, end_s: float) -> None:
-        """Sets the monotonic time at which this host stops.
+    def set_stop(self, stop: planned_stop.Stop) -> None:
+        """Sets when this host stops.
 
         Requests end by then, and those that would take longer are refused.
         """
-        self._end_s = end_s
+        self._stop = stop
+
+    @property
+    def _end_s(self) -> float:
+        """When this host ends all requests, in monotonic seconds."""
+        return self._stop.end_s if self._stop is not None else math.inf
 
     def end_requests(self) -> None:
         """Ends all requests: they are answered with 503 or 504 at once.
@@ -407,10 +413,8 @@
         wait_s = self.get_quarantine_s(request)
         if wait_s:
             return self._reject(503, fanout.QUARANTINED, wait_s, route=route)
-        if self._is_too_late(route):
-            return self._reject(
-                503, STOPPING, RETRY_AFTER_STOPPING_S, route=route
-            )
+        if self._is_too_late(request, route):
+            return self._reject_for_stop(route)
         charge = await self._charge(caller)
         if isinstance(charge, quotas.Refusal):
             return self._refuse_by_quota(charge, route)
@@ -500,9 +504,7 @@
         except asyncio.CancelledError:
             if not self._ended:
                 raise
-            return self._reject(
-                503, STOPPING, RETRY_AFTER_STOPPING_S, route=route
-            )
+            return self._reject_for_stop(route)
         self._record_wait(caller.workspace, request)
         caller = self._identify_again(request, route, caller)
         if caller.fault is not None:
@@ -524,6 +526,10 @@
                 503, "too many concurrent requests", wait_s
             )
             return outcome, route, queue.limiter.get_log_fields()
+        if self._is_too_late(request, route):
+            # It has waited for its turn.
+            queue.release_unused()
+            return self._reject_for_stop(route)
         refusal = charge.renew()
         if refusal is not None:
             queue.release_unused()
@@ -806,12 +812,27 @@
             verdict, status, list(result.headers), result.body, 0, result.reason
         )
 
-    def _is_too_late(self, route: model.Route) -> bool:
+    def _is_too_late(
+        self, request: messages.Request, route: model.Route
+    ) -> bool:
         """Returns whether this host stops before a request would end."""
-        if self._end_s == math.inf:
+        if self._stop is None:
             return False
-        duration_s = self.find_latency_window(route).quantile(EXPECTED_QUANTILE)
-        return self.loop.time() + duration_s > self._end_s
+        latencies = self.find_latency_window(route)
+        timeout_s = self._compute_timeout(request, route)
+        demand = planned_stop.Demand(
+            deadline_s=request.received_s + timeout_s,
+            expected_s=latencies.quantile(EXPECTED_QUANTILE),
+            longest_s=latencies.quantile(1.0),
+            idempotent=route.idempotent,
+        )
+        return not planned_stop.has_time(self._stop, self.loop.time(), demand)
+
+    def _reject_for_stop(
+        self, route: model.Route
+    ) -> tuple[fanout.Outcome, model.Route | None, dict[str, Any]]:
+        """Returns the refusal of a request for which no time is left."""
+        return self._reject(503, STOPPING, RETRY_AFTER_STOPPING_S, route=route)
 
     def _make_queue_entry(
         self,
--- a/eelgrasshall/platform/fleet.py
+++ b/eelgrasshall/platform/fleet.py
@@ -155,6 +155,9 @@
         self.tenants: list[dict[str, Any]] | None = None
         # Further lines of the bounds in the settings.
         self.more_bounds = ""
+        # Time-out of all routes in the next configurations, ms; None for
+        # different ones.
+        self.timeout_ms: int | None = None
         # Key of callers that state none of their own.
         self.key: str | None = None
 
@@ -291,6 +294,9 @@
             "service": self.shards[0],
             "maxAttempts": 1,
         }
+        if self.timeout_ms is not None:
+            for each in (search, single, once):
+                each["timeoutMs"] = self.timeout_ms
         services = [
             {"name": name, "healthPath": "/health", "maxConns": 40}
             for name in self.shards
