Split the exchange between hosts into news, claims and deferrals

For readers: apply_updates did three things in one loop. Deletions of collections that do not expire are no longer doubted for nothing, and deferred deletions are adopted after the revision, so that a later era keeps them.

--- a/eelgrasshall/gateway/deletions.py
+++ b/eelgrasshall/gateway/deletions.py
@@ -86,27 +86,30 @@
         """Records that a call to the store has failed."""
         self._failed_s = _get_time_s()
 
-    def doubt(self, *, since_s: float | None = None, outage=False) -> None:
+    def doubt(
+        self, *, since_s: float | None = None, outage: bool = False
+    ) -> None:
         """Begins to doubt deletions, those of the answer that follows included.
 
         Args:
           since_s: Monotonic time of the question to the store; now if None.
           outage: Whether the store certainly was out of reach.
         """
+        if not self._expires:
+            return
         now = _get_time_s() if since_s is None else since_s
         gap_s = now - self._cache.get_current_s(self._collection)
-        if outage or self._outage_suspected:
-            grace_s = DELETION_GRACE_S
-        else:
+        outage = outage or self._outage_suspected
+        grace_s = DELETION_GRACE_S
+        if not outage:
             grace_s = choose_grace_s(gap_s, self._bound_s)
-        if self._expires:
-            self._doubt_until_s = max(self._doubt_until_s, now + grace_s)
-            self._log.record(
-                "deletions_doubted",
-                gap_ms=None if gap_s == math.inf else round(gap_s * 1000),
-                grace_ms=round(grace_s * 1000),
-                outage=outage or self._outage_suspected,
-            )
+        self._doubt_until_s = max(self._doubt_until_s, now + grace_s)
+        self._log.record(
+            "deletions_doubted",
+            gap_ms=None if gap_s == math.inf else round(gap_s * 1000),
+            grace_ms=round(grace_s * 1000),
+            outage=outage,
+        )
 
     def apply(
         self, update: object_cache.Update, *, after: int | None = None
--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -324,49 +324,88 @@
         era = part.get("era", object_cache.get_era(received))
         if era < object_cache.get_era(received):
             continue
-        # Hosts of an earlier version do not send it.
-        since = object_cache.make_revision(era, part.get("since", 0))
-        for name, number, value in part["news"]:
-            update = object_cache.Update(
-                collection,
-                name,
-                object_cache.make_revision(era, number),
-                documents.limit_object(value),
-            )
-            if part.get("kept") and _is_configuration(collection):
-                changed += cache.adopt(update)
-            elif not cache.is_obsolete(update):
-                changed += cache.apply(update)
-        revision = object_cache.make_revision(era, part["revision"])
-        if deletions is not None and clock_s is not None and "deferred" in part:
-            _adopt_deferred(
-                deletions[collection], collection, era, part, clock_s
-            )
-            revision = object_cache.make_revision(era, part["received"])
-        if revision <= received:
+        changed += _apply_news(cache, collection, era, part)
+        applier = deletions[collection] if deletions is not None else None
+        if applier is None or clock_s is None or "deferred" not in part:
+            number = part["revision"]
+            changed += _take_over(cache, collection, era, number, part, applier)
             continue
-        # All objects of a later era are in the document.
-        lacks_deletions = since > received and (
-            received and era == object_cache.get_era(received)
+        number = part["received"]
+        changed += _take_over(cache, collection, era, number, part, applier)
+        _adopt_deferred(applier, collection, era, part, clock_s)
+    return changed
+
+
+def _apply_news(
+    cache: object_cache.ObjectCache,
+    collection: object_cache.Collection,
+    era: int,
+    part: dict[str, Any],
+) -> int:
+    """Applies changes that the sender has named; returns how many were new."""
+    changed = 0
+    for name, number, value in part["news"]:
+        update = object_cache.Update(
+            collection,
+            name,
+            object_cache.make_revision(era, number),
+            documents.limit_object(value),
         )
-        if lacks_deletions and "present" not in part:
-            continue
-        if lacks_deletions:
-            present = frozenset(part["present"])
-            inferred = cache.infer_deletions(collection, present, revision)
-            changed += len(inferred)
-            if deletions is not None:
-                after = cache.get_applied_revision(collection)
-                deletions[collection].infer(inferred, after=after)
-            else:
-                for update in inferred:
-                    cache.apply(update)
-        if since > received:
-            cache.raise_complete_since(collection, since)
-        cache.advance(collection, revision)
+        if part.get("kept") and _is_configuration(collection):
+            changed += cache.adopt(update)
+        elif not cache.is_obsolete(update):
+            changed += cache.apply(update)
     return changed
 
 
+def _take_over(
+    cache: object_cache.ObjectCache,
+    collection: object_cache.Collection,
+    era: int,
+    number: int,
+    part: dict[str, Any],
+    applier: deletions_module.Deletions | None,
+) -> int:
+    """Takes over the sender's revision if all changes up to it are known.
+
+    Args:
+      cache: The cache to update.
+      collection: The collection.
+      era: The era of the sender.
+      number: The store's number of the revision.
+      part: What the sender has sent of the collection.
+      applier: Applies deletions that the sender could not name; None to apply
+        them at once.
+
+    Returns:
+      The number of deletions that the sender could not name.
+    """
+    revision = object_cache.make_revision(era, number)
+    received = cache.get_received_revision(collection)
+    if revision <= received:
+        return 0
+    # Hosts of an earlier version do not send it.
+    since = object_cache.make_revision(era, part.get("since", 0))
+    inferred: list[object_cache.Update] = []
+    # All objects of a later era are in the document.
+    same_era = received and era == object_cache.get_era(received)
+    if same_era and since > received:
+        if "present" not in part:
+            return 0
+        present = frozenset(part["present"])
+        inferred = cache.infer_deletions(collection, present, revision)
+        if applier is not None:
+            after = cache.get_applied_revision(collection)
+            applier.infer(inferred, after=after)
+        else:
+            for update in inferred:
+                cache.apply(update)
+    if since > received:
+        cache.raise_complete_since(collection, since)
+    cache.advance(collection, revision)
+    return len(inferred)
+
+
 def _adopt_deferred(
     deletions: deletions_module.Deletions,
     collection: object_cache.Collection,
@@ -435,16 +474,25 @@
         if self._latest is None or key != self._key:
             self._key = key
             self._latest = self._encode(request.target, b"gzip" in accepted)
-        headers = list(self._latest.headers)
+        times = self._list_times()
+        if not times:
+            return self._latest
+        return self._latest._replace(headers=[*self._latest.headers, *times])
+
+    def _list_times(self) -> list[tuple[bytes, bytes]]:
+        """Returns the headers that hold for one moment only.
+
+        These are the age of what is known here and, if deletions are put off,
+        the clock to which their times refer.
+        """
+        headers = []
         age_ms = encode_age(self._get_age_s())
         if age_ms is not None:
             headers.append((_AGE_HEADER, b"%d" % age_ms))
         if any(self._cache.list_deferred(e) for e in self._cache.collections):
             clock_ms = math.floor(self._get_time_s() * 1000)
             headers.append((_CLOCK_HEADER, b"%d" % clock_ms))
-        if headers == self._latest.headers:
-            return self._latest
-        return self._latest._replace(headers=headers)
+        return headers
 
     def _encode(self, target: bytes, accepts_gzip: bool) -> listener.Response:
         """Returns the response to a request."""
@@ -523,9 +571,9 @@
 
     @property
     def lacks_deletions(self) -> bool:
-        """Whether no other host could tell this one of all deletions so far.
+        """Whether another host knows changes without all deletions among them.
 
-        They are in the store only then.
+        Then only the store can tell this host.
         """
         if self._missing and self._has_all(self._missing):
             self._missing = {}
