Take the deletion of most servers at once for an outage

With the store silent for 4 s, all entries lapsed, and the hosts that watch killed when it was back, the hosts that stayed dropped all servers for about a second; kept them.

Cause: the hosts that were lost had stated that they follow the store until their calls timed out, so that the gap looked short, and the deletions that followed from the names of those that had started again took effect at once.

Deletions of half of the known servers, three at least, now show an outage, like a failed call.

Evidence: lost_watchers_test had 0 of 6 servers left without the rule, 6 with it; watcher_test and deletions_test replay both sides.

--- a/eelgrasshall/gateway/deletions.py
+++ b/eelgrasshall/gateway/deletions.py
@@ -6,7 +6,7 @@
 reach is not always known: a host that has not followed the store for a while
 knows only when it was last up to date.  Without a sign of an outage, a deletion
 takes effect within its bound from then on, since the server may just as well
-have left right after that.
+have left right after that.  That most servers are gone at once is such a sign.
 """
 
 import asyncio
@@ -21,6 +21,10 @@
 DELETION_GRACE_S = 2.4
 # Part of the bound on a deletion that is left for passing it on to all hosts.
 DISTRIBUTION_S = 0.6
+# Share of the servers whose deletion shows an outage, and how many it takes at
+# least: planned work takes a few at a time.
+OUTAGE_SHARE = 0.5
+MIN_OUTAGE_COUNT = 3
 
 
 def choose_grace_s(gap_s: float, bound_s: float) -> float:
@@ -82,16 +86,26 @@
         """Whether a call failed since this host was last up to date."""
         return self._failed_s > self._cache.get_current_s(self._collection)
 
+    def _are_most(self, count: int) -> bool:
+        """Returns whether so many deletions are of most objects known here."""
+        known = len(self._cache.list_names(self._collection))
+        return count >= max(MIN_OUTAGE_COUNT, OUTAGE_SHARE * known)
+
     def record_failure(self) -> None:
         """Records that a call to the store has failed."""
         self._failed_s = _get_time_s()
 
     def doubt(
-        self, *, since_s: float | None = None, outage: bool = False
+        self,
+        count: int = 0,
+        *,
+        since_s: float | None = None,
+        outage: bool = False,
     ) -> None:
-        """Begins to doubt deletions, those of the answer that follows included.
+        """Begins to doubt deletions, those that are applied next included.
 
         Args:
+          count: The number of deletions that are applied next.
           since_s: Monotonic time of the question to the store; now if None.
           outage: Whether the store certainly was out of reach.
         """
@@ -99,7 +113,7 @@
             return
         now = _get_time_s() if since_s is None else since_s
         gap_s = now - self._cache.get_current_s(self._collection)
-        outage = outage or self._outage_suspected
+        outage = outage or self._outage_suspected or self._are_most(count)
         grace_s = DELETION_GRACE_S
         if not outage:
             grace_s = choose_grace_s(gap_s, self._bound_s)
@@ -108,6 +122,7 @@
             "deletions_doubted",
             gap_ms=None if gap_s == math.inf else round(gap_s * 1000),
             grace_ms=round(grace_s * 1000),
+            count=count,
             outage=outage,
         )
 
@@ -166,7 +181,7 @@
         """
         found = [each for each in updates if each.name not in self._deferred]
         if found:
-            self.doubt()
+            self.doubt(len(found))
         for update in found:
             self.apply(update, after=after)
 
--- a/eelgrasshall/gateway/deletions_test.py
+++ b/eelgrasshall/gateway/deletions_test.py
@@ -10,6 +10,7 @@
 from eelgrasshall.gateway import object_cache
 
 _SERVERS = object_cache.Collection.SERVERS
+_NAMES = ("a", "b")
 
 
 class _Applied:
@@ -29,7 +30,7 @@
             log=self.log,
             bound_s=bound_s,
         )
-        for name in ("a", "b"):
+        for name in _NAMES:
             self.cache.apply(self.make_update(name, 3, "x"))
         self.cache.advance(collection, 5)
 
@@ -100,6 +101,18 @@
     assert applied.deletions.get_age_s() >= 0.15
 
 
+async def test_deletion_of_most_servers_is_doubted_in_full(monkeypatch):
+    monkeypatch.setattr(deletions, "MIN_OUTAGE_COUNT", 2)
+    applied = _Applied()
+    applied.record_age(0.2)
+    updates = [applied.make_update(name, 9) for name in _NAMES]
+    applied.deletions.infer(updates, after=5)
+    await asyncio.sleep(0.2)
+    assert applied.values == {"a": "x", "b": "x"}
+    await asyncio.sleep(0.1)
+    assert applied.values == {}
+
+
 async def test_second_report_of_a_deletion_does_not_put_it_off_again():
     applied = _Applied()
     applied.record_age(0.1)
--- a/eelgrasshall/gateway/watcher.py
+++ b/eelgrasshall/gateway/watcher.py
@@ -189,12 +189,13 @@
                 await self._back_off(result.reason)
                 continue
             self._record_answer()
+            deleted = sum(1 for each in result.updates if each.document is None)
             if resumed:
-                self._deletions.doubt(since_s=asked_s)
+                self._deletions.doubt(deleted, since_s=asked_s)
             else:
                 self._cache.record_current(self._collection, loop.time())
-                if self._is_mass_deletion(result.updates):
-                    self._deletions.doubt()
+                if deleted >= MASS_DELETION_COUNT:
+                    self._deletions.doubt(deleted)
             for update in result.updates:
                 self._deletions.apply(update)
             self._cache.advance(self._collection, result.revision)
@@ -210,31 +211,25 @@
         later_era = object_cache.get_era(
             listing.revision
         ) > object_cache.get_era(received)
+        applied = self._cache.get_applied_revision(self._collection)
+        present = {update.name for update in listing.updates}
+        inferred = self._cache.infer_deletions(
+            self._collection, present, listing.revision
+        )
         if not self._listed or later_era:
             # Entries learned from other hosts may have expired while the store
             # was unreachable, or been written after the copy from which it came
             # back.
-            self._deletions.doubt(outage=later_era)
-        applied = self._cache.get_applied_revision(self._collection)
+            self._deletions.doubt(len(inferred), outage=later_era)
         if listing.revision > received:
             self._cache.raise_complete_since(self._collection, listing.revision)
         for update in listing.updates:
             self._deletions.apply(update)
-        present = {update.name for update in listing.updates}
-        for update in self._cache.infer_deletions(
-            self._collection, present, listing.revision
-        ):
+        for update in inferred:
             self._deletions.apply(update, after=applied)
         self._cache.advance(self._collection, listing.revision)
         self._listed = True
 
-    def _is_mass_deletion(
-        self, updates: tuple[object_cache.Update, ...]
-    ) -> bool:
-        """Returns whether many objects disappeared at the same moment."""
-        deleted = sum(1 for each in updates if each.document is None)
-        return deleted >= MASS_DELETION_COUNT
-
     def _record_answer(self) -> None:
         """Records that the store answered, and logs a recovery."""
         self.answered_s = asyncio.get_running_loop().time()
--- a/eelgrasshall/gateway/watcher_test.py
+++ b/eelgrasshall/gateway/watcher_test.py
@@ -299,7 +299,8 @@
     deletions_seen = [_make_update(name, 8) for name in names]
     store = _Store(listings=[], answers=[_make_listing(9, *deletions_seen)])
     run = _WatcherRun(store, bound_s=0.3)
-    for name in names:
+    others = [f"other{number}" for number in range(20)]
+    for name in [*names, *others]:
         run.cache.apply(_make_update(name, 3, "x"))
     run.cache.advance(_SERVERS, 5)
     loop = asyncio.get_running_loop()
@@ -316,10 +317,10 @@
     run = await _begin_to_watch(monkeypatch, gap_s=0.16, deleted=deleted)
     task = asyncio.create_task(run.watcher.run())
     await asyncio.sleep(0.04)
-    assert len(run.values) == deleted
+    assert len(run.values) == 20 + deleted
     assert run.cache.get_applied_revision(_SERVERS) == 7
     await asyncio.sleep(0.08)
-    assert run.values == {}
+    assert len(run.values) == 20
     assert run.cache.get_applied_revision(_SERVERS) == 9
     task.cancel()
 
@@ -331,9 +332,21 @@
     run = await _begin_to_watch(monkeypatch, gap_s=0.5, deleted=2)
     task = asyncio.create_task(run.watcher.run())
     await asyncio.sleep(0.2)
-    assert len(run.values) == 2
+    assert len(run.values) == 22
     await asyncio.sleep(0.1)
-    assert run.values == {}
+    assert len(run.values) == 20
+    task.cancel()
+
+
+async def test_deletion_of_most_servers_shows_an_outage(monkeypatch):
+    # The hosts that watched were lost with calls that the store had swallowed,
+    # so that nobody had seen a failure.
+    run = await _begin_to_watch(monkeypatch, gap_s=0.16, deleted=25)
+    task = asyncio.create_task(run.watcher.run())
+    await asyncio.sleep(0.2)
+    assert len(run.values) == 45
+    await asyncio.sleep(0.1)
+    assert len(run.values) == 20
     task.cancel()
 
 
@@ -343,9 +356,9 @@
     run.watcher._store.answers.insert(0, watcher.Unavailable("reset"))
     task = asyncio.create_task(run.watcher.run())
     await asyncio.sleep(0.2)
-    assert len(run.values) == 2
+    assert len(run.values) == 22
     await asyncio.sleep(0.1)
-    assert run.values == {}
+    assert len(run.values) == 20
     task.cancel()
 
 
--- a/eelgrasshall/platform/lost_watchers_test.py
+++ b/eelgrasshall/platform/lost_watchers_test.py
@@ -22,6 +22,12 @@
 _SETTLING_S = 3.5
 _CHECKED_S = 5.5
 _PAUSE_S = 0.02
+_MOST_POLLS = 200
+# Time from the moment at which the hosts that watch notice an outage until its
+# end; before that, calls of other hosts have not failed.
+_NOTICED_S = 1.2
+# Time within which servers whose entries lapsed are back.
+_REGISTERED_AGAIN_S = 1.9
 _REACHES_STORE = re.compile(rb"store_reachable 1\b")
 
 
@@ -36,6 +42,14 @@
     return watching
 
 
+async def _count_servers(fleet, name: str) -> int:
+    """Returns how many servers a host uses."""
+    data = b"GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n"
+    _, _, body = await fleet_module.fetch(fleet.find_port(name, 5), data)
+    (count,) = re.findall(rb"^eelgrasshall_servers (\d+)", body, re.MULTILINE)
+    return int(count)
+
+
 async def _send_searches(fleet, name: str) -> None:
     """Sends searches to one host, one after the other."""
     number = 0
@@ -115,7 +129,7 @@
     # those who still had it never learned that it was gone (DRAIN, review/3).
     latest_s = await _measure_latest_s(
         tmp_path,
-        port=21200,
+        port=30200,
         leaving=_ONE,
         more_killed=0,
         killed_s=-0.1,
@@ -129,7 +143,7 @@
     # from then on (DRAIN, review/4).
     latest_s = await _measure_latest_s(
         tmp_path,
-        port=21300,
+        port=30300,
         leaving=_ONE,
         more_killed=1,
         killed_s=-0.1,
@@ -145,10 +159,60 @@
     # others did not know of them before (DRAIN, the day of review/3, seed 3).
     latest_s = await _measure_latest_s(
         tmp_path,
-        port=21300,
+        port=30300,
         leaving=_MANY,
         more_killed=0,
         killed_s=1.8,
         restart_s=2.3,
     )
     assert latest_s < _DRAIN_S
+
+
+async def _register_again(fleet, names: list[str]) -> None:
+    """Registers servers a while after the store is back."""
+    await asyncio.sleep(_REGISTERED_AGAIN_S)
+    for name in names:
+        fleet.register_server(name)
+
+
+async def test_lapsed_entries_do_not_end_servers_when_the_watchers_are_lost(
+    tmp_path,
+):
+    # The store swallows calls, entries lapse, and the hosts that watch are
+    # killed before their calls have failed.  Those that start again list a
+    # store without servers; the others took them for gone until they had
+    # registered again.
+    fleet = fleet_module.Fleet(
+        folder=tmp_path, port=30200, hosts=_HOSTS, shards=2, replicas=3
+    )
+    try:
+        await fleet.start()
+        for name in fleet.host_names:
+            await fleet.wait_ready(name)
+        await asyncio.sleep(_SETTLING_S)
+        killed = await _list_watching(fleet)
+        survivors = [name for name in fleet.host_names if name not in killed]
+        fleet.store.swallowing = True
+        for _ in range(_MOST_POLLS):
+            await asyncio.sleep(_PAUSE_S)
+            if not set(killed) & set(await _list_watching(fleet)):
+                break
+        await asyncio.sleep(_NOTICED_S)
+        for name in fleet.servers:
+            fleet.store.delete("servers", name)
+        fleet.store.swallowing = False
+        for name in killed:
+            fleet.signal_host(name, signal.SIGKILL)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(_register_again(fleet, list(fleet.servers)))
+            for name in killed:
+                await fleet.start_host(name)
+            least = len(fleet.servers)
+            end_s = time.monotonic() + _REGISTERED_AGAIN_S + 0.5
+            while time.monotonic() < end_s:
+                for name in survivors:
+                    least = min(least, await _count_servers(fleet, name))
+                await asyncio.sleep(_PAUSE_S)
+        assert least == len(fleet.servers)
+    finally:
+        await fleet.stop()
