State the age of what was received, not of what is in force

Cause: the age that hosts state was held back by deletions that they put off.

Deletions that are put off go along with each answer, so whoever has received as much knows as much: the age goes with the received revision.

--- a/eelgrasshall/gateway/deletions.py
+++ b/eelgrasshall/gateway/deletions.py
@@ -188,17 +188,16 @@
     def get_age_s(self) -> float | None:
         """Returns how old the knowledge of this host may be, in seconds.
 
-        All changes that were made longer ago are in force here, up to the
-        applied revision.  None if that is not known, or if the store may be out
-        of reach.
+        All changes that were made longer ago have been received.  None if that
+        is not known, or if the store may be out of reach.
         """
         if self._outage_suspected:
             return None
         now = _get_time_s()
         if self.following:
             self._cache.record_current(self._collection, now)
-        applied_s = self._cache.get_applied_current_s(self._collection)
-        return None if applied_s == -math.inf else now - applied_s
+        current_s = self._cache.get_current_s(self._collection)
+        return None if current_s == -math.inf else now - current_s
 
     def _defer(
         self, update: object_cache.Update, after: int | None, until_s: float
--- a/eelgrasshall/gateway/object_cache.py
+++ b/eelgrasshall/gateway/object_cache.py
@@ -99,13 +99,11 @@
     Attributes:
       update: The deletion.
       after: The revision up to which all changes are applied meanwhile.
-      after_s: Monotonic time up to which they are, seconds.
       until_s: Monotonic time at which it is to be applied, seconds.
     """
 
     update: Update
     after: int
-    after_s: float
     until_s: float
 
 
@@ -211,13 +209,6 @@
         """
         return self._current_s[collection]
 
-    def get_applied_current_s(self, collection: Collection) -> float:
-        """Returns the time up to which all changes have been applied."""
-        deferred = self._deferred[collection].values()
-        return min(
-            [self._current_s[collection], *(each.after_s for each in deferred)]
-        )
-
     def record_current(self, collection: Collection, time_s: float) -> None:
         """Records that all changes up to a time have been received."""
         self._current_s[collection] = max(self._current_s[collection], time_s)
@@ -241,13 +232,11 @@
         """
         if after is None:
             after = update.revision - 1
-        after_s = self._current_s[update.collection]
         deferred = self._deferred[update.collection]
         known = deferred.get(update.name)
         if known is not None:
             after = min(after, known.after)
-            after_s = min(after_s, known.after_s)
-        deferred[update.name] = Deferral(update, after, after_s, until_s)
+        deferred[update.name] = Deferral(update, after, until_s)
         self.generation += 1
 
     def list_deferred(self, collection: Collection) -> list[Deferral]:
--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -604,7 +604,7 @@
         )
         behind |= received > self._cache.get_received_revision(_SERVERS)
         now = asyncio.get_running_loop().time()
-        self._record_age(stated.get(_SERVERS, 0), age_s, now)
+        self._record_age(received, age_s, now)
         kept_version = find_kept_version(self._cache, numbers)
         if (self._get_era(), kept_version) <= self._fetched_version:
             kept_version = 0
@@ -749,7 +749,12 @@
         }
         self._missing = {} if self._has_all(revisions) else revisions
         age_s = decode_time(response.headers.get(_AGE_HEADER.lower()))
-        self._record_age(revisions[_SERVERS], age_s, asked_s)
+        part = document[_SERVERS.value]
+        era = object_cache.get_era(revisions[_SERVERS])
+        known = object_cache.make_revision(
+            era, part.get("received", part["revision"])
+        )
+        self._record_age(known, age_s, asked_s)
         return changed
 
     def _record_age(
@@ -758,7 +763,7 @@
         """Records how old a revision was at a time, if this host has it.
 
         Args:
-          revision: A revision of the servers that another host has applied.
+          revision: A revision of the servers that another host has received.
           age_s: How old its knowledge was; None if that is not known.
           time_s: The monotonic time, seconds.
         """
