--- a/eelgrasshall/gateway/deletions.py
+++ b/eelgrasshall/gateway/deletions.py
@@ -56,6 +56,7 @@
     Args:
       collection: The collection.
       cache: The cache to update.
+      loop: The event loop.
       log: The log for doubts.
       bound_s: Time within which a deletion must be in force, seconds.
 
@@ -68,10 +69,12 @@
         *,
         collection: object_cache.Collection,
         cache: object_cache.ObjectCache,
+        loop: asyncio.AbstractEventLoop,
         log: events.EventLog,
         bound_s: float,
     ):
         self.following = False
+        self._loop = loop
         self._collection = collection
         self._cache = cache
         self._log = log
@@ -93,7 +96,7 @@
 
     def record_failure(self) -> None:
         """Records that a call to the store has failed."""
-        self._failed_s = _get_time_s()
+        self._failed_s = self._loop.time()
 
     def doubt(
         self,
@@ -111,7 +114,7 @@
         """
         if not self._expires:
             return
-        now = _get_time_s() if since_s is None else since_s
+        now = self._loop.time() if since_s is None else since_s
         gap_s = now - self._cache.get_current_s(self._collection)
         outage = outage or self._outage_suspected or self._are_most(count)
         grace_s = DELETION_GRACE_S
@@ -142,7 +145,7 @@
         if deferred is not None:
             deferred.cancel()
             until_s = min(until_s, deferred.when())
-        if update.document is None and until_s > _get_time_s():
+        if update.document is None and until_s > self._loop.time():
             self._defer(update, after, until_s)
             return
         if deferred is not None:
@@ -193,7 +196,7 @@
         """
         if self._outage_suspected:
             return None
-        now = _get_time_s()
+        now = self._loop.time()
         if self.following:
             self._cache.record_current(self._collection, now)
         current_s = self._cache.get_current_s(self._collection)
@@ -204,8 +207,7 @@
     ) -> None:
         """Puts a deletion off until a monotonic time."""
         self._cache.defer(update, after=after, until_s=until_s)
-        loop = asyncio.get_running_loop()
-        self._deferred[update.name] = loop.call_at(
+        self._deferred[update.name] = self._loop.call_at(
             until_s, self._apply_deferred, update
         )
 
@@ -214,8 +216,3 @@
         self._deferred.pop(update.name, None)
         self._cache.cancel_deferral(update)
         self._cache.apply(update)
-
-
-def _get_time_s() -> float:
-    """Returns the monotonic time, seconds."""
-    return asyncio.get_running_loop().time()
--- a/eelgrasshall/gateway/deletions_test.py
+++ b/eelgrasshall/gateway/deletions_test.py
@@ -27,6 +27,7 @@
         self.deletions = deletions.Deletions(
             collection=collection,
             cache=self.cache,
+            loop=asyncio.get_running_loop(),
             log=self.log,
             bound_s=bound_s,
         )
--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -214,6 +214,7 @@
             collection: deletions.Deletions(
                 collection=collection,
                 cache=self._object_cache,
+                loop=self._loop,
                 log=log,
                 bound_s=options.bounds_s[collection],
             )
--- a/eelgrasshall/gateway/peer_sync_test.py
+++ b/eelgrasshall/gateway/peer_sync_test.py
@@ -316,7 +316,11 @@
     """Returns what applies the deletions of each collection."""
     return {
         collection: deletions.Deletions(
-            collection=collection, cache=cache, log=fakes.Log(), bound_s=3.0
+            collection=collection,
+            cache=cache,
+            loop=asyncio.get_running_loop(),
+            log=fakes.Log(),
+            bound_s=3.0,
         )
         for collection in object_cache.Collection
     }
--- a/eelgrasshall/gateway/watcher_test.py
+++ b/eelgrasshall/gateway/watcher_test.py
@@ -69,6 +69,7 @@
             deletions=deletions.Deletions(
                 collection=_SERVERS,
                 cache=self.cache,
+                loop=asyncio.get_running_loop(),
                 log=self.log,
                 bound_s=bound_s,
             ),
