Name the build without workspaces in the test that is about it

test_workspaces_are_relayed_between_hosts_that_know_them failed since production names: it demands what hosts of a build do that passes keys on, and took the one in production for it. It now takes, the last such build, with the same demands; whole counts are compared. A further test does the same with the build in production, which relays workspaces both ways.

--- a/eelgrasshall/platform/builds_test.py
+++ b/eelgrasshall/platform/builds_test.py
@@ -34,17 +34,33 @@
 _CONTACT_S = 4.0
 
 
+# The last build whose hosts pass the keys of relayed requests on.
+_BUILD_WITHOUT_WORKSPACES = "67d69e73e80f08058c7e57725620acdee09ae157"
+
+
 @pytest.fixture(scope="module")
 def old_build(tmp_path_factory) -> pathlib.Path:
     """The sources of the build in production."""
     settings = tomllib.loads((_ROOT / "deploy/system.toml").read_text())
+    folder = tmp_path_factory.mktemp("old_build")
+    return _extract_build(settings["production"], folder)
+
+
+@pytest.fixture(scope="module")
+def build_without_workspaces(tmp_path_factory) -> pathlib.Path:
+    """The sources of a build that passes keys on."""
+    folder = tmp_path_factory.mktemp("build_without_workspaces")
+    return _extract_build(_BUILD_WITHOUT_WORKSPACES, folder)
+
+
+def _extract_build(commit: str, folder: pathlib.Path) -> pathlib.Path:
+    """Takes the sources of a build from the history into a folder."""
     archive = subprocess.run(
-        ["git", "archive", settings["production"], "eelgrasshall"],
+        ["git", "archive", commit, "eelgrasshall"],
         cwd=_ROOT,
         capture_output=True,
         check=True,
     ).stdout
-    folder = tmp_path_factory.mktemp("old_build")
     with tarfile.open(fileobj=io.BytesIO(archive)) as sources:
         sources.extractall(folder, filter="data")
     return folder
@@ -290,60 +306,112 @@
         await fleet.stop()
 
 
-async def test_workspaces_are_relayed_between_hosts_that_know_them(
-    tmp_path, old_build
-):
-    # The build before sends the key on, or no name.
+_KEY = ("Authorization", "Bearer k-acme")
+_FORGED_MARK = ("Eelgrasshall-Relayed-Workspace", "zoo")
+
+
+def _make_fleet_with_workspaces(
+    folder: pathlib.Path, *, port: int, build: pathlib.Path
+) -> fleet_module.Fleet:
+    """Returns a fleet of three hosts, of which the first has another build."""
     fleet = fleet_module.Fleet(
-        folder=tmp_path, port=29000, hosts=3, shards=2, replicas=2, links=True
+        folder=folder, port=port, hosts=3, shards=2, replicas=2, links=True
     )
     fleet.tenants = [
         {"name": "acme", "apiKeys": ["k-acme"]},
         {"name": "zoo", "apiKeys": ["k-zoo"]},
     ]
-    fleet.source_trees = {"host0": old_build}
-    key = ("Authorization", "Bearer k-acme")
-    mark = ("Eelgrasshall-Relayed-Workspace", "zoo")
-
-    async def send(name: str, prefix: str, *headers) -> collections.Counter:
-        statuses = collections.Counter()
-        for number in range(15):
-            status, _, _ = await fleet.send_request(
-                name, "/search/x", f"{prefix}{number}", headers=headers
-            )
-            statuses[status] += 1
-        return statuses
+    fleet.source_trees = {"host0": build}
+    return fleet
+
+
+async def _start_with_cut(fleet: fleet_module.Fleet, name: str) -> None:
+    """Starts a fleet and cuts a host off from the servers."""
+    await fleet.start()
+    for each in fleet.host_names:
+        await fleet.wait_ready(each)
+    await asyncio.sleep(1.0)
+    fleet.cut_host(name, fault_proxy.Cut.HANG)
+    await asyncio.sleep(_CONTACT_S)
+
+
+async def _count_statuses(
+    fleet: fleet_module.Fleet, name: str, prefix: str, *headers: tuple[str, str]
+) -> collections.Counter:
+    """Sends 15 searches to a host; returns how often each status came back."""
+    statuses = collections.Counter()
+    for number in range(15):
+        status, _, _ = await fleet.send_request(
+            name, "/search/x", f"{prefix}{number}", headers=headers
+        )
+        statuses[status] += 1
+    return statuses
 
-    def list_sent(prefix: str) -> list:
-        return [
-            (each.get_header(b"x-tenant"), each.get_header(b"authorization"))
-            for server in fleet.servers.values()
-            for each in server.requests
-            if each.get_header(b"x-attempt-id").startswith(prefix.encode())
-        ]
 
+def _list_identities(fleet: fleet_module.Fleet, prefix: str) -> list:
+    """Returns the workspace and the credential of searches at servers."""
+    return [
+        (each.get_header(b"x-tenant"), each.get_header(b"authorization"))
+        for server in fleet.servers.values()
+        for each in server.requests
+        if each.get_header(b"x-attempt-id").startswith(prefix.encode())
+    ]
+
+
+async def test_workspaces_are_relayed_between_hosts_that_know_them(
+    tmp_path, build_without_workspaces
+):
+    # Hosts of that build send the key on, or no name.
+    fleet = _make_fleet_with_workspaces(
+        tmp_path, port=29000, build=build_without_workspaces
+    )
     try:
-        await fleet.start()
-        for name in fleet.host_names:
-            await fleet.wait_ready(name)
-        await asyncio.sleep(1.0)
-        fleet.cut_host("host1", fault_proxy.Cut.HANG)
+        await _start_with_cut(fleet, "host1")
+        statuses = await _count_statuses(fleet, "host1", "new", _KEY)
+        assert statuses == {200: 15}
+        assert set(_list_identities(fleet, "new")) == {(b"acme", None)}
+        # Only a host of that build is left to help.
+        fleet.signal_host("host2", signal.SIGKILL)
+        await asyncio.sleep(2.0)
+        statuses = await _count_statuses(fleet, "host1", "none", _KEY)
+        assert statuses == {503: 15}
+        assert _list_identities(fleet, "none") == []
+        # A host of that build passes on the key, and what a caller sets.
+        fleet.mend_host("host1")
+        await asyncio.sleep(2.0)
+        fleet.cut_host("host0", fault_proxy.Cut.HANG)
         await asyncio.sleep(_CONTACT_S)
-        assert (await send("host1", "new", key))[200] == 15
-        assert set(list_sent("new")) == {(b"acme", None)}
-        # Only a host of the build before is left to help.
+        statuses = await _count_statuses(
+            fleet, "host0", "old", _KEY, _FORGED_MARK
+        )
+        assert statuses == {200: 15}
+        assert set(_list_identities(fleet, "old")) == {(b"acme", None)}
+        statuses = await _count_statuses(
+            fleet, "host0", "unknown", _FORGED_MARK
+        )
+        assert statuses == {401: 15}
+    finally:
+        await fleet.stop()
+
+
+async def test_workspaces_are_relayed_to_the_build_before_and_back(
+    tmp_path, old_build
+):
+    fleet = _make_fleet_with_workspaces(tmp_path, port=29600, build=old_build)
+    try:
+        await _start_with_cut(fleet, "host1")
         fleet.signal_host("host2", signal.SIGKILL)
         await asyncio.sleep(2.0)
-        assert (await send("host1", "none", key))[503] == 15
-        assert list_sent("none") == []
-        # A host of the build before passes on the key, and what a caller sets.
+        statuses = await _count_statuses(fleet, "host1", "to-old", _KEY)
+        assert statuses == {200: 15}
+        assert set(_list_identities(fleet, "to-old")) == {(b"acme", None)}
         fleet.mend_host("host1")
         await asyncio.sleep(2.0)
         fleet.cut_host("host0", fault_proxy.Cut.HANG)
         await asyncio.sleep(_CONTACT_S)
-        assert (await send("host0", "old", key, mark))[200] == 15
-        assert set(list_sent("old")) == {(b"acme", None)}
-        assert (await send("host0", "unknown", mark))[401] == 15
+        statuses = await _count_statuses(fleet, "host0", "to-new", _KEY)
+        assert statuses == {200: 15}
+        assert set(_list_identities(fleet, "to-new")) == {(b"acme", None)}
     finally:
         await fleet.stop()
 
