--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -12,10 +12,10 @@
 What a host states at a revision, and what follows from it, is in
 docs/DESIGN.md.  In short: all changes up to the revision are in force there.
 To a host that needs to know of deletions which the sender cannot name, it gives
-the names of all objects; what is missing there is deleted.  With the revision
-goes its age: all changes that were made longer ago are in it.  Deletions that
-the sender has received and puts off go along, with the time at which they are
-due, so that they are not lost with it.
+the names of all objects; what is missing there is deleted.  Deletions that the
+sender has received and puts off go along, with the time at which they are due,
+so that they are not lost with it.  So does the age of what it has received: it
+knows of all changes that were made longer ago.
 
 A host that keeps a configuration which the store has lost states its version.
 Hosts that know only an earlier one, under the same revision, fetch it.
