Let the tests of cut responses end what they begin

A whole run failed in connections_test: each of its hundreds of backend servers leaves a task behind that opens a connection, and the garbage collector found some of them before they had begun (PytestUnraisableExceptionWarning, where it happens to run). They are ended now.

--- a/eelgrasshall/gateway/connections_test.py
+++ b/eelgrasshall/gateway/connections_test.py
@@ -42,7 +42,9 @@
 }
 
 
-def _receive(pieces: list[bytes]) -> messages.Reply | messages.Failure:
+async def _receive(
+    pieces: list[bytes],
+) -> messages.Reply | messages.Failure:
     """Returns the outcome of an attempt whose response ends in a close."""
     connected = fakes.ConnectedBackend()
     attempt, owner = connected.send("a1")
@@ -50,6 +52,7 @@
         connected.feed(piece)
     connected.connection.eof_received()
     connected.connection.connection_lost(None)
+    await connected.close()
     return owner.outcomes[attempt]
 
 
@@ -59,22 +62,24 @@
     lost = messages.Failure(messages.FailureKind.CONNECTION_LOST, False)
     for end in range(1, len(response)):
         part = response[:end]
-        assert _receive([part]) == lost, part
-        assert _receive([part[: end // 2], part[end // 2 :]]) == lost, part
-    assert _receive([response]).body == _BODY
+        assert await _receive([part]) == lost, part
+        assert await _receive([part[: end // 2], part[end // 2 :]]) == lost, (
+            part
+        )
+    assert (await _receive([response])).body == _BODY
 
 
 async def test_response_without_length_needs_its_whole_head():
     head = _HEAD + _LONG_HEADER + b"\r\n"
     for end in range(1, len(head)):
-        assert isinstance(_receive([head[:end]]), messages.Failure), head[:end]
-    assert _receive([head + _BODY]).body == _BODY
-    assert _receive([head, _BODY]).body == _BODY
+        assert isinstance(await _receive([head[:end]]), messages.Failure)
+    assert (await _receive([head + _BODY])).body == _BODY
+    assert (await _receive([head, _BODY])).body == _BODY
 
 
 async def test_interim_response_alone_is_not_an_answer():
     interim = b"HTTP/1.1 103 Early Hints\r\nX-Id: a1\r\nX-Seal: s\r\n\r\n"
-    assert isinstance(_receive([interim]), messages.Failure)
+    assert isinstance(await _receive([interim]), messages.Failure)
 
 
 @pytest.mark.parametrize("framing", _FRAMED_RESPONSES)
--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -289,6 +289,14 @@
         """Delivers bytes as if the server had sent them."""
         self.connection.data_received(data)
 
+    async def close(self) -> None:
+        """Ends what the backend server has begun, such as new connections."""
+        self.backend.close()
+        tasks = list(self.backend._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
 
 def make_route(
     name: str = "find",
