--- a/eelgrasshall/platform/fleet.py
+++ b/eelgrasshall/platform/fleet.py
@@ -14,6 +14,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import sys
 from typing import Any
@@ -420,6 +421,20 @@
             return False
         return status == 200
 
+    async def count_servers(self, name: str) -> int:
+        """Returns how many backend servers a host uses."""
+        metrics = await self.read_metrics(name)
+        (count,) = re.findall(
+            r"^eelgrasshall_servers (\d+)", metrics, re.MULTILINE
+        )
+        return int(count)
+
+    async def read_metrics(self, name: str) -> str:
+        """Returns the metrics of a host."""
+        data = b"GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n"
+        _, _, body = await fetch(self.find_port(name, 5), data)
+        return body.decode()
+
     def _find_proxy_address(self, name: str) -> model.Address:
         """Returns the address of the fault proxy of a backend server."""
         target = self._addresses[name]
