--- a/eelgrasshall/gateway/peer_sync_test.py
+++ b/eelgrasshall/gateway/peer_sync_test.py
@@ -368,8 +368,7 @@
 async def test_age_goes_with_what_was_received_not_with_what_is_in_force():
     # A host that puts deletions off passes them on, so that others know as
     # much as it does.  Its age was that of what was in force, and a stream of
-    # doubted deletions looked like a gap (DRAIN, the day of review/4 on
-    # trapeza-search, seed 4).
+    # doubted deletions looked like a gap (DRAIN, the day of review/4).
     remote, local = (
         _make_fresh_cache(5, _make_update("a", 3, "x")) for _ in range(2)
     )
--- a/eelgrasshall/gateway/watcher_test.py
+++ b/eelgrasshall/gateway/watcher_test.py
@@ -430,7 +430,7 @@
     # Two servers left at revisions 427 and 429.  A host that started then and
     # listed the store at 449 stated 448 while it deferred what the listing
     # lacked, so that others which fetched from it never asked for the two
-    # deletions that were known elsewhere (DRAIN, clamberfield-midlands).
+    # deletions that were known elsewhere (DRAIN).
     _override(monkeypatch, INITIAL_ROLE_DELAY_S=0.0)
     # The history is gone once more while the deletion is deferred.
     store = _Store(
--- a/eelgrasshall/platform/odd_entries_test.py
+++ b/eelgrasshall/platform/odd_entries_test.py
@@ -119,7 +119,7 @@
         hosts=2,
         shards=4,
         replicas=5,
-        contracts=("rollouts",),
+        contracts=("rollout",),
     )
     try:
         await fleet.start()
