Log what is rejected of the bytes of a server, and the parts of an answer

The record cannot tell whether a part that is named was empty, cut or another's: the size of a part, what its connection had carried before and what was discarded on it were nowhere.

A line response_rejected (within the limit of lines on single requests) and a counter by reason now tell malformed, oversized, cut, crossed and surplus bytes and responses without an id apart, with the state of the connection; the line of a request lists its smallest parts first, with the requests that their connections had carried.

--- a/eelgrasshall/gateway/connections.py
+++ b/eelgrasshall/gateway/connections.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+import enum
 import math
 import socket
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 import httptools
 
@@ -48,6 +50,46 @@
         return MAX_BODY_BYTES_CROWDED
 
 
+class RejectionReason(enum.Enum):
+    """Why bytes from a backend server do not count as a response."""
+
+    MALFORMED = "malformed"
+    OVERSIZED = "oversized"
+    # The response ends before its end.
+    CUT = "cut"
+    CROSSED = "crossed"
+    NO_ID = "no_id"
+    # Bytes behind a whole response, which counts.
+    SURPLUS = "surplus"
+    # Bytes while no request is in flight.
+    UNEXPECTED = "unexpected"
+
+
+class Rejection(NamedTuple):
+    """Bytes from a backend server that do not count as a response.
+
+    The id, the status and the size are those of what has arrived since the
+    request in flight was sent.
+
+    Attributes:
+      reason: Why they do not count.
+      request_id: Id of the request in flight; None if there is none.
+      response_id: The first id in the head, if any.
+      status: The status; 0 before the end of the head.
+      body_bytes: Size of the body.
+      earlier_requests: Requests that the connection carried before.
+      age_s: Time since the connection was opened, seconds.
+    """
+
+    reason: RejectionReason
+    request_id: bytes | None
+    response_id: bytes | None
+    status: int
+    body_bytes: int
+    earlier_requests: int
+    age_s: float
+
+
 class Connection(asyncio.Protocol):
     """A TCP connection to a backend server.
 
@@ -59,12 +101,14 @@
         "_body",
         "_head_bytes",
         "_headers",
+        "_opened_s",
         "_parser",
         "_received_bytes",
         "_received_eof",
         "_response_complete",
         "attempt",
         "backend",
+        "earlier_requests",
         "idle_since_s",
         "idle_timeout_s",
         "must_close",
@@ -78,10 +122,15 @@
         self.must_close = False
         self.idle_since_s = 0.0
         self.idle_timeout_s = math.inf
+        # Requests that it carried before the one in flight.
+        self.earlier_requests = -1
+        self._opened_s = backend.environment.loop.time()
         self._received_eof = False
         self._response_complete = False
         self._received_bytes = 0
         self._head_bytes: int | None = None
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport and enables keepalive."""
@@ -97,8 +146,9 @@
         self._received_bytes = 0
         # Bytes received up to the end of the head; None before that.
         self._head_bytes = None
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._headers = []
+        self._body = []
+        self.earlier_requests += 1
         self._parser = httptools.HttpResponseParser(self)
         self.transport.write(data)
         self.backend.record_bytes(attempt, len(data))
@@ -113,6 +163,7 @@
     def data_received(self, data: bytes) -> None:
         """Parses data from the backend server."""
         if self.attempt is None:
+            self._record_rejection(RejectionReason.UNEXPECTED)
             self.backend.close_connection(self)
             return
         self.backend.record_bytes(self.attempt, len(data))
@@ -123,7 +174,7 @@
             httptools.HttpParserUpgrade,
         ):
             if self.attempt is not None:
-                self._fail_attempt(messages.FailureKind.INVALID_RESPONSE)
+                self._reject(RejectionReason.MALFORMED)
             else:
                 self.backend.close_connection(self)
             return
@@ -134,7 +185,7 @@
         self.backend.environment.receive_buffer.size += len(data)
         if self._is_too_long():
             self.backend.environment.count("oversized_responses")
-            self._fail_attempt(messages.FailureKind.INVALID_RESPONSE)
+            self._reject(RejectionReason.OVERSIZED)
 
     def eof_received(self) -> None:
         """Completes a response that ends with the connection."""
@@ -149,6 +200,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fails the attempt in flight and leaves the pool."""
         self.must_close = True
+        if self.attempt is not None and self._received_bytes:
+            self._record_rejection(RejectionReason.CUT)
         self._release_buffer()
         if self.attempt is not None:
             self._fail_attempt(
@@ -184,7 +237,6 @@
             self._headers = []
             return
         if self._response_complete:
-            self.must_close = True
             return
         self._response_complete = True
         if not self._parser.should_keep_alive():
@@ -194,6 +246,7 @@
         """Marks the connection for closing if a second response begins."""
         if self._response_complete:
             self.must_close = True
+            self._record_rejection(RejectionReason.SURPLUS)
 
     def _is_too_long(self) -> bool:
         """Returns whether the response exceeds a limit.
@@ -255,9 +308,12 @@
             and (response_id or status < 300)
         ):
             self.backend.environment.count("crossed_responses")
-            self.must_close = True
             self.attempt = attempt
-            self._fail_attempt(messages.FailureKind.INVALID_RESPONSE)
+            self._reject(
+                RejectionReason.CROSSED
+                if response_id
+                else RejectionReason.NO_ID
+            )
             return
         reply = messages.Reply(
             status=status,
@@ -268,7 +324,9 @@
             leaving=leaving,
             retry_after=retry_after,
             rate_limits=tuple(rate_limits),
+            earlier_requests=self.earlier_requests,
         )
+        self._headers, self._body, self._head_bytes = [], [], None
         # If the response arrived before the request was sent completely, the
         # rest of the request is still to follow, so the connection cannot be
         # reused.
@@ -283,6 +341,34 @@
         if found and digits.isdigit():
             self.idle_timeout_s = int(digits) * IDLE_TIMEOUT_SHARE
 
+    def _reject(self, reason: RejectionReason) -> None:
+        """Fails the attempt in flight: the bytes are no response to it."""
+        self._record_rejection(reason)
+        self._fail_attempt(messages.FailureKind.INVALID_RESPONSE)
+
+    def _record_rejection(self, reason: RejectionReason) -> None:
+        """Counts and reports bytes that do not count as a response."""
+        environment = self.backend.environment
+        environment.count(f"rejected_{reason.value}")
+        ids = [
+            value
+            for key, value in self._headers
+            if key.lower() == environment.names.request_id
+        ]
+        has_head = self._head_bytes is not None
+        environment.observer.on_rejected(
+            self.backend,
+            Rejection(
+                reason=reason,
+                request_id=self.attempt and self.attempt.request_id,
+                response_id=ids[0] if ids else None,
+                status=self._parser.get_status_code() if has_head else 0,
+                body_bytes=sum(map(len, self._body)),
+                earlier_requests=self.earlier_requests,
+                age_s=environment.loop.time() - self._opened_s,
+            ),
+        )
+
     def _fail_attempt(
         self, kind: messages.FailureKind, *, silent: bool = False
     ) -> None:
--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -139,6 +139,7 @@
         self.leaving: list[upstream.Backend] = []
         self.pauses_s: list[float] = []
         self.stated_rates: list[tuple[float | None, float]] = []
+        self.rejections: list[connections.Rejection] = []
 
     def on_unanswered(
         self,
@@ -182,6 +183,12 @@
         """Records a pause that a server asked for."""
         self.pauses_s.append(pause_s)
 
+    def on_rejected(
+        self, backend: upstream.Backend, rejection: connections.Rejection
+    ) -> None:
+        """Records bytes that do not count as a response."""
+        self.rejections.append(rejection)
+
     def on_rate_stated(
         self, backend: upstream.Backend, rate: float | None, sent_s: float
     ) -> None:
--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -187,6 +187,7 @@
 
     __slots__ = (
         "active",
+        "answered_by",
         "attempt_count",
         "failed",
         "may_have_run",
@@ -200,6 +201,8 @@
         self.service = service
         self.active: list[attempts.Attempt] = []
         self.reply: messages.Reply | None = None
+        # The server whose success it is; empty if there is none.
+        self.answered_by = ""
         self.failed = False
         self.may_have_run = False
         self.was_sent = False
@@ -336,6 +339,7 @@
             self._latencies.record(took_s)
             if shard.reply is None:
                 shard.reply = outcome
+                shard.answered_by = attempt.backend.server.id
         elif shard.is_pending:
             self._retry(shard, outcome)
         self._check_completion()
@@ -398,8 +402,17 @@
         """Returns the attempts and failures of the request as log fields."""
         sent_to = [b.server.id for shard in self._shards for b in shard.tried]
         left_out = [s.service for s in self._shards if s.reply is None]
+        parts = sorted(
+            (len(shard.reply.body), shard.answered_by, shard.reply)
+            for shard in self._shards
+            if shard.answered_by
+        )
         return {
             "sent_to": sent_to[:MAX_LOGGED_ITEMS],
+            "parts": [
+                [server_id, size, reply.earlier_requests]
+                for size, server_id, reply in parts[:MAX_LOGGED_ITEMS]
+            ],
             "hedges": self._hedge_count,
             "failures": self._failures,
             "left_out": left_out[:MAX_LOGGED_ITEMS],
--- a/eelgrasshall/gateway/fanout_test.py
+++ b/eelgrasshall/gateway/fanout_test.py
@@ -328,6 +328,18 @@
     assert len(log_fields["sent_to"]) == 3 and log_fields["left_out"] == []
 
 
+async def test_log_fields_show_the_smallest_parts_of_an_answer_first():
+    context = fakes.Context(SHARDS, replicas=1)
+    request_fanout, task = _start(context, fakes.make_route(shards=SHARDS))
+    await _run_ready_tasks()
+    for size, shard in enumerate(SHARDS):
+        context.send_reply(shard, b"r" * 16 * size)
+    await task
+    parts = request_fanout.get_log_fields()["parts"]
+    assert [size for _, size, _ in parts] == [0, 16, 32, 48][: len(SHARDS)]
+    assert all(earlier == 0 for _, _, earlier in parts)
+
+
 async def test_attempts_are_aborted_when_caller_leaves():
     context = fakes.Context(SHARDS, replicas=1)
     _, task = _start(context, fakes.make_route(shards=SHARDS))
--- a/eelgrasshall/gateway/messages.py
+++ b/eelgrasshall/gateway/messages.py
@@ -106,6 +106,7 @@
       leaving: Whether the server states that it is about to stop.
       retry_after: The value of its Retry-After header, or None.
       rate_limits: The values of its rate limit headers.
+      earlier_requests: Requests that its connection carried before.
     """
 
     status: int
@@ -116,6 +117,7 @@
     leaving: bool = False
     retry_after: bytes | None = None
     rate_limits: tuple[bytes, ...] = ()
+    earlier_requests: int = 0
 
     @property
     def succeeded(self) -> bool:
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -1072,6 +1072,24 @@
             pause_s=pause_s,
         )
 
+    def on_rejected(
+        self, backend: upstream.Backend, rejection: connections.Rejection
+    ) -> None:
+        """Logs bytes of a server that do not count as a response."""
+        if not self._log.allow_request_line(failed=True):
+            return
+        self._log.record(
+            "response_rejected",
+            id=_decode_id(rejection.request_id),
+            server=backend.server.id,
+            reason=rejection.reason.value,
+            response_id=_decode_id(rejection.response_id),
+            status=rejection.status,
+            body_bytes=rejection.body_bytes,
+            earlier_requests=rejection.earlier_requests,
+            connection_age_ms=round(rejection.age_s * 1000),
+        )
+
     def on_rate_stated(
         self, backend: upstream.Backend, rate: float | None, sent_s: float
     ) -> None:
@@ -1155,6 +1173,11 @@
             )
 
 
+def _decode_id(request_id: bytes | None) -> str | None:
+    """Returns a request id as text for the log."""
+    return None if request_id is None else request_id.decode("latin-1")
+
+
 def _classify_answer(result: relay_module.Result) -> fanout.Verdict:
     """Returns the verdict on an answer that another host gave."""
     if result.status < 300:
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -98,6 +98,11 @@
     def on_paused(self, backend: "Backend", pause_s: float) -> None:
         """Handles a server's wish for no request for some seconds."""
 
+    def on_rejected(
+        self, backend: "Backend", rejection: connections.Rejection
+    ) -> None:
+        """Handles bytes of a server that do not count as a response."""
+
     def on_rate_stated(
         self, backend: "Backend", rate: float | None, sent_s: float
     ) -> None:
--- a/eelgrasshall/gateway/upstream_test.py
+++ b/eelgrasshall/gateway/upstream_test.py
@@ -534,3 +534,54 @@
     assert buffer.size > 1000
     connected.connection.connection_lost(None)
     assert buffer.size == 0
+
+
+async def test_rejected_bytes_are_reported_with_their_connection():
+    connected = fakes.ConnectedBackend()
+    connected.send("a1")
+    connected.feed(fakes.encode_reply("a1", b"body"))
+    second, _ = connected.send("a2")
+    connected.feed(fakes.encode_reply("a1", b"body"))
+    (rejection,) = connected.observer.rejections
+    assert rejection._replace(age_s=0.0) == connections.Rejection(
+        reason=connections.RejectionReason.CROSSED,
+        request_id=b"a2",
+        response_id=b"a1",
+        status=200,
+        body_bytes=4,
+        earlier_requests=1,
+        age_s=0.0,
+    )
+    assert "rejected_crossed" in connected.counts
+
+
+@pytest.mark.parametrize(
+    "reason, data",
+    [
+        ("malformed", b"no response\r\n\r\n"),
+        ("no_id", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+        ("surplus", fakes.encode_reply("a1", b"body") * 2),
+        ("cut", fakes.encode_reply("a1", b"body")[:-1]),
+    ],
+)
+async def test_reason_of_a_rejection_tells_faults_of_servers_apart(
+    reason, data
+):
+    connected = fakes.ConnectedBackend()
+    connected.send("a1")
+    connected.feed(data)
+    connected.connection.connection_lost(None)
+    (rejection,) = connected.observer.rejections
+    assert rejection.reason.value == reason
+    assert rejection.earlier_requests == 0
+
+
+async def test_bytes_on_an_idle_connection_are_reported():
+    connected = fakes.ConnectedBackend()
+    connected.send("a1")
+    connected.feed(fakes.encode_reply("a1", b"body"))
+    connected.feed(fakes.encode_reply("a1", b"body"))
+    (rejection,) = connected.observer.rejections
+    assert rejection.reason is connections.RejectionReason.UNEXPECTED
+    assert rejection.request_id is None
+    assert rejection.response_id is None
