Reject responses whose head runs into another response

Callers could have got a relayed answer, and a host a response of the store or of another host, with the status of one response and the headers and body of the next one: a peer that breaks off within a reason phrase or a header and goes on with its next response leaves bytes that parse as one head. The headers of both were kept, and users of the parser took the last one.

A reason phrase, header or trailer that holds a status line is an invalid response now. Headers that the user of the parser names, and those that state the length of the body, may stand once; interim responses count apart. The error states its reason in a word for counters.

Cuts at other places need no such check, since the parser refuses them: within the status, a header's name, the length, a line end, a chunk's size or its extensions.

--- a/eelgrasshall/gateway/response_parser.py
+++ b/eelgrasshall/gateway/response_parser.py
@@ -1,12 +1,29 @@
 """Parses one HTTP/1.1 response from the bytes of a connection."""
 
 from collections.abc import Callable
+import re
+from typing import NoReturn
 
 import httptools
 
+# How a response begins.  Within a header or the reason phrase, it shows that a
+# response was cut off there and another one followed on the connection.
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+# These state where the body ends.
+_FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
+
 
 class InvalidResponse(ConnectionError):
-    """The bytes are no valid response, or exceed a limit."""
+    """The bytes are no valid response, or exceed a limit.
+
+    Attributes:
+      reason: Why, as a word for logs and counters: "malformed", "oversized",
+        "repeated_header" or "status_line_in_head".
+    """
+
+    def __init__(self, message: str, *, reason: str = "malformed"):
+        super().__init__(message)
+        self.reason = reason
 
 
 class ResponseParser:
@@ -16,6 +33,8 @@
       max_head_bytes: Maximum size of the head, bytes.
       get_max_body_bytes: Returns the maximum size of the body at present,
         bytes.
+      unique_headers: Names, in lower case, of headers that a response may have
+        once at most, beside those that state the length of its body.
 
     Attributes:
       complete: Whether the response has ended.
@@ -31,6 +50,7 @@
         *,
         max_head_bytes: int,
         get_max_body_bytes: Callable[[], int],
+        unique_headers: frozenset[bytes] = frozenset(),
     ):
         self.complete = False
         self.keeps_open = False
@@ -40,6 +60,10 @@
         self.body_bytes = 0
         self._max_head_bytes = max_head_bytes
         self._get_max_body_bytes = get_max_body_bytes
+        self._unique_headers = unique_headers | _FRAMING_HEADERS
+        self._seen_headers: set[bytes] = set()
+        self._reason_phrase = b""
+        self._fault: InvalidResponse | None = None
         self._body: list[bytes] = []
         self._received_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
@@ -66,10 +90,13 @@
             httptools.HttpParserUpgrade,
         ) as error:
             if not self.complete:
-                raise InvalidResponse(f"invalid response: {error}") from error
+                fault = self._fault or InvalidResponse(
+                    f"invalid response: {error}"
+                )
+                raise fault from error
             self.has_extra = True
         if not self.complete and self._is_too_long():
-            raise InvalidResponse("response too large")
+            raise InvalidResponse("response too large", reason="oversized")
 
     # Callbacks of the parser.
 
@@ -78,13 +105,40 @@
         if self.complete:
             self.has_extra = True
 
+    def on_status(self, data: bytes) -> None:
+        """Adds to the reason phrase."""
+        if not self.complete:
+            self._reason_phrase += data
+
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header."""
-        if not self.status:
-            self.headers.append((name, value))
+        """Stores a header; a trailer is only checked.
+
+        Raises:
+          InvalidResponse: The header shows that two responses were joined.
+        """
+        if self.complete:
+            return
+        self._check_text(value)
+        if self.status:
+            return
+        lower_name = name.lower()
+        if lower_name in self._unique_headers:
+            if lower_name in self._seen_headers:
+                self._reject(
+                    f"repeated header {lower_name.decode('latin-1')}",
+                    "repeated_header",
+                )
+            self._seen_headers.add(lower_name)
+        self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Notes the end of the head, unless it is that of an interim one."""
+        """Notes the end of the head, unless it is that of an interim one.
+
+        Raises:
+          InvalidResponse: The reason phrase holds a status line.
+        """
+        if not self.complete:
+            self._check_text(self._reason_phrase)
         status = self._parser.get_status_code()
         if status >= 200 and not self.complete:
             self.status = status
@@ -93,13 +147,13 @@
         """Appends a fragment of the body.
 
         Raises:
-          ValueError: The body exceeds the limit.
+          InvalidResponse: The body exceeds the limit.
         """
         if self.complete:
             return
         self.body_bytes += len(data)
         if self.body_bytes > self._get_max_body_bytes():
-            raise ValueError("response too large")
+            self._reject("response too large", "oversized")
         self._body.append(data)
 
     def on_message_complete(self) -> None:
@@ -108,10 +162,25 @@
             return
         if not self.status:
             self.headers = []
+            self._seen_headers.clear()
+            self._reason_phrase = b""
             return
         self.complete = True
         self.keeps_open = self._parser.should_keep_alive()
 
+    def _check_text(self, text: bytes) -> None:
+        """Rejects a header's value or a reason phrase with a status line."""
+        if _STATUS_LINE.search(text):
+            self._reject("status line within a head", "status_line_in_head")
+
+    def _reject(self, message: str, reason: str) -> NoReturn:
+        """Ends the parsing; `feed` raises the error.
+
+        The parser wraps what its callbacks raise.
+        """
+        self._fault = InvalidResponse(message, reason=reason)
+        raise self._fault
+
     def _is_too_long(self) -> bool:
         """Returns whether the response exceeds a limit, framing included."""
         limit = self._max_head_bytes
--- a/eelgrasshall/gateway/response_parser_test.py
+++ b/eelgrasshall/gateway/response_parser_test.py
@@ -8,10 +8,15 @@
 _CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-def _make_parser(max_head_bytes: int = 200, max_body_bytes: int = 100):
+def _make_parser(
+    max_head_bytes: int = 200,
+    max_body_bytes: int = 100,
+    unique_headers: frozenset[bytes] = frozenset(),
+):
     return response_parser.ResponseParser(
         max_head_bytes=max_head_bytes,
         get_max_body_bytes=lambda: max_body_bytes,
+        unique_headers=unique_headers,
     )
 
 
@@ -83,3 +88,114 @@
     with pytest.raises(response_parser.InvalidResponse):
         parser.feed(data)
     assert not parser.complete
+
+
+@pytest.mark.parametrize("status_line", [b"HTTP/1.1 500 ", b"HTTP/1.0 204\r\n"])
+@pytest.mark.parametrize("in_pieces", [False, True])
+@pytest.mark.parametrize(
+    "cut_head",
+    [
+        b"HTTP/1.1 200 ",
+        b"HTTP/1.1 200 O",
+        b"HTTP/1.1 200 OK\r\nX-A:",
+        b"HTTP/1.1 200 OK\r\nX-A: b",
+        b"HTTP/1.1 103 Early\r\nX-A: b",
+        b"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 O",
+        # The part that follows would be taken for the trailers.
+        _CHUNKED + b"3\r\nabc\r\n0\r\nX-Trailer: t",
+    ],
+)
+def test_head_that_runs_into_another_response_is_an_error(
+    cut_head, in_pieces, status_line
+):
+    # A server broke off within a head and sent the next response on the same
+    # connection: the two heads were read as one, with the status of the first.
+    if not status_line.endswith(b"\r\n"):
+        status_line += b"Failed\r\n"
+    data = cut_head + status_line + b"X-C: d\r\n\r\n"
+    parser = _make_parser()
+    with pytest.raises(response_parser.InvalidResponse) as raised:
+        if in_pieces:
+            for at in range(len(data)):
+                parser.feed(data[at : at + 1])
+        else:
+            parser.feed(data)
+    assert raised.value.reason == "status_line_in_head"
+    assert not parser.complete
+
+
+@pytest.mark.parametrize(
+    "text",
+    [b"HTTP/1.1 proxy", b"1.1 proxy, HTTP/2.0", b"HTTP/1.1 20", b"HTTP 200 OK"],
+)
+def test_header_that_names_the_protocol_is_no_status_line(text):
+    parser = _make_parser()
+    parser.feed(_RESPONSE.replace(b"X-A: b", b"Via: " + text))
+    assert parser.complete and parser.headers[0] == (b"Via", text)
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        b"X-Id: a\r\nX-Id: b\r\nContent-Length: 0\r\n",
+        b"X-Id: a\r\nContent-Length: 0\r\nx-iD: a\r\n",
+        b"Transfer-Encoding: chunked\r\nX-Id: a\r\n"
+        b"Transfer-Encoding: chunked\r\n",
+    ],
+    ids=["two values", "same value", "framing"],
+)
+def test_header_that_must_stand_once_and_is_repeated_is_an_error(headers):
+    # The last one won: the id of one response stood beside the body and the
+    # signature of another one.
+    parser = _make_parser(unique_headers=frozenset((b"x-id",)))
+    with pytest.raises(response_parser.InvalidResponse) as raised:
+        parser.feed(b"HTTP/1.1 200 OK\r\n%s\r\n0\r\n\r\n" % headers)
+    assert raised.value.reason == "repeated_header"
+    assert not parser.complete
+
+
+def test_unique_header_may_stand_in_an_interim_response_and_a_trailer():
+    parser = _make_parser(unique_headers=frozenset((b"x-id",)))
+    parser.feed(b"HTTP/1.1 103 Early\r\nX-Id: a\r\n\r\n")
+    parser.feed(_CHUNKED.replace(b"\r\n\r\n", b"\r\nX-Id: a\r\n\r\n"))
+    parser.feed(b"0\r\nX-Id: b\r\n\r\n")
+    assert parser.complete and parser.headers[-1] == (b"X-Id", b"a")
+    assert len(parser.headers) == 2
+
+
+def test_other_headers_may_be_repeated():
+    parser = _make_parser(unique_headers=frozenset((b"x-id",)))
+    parser.feed(_RESPONSE.replace(b"X-A: b", b"X-A: b\r\nX-A: c"))
+    assert parser.complete and len(parser.headers) == 3
+
+
+@pytest.mark.parametrize(
+    "extra",
+    [
+        _RESPONSE.replace(b"OK", b"HTTP/1.1 500 "),
+        _RESPONSE.replace(b"X-A: b", b"X-A: HTTP/1.1 500 "),
+        _RESPONSE.replace(b"X-A: b", b"Content-Length: 3"),
+    ],
+)
+def test_fault_in_bytes_behind_a_response_does_not_change_it(extra):
+    parser = _make_parser()
+    parser.feed(_RESPONSE + extra)
+    assert parser.complete and parser.has_extra
+    assert parser.status == 200 and parser.body == b"abc"
+
+
+@pytest.mark.parametrize(
+    ("data", "reason"),
+    [
+        (b"no http\r\n\r\n", "malformed"),
+        (b"HTTP/1.1 200 OK\r\nX-A: " + b"a" * 200, "oversized"),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + b"a" * 101,
+            "oversized",
+        ),
+    ],
+)
+def test_error_states_its_reason(data, reason):
+    with pytest.raises(response_parser.InvalidResponse) as raised:
+        _make_parser().feed(data)
+    assert raised.value.reason == reason
