Keep the status that a response had at the end of its head

Cause: the status was asked of the HTTP parser after all bytes of a read were parsed. The status line of a second response, or a piece of one, had replaced it by then ("HTTP/1.1 ": 0, "HTTP/1.1 2": 2).

--- a/eelgrasshall/gateway/connections.py
+++ b/eelgrasshall/gateway/connections.py
@@ -106,6 +106,7 @@
         "_received_bytes",
         "_received_eof",
         "_response_complete",
+        "_status",
         "attempt",
         "backend",
         "earlier_requests",
@@ -146,6 +147,8 @@
         self._received_bytes = 0
         # Bytes received up to the end of the head; None before that.
         self._head_bytes = None
+        # Status of the response; 0 before the end of its head.
+        self._status = 0
         self._headers = []
         self._body = []
         self.earlier_requests += 1
@@ -223,7 +226,9 @@
 
         The bytes that are being parsed count as part of the head.
         """
-        if self._parser.get_status_code() >= 200:
+        status = self._parser.get_status_code()
+        if status >= 200 and not self._response_complete:
+            self._status = status
             self._head_bytes = self._received_bytes
 
     def on_body(self, data: bytes) -> None:
@@ -300,7 +305,7 @@
                 rate_limits.append(value)
             elif name == b"keep-alive":
                 self._parse_keep_alive(value)
-        status = self._parser.get_status_code()
+        status = self._status
         # An error response sent before the request was read has no id.
         if (
             attempt.request_id is not None
--- /dev/null
+++ b/eelgrasshall/gateway/late_copies_test.py
@@ -0,0 +1,91 @@
+"""Tests of servers that answer a request twice on a connection in use.
+
+The second copy may come late, cut, or joined with the response to the next
+request.  That request must get its own response or fail.
+"""
+
+import pytest
+
+from eelgrasshall.gateway import fakes
+from eelgrasshall.gateway import messages
+
+_FRAMINGS = ("length", "length first", "chunks", "no length")
+
+
+def _encode(
+    request_id: str | None,
+    body: bytes,
+    *,
+    status: int = 200,
+    framing: str = "length",
+) -> bytes:
+    """Returns a response whose signature names its request and its body."""
+    length = b"Content-Length: %d\r\n" % len(body)
+    lines = [b"X-Seal: seal-%s\r\n" % (request_id or "none").encode()]
+    if request_id is not None:
+        lines.insert(0, b"X-Id: %s\r\n" % request_id.encode())
+    if framing == "length first":
+        lines.insert(0, length)
+    elif framing == "length":
+        lines.append(length)
+    elif framing == "chunks":
+        lines.append(b"Transfer-Encoding: chunked\r\n")
+        body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+    status_line = b"HTTP/1.1 %d Status\r\n" % status
+    return status_line + b"".join(lines) + b"\r\n" + body
+
+
+_FIRST_BODY = b"the first body.."
+_BODY = b"records of the second request..."
+
+
+def _is_own(outcome: object, status: int) -> bool:
+    """Returns whether an outcome is the whole response to request b2."""
+    return (
+        isinstance(outcome, messages.Reply)
+        and outcome.status == status
+        and outcome.seal == b"seal-b2"
+        and outcome.body == _BODY
+    )
+
+
+async def _receive_second(pieces: list[bytes]) -> object:
+    """Returns the outcome of a second request on a connection.
+
+    The server closes the connection after the pieces.
+    """
+    connected = fakes.ConnectedBackend()
+    first, owner = connected.send("a1")
+    connected.feed(_encode("a1", _FIRST_BODY))
+    assert owner.get_reply(first).body == _FIRST_BODY
+    second, owner = connected.send("b2")
+    for piece in pieces:
+        if second not in owner.outcomes:
+            connected.feed(piece)
+    if second not in owner.outcomes:
+        connected.connection.eof_received()
+    if second not in owner.outcomes:
+        connected.connection.connection_lost(None)
+    await connected.close()
+    return owner.outcomes[second]
+
+
+def _divide(data: bytes, at: int) -> list[list[bytes]]:
+    """Returns divisions of data into reads: one, two, and one for each byte."""
+    single = [data[i : i + 1] for i in range(len(data))]
+    return [[data], [data[:at], data[at:]], single]
+
+
+@pytest.mark.parametrize("framing", _FRAMINGS[:3])
+@pytest.mark.parametrize("status", [200, 500])
+async def test_bytes_behind_a_response_leave_its_status_as_it_is(
+    status, framing
+):
+    response = _encode("b2", _BODY, status=status, framing=framing)
+    for other in (200, 500):
+        copy = _encode("b2", _BODY, status=other)
+        for end in range(len(copy) + 1):
+            for pieces in _divide(response + copy[:end], len(response)):
+                assert _is_own(await _receive_second(pieces), status), copy[
+                    :end
+                ]
