Read responses of backend servers by the parser that hosts use

A server that breaks off a copy within its head and then answers the next request leaves bytes that parse as one head; a copy that stated a length cut the next body to it.

Cause: Connection parsed HTTP by itself, beside response_parser, with rules of its own for the end of a head, for what follows a response and for what is too long, and with no check for a status line within a head.

Connection has no parser of its own any more: response_parser decides what belongs to a response, and learns to end one with its connection. Bytes that are no HTTP behind a whole response no longer fail it; they close the connection, as a second response did.

--- a/eelgrasshall/gateway/connections.py
+++ b/eelgrasshall/gateway/connections.py
@@ -5,16 +5,14 @@
 """
 
 import asyncio
-import enum
 import math
 import socket
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-import httptools
-
 from eelgrasshall.gateway import attempts
 from eelgrasshall.gateway import messages
+from eelgrasshall.gateway import response_parser
 
 if TYPE_CHECKING:
     from eelgrasshall.gateway import upstream
@@ -36,6 +34,17 @@
 # reused.
 IDLE_TIMEOUT_SHARE = 0.7
 
+# Why bytes of a server do not count as a response, beside the reasons of
+# `response_parser`.  The response was cut off:
+CUT = "cut"
+# It has the id of another request, or none where it needs one.
+CROSSED = "crossed"
+NO_ID = "no_id"
+# Bytes followed a whole response, which counts.
+SURPLUS = "surplus"
+# Bytes arrived while no request was in flight.
+UNEXPECTED = "unexpected"
+
 
 class ReceiveBuffer:
     """Counts the bytes of all responses that a host is receiving."""
@@ -50,21 +59,6 @@
         return MAX_BODY_BYTES_CROWDED
 
 
-class RejectionReason(enum.Enum):
-    """Why bytes from a backend server do not count as a response."""
-
-    MALFORMED = "malformed"
-    OVERSIZED = "oversized"
-    # The response ends before its end.
-    CUT = "cut"
-    CROSSED = "crossed"
-    NO_ID = "no_id"
-    # Bytes behind a whole response, which counts.
-    SURPLUS = "surplus"
-    # Bytes while no request is in flight.
-    UNEXPECTED = "unexpected"
-
-
 class Rejection(NamedTuple):
     """Bytes from a backend server that do not count as a response.
 
@@ -72,7 +66,8 @@
     request in flight was sent.
 
     Attributes:
-      reason: Why they do not count.
+      reason: Why they do not count: one of this module's or of
+        `response_parser`.
       request_id: Id of the request in flight; None if there is none.
       response_id: The first id in the head, if any.
       status: The status; 0 before the end of the head.
@@ -81,7 +76,7 @@
       age_s: Time since the connection was opened, seconds.
     """
 
-    reason: RejectionReason
+    reason: str
     request_id: bytes | None
     response_id: bytes | None
     status: int
@@ -98,15 +93,10 @@
     """
 
     __slots__ = (
-        "_body",
-        "_head_bytes",
-        "_headers",
         "_opened_s",
         "_parser",
         "_received_bytes",
         "_received_eof",
-        "_response_complete",
-        "_status",
         "attempt",
         "backend",
         "earlier_requests",
@@ -127,11 +117,8 @@
         self.earlier_requests = -1
         self._opened_s = backend.environment.loop.time()
         self._received_eof = False
-        self._response_complete = False
         self._received_bytes = 0
-        self._head_bytes: int | None = None
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._parser: response_parser.ResponseParser | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport and enables keepalive."""
@@ -143,16 +130,12 @@
         self.attempt = attempt
         attempt.connection = self
         attempt.sent = True
-        self._response_complete = False
-        self._received_bytes = 0
-        # Bytes received up to the end of the head; None before that.
-        self._head_bytes = None
-        # Status of the response; 0 before the end of its head.
-        self._status = 0
-        self._headers = []
-        self._body = []
         self.earlier_requests += 1
-        self._parser = httptools.HttpResponseParser(self)
+        environment = self.backend.environment
+        self._parser = response_parser.ResponseParser(
+            max_head_bytes=MAX_HEAD_BYTES,
+            get_max_body_bytes=environment.receive_buffer.get_body_limit,
+        )
         self.transport.write(data)
         self.backend.record_bytes(attempt, len(data))
 
@@ -166,45 +149,39 @@
     def data_received(self, data: bytes) -> None:
         """Parses data from the backend server."""
         if self.attempt is None:
-            self._record_rejection(RejectionReason.UNEXPECTED)
+            self._record_rejection(UNEXPECTED)
             self.backend.close_connection(self)
             return
         self.backend.record_bytes(self.attempt, len(data))
         try:
-            self._parser.feed_data(data)
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ):
-            if self.attempt is not None:
-                self._reject(RejectionReason.MALFORMED)
-            else:
-                self.backend.close_connection(self)
+            self._parser.feed(data)
+        except response_parser.InvalidResponse as error:
+            self._reject(error.reason)
             return
-        if self._response_complete:
+        if self._parser.complete:
             self._complete_attempt()
             return
         self._received_bytes += len(data)
         self.backend.environment.receive_buffer.size += len(data)
-        if self._is_too_long():
-            self.backend.environment.count("oversized_responses")
-            self._reject(RejectionReason.OVERSIZED)
 
     def eof_received(self) -> None:
         """Completes a response that ends with the connection."""
         self._received_eof = True
-        if self.attempt is None or self._response_complete:
+        if self.attempt is None:
             return
-        if self._is_close_delimited():
-            self.must_close = True
-            self._response_complete = True
+        try:
+            self._parser.end()
+        except response_parser.InvalidResponse as error:
+            self._reject(error.reason)
+            return
+        if self._parser.complete:
             self._complete_attempt()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fails the attempt in flight and leaves the pool."""
         self.must_close = True
         if self.attempt is not None and self._received_bytes:
-            self._record_rejection(RejectionReason.CUT)
+            self._record_rejection(CUT)
         self._release_buffer()
         if self.attempt is not None:
             self._fail_attempt(
@@ -214,82 +191,23 @@
             )
         self.backend.remove_connection(self)
 
-    # Callbacks of the parser.
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a response header."""
-        if not self._response_complete:
-            self._headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Notes the end of the head, unless it is that of an interim response.
-
-        The bytes that are being parsed count as part of the head.
-        """
-        status = self._parser.get_status_code()
-        if status >= 200 and not self._response_complete:
-            self._status = status
-            self._head_bytes = self._received_bytes
-
-    def on_body(self, data: bytes) -> None:
-        """Stores a chunk of the response body."""
-        if not self._response_complete:
-            self._body.append(data)
-
-    def on_message_complete(self) -> None:
-        """Marks the response as complete; skips interim responses."""
-        if self._parser.get_status_code() < 200:
-            self._headers = []
-            return
-        if self._response_complete:
-            return
-        self._response_complete = True
-        if not self._parser.should_keep_alive():
-            self.must_close = True
-
-    def on_message_begin(self) -> None:
-        """Marks the connection for closing if a second response begins."""
-        if self._response_complete:
-            self.must_close = True
-            self._record_rejection(RejectionReason.SURPLUS)
-
-    def _is_too_long(self) -> bool:
-        """Returns whether the response exceeds a limit.
-
-        What frames a body, such as chunk extensions, counts as well.
-        """
-        if self._head_bytes is None:
-            return self._received_bytes > MAX_HEAD_BYTES
-        limit = self.backend.environment.receive_buffer.get_body_limit()
-        return self._received_bytes - self._head_bytes > limit
-
     def _release_buffer(self) -> None:
         """Discounts the bytes of a response that is no longer received."""
         self.backend.environment.receive_buffer.size -= self._received_bytes
         self._received_bytes = 0
 
-    def _is_close_delimited(self) -> bool:
-        """Returns whether the response has a whole head but states no length.
-
-        A head that is cut off may lack the header that states it.
-        """
-        if self._head_bytes is None:
-            return False
-        framing = (b"content-length", b"transfer-encoding")
-        return not any(key.lower() in framing for key, _ in self._headers)
-
     def _complete_attempt(self) -> None:
         """Completes the attempt in flight with the parsed response.
 
         A response whose id is not that of the request fails the attempt.
         """
-        attempt, self.attempt = self.attempt, None
-        self._release_buffer()
         names = self.backend.environment.names
+        parser = self._parser
+        self._release_buffer()
         response_id = seal = retry_after = None
         not_run = leaving = False
         rate_limits: list[bytes] = []
-        for key, value in self._headers:
+        for key, value in parser.headers:
             name = key.lower()
             if name == names.request_id:
                 response_id = value
@@ -305,75 +223,89 @@
                 rate_limits.append(value)
             elif name == b"keep-alive":
                 self._parse_keep_alive(value)
-        status = self._status
-        # An error response sent before the request was read has no id.
-        if (
-            attempt.request_id is not None
-            and response_id != attempt.request_id
-            and (response_id or status < 300)
-        ):
+        reason = self._find_crossing(response_id)
+        if reason is not None:
             self.backend.environment.count("crossed_responses")
-            self.attempt = attempt
-            self._reject(
-                RejectionReason.CROSSED
-                if response_id
-                else RejectionReason.NO_ID
-            )
+            self._reject(reason)
             return
+        if parser.has_extra:
+            self._record_rejection(SURPLUS)
+        # If the response arrived before the request was sent completely, the
+        # rest of the request is still to follow, so the connection cannot be
+        # reused.
+        if (
+            not parser.keeps_open
+            or parser.has_extra
+            or self.transport.get_write_buffer_size()
+            or self._received_eof
+        ):
+            self.must_close = True
+        attempt, self.attempt, self._parser = self.attempt, None, None
         reply = messages.Reply(
-            status=status,
-            headers=self._headers,
-            body=b"".join(self._body),
+            status=parser.status,
+            headers=parser.headers,
+            body=parser.body,
             seal=seal,
-            not_run=not_run or status == 421,
+            not_run=not_run or parser.status == 421,
             leaving=leaving,
             retry_after=retry_after,
             rate_limits=tuple(rate_limits),
             earlier_requests=self.earlier_requests,
         )
-        self._headers, self._body, self._head_bytes = [], [], None
-        # If the response arrived before the request was sent completely, the
-        # rest of the request is still to follow, so the connection cannot be
-        # reused.
-        if self.transport.get_write_buffer_size() or self._received_eof:
-            self.must_close = True
         self.backend.complete_attempt(self, attempt, reply)
 
-    def _parse_keep_alive(self, value: bytes) -> None:
-        """Reads the server's idle time-out from a Keep-Alive header."""
-        _, found, text = value.partition(b"timeout=")
-        digits = text.split(b",")[0].strip()
-        if found and digits.isdigit():
-            self.idle_timeout_s = int(digits) * IDLE_TIMEOUT_SHARE
+    def _find_crossing(self, response_id: bytes | None) -> str | None:
+        """Returns why a response is not one to the request in flight, or None.
 
-    def _reject(self, reason: RejectionReason) -> None:
+        Health checks have no id.  An error response that was sent before the
+        request was read has none either.
+        """
+        request_id = self.attempt.request_id
+        if request_id is None or response_id == request_id:
+            return None
+        if response_id:
+            return CROSSED
+        if self._parser.status < 300:
+            return NO_ID
+        return None
+
+    def _reject(self, reason: str) -> None:
         """Fails the attempt in flight: the bytes are no response to it."""
+        if reason == response_parser.OVERSIZED:
+            self.backend.environment.count("oversized_responses")
         self._record_rejection(reason)
         self._fail_attempt(messages.FailureKind.INVALID_RESPONSE)
 
-    def _record_rejection(self, reason: RejectionReason) -> None:
+    def _record_rejection(self, reason: str) -> None:
         """Counts and reports bytes that do not count as a response."""
         environment = self.backend.environment
-        environment.count(f"rejected_{reason.value}")
-        ids = [
-            value
-            for key, value in self._headers
-            if key.lower() == environment.names.request_id
-        ]
-        has_head = self._head_bytes is not None
+        environment.count(f"rejected_{reason}")
+        parser = self._parser
+        id_name = environment.names.request_id
+        headers = parser.headers if parser is not None else ()
         environment.observer.on_rejected(
             self.backend,
             Rejection(
                 reason=reason,
                 request_id=self.attempt and self.attempt.request_id,
-                response_id=ids[0] if ids else None,
-                status=self._parser.get_status_code() if has_head else 0,
-                body_bytes=sum(map(len, self._body)),
+                response_id=next(
+                    (value for key, value in headers if key.lower() == id_name),
+                    None,
+                ),
+                status=parser.status if parser is not None else 0,
+                body_bytes=parser.body_bytes if parser is not None else 0,
                 earlier_requests=self.earlier_requests,
                 age_s=environment.loop.time() - self._opened_s,
             ),
         )
 
+    def _parse_keep_alive(self, value: bytes) -> None:
+        """Reads the server's idle time-out from a Keep-Alive header."""
+        _, found, text = value.partition(b"timeout=")
+        digits = text.split(b",")[0].strip()
+        if found and digits.isdigit():
+            self.idle_timeout_s = int(digits) * IDLE_TIMEOUT_SHARE
+
     def _fail_attempt(
         self, kind: messages.FailureKind, *, silent: bool = False
     ) -> None:
--- a/eelgrasshall/gateway/late_copies_test.py
+++ b/eelgrasshall/gateway/late_copies_test.py
@@ -89,3 +89,28 @@
                 assert _is_own(await _receive_second(pieces), status), copy[
                     :end
                 ]
+
+
+async def test_bytes_that_are_no_response_do_not_spoil_the_one_before():
+    connected = fakes.ConnectedBackend()
+    attempt, owner = connected.send("a1")
+    connected.feed(_encode("a1", _BODY) + b"\x00 no response\r\n")
+    assert owner.get_reply(attempt).body == _BODY
+    assert connected.transport.closed
+
+
+@pytest.mark.parametrize("framing", _FRAMINGS)
+@pytest.mark.parametrize("status", [200, 500])
+@pytest.mark.parametrize("copy_status", [200, 503])
+async def test_cut_copy_is_not_joined_with_the_response_behind_it(
+    copy_status, status, framing
+):
+    response = _encode("b2", _BODY, status=status, framing=framing)
+    for copy_framing in _FRAMINGS[:3]:
+        copy = _encode(
+            "a1", _FIRST_BODY, status=copy_status, framing=copy_framing
+        )
+        for end in range(1, len(copy)):
+            for pieces in _divide(copy[:end] + response, end):
+                outcome = await _receive_second(pieces)
+                assert isinstance(outcome, messages.Failure), copy[:end]
--- a/eelgrasshall/gateway/request_handler.py
+++ b/eelgrasshall/gateway/request_handler.py
@@ -1082,7 +1082,7 @@
             "response_rejected",
             id=_decode_id(rejection.request_id),
             server=backend.server.id,
-            reason=rejection.reason.value,
+            reason=rejection.reason,
             response_id=_decode_id(rejection.response_id),
             status=rejection.status,
             body_bytes=rejection.body_bytes,
--- a/eelgrasshall/gateway/response_parser.py
+++ b/eelgrasshall/gateway/response_parser.py
@@ -9,6 +9,11 @@
 # How a response begins.  Within a header or the reason phrase, it shows that a
 # response was cut off there and another one followed on the connection.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+# Reasons for which bytes are no valid response.
+MALFORMED = "malformed"
+OVERSIZED = "oversized"
+REPEATED_HEADER = "repeated_header"
+STATUS_LINE_IN_HEAD = "status_line_in_head"
 # These state where the body ends.
 _FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
@@ -17,11 +22,10 @@
     """The bytes are no valid response, or exceed a limit.
 
     Attributes:
-      reason: Why, as a word for logs and counters: "malformed", "oversized",
-        "repeated_header" or "status_line_in_head".
+      reason: Why, as a word for logs and counters; a constant of this module.
     """
 
-    def __init__(self, message: str, *, reason: str = "malformed"):
+    def __init__(self, message: str, *, reason: str = MALFORMED):
         super().__init__(message)
         self.reason = reason
 
@@ -96,7 +100,17 @@
                 raise fault from error
             self.has_extra = True
         if not self.complete and self._is_too_long():
-            raise InvalidResponse("response too large", reason="oversized")
+            raise InvalidResponse("response too large", reason=OVERSIZED)
+
+    def end(self) -> None:
+        """Notes the end of the connection.
+
+        It completes a response that has a whole head which states no length.
+        """
+        framed = not self._seen_headers.isdisjoint(_FRAMING_HEADERS)
+        if self.status and not framed:
+            self.complete = True
+            self.keeps_open = False
 
     # Callbacks of the parser.
 
@@ -126,7 +140,7 @@
             if lower_name in self._seen_headers:
                 self._reject(
                     f"repeated header {lower_name.decode('latin-1')}",
-                    "repeated_header",
+                    REPEATED_HEADER,
                 )
             self._seen_headers.add(lower_name)
         self.headers.append((name, value))
@@ -153,7 +167,7 @@
             return
         self.body_bytes += len(data)
         if self.body_bytes > self._get_max_body_bytes():
-            self._reject("response too large", "oversized")
+            self._reject("response too large", OVERSIZED)
         self._body.append(data)
 
     def on_message_complete(self) -> None:
@@ -171,7 +185,7 @@
     def _check_text(self, text: bytes) -> None:
         """Rejects a header's value or a reason phrase with a status line."""
         if _STATUS_LINE.search(text):
-            self._reject("status line within a head", "status_line_in_head")
+            self._reject("status line within a head", STATUS_LINE_IN_HEAD)
 
     def _reject(self, message: str, reason: str) -> NoReturn:
         """Ends the parsing; `feed` raises the error.
--- a/eelgrasshall/gateway/upstream_test.py
+++ b/eelgrasshall/gateway/upstream_test.py
@@ -544,7 +544,7 @@
     connected.feed(fakes.encode_reply("a1", b"body"))
     (rejection,) = connected.observer.rejections
     assert rejection._replace(age_s=0.0) == connections.Rejection(
-        reason=connections.RejectionReason.CROSSED,
+        reason=connections.CROSSED,
         request_id=b"a2",
         response_id=b"a1",
         status=200,
@@ -572,7 +572,7 @@
     connected.feed(data)
     connected.connection.connection_lost(None)
     (rejection,) = connected.observer.rejections
-    assert rejection.reason.value == reason
+    assert rejection.reason == reason
     assert rejection.earlier_requests == 0
 
 
@@ -582,6 +582,6 @@
     connected.feed(fakes.encode_reply("a1", b"body"))
     connected.feed(fakes.encode_reply("a1", b"body"))
     (rejection,) = connected.observer.rejections
-    assert rejection.reason is connections.RejectionReason.UNEXPECTED
+    assert rejection.reason is connections.UNEXPECTED
     assert rejection.request_id is None
     assert rejection.response_id is None
