Reject responses of servers with two ids or two signatures

Cause: the last of repeated headers was taken. Where a copy is joined with the next response, its id is the wrong one and the next one's is right.

--- a/eelgrasshall/gateway/connections.py
+++ b/eelgrasshall/gateway/connections.py
@@ -132,9 +132,11 @@
         attempt.sent = True
         self.earlier_requests += 1
         environment = self.backend.environment
+        names = environment.names
         self._parser = response_parser.ResponseParser(
             max_head_bytes=MAX_HEAD_BYTES,
             get_max_body_bytes=environment.receive_buffer.get_body_limit,
+            unique_headers=frozenset((names.request_id, names.seal)),
         )
         self.transport.write(data)
         self.backend.record_bytes(attempt, len(data))
--- a/eelgrasshall/gateway/late_copies_test.py
+++ b/eelgrasshall/gateway/late_copies_test.py
@@ -6,8 +6,10 @@
 
 import pytest
 
+from eelgrasshall.gateway import connections
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import messages
+from eelgrasshall.gateway import response_parser
 
 _FRAMINGS = ("length", "length first", "chunks", "no length")
 
@@ -114,3 +116,37 @@
             for pieces in _divide(copy[:end] + response, end):
                 outcome = await _receive_second(pieces)
                 assert isinstance(outcome, messages.Failure), copy[:end]
+
+
+@pytest.mark.parametrize(
+    "header", [b"X-Id: b2", b"X-Seal: other", b"x-seal: seal-b2"]
+)
+async def test_header_that_must_stand_once_is_not_taken_from_two(header):
+    response = _encode("b2", _BODY)
+    outcome = await _receive_second(
+        [response.replace(b"\r\n\r\n", b"\r\n%s\r\n\r\n" % header, 1)]
+    )
+    assert outcome == messages.Failure(messages.FailureKind.INVALID_RESPONSE)
+
+
+async def test_rejections_name_their_reason():
+    response = _encode("b2", _BODY)
+    connected = fakes.ConnectedBackend()
+    connected.send("b2")
+    connected.feed(b"HTTP/1.1 200 Sta" + response)
+    repeated = response.replace(b"X-Seal", b"X-Seal: s\r\nX-Seal")
+    other = fakes.ConnectedBackend()
+    other.send("b2")
+    other.feed(repeated)
+    reasons = [
+        rejection.reason
+        for each in (connected, other)
+        for rejection in each.observer.rejections
+    ]
+    assert reasons == [
+        response_parser.STATUS_LINE_IN_HEAD,
+        response_parser.REPEATED_HEADER,
+    ]
+    assert connections.UNEXPECTED not in reasons
+    await connected.close()
+    await other.close()
