Take a failure without an id only on a connection's first request

Cause: an error response without an id passed on any connection, as it may have been sent before the request was read. On a connection in use it may be a late one to the request before.

It counts only if the connection has carried no other request. All others fail the attempt as an invalid response (rejected_no_id) and close the connection.

--- a/eelgrasshall/gateway/connections.py
+++ b/eelgrasshall/gateway/connections.py
@@ -259,15 +259,16 @@
     def _find_crossing(self, response_id: bytes | None) -> str | None:
         """Returns why a response is not one to the request in flight, or None.
 
-        Health checks have no id.  An error response that was sent before the
-        request was read has none either.
+        Health checks have no id.  A failure without an id may have been sent
+        before the request was read; on a connection that has carried another
+        request, it may as well be a late one to that.
         """
         request_id = self.attempt.request_id
         if request_id is None or response_id == request_id:
             return None
         if response_id:
             return CROSSED
-        if self._parser.status < 300:
+        if self._parser.status < 300 or self.earlier_requests:
             return NO_ID
         return None
 
--- a/eelgrasshall/gateway/late_copies_test.py
+++ b/eelgrasshall/gateway/late_copies_test.py
@@ -129,6 +129,25 @@
     assert outcome == messages.Failure(messages.FailureKind.INVALID_RESPONSE)
 
 
+@pytest.mark.parametrize("status", [404, 421, 429, 500, 503])
+async def test_late_failure_without_id_is_not_given_to_the_next_request(status):
+    copy = _encode(None, b"", status=status)
+    not_run = copy.replace(b"X-Seal", b"X-Not-Run: 1\r\nX-Seal")
+    for data in (copy, not_run):
+        for pieces in _divide(data + _encode("b2", _BODY), len(data)):
+            outcome = await _receive_second(pieces)
+            assert outcome == messages.Failure(
+                messages.FailureKind.INVALID_RESPONSE
+            )
+
+
+async def test_failure_without_id_answers_the_first_request_of_a_connection():
+    connected = fakes.ConnectedBackend()
+    attempt, owner = connected.send("a1")
+    connected.feed(_encode(None, b"", status=503))
+    assert owner.get_reply(attempt).status == 503
+
+
 async def test_rejections_name_their_reason():
     response = _encode("b2", _BODY)
     connected = fakes.ConnectedBackend()
