Do not end a body without length with a copy of another response

Cause: all bytes up to the end of the connection are taken as the body.

At its end, such a body is looked through for a status line that begins a head which bears an id or a signature, or which the body breaks off; then the response is invalid. Texts that quote responses pass.

late_copies_test: a copy cut at any byte from the 12th on passed as a part of the body before; all fail now. A body of 2.8 MB full of status lines is looked through in less than 0.1 s of processor time.

--- a/eelgrasshall/gateway/late_copies_test.py
+++ b/eelgrasshall/gateway/late_copies_test.py
@@ -4,6 +4,8 @@
 request.  That request must get its own response or fail.
 """
 
+import time
+
 import pytest
 
 from eelgrasshall.gateway import connections
@@ -148,6 +150,44 @@
     assert owner.get_reply(attempt).status == 503
 
 
+async def test_body_without_length_does_not_take_a_copy_as_its_end():
+    response = _encode("b2", _BODY, framing="no length")
+    for copy_id in ("a1", "b2", None):
+        copy = _encode(copy_id, _FIRST_BODY)
+        # Fewer bytes do not show that they are a status line.
+        for end in range(len(b"HTTP/1.1 200"), len(copy) + 1):
+            for pieces in _divide(response + copy[:end], len(response)):
+                outcome = await _receive_second(pieces)
+                assert isinstance(outcome, messages.Failure), copy[:end]
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"GET / HTTP/1.1 is answered by HTTP/1.1 200 OK,\r\nmostly.\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nan example",
+    ],
+)
+async def test_body_that_tells_of_responses_is_no_copy(body):
+    connected = fakes.ConnectedBackend()
+    attempt, owner = connected.send("a1")
+    connected.feed(_encode("a1", body, framing="no length"))
+    connected.connection.eof_received()
+    assert owner.get_reply(attempt).body == body
+
+
+async def test_body_full_of_status_lines_costs_little_to_look_through():
+    connected = fakes.ConnectedBackend()
+    attempt, owner = connected.send("a1")
+    body = b"HTTP/1.1 200 OK\r\nno header\r\n" * 100_000
+    connected.feed(_encode("a1", body, framing="no length"))
+    started_s = time.process_time()
+    connected.connection.eof_received()
+    assert time.process_time() - started_s < 0.1
+    assert owner.get_failure(attempt) is messages.FailureKind.INVALID_RESPONSE
+    await connected.close()
+
+
 async def test_rejections_name_their_reason():
     response = _encode("b2", _BODY)
     connected = fakes.ConnectedBackend()
--- a/eelgrasshall/gateway/response_parser.py
+++ b/eelgrasshall/gateway/response_parser.py
@@ -14,6 +14,9 @@
 OVERSIZED = "oversized"
 REPEATED_HEADER = "repeated_header"
 STATUS_LINE_IN_HEAD = "status_line_in_head"
+RESPONSE_IN_BODY = "response_in_body"
+# Status lines in a body that are looked at; a body with more is rejected.
+MAX_STATUS_LINES = 256
 # These state where the body ends.
 _FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
@@ -106,11 +109,37 @@
         """Notes the end of the connection.
 
         It completes a response that has a whole head which states no length.
+
+        Raises:
+          InvalidResponse: The body may have another response at its end.
         """
         framed = not self._seen_headers.isdisjoint(_FRAMING_HEADERS)
-        if self.status and not framed:
-            self.complete = True
-            self.keeps_open = False
+        if self.complete or not self.status or framed:
+            return
+        if self._holds_response():
+            raise InvalidResponse(
+                "response within a body", reason=RESPONSE_IN_BODY
+            )
+        self.complete = True
+        self.keeps_open = False
+
+    def _holds_response(self) -> bool:
+        """Returns whether the body seems to contain another response.
+
+        That is a head which has one of the headers that the user of the parser
+        has named, so that a text about HTTP is none, or which the body breaks
+        off.
+        """
+        body = self.body
+        names = self._unique_headers - _FRAMING_HEADERS
+        for count, match in enumerate(_STATUS_LINE.finditer(body)):
+            head = _Head(unique_headers=names)
+            head.feed(
+                body[match.start() : match.start() + self._max_head_bytes]
+            )
+            if head.is_suspect or count >= MAX_STATUS_LINES:
+                return True
+        return False
 
     # Callbacks of the parser.
 
@@ -201,3 +230,43 @@
         if self.status:
             limit += self._get_max_body_bytes()
         return self._received_bytes > limit
+
+
+class _Head:
+    """Tells whether bytes begin with the head of a response, or a part of it.
+
+    Args:
+      unique_headers: Names, in lower case, of headers that show that it is the
+        head of a response.
+    """
+
+    def __init__(self, *, unique_headers: frozenset[bytes]):
+        self._unique_headers = unique_headers
+        self._parser = httptools.HttpResponseParser(self)
+        self._is_whole = False
+        self._is_valid = True
+        self._names: set[bytes] = set()
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the bytes are a part of a head, or one with such a header."""
+        if self._is_whole:
+            return not self._names.isdisjoint(self._unique_headers)
+        return self._is_valid
+
+    def feed(self, data: bytes) -> None:
+        """Parses the bytes."""
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._is_valid = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Stores the name of a header."""
+        del value
+        if not self._is_whole:
+            self._names.add(name.lower())
+
+    def on_headers_complete(self) -> None:
+        """Notes the end of the head."""
+        self._is_whole = True
