Relays: every answer bears the id of its request

Behind a host that is cut off from the servers, a caller could have got the answer to another caller's search: a host answered relayed searches, and refused relayed requests, without the request's id, and an answer without one passed for the answer to whatever was in flight on a kept connection.

A host now adds the id to every answer to a relayed request and says so with a new value of the mark, which hosts of the build before take for the value that they know; they check the ids that are there. A host that relays accepts an answer without the id only as the first one on its connection and keeps connections only to hosts that add it, so connections to hosts of the build before are used once during an upgrade. Headers that tell whose an answer is may stand once.

Beside it: answers of servers bore the id, and single ones do in the build before; searches, refusals and errors of the host's own did not. Kept connections carry requests that may run twice only, as before.

The test in host_test shows that refusals of a host bear the id.

--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -412,6 +412,8 @@
         if relay.is_relayed(request):
             return relay.mark_response(
                 await self._handle_request(request, from_host=True),
+                request=request,
+                id_name=self._request_handler.names.request_id,
                 linked=not self._request_handler.links.in_doubt,
             )
         return await self._handle_internal_request(request, from_host=True)
--- a/eelgrasshall/gateway/host_test.py
+++ b/eelgrasshall/gateway/host_test.py
@@ -801,3 +801,27 @@
         # A malformed announcement is counted and changes nothing.
         host._handle_gossip("p1", [[], [[workspace_hosts.KIND, 5]]])
         assert host.dump()["counters"]["malformed_datagrams"] == 1
+
+
+async def test_own_answers_to_relayed_requests_bear_their_id():
+    # Refusals and the answers to searches had none, so that a late one passed
+    # for the answer to the next request of the host that relays.
+    store = _FakeStore()
+    async with _run_host(store, port=21170) as (host, _):
+        for configured, status in ((False, 503), (True, 404)):
+            if configured:
+                configuration = _make_configuration(1, "/a/")
+                store.write(_CONFIGURATION, "main", 5, configuration)
+                await asyncio.sleep(0.1)
+            request = fakes.make_request(
+                "/b/x", headers=(("Eelgrasshall-Relayed", "h2"),)
+            )
+            response = await host._handle_control_request(request)
+            assert response.status == status
+            assert (b"x-id", b"a1") in response.headers
+            marks = [
+                value
+                for name, value in response.headers
+                if name == b"Eelgrasshall-Relayed"
+            ]
+            assert marks == [b"2"]
--- a/eelgrasshall/gateway/relay.py
+++ b/eelgrasshall/gateway/relay.py
@@ -8,6 +8,11 @@
 A request is sent to a second helper only if it certainly did not run at the
 first.  A connection carries one request at a time; closing it cancels the
 request at the helper.
+
+An answer bears the id of its request, so that one that is late or sent twice is
+never taken for the answer to the next request.  Hosts of earlier builds leave
+the id out of some answers.  Their connections are used once, where the first
+answer can only be that of the request.
 """
 
 import asyncio
@@ -43,8 +48,12 @@
 AVOIDANCE_S = 1.0
 
 _MARK_NAME = b"Eelgrasshall-Relayed"
-_LINKED = b"1"
+# Values of the mark of an answer: the host has no links to backend servers, has
+# links, or has links and adds the id of the request to all of its answers.
+# Hosts of earlier builds send the first two and take the third for the second.
 _UNLINKED = b"0"
+_LINKED = b"1"
+_LINKED_WITH_IDS = b"2"
 
 
 class Ending(enum.Enum):
@@ -100,19 +109,33 @@
 
 
 def mark_response(
-    response: listener.Response, *, linked: bool = True
+    response: listener.Response,
+    *,
+    request: messages.Request,
+    id_name: bytes,
+    linked: bool = True,
 ) -> listener.Response:
-    """Returns the response to a relayed request with the mark added.
+    """Returns the response to a relayed request with mark and id added.
 
     The mark tells the host that relays the request that this host handled it
-    as such.  Hosts of earlier builds answer without it.
+    as such.  Hosts of earlier builds answer without it.  The id tells to which
+    request the response belongs; refusals and the answers to searches have
+    none of their own.
 
     Args:
       response: The response.
+      request: The request.
+      id_name: Name of the header that bears the id, in lower case.
       linked: Whether this host reaches backend servers, as far as it knows.
     """
     headers = _remove_mark(response.headers)
-    headers.append((_MARK_NAME, _LINKED if linked else _UNLINKED))
+    mark = _LINKED
+    request_id = request.get_header(id_name)
+    if request_id is not None:
+        headers = [each for each in headers if each[0].lower() != id_name]
+        headers.append((id_name, request_id))
+        mark = _LINKED_WITH_IDS
+    headers.append((_MARK_NAME, mark if linked else _UNLINKED))
     return response._replace(headers=headers)
 
 
@@ -259,7 +282,8 @@
     ) -> Result:
         """Sends a request to one helper."""
         connection = self._take_idle(host.control_address, idempotent)
-        if connection is None:
+        is_new = connection is None
+        if is_new:
             try:
                 connection = await self._connect(
                     host.control_address, deadline_s
@@ -280,8 +304,12 @@
             )
             async with asyncio.timeout_at(deadline_s):
                 response = await connection.send(data)
-            result = self._read_answer(host, request, response)
-            if response.keeps_open and not connection.has_unsent:
+            result = self._read_answer(host, request, response, is_new=is_new)
+            if (
+                response.keeps_open
+                and not connection.has_unsent
+                and _list_marks(response.headers) == [_LINKED_WITH_IDS]
+            ):
                 self._keep(connection)
             return result
         except TimeoutError as error:
@@ -298,21 +326,29 @@
         host: model.Host,
         request: messages.Request,
         response: response_parser.ResponseParser,
+        *,
+        is_new: bool,
     ) -> Result:
         """Returns the result of a request that has a complete response.
 
+        Args:
+          host: The helper.
+          request: The request.
+          response: The response.
+          is_new: Whether the request is the first one on its connection.
+
         Raises:
           ConnectionError: The response may belong to another request.
         """
         headers = response.headers
         id_name = self._names.request_id
         request_id = request.get_header(id_name)
-        if any(
-            key.lower() == id_name and value != request_id
-            for key, value in headers
-        ):
-            raise ConnectionError("response to another request")
-        marks = [value for key, value in headers if _is_mark(key)]
+        ids = [value for key, value in headers if key.lower() == id_name]
+        if ids != [request_id] and (ids or not is_new):
+            raise ConnectionError(
+                "response to another request" if ids else "response without id"
+            )
+        marks = _list_marks(headers)
         if marks == [_UNLINKED] and response.status == 503:
             self._avoid(host)
             return Result(Ending.NOT_RUN, host.name, "helper has no links")
@@ -387,6 +423,14 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
+    @property
+    def unique_headers(self) -> frozenset[bytes]:
+        """Names of the headers that an answer may have once at most."""
+        names = self._names
+        return frozenset(
+            (names.request_id, names.seal, names.parts_missing, RELAYED)
+        )
+
     @property
     def receive_buffer(self) -> connections.ReceiveBuffer:
         """The count of the bytes of all answers that are being received."""
@@ -445,6 +489,7 @@
         self._parser = response_parser.ResponseParser(
             max_head_bytes=connections.MAX_HEAD_BYTES,
             get_max_body_bytes=self._relay.receive_buffer.get_body_limit,
+            unique_headers=self._relay.unique_headers,
         )
         self._transport.write(data)
         self._transferred_bytes += len(data)
@@ -531,6 +576,11 @@
     return name.lower() == RELAYED
 
 
+def _list_marks(headers: Sequence[tuple[bytes, bytes]]) -> list[bytes]:
+    """Returns the values of the mark of a relayed request."""
+    return [value for name, value in headers if _is_mark(name)]
+
+
 def _remove_mark(
     headers: Sequence[tuple[bytes, bytes]],
 ) -> list[tuple[bytes, bytes]]:
--- a/eelgrasshall/gateway/relay_test.py
+++ b/eelgrasshall/gateway/relay_test.py
@@ -15,11 +15,32 @@
 from eelgrasshall.gateway import relay
 from eelgrasshall.gateway import relay_choice
 
-_MARKED = (b"Eelgrasshall-Relayed", b"1")
 _ANSWER = (
-    b"HTTP/1.1 200 OK\r\nX-Id: a1\r\nEelgrasshall-Relayed: 1\r\n"
+    b"HTTP/1.1 200 OK\r\nX-Id: a1\r\nEelgrasshall-Relayed: 2\r\n"
     b"Content-Length: 3\r\n\r\nabc"
 )
+# What a host of the build before sends, to a search and to a single request.
+_EARLIER_ANSWER = (
+    b"HTTP/1.1 200 OK\r\nX-Parts: s\r\nEelgrasshall-Relayed: 1\r\n"
+    b"Content-Length: 3\r\n\r\nabc"
+)
+_EARLIER_ANSWER_WITH_ID = _ANSWER.replace(b"Relayed: 2", b"Relayed: 1")
+
+
+def _mark(
+    request: messages.Request,
+    status: int,
+    headers: tuple[tuple[bytes, bytes], ...] = (),
+    body: bytes = b"",
+    **options,
+) -> listener.Response:
+    """Returns the response of a helper to a relayed request."""
+    return relay.mark_response(
+        listener.Response(status, list(headers), body),
+        request=request,
+        id_name=fakes.NAMES.request_id,
+        **options,
+    )
 
 
 class _Sender:
@@ -88,9 +109,7 @@
         except asyncio.CancelledError:
             self.cancelled.set()
             raise
-        return relay.mark_response(
-            listener.Response(200, [(b"X-Id", b"a1")], b"from " + request.body)
-        )
+        return _mark(request, 200, body=b"from " + request.body)
 
 
 @contextlib.asynccontextmanager
@@ -192,16 +211,15 @@
 
 async def test_hop_by_hop_headers_and_marks_are_removed_both_ways():
     async def handle(request):
-        return relay.mark_response(
-            listener.Response(
-                503,
-                [
-                    (b"Retry-After", b"0.25"),
-                    (b"eelgrasshall-relayed", b"backend"),
-                    (b"X-Seal", b"s"),
-                ],
-                b"busy",
-            )
+        return _mark(
+            request,
+            503,
+            (
+                (b"Retry-After", b"0.25"),
+                (b"eelgrasshall-relayed", b"backend"),
+                (b"X-Seal", b"s"),
+            ),
+            b"busy",
         )
 
     async with _open(26120, handle) as (sender, helper):
@@ -225,7 +243,11 @@
         }
         # A refusal of the helper is an answer like any other.
         assert result.answered and result.status == 503
-        assert result.headers == [(b"Retry-After", b"0.25"), (b"X-Seal", b"s")]
+        assert result.headers == [
+            (b"Retry-After", b"0.25"),
+            (b"X-Seal", b"s"),
+            (b"x-id", b"a1"),
+        ]
         assert result.body == b"busy"
         await _wait_until(lambda: sender.connection_count == 0)
 
@@ -267,7 +289,7 @@
 
     async def handle(request):
         await asyncio.sleep(0.15)
-        return listener.Response(200, [_MARKED], b"")
+        return _mark(request, 200)
 
     async with _open(26155, handle) as (sender, helper):
         assert (await sender.send()).answered
@@ -281,10 +303,7 @@
 
     async def handle(request):
         await asyncio.sleep(generator.uniform(0.0, 0.05))
-        request_id = request.get_header(b"x-id")
-        return listener.Response(
-            200, [_MARKED, (b"X-Id", request_id)], request.body
-        )
+        return _mark(request, 200, body=request.body)
 
     async with _open(26160, handle) as (sender, helper):
 
@@ -305,7 +324,7 @@
             results = await asyncio.gather(*sends)
             for number, result in enumerate(results):
                 assert result.answered and result.body == b"%d" % number
-                assert (b"X-Id", b"id%d" % number) in result.headers
+                assert result.headers == [(b"x-id", b"id%d" % number)]
         assert len(helper.requests) == 100
         assert sender.relay.in_flight == 0
         assert sender.connection_count == 8
@@ -318,7 +337,7 @@
 
     async def handle(request):
         await asyncio.sleep(0.1)
-        return listener.Response(200, [_MARKED], b"")
+        return _mark(request, 200)
 
     async with _open(26170, handle) as (sender, helper):
         results = await asyncio.gather(*(sender.send() for _ in range(5)))
@@ -600,9 +619,7 @@
     status, passed_over
 ):
     async def handle(request):
-        return relay.mark_response(
-            listener.Response(status, [], b""), linked=False
-        )
+        return _mark(request, status, linked=False)
 
     first, second = _Helper(handle), _Helper()
     hosts = [
@@ -623,12 +640,12 @@
 
 async def test_marked_404_is_an_answer():
     async def handle(request):
-        return relay.mark_response(listener.Response(404, [], b"no route"))
+        return _mark(request, 404, body=b"no route")
 
     async with _open(26310, handle) as (sender, _):
         result = await sender.send()
         assert result.answered and result.status == 404
-        assert result.headers == []
+        assert result.headers == [(b"x-id", b"a1")]
 
 
 async def test_nothing_is_sent_shortly_before_the_deadline():
@@ -674,7 +691,7 @@
     async def handle(request):
         if request.method == b"POST":
             await asyncio.sleep(5.0)
-        return listener.Response(200, [_MARKED], b"")
+        return _mark(request, 200)
 
     async with _open(26350, handle) as (sender, helper):
         if kept:
@@ -782,3 +799,124 @@
         len(key) + len(value) for key, value in request.headers
     ) + len(request.target)
     assert len(data) - caller_bytes <= host_module.RELAY_HEADER_BYTES
+
+
+@contextlib.asynccontextmanager
+async def _open_on_free_port(script):
+    """Opens a sender with a helper that follows a script per connection.
+
+    Yields:
+      The sender and the request heads that the helper has read, by connection.
+    """
+    heads: list[list[bytes]] = []
+    tasks = set()
+
+    async def serve(reader, writer):
+        tasks.add(asyncio.current_task())
+        own_heads = []
+        heads.append(own_heads)
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                while True:
+                    own_heads.append(await reader.readuntil(b"\r\n\r\n"))
+                    await script(writer, len(own_heads))
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    sender = _Sender(
+        fakes.make_host("helper")._replace(
+            control_address=model.Address("127.0.0.1", port)
+        )
+    )
+    try:
+        yield sender, heads
+    finally:
+        sender.relay.close()
+        server.close()
+        for task in tasks:
+            task.cancel()
+
+
+@pytest.mark.parametrize(
+    "late",
+    [
+        _EARLIER_ANSWER.replace(b"Relayed: 1", b"Relayed: 2"),
+        _EARLIER_ANSWER,
+        _EARLIER_ANSWER.replace(b"200 OK", b"503 Busy"),
+        b"HTTP/1.1 503 Busy\r\nEelgrasshall-Relayed: 0\r\n"
+        b"Content-Length: 0\r\n\r\n",
+        b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+        _ANSWER.replace(b"X-Id: a1", b"X-Id: a0"),
+        _ANSWER.replace(b"X-Id: a1", b"X-Id: a0\r\nX-Id: a1"),
+        _ANSWER.replace(b"X-Id: a1", b"X-Id: a1\r\nX-Id: a1"),
+        _ANSWER[:16] + _ANSWER,
+        _ANSWER[:22] + _ANSWER,
+    ],
+    ids=[
+        "search",
+        "search of an earlier build",
+        "refusal",
+        "no links",
+        "not known",
+        "another id",
+        "two ids",
+        "id twice",
+        "cut in the reason phrase",
+        "cut in the id",
+    ],
+)
+async def test_answer_to_a_request_before_is_not_that_of_the_next_one(late):
+    # A late or second answer without an id passed for the answer to the next
+    # request on a kept connection, and "not run" of it for that of the request,
+    # which was then sent to a second helper.
+    async def script(writer, number):
+        writer.write(_ANSWER if number == 1 else late)
+
+    async with _open_on_free_port(script) as (sender, heads):
+        assert (await sender.send()).answered
+        result = await sender.send()
+        assert result.ending is relay.Ending.LOST, result
+        assert result.status == 0 and result.body == b""
+        assert [len(each) for each in heads] == [2]
+        assert sender.connection_count == 0
+        # The next request uses another connection.
+        assert (await sender.send()).answered
+        assert [len(each) for each in heads] == [2, 1]
+
+
+@pytest.mark.parametrize("late", [_EARLIER_ANSWER, _EARLIER_ANSWER_WITH_ID])
+async def test_connection_to_a_host_of_an_earlier_build_is_used_once(late):
+    # It answers searches and refusals without an id, so that a late one could
+    # not be told from the answer to the next request.
+    async def script(writer, number):
+        writer.write(late)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(_EARLIER_ANSWER.replace(b"abc", b"old"))
+
+    async with _open_on_free_port(script) as (sender, heads):
+        for _ in range(3):
+            result = await sender.send()
+            assert result.answered and result.body == b"abc"
+            assert sender.connection_count == 0
+            await asyncio.sleep(0.02)
+        assert [len(each) for each in heads] == [1, 1, 1]
+
+
+@pytest.mark.parametrize("linked", [True, False])
+def test_answers_of_a_helper_bear_the_id_of_their_request(linked):
+    request = fakes.make_request(received_s=0.0)
+    for headers in ((), ((b"X-Id", b"a1"), (b"X-Seal", b"s"))):
+        response = _mark(request, 503, headers, linked=linked)
+        ids = [each for each in response.headers if each[0].lower() == b"x-id"]
+        assert ids == [(b"x-id", b"a1")]
+        # The values that hosts of the build before know.
+        marks = [v for k, v in response.headers if k == b"Eelgrasshall-Relayed"]
+        assert marks == [b"2" if linked else b"0"]
+    # Without an id the connection is not kept.
+    request = request._replace(headers=[])
+    response = _mark(request, 400, linked=linked)
+    mark = b"1" if linked else b"0"
+    assert response.headers == [(b"Eelgrasshall-Relayed", mark)]
