Limit the trailers of a response like a head

The check of trailers for a status line made 16 MB of them, the limit of a response of the store, take 2.1 to 2.5 s of a host beside load 21; one run of client_test ended with a time-out instead of the limit. Trailers counted against the limit of the body before.

Also a test that a line break behind a response, which the parser skips, leaves the next response whole.

--- a/eelgrasshall/gateway/late_copies_test.py
+++ b/eelgrasshall/gateway/late_copies_test.py
@@ -103,6 +103,18 @@
     assert connected.transport.closed
 
 
+@pytest.mark.parametrize("framing", _FRAMINGS[:3])
+async def test_line_break_behind_a_response_leaves_the_next_one_whole(framing):
+    connected = fakes.ConnectedBackend()
+    first, owner = connected.send("a1")
+    connected.feed(_encode("a1", _FIRST_BODY, framing=framing) + b"\r\n")
+    assert owner.get_reply(first).body == _FIRST_BODY
+    second, owner = connected.send("b2")
+    connected.feed(_encode("b2", _BODY, framing=framing))
+    assert _is_own(owner.get_reply(second), 200)
+    await connected.close()
+
+
 @pytest.mark.parametrize("framing", _FRAMINGS)
 @pytest.mark.parametrize("status", [200, 500])
 @pytest.mark.parametrize("copy_status", [200, 503])
--- a/eelgrasshall/gateway/response_parser.py
+++ b/eelgrasshall/gateway/response_parser.py
@@ -73,6 +73,7 @@
         self._fault: InvalidResponse | None = None
         self._body: list[bytes] = []
         self._received_bytes = 0
+        self._trailer_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
 
     @property
@@ -157,12 +158,16 @@
         """Stores a header; a trailer is only checked.
 
         Raises:
-          InvalidResponse: The header shows that two responses were joined.
+          InvalidResponse: The header shows that two responses were joined, or
+            the trailers exceed the limit of a head.
         """
         if self.complete:
             return
         self._check_text(value)
         if self.status:
+            self._trailer_bytes += len(name) + len(value)
+            if self._trailer_bytes > self._max_head_bytes:
+                self._reject("trailers too large", OVERSIZED)
             return
         lower_name = name.lower()
         if lower_name in self._unique_headers:
--- a/eelgrasshall/gateway/response_parser_test.py
+++ b/eelgrasshall/gateway/response_parser_test.py
@@ -199,3 +199,12 @@
     with pytest.raises(response_parser.InvalidResponse) as raised:
         _make_parser().feed(data)
     assert raised.value.reason == reason
+
+
+def test_trailers_are_limited_like_a_head():
+    # Their number and not their size makes them costly.
+    parser = _make_parser(max_body_bytes=10_000_000)
+    parser.feed(_CHUNKED + b"0\r\n")
+    with pytest.raises(response_parser.InvalidResponse) as raised:
+        parser.feed(b"X-A: b\r\n" * 100)
+    assert raised.value.reason == response_parser.OVERSIZED
