--- a/conftest.py
+++ b/conftest.py
@@ -7,16 +7,22 @@
 that is not listed.
 """
 
+from collections.abc import Iterator
 import pathlib
 
 import hypothesis
 import pytest
 
+from eelgrasshall.fakes import ports
+
 hypothesis.settings.register_profile(
     "fixed", derandomize=True, deadline=None, database=None, max_examples=50
 )
 hypothesis.settings.load_profile("fixed")
 
+# More than any test with this fixture uses.
+_PORTS_PER_TEST = 120
+
 _KNOWN_RED = pathlib.Path(__file__).parent / "KNOWN-RED.txt"
 
 
@@ -42,3 +48,13 @@
                     reason="KNOWN-RED.txt", raises=AssertionError, strict=True
                 )
             )
+
+
+@pytest.fixture
+def first_port() -> Iterator[int]:
+    """The first of neighbouring free ports, which are the test's until its end.
+
+    No other test process and no outgoing connection gets one of them.
+    """
+    with ports.PortRange(count=_PORTS_PER_TEST) as reserved:
+        yield reserved.first
--- a/eelgrasshall/coordination/cluster_test.py
+++ b/eelgrasshall/coordination/cluster_test.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import socket
 
 import capnp
 
@@ -56,27 +55,16 @@
         await self.listener.stop()
 
 
-def _pick_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 async def _wait_until(condition):
     async with asyncio.timeout(20):
         while not condition():  # noqa: ASYNC110
             await asyncio.sleep(0.05)
 
 
-async def test_hosts_join_through_a_seed_and_a_fact_reaches_all():
+async def test_hosts_join_through_a_seed_and_a_fact_reaches_all(first_port):
     async with capnp.kj_loop():
-        ports = _pick_ports(3)
-        seeds = (seeds_module.Seed("127.0.0.1", ports[0]),)
-        hosts = [_Host(f"h{i}", port, seeds) for i, port in enumerate(ports)]
+        seeds = (seeds_module.Seed("127.0.0.1", first_port),)
+        hosts = [_Host(f"h{i}", first_port + i, seeds) for i in range(3)]
         for host in hosts:
             await host.start()
         await _wait_until(
--- a/eelgrasshall/gateway/host_test.py
+++ b/eelgrasshall/gateway/host_test.py
@@ -6,6 +6,7 @@
 import os
 import random
 
+from eelgrasshall.fakes import ports
 from eelgrasshall.gateway import cold_start
 from eelgrasshall.gateway import crash_gossip
 from eelgrasshall.gateway import deletions
@@ -26,6 +27,7 @@
 from eelgrasshall.gateway import watcher
 from eelgrasshall.gateway import workspace_hosts
 
+_PORTS_PER_HOST = 20
 _CONFIGURATION = object_cache.Collection.CONFIGURATION
 
 
@@ -73,7 +75,6 @@
 async def _run_host(
     store: _FakeStore,
     *,
-    port: int,
     grace_s: float = 6.0,
     seeds: tuple[model.Address, ...] = (),
     rollout_bound: rollouts.Bound | None = None,
@@ -93,6 +94,8 @@
             raise OverflowError("unexpected")
         return document
 
+    reserved = ports.PortRange(count=_PORTS_PER_HOST)
+    port = reserved.first
     own = fakes.make_host(port=port)
     host = host_module.GatewayHost(
         options=host_module.Options(
@@ -132,17 +135,20 @@
         writer.close()
         return int(data.split()[1]), data
 
-    await host.start()
     try:
-        yield host, call
+        await host.start()
+        try:
+            yield host, call
+        finally:
+            host.stop()
     finally:
-        host.stop()
+        reserved.release()
 
 
 async def test_host_without_configuration_rejects_requests_and_is_not_ready():
     store = _FakeStore()
     store.down = True
-    async with _run_host(store, port=19300) as (_, call):
+    async with _run_host(store) as (_, call):
         await asyncio.sleep(0.05)
         status, data = await call("/find/x")
         assert status == 503 and b"retry-after" in data
@@ -157,7 +163,7 @@
     store.write(_CONFIGURATION, "main", 5, _make_configuration(7, "/new/"))
     store.write(object_cache.Collection.SERVERS, "s1", 6, fakes.make_server())
     seeds = (model.Address("127.0.0.1", 1),)
-    async with _run_host(store, port=20960, seeds=seeds) as (host, call):
+    async with _run_host(store, seeds=seeds) as (host, call):
         await asyncio.sleep(0.05)
         assert host.dump()["version"] == 0
         # 404: routes are known.
@@ -168,7 +174,7 @@
 async def test_older_configuration_version_is_ignored():
     store = _FakeStore()
     store.write(_CONFIGURATION, "main", 5, _make_configuration(7, "/new/"))
-    async with _run_host(store, port=19320) as (_, call):
+    async with _run_host(store) as (_, call):
         await asyncio.sleep(0.1)
         assert (await call("/ready", 4))[0] == 200
         store.write(_CONFIGURATION, "main", 9, _make_configuration(6, "/old/"))
@@ -181,7 +187,7 @@
 async def test_invalid_configuration_is_ignored():
     store = _FakeStore()
     store.write(_CONFIGURATION, "main", 5, _make_configuration(7, "/new/"))
-    async with _run_host(store, port=19340) as (host, call):
+    async with _run_host(store) as (host, call):
         await asyncio.sleep(0.1)
         store.write(_CONFIGURATION, "main", 9, "bad")
         await asyncio.sleep(0.4)
@@ -192,7 +198,7 @@
 async def test_request_that_crashed_servers_is_rejected():
     store = _FakeStore()
     store.write(_CONFIGURATION, "main", 5, _make_configuration(7, "/new/"))
-    async with _run_host(store, port=19360) as (host, call):
+    async with _run_host(store) as (host, call):
         await asyncio.sleep(0.1)
         request = fakes.make_request("/new/poison")
         fingerprint = messages.compute_fingerprint(request)
@@ -215,7 +221,7 @@
 
 async def test_malformed_crash_reports_are_counted_and_ignored():
     store = _FakeStore()
-    async with _run_host(store, port=19480) as (host, _):
+    async with _run_host(store) as (host, _):
         datagram = crash_gossip.PREFIX + b"[5]"
         host._peers.datagram_received(datagram, ("127.0.0.1", 1))
         assert host.dump()["counters"]["malformed_datagrams"] == 1
@@ -224,7 +230,7 @@
 async def test_peers_can_fetch_the_objects_of_a_host():
     store = _FakeStore()
     store.write(object_cache.Collection.SERVERS, "s1", 4, fakes.make_server())
-    async with _run_host(store, port=19380) as (_, call):
+    async with _run_host(store) as (_, call):
         await asyncio.sleep(0.1)
         status, data = await call(f"{peer_sync.UPDATES_PATH}?0,0,0,0", 1)
         document = json.loads(data.partition(b"\r\n\r\n")[2])
@@ -233,7 +239,7 @@
 
 
 async def test_reload_does_not_refill_the_extra_attempt_budget():
-    async with _run_host(_FakeStore(), port=19400) as (host, _):
+    async with _run_host(_FakeStore()) as (host, _):
         budget = host._request_handler.find_extra_attempt_budget("orders")
         while budget.try_withdraw():
             pass
@@ -244,7 +250,7 @@
 
 
 async def test_latencies_of_removed_routes_are_discarded():
-    async with _run_host(_FakeStore(), port=19420) as (host, _):
+    async with _run_host(_FakeStore()) as (host, _):
         handler = host._request_handler
         removed = fakes.make_route(name="gone")
         kept = fakes.make_route(name="kept")
@@ -263,7 +269,7 @@
     store.write(
         object_cache.Collection.SERVERS, "s1", 6, fakes.make_server("s1")
     )
-    async with _run_host(store, port=19440) as (host, call):
+    async with _run_host(store) as (host, call):
         await asyncio.sleep(0.1)
         handler = host._request_handler
         route = handler._route_table.find("orders.example", "/new/x")
@@ -277,7 +283,7 @@
     # It waited for admission first, although no server could answer it.
     store = _FakeStore()
     store.write(_CONFIGURATION, "main", 5, _make_configuration(7, "/new/"))
-    async with _run_host(store, port=19450) as (host, call):
+    async with _run_host(store) as (host, call):
         await asyncio.sleep(0.1)
         handler = host._request_handler
         route = handler._route_table.find("orders.example", "/new/x")
@@ -292,7 +298,7 @@
     # line.
     store = _FakeStore()
     store.write(_CONFIGURATION, "main", 5, _make_configuration(7, "/new/"))
-    async with _run_host(store, port=19470) as (host, call):
+    async with _run_host(store) as (host, call):
         await asyncio.sleep(0.1)
         lines = []
         monkeypatch.setattr(
@@ -313,7 +319,7 @@
 
 
 async def test_admission_queues_of_removed_services_are_discarded():
-    async with _run_host(_FakeStore(), port=19460) as (host, _):
+    async with _run_host(_FakeStore()) as (host, _):
         handler = host._request_handler
         handler.apply_configuration(fakes.make_configuration(1))
         route = fakes.make_route()
@@ -324,7 +330,7 @@
 
 
 async def test_shorter_timeout_does_not_mark_callers_as_retrying():
-    async with _run_host(_FakeStore(), port=19480) as (host, _):
+    async with _run_host(_FakeStore()) as (host, _):
         handler = host._request_handler
         request = fakes.make_request("/find/x")
         route = fakes.make_route(timeout_s=2.0)
@@ -344,10 +350,11 @@
 async def test_directory_follows_heartbeats_and_the_state_of_this_host():
     store = _FakeStore()
     store.write(_CONFIGURATION, "main", 5, _make_configuration(7, "/new/"))
-    async with _run_host(store, port=19500) as (host, call):
+    async with _run_host(store) as (host, call):
         await asyncio.sleep(0.1)
         assert (await call("/addresses", 3))[1].count(b"127.0.0.1:") == 1
-        other = fakes.make_host("h2", zone="b", port=19590)
+        own = host._options.host.caller_address
+        other = fakes.make_host("h2", zone="b", port=own.port + 10)
         host._peers.add_host(other)
         heartbeat = heartbeats.Heartbeat(1, heartbeats.State.READY, True, 0)
         host._peers._record_heartbeat("h2", heartbeat, 1)
@@ -355,7 +362,8 @@
         assert (await call("/addresses", 3))[1].count(b"127.0.0.1:") == 2
         host._announce(heartbeats.State.LEAVING)
         _, data = await call("/addresses", 3)
-        assert b"127.0.0.1:19590" in data and b"127.0.0.1:19500" not in data
+        assert str(other.caller_address).encode() in data
+        assert str(own).encode() not in data
 
 
 def _apply_later_era(host, *updates: object_cache.Update) -> None:
@@ -379,7 +387,7 @@
     store.write(_CONFIGURATION, "main", 5, _make_configuration(7, "/new/"))
     store.write(evacuations, "b", 6, {})
     store.write(servers, "s1", 7, fakes.make_server("s1"))
-    async with _run_host(store, port=19520) as (host, _):
+    async with _run_host(store) as (host, _):
         await asyncio.sleep(0.1)
         _apply_later_era(
             host,
@@ -410,7 +418,7 @@
     monkeypatch,
 ):
     monkeypatch.setattr(host_module, "REPUBLISH_SPREAD_S", 0.05)
-    async with _run_host(_FakeStore(), port=19540) as (host, _):
+    async with _run_host(_FakeStore()) as (host, _):
         await asyncio.sleep(0.1)
         published = []
 
@@ -429,7 +437,7 @@
 ):
     # A call for the hosts' own collection may be swallowed.
     monkeypatch.setattr(host_module, "REPUBLISH_SPREAD_S", 0.05)
-    async with _run_host(_FakeStore(), port=19660) as (host, _):
+    async with _run_host(_FakeStore()) as (host, _):
         await asyncio.sleep(0.1)
         published = []
 
@@ -459,7 +467,7 @@
         store.write(
             object_cache.Collection.SERVERS, name, 6, fakes.make_server(name)
         )
-    async with _run_host(store, port=19560) as (host, _):
+    async with _run_host(store) as (host, _):
         await asyncio.sleep(0.1)
         handler = host._request_handler
         route = handler._route_table.find("orders.example", "/new/x")
@@ -474,7 +482,7 @@
 async def test_time_budget_of_any_length_is_accepted():
     # A number too large for a float, or of more digits than int() accepts,
     # raised an error: the request got no answer.
-    async with _run_host(_FakeStore(), port=19600) as (host, _):
+    async with _run_host(_FakeStore()) as (host, _):
         route = fakes.make_route(timeout_s=2.0)
         for text in ("9" * 10, "9" * 400, "9" * 5000, "0" * 5000 + "9" * 5):
             request = fakes.make_request(headers=(("X-Budget", text),))
@@ -483,7 +491,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _run_host_at_silent_server(monkeypatch, *, port: int, **route):
+async def _run_host_at_silent_server(monkeypatch, **route):
     """Runs a host with a server that reads requests and never answers.
 
     The host drains for 0.4 s when it stops.
@@ -500,7 +508,8 @@
         writer.close()
 
     monkeypatch.setattr(host_module, "DRAIN_DELAY_S", 0.1)
-    server = await asyncio.start_server(read, "127.0.0.1", port + 9)
+    server = await asyncio.start_server(read, "127.0.0.1", 0)
+    address = model.Address(*server.sockets[0].getsockname())
     store = _FakeStore()
     route = fakes.make_route(
         path_prefix="/find/", timeout_s=20.0, max_attempts=1, **route
@@ -511,11 +520,9 @@
         object_cache.Collection.SERVERS,
         "s1",
         6,
-        fakes.make_server("s1")._replace(
-            address=model.Address("127.0.0.1", port + 9)
-        ),
+        fakes.make_server("s1")._replace(address=address),
     )
-    async with _run_host(store, port=port, grace_s=0.9) as (host, call):
+    async with _run_host(store, grace_s=0.9) as (host, call):
         await asyncio.sleep(0.1)
         yield host, call, received
     server.close()
@@ -525,7 +532,7 @@
     monkeypatch,
 ):
     # Its connection was closed without an answer.
-    async with _run_host_at_silent_server(monkeypatch, port=19620) as (
+    async with _run_host_at_silent_server(monkeypatch) as (
         host,
         call,
         received,
@@ -543,9 +550,11 @@
 async def test_request_in_the_queue_at_the_end_of_the_grace_time_is_refused(
     monkeypatch,
 ):
-    async with _run_host_at_silent_server(
-        monkeypatch, port=19640, objective_s=10.0
-    ) as (host, call, received):
+    async with _run_host_at_silent_server(monkeypatch, objective_s=10.0) as (
+        host,
+        call,
+        received,
+    ):
         handler = host._request_handler
         route = handler._route_table.find("orders.example", "/find/x")
         handler._find_queue(("orders",), route).limiter.running = 99
@@ -560,12 +569,14 @@
 async def test_incomplete_request_at_the_end_of_the_grace_time_is_refused(
     monkeypatch,
 ):
-    async with _run_host_at_silent_server(monkeypatch, port=19660) as (
+    async with _run_host_at_silent_server(monkeypatch) as (
         host,
         _,
         received,
     ):
-        reader, writer = await asyncio.open_connection("127.0.0.1", 19660)
+        reader, writer = await asyncio.open_connection(
+            *host._options.host.caller_address
+        )
         writer.write(
             b"POST /find/x HTTP/1.1\r\nHost: orders.example\r\nX-Id: a1\r\n"
             b"Content-Length: 9\r\n\r\nbody"
@@ -582,7 +593,7 @@
     monkeypatch,
 ):
     # It was sent with its whole time-out, and cut with the connection.
-    async with _run_host_at_silent_server(monkeypatch, port=19680) as (
+    async with _run_host_at_silent_server(monkeypatch) as (
         host,
         call,
         received,
@@ -602,9 +613,11 @@
 async def test_request_that_would_outlast_the_host_is_refused_at_once(
     monkeypatch,
 ):
-    async with _run_host_at_silent_server(
-        monkeypatch, port=19700, objective_s=2.0
-    ) as (host, call, received):
+    async with _run_host_at_silent_server(monkeypatch, objective_s=2.0) as (
+        host,
+        call,
+        received,
+    ):
         drained = asyncio.create_task(host.drain())
         await asyncio.sleep(0.05)
         status, data = await asyncio.wait_for(call("/find/x"), 0.2)
@@ -619,7 +632,7 @@
     store.write(object_cache.Collection.CONFIGURATION, "main", 2, configuration)
     store.write(servers, "s1", 2, "worse")
     store.write(servers, "s2", 3, fakes.make_server("s2"))
-    async with _run_host(store, port=20800) as (host, _):
+    async with _run_host(store) as (host, _):
         await asyncio.sleep(0.2)
         assert list(host.dump()["servers"]) == ["s2"]
         store.write(servers, "s3", 4, fakes.make_server("s3"))
@@ -643,7 +656,7 @@
         return await wait_for_changes(*args)
 
     store.wait_for_changes = fail_at_first
-    async with _run_host(store, port=20900) as (host, _):
+    async with _run_host(store) as (host, _):
         await asyncio.sleep(1.0)
         store.write(
             object_cache.Collection.SERVERS, "s1", 4, fakes.make_server("s1")
@@ -655,7 +668,7 @@
 
 async def test_error_in_a_periodic_task_does_not_end_it(monkeypatch):
     store = _FakeStore()
-    async with _run_host(store, port=21100) as (host, _):
+    async with _run_host(store) as (host, _):
         errors = [RuntimeError("unexpected")] * 2
         sweeps = []
 
@@ -691,7 +704,7 @@
     store.write(rollouts_collection, "others", 5, "bad")
     store.write(rollouts_collection, "orders", 6, order)
     bound = rollouts.Bound()
-    async with _run_host(store, port=19340, rollout_bound=bound) as (
+    async with _run_host(store, rollout_bound=bound) as (
         host,
         call,
     ):
@@ -723,7 +736,7 @@
         return wait_for_changes(collection, revision, wait_s)
 
     store.wait_for_changes = record
-    async with _run_host(store, port=19350) as (host, call):
+    async with _run_host(store) as (host, call):
         await asyncio.sleep(0.2)
         assert asked == set(object_cache.BASE_COLLECTIONS)
         assert len(host._build_gossip()[0]) == 8
@@ -743,7 +756,7 @@
     # hosts may relay requests to it.
     store = _FakeStore()
     store.write(_CONFIGURATION, "main", 5, _make_configuration(1, "/a/"))
-    async with _run_host(store, port=19860) as (host, _):
+    async with _run_host(store) as (host, _):
         await asyncio.sleep(0.1)
         assert host._build_gossip()[1] == []
         # This one is of no interest to others.
@@ -763,17 +776,17 @@
 
 
 async def test_host_of_a_large_fleet_passes_on_which_hosts_know_workspaces(
-    monkeypatch,
+    monkeypatch, first_port
 ):
     # There a host seldom hears its possible helpers itself.
     monkeypatch.setattr(workspace_hosts, "PASS_ON_SHARE", 1.0)
     store = _FakeStore()
     configuration = _make_configuration(1, "/a/")._replace(workspaces={})
     store.write(_CONFIGURATION, "main", 5, configuration)
-    async with _run_host(store, port=19880) as (host, _):
+    async with _run_host(store) as (host, _):
         await asyncio.sleep(0.1)
         others = [
-            fakes.make_host(f"p{i}", port=40000 + 10 * i) for i in range(20)
+            fakes.make_host(f"p{i}", port=first_port + 3 * i) for i in range(20)
         ]
         for other in others:
             host._peers.add_host(other)
--- a/eelgrasshall/gateway/peer_sync_test.py
+++ b/eelgrasshall/gateway/peer_sync_test.py
@@ -61,14 +61,14 @@
         server.stop()
 
 
-async def test_a_host_that_is_behind_fetches_missing_updates():
+async def test_a_host_that_is_behind_fetches_missing_updates(first_port):
     remote, local = _make_cache(), _make_cache()
     remote.apply(_make_update("a", 4, "x"))
     remote.advance(_SERVERS, 4)
     log = fakes.Log()
     sync = peer_sync.PeerSync(cache=local, log=log)
-    async with _serve(remote, 19101) as queries:
-        address = model.Address("127.0.0.1", 19101)
+    async with _serve(remote, first_port) as queries:
+        address = model.Address("127.0.0.1", first_port)
         sync.handle_revisions("h2", address, [0, 4, 0, 0])
         sync.handle_revisions("h2", address, [0, 4, 0, 0])
         await asyncio.sleep(0.1)
@@ -79,7 +79,9 @@
         assert len(queries) == 1
 
 
-async def test_a_host_with_a_deferred_deletion_asks_hosts_that_applied_it():
+async def test_a_host_with_a_deferred_deletion_asks_hosts_that_applied_it(
+    first_port,
+):
     remote, local = _make_cache(), _make_cache()
     remote.apply(_make_update("a", 7))
     remote.advance(_SERVERS, 7)
@@ -87,9 +89,9 @@
     local.advance(_SERVERS, 9)
     local.defer(_make_update("a", 7))
     sync = peer_sync.PeerSync(cache=local, log=fakes.Log())
-    async with _serve(remote, 19102) as queries:
+    async with _serve(remote, first_port) as queries:
         sync.handle_revisions(
-            "h2", model.Address("127.0.0.1", 19102), [0, 7, 0, 0]
+            "h2", model.Address("127.0.0.1", first_port), [0, 7, 0, 0]
         )
         await asyncio.sleep(0.1)
         assert queries == ["0,6,0,0,0,0,0,0"]
@@ -246,7 +248,7 @@
 
 
 async def test_revision_of_a_host_that_lacks_deletions_is_never_taken_over(
-    monkeypatch,
+    monkeypatch, first_port
 ):
     # It was taken over after 5 s, and with it the deletions before were lost.
     # Now the host reads them from the store itself.
@@ -254,8 +256,8 @@
     fresh, local = _make_fresh_cache(9), _make_fresh_cache(5)
     local.apply(_make_update("a", 3, "x"))
     sync = peer_sync.PeerSync(cache=local, log=fakes.Log())
-    async with _serve_without_names(fresh, 19106) as queries:
-        address = model.Address("127.0.0.1", 19106)
+    async with _serve_without_names(fresh, first_port) as queries:
+        address = model.Address("127.0.0.1", first_port)
         for _ in range(40):
             sync.handle_revisions("h2", address, [9, 9, 9, 9])
             await asyncio.sleep(0.01)
@@ -267,11 +269,13 @@
     assert not sync.lacks_deletions
 
 
-async def test_host_that_names_its_objects_leaves_no_deletion_to_the_store():
+async def test_host_that_names_its_objects_leaves_no_deletion_to_the_store(
+    first_port,
+):
     local = _make_fresh_cache(5, _make_update("a", 3, "x"))
     sync = peer_sync.PeerSync(cache=local, log=fakes.Log())
-    async with _serve(_make_fresh_cache(9), 19107):
-        assert await sync.fetch("h2", model.Address("127.0.0.1", 19107))
+    async with _serve(_make_fresh_cache(9), first_port):
+        assert await sync.fetch("h2", model.Address("127.0.0.1", first_port))
     assert not sync.lacks_deletions
     assert not _is_live(local, "a")
 
@@ -296,7 +300,7 @@
     assert behind.get_current_s(_SERVERS) == -math.inf
 
 
-async def test_fetch_takes_over_the_age():
+async def test_fetch_takes_over_the_age(first_port):
     remote, local = _make_fresh_cache(9), _make_cache()
     sync = peer_sync.PeerSync(cache=local, log=fakes.Log())
     answers = peer_sync.UpdateAnswers(cache=remote, get_age_s=lambda: 2.0)
@@ -305,9 +309,9 @@
         return answers.answer(request)
 
     server = listener.Listener(handler=answer, get_limits=model.CallerLimits)
-    await server.start(model.Address("127.0.0.1", 19117))
+    await server.start(model.Address("127.0.0.1", first_port))
     now = asyncio.get_running_loop().time()
-    assert await sync.fetch("h2", model.Address("127.0.0.1", 19117))
+    assert await sync.fetch("h2", model.Address("127.0.0.1", first_port))
     server.stop()
     assert abs(local.get_current_s(_SERVERS) - (now - 2.0)) < 0.1
 
@@ -327,7 +331,7 @@
 
 
 async def test_deletion_that_is_put_off_is_due_at_all_hosts_at_the_same_time(
-    monkeypatch,
+    monkeypatch, first_port
 ):
     # Only the hosts that watch knew of deletions that they doubted.  When all
     # of them were lost meanwhile, the deletions were late (DRAIN, review/3 as
@@ -348,9 +352,9 @@
     )
     loop = asyncio.get_running_loop()
     began_s = loop.time()
-    async with _serve(remote, 19118) as queries:
+    async with _serve(remote, first_port) as queries:
         # The clocks of hosts have nothing to do with each other.
-        address = model.Address("127.0.0.1", 19118)
+        address = model.Address("127.0.0.1", first_port)
         sync.handle_revisions("h2", address, [5, 6, 5, 5], None, 8)
         await asyncio.sleep(0.1)
         assert len(queries) == 1
@@ -365,7 +369,9 @@
     assert local.get_applied_revision(_SERVERS) == 8
 
 
-async def test_age_goes_with_what_was_received_not_with_what_is_in_force():
+async def test_age_goes_with_what_was_received_not_with_what_is_in_force(
+    first_port,
+):
     # A host that puts deletions off passes them on, so that others know as
     # much as it does.  Its age was that of what was in force, and a stream of
     # doubted deletions looked like a gap (DRAIN, the day of review/4).
@@ -387,11 +393,11 @@
         return answers.answer(request)
 
     server = listener.Listener(handler=answer, get_limits=model.CallerLimits)
-    await server.start(model.Address("127.0.0.1", 19119))
+    await server.start(model.Address("127.0.0.1", first_port))
     sync = peer_sync.PeerSync(
         cache=local, log=fakes.Log(), deletions=_make_deletions(local)
     )
-    assert await sync.fetch("h2", model.Address("127.0.0.1", 19119))
+    assert await sync.fetch("h2", model.Address("127.0.0.1", first_port))
     server.stop()
     assert local.get_received_revision(_SERVERS) == 8
     assert local.get_applied_revision(_SERVERS) == 6
@@ -405,22 +411,25 @@
     assert peer_sync.decode_time(value) is None
 
 
-async def test_a_failing_seed_is_logged_and_the_next_one_asked():
+async def test_a_failing_seed_is_logged_and_the_next_one_asked(first_port):
     remote, local = _make_cache(), _make_cache()
     for collection in object_cache.Collection:
         remote.advance(collection, 5)
     log = fakes.Log()
     sync = peer_sync.PeerSync(cache=local, log=log)
-    async with _serve(remote, 19103):
+    async with _serve(remote, first_port):
         await sync.fetch_from_seeds(
-            [model.Address("127.0.0.1", 1), model.Address("127.0.0.1", 19103)],
+            [
+                model.Address("127.0.0.1", 1),
+                model.Address("127.0.0.1", first_port),
+            ],
             1.0,
         )
     assert local.get_received_revision(_SERVERS) == 5
     assert log.list_events("exchange_failed")
 
 
-async def test_seed_that_hangs_does_not_hold_up_the_next_one():
+async def test_seed_that_hangs_does_not_hold_up_the_next_one(first_port):
     # A host without power does not refuse connections: after a power cut of
     # all hosts, the first seed took the whole time-out.
     async def hang(reader, writer):
@@ -431,27 +440,31 @@
     for collection in object_cache.Collection:
         remote.advance(collection, 5)
     sync = peer_sync.PeerSync(cache=local, log=fakes.Log())
-    hanging = await asyncio.start_server(hang, "127.0.0.1", 19112)
-    async with _serve(remote, 19113):
+    hanging = await asyncio.start_server(hang, "127.0.0.1", first_port)
+    async with _serve(remote, first_port + 1):
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         await sync.fetch_from_seeds(
-            [model.Address("127.0.0.1", 19112 + i) for i in range(2)], 1.0
+            [model.Address("127.0.0.1", first_port + i) for i in range(2)], 1.0
         )
         assert loop.time() - started_s < 0.5
     hanging.close()
     assert local.get_received_revision(_SERVERS) == 5
 
 
-async def test_seeds_without_data_are_asked_until_the_wait_is_over():
+async def test_seeds_without_data_are_asked_until_the_wait_is_over(first_port):
     remote, local = _make_cache(), _make_cache()
     sync = peer_sync.PeerSync(cache=local, log=fakes.Log())
-    async with _serve(remote, 19104) as queries:
-        await sync.fetch_from_seeds([model.Address("127.0.0.1", 19104)], 0.3)
+    async with _serve(remote, first_port) as queries:
+        await sync.fetch_from_seeds(
+            [model.Address("127.0.0.1", first_port)], 0.3
+        )
     assert len(queries) >= 2
 
 
-async def test_log_tells_slow_sources_from_sources_that_hang(monkeypatch):
+async def test_log_tells_slow_sources_from_sources_that_hang(
+    monkeypatch, first_port
+):
     # Without duration and size, failed fetches all looked alike (inc1).
     monkeypatch.setattr(peer_sync, "FETCH_TIMEOUT_S", 0.1)
     monkeypatch.setattr(client, "STALL_TIMEOUT_S", 0.1)
@@ -465,7 +478,7 @@
 
     log = fakes.Log()
     sync = peer_sync.PeerSync(cache=_make_cache(), log=log)
-    for port, begins in ((19109, True), (19110, False)):
+    for port, begins in ((first_port, True), (first_port + 1, False)):
         server = await asyncio.start_server(
             functools.partial(answer, begins=begins), "127.0.0.1", port
         )
@@ -477,26 +490,26 @@
     assert all(each["took_ms"] >= 100 for each in failures)
 
 
-async def test_log_of_a_fetch_states_its_size():
+async def test_log_of_a_fetch_states_its_size(first_port):
     remote = _make_cache()
     remote.apply(_make_update("a", 4, "x" * 500))
     remote.advance(_SERVERS, 4)
     log = fakes.Log()
     sync = peer_sync.PeerSync(cache=_make_cache(), log=log)
-    async with _serve(remote, 19111):
-        assert await sync.fetch("h2", model.Address("127.0.0.1", 19111))
+    async with _serve(remote, first_port):
+        assert await sync.fetch("h2", model.Address("127.0.0.1", first_port))
     (line,) = log.list_events("exchange")
     assert line["received_bytes"] > 500 and line["changed"] == 1
 
 
-async def test_large_updates_are_compressed():
+async def test_large_updates_are_compressed(first_port):
     remote, local = _make_cache(), _make_cache()
     remote.apply(_make_update("a", 4, "x" * 50_000))
     remote.advance(_SERVERS, 4)
     log = fakes.Log()
     sync = peer_sync.PeerSync(cache=local, log=log)
-    async with _serve(remote, 19112):
-        assert await sync.fetch("h2", model.Address("127.0.0.1", 19112))
+    async with _serve(remote, first_port):
+        assert await sync.fetch("h2", model.Address("127.0.0.1", first_port))
     assert local.list_updates(_SERVERS) == remote.list_updates(_SERVERS)
     (line,) = log.list_events("exchange")
     assert line["received_bytes"] < 5000
@@ -538,15 +551,15 @@
     return json.loads(answers.answer(_make_request()).body)["s"]["revision"]
 
 
-async def test_malformed_answer_changes_nothing():
+async def test_malformed_answer_changes_nothing(first_port):
     async def answer(request):
         return listener.Response(200, [], b'{"s": 5}')
 
     server = listener.Listener(handler=answer, get_limits=model.CallerLimits)
-    await server.start(model.Address("127.0.0.1", 19105))
+    await server.start(model.Address("127.0.0.1", first_port))
     local, log = _make_cache(), fakes.Log()
     sync = peer_sync.PeerSync(cache=local, log=log)
-    assert not await sync.fetch("h2", model.Address("127.0.0.1", 19105))
+    assert not await sync.fetch("h2", model.Address("127.0.0.1", first_port))
     assert log.list_events("exchange_failed")
     server.stop()
 
@@ -569,14 +582,14 @@
     return cache
 
 
-async def test_new_era_reaches_hosts_that_have_higher_numbers():
+async def test_new_era_reaches_hosts_that_have_higher_numbers(first_port):
     restored = _make_restored_cache()
     local = _make_fresh_cache(20, _make_update("c", 12, "z"))
     sync = peer_sync.PeerSync(cache=local, log=fakes.Log())
-    async with _serve(restored, 19113):
+    async with _serve(restored, first_port):
         sync.handle_revisions(
             "h2",
-            model.Address("127.0.0.1", 19113),
+            model.Address("127.0.0.1", first_port),
             peer_sync.list_revisions(restored),
         )
         await asyncio.sleep(0.1)
@@ -694,7 +707,7 @@
 @pytest.mark.parametrize("meets_between", [False, True])
 @pytest.mark.parametrize("order", list(itertools.permutations(range(3))))
 async def test_all_hosts_get_the_version_that_an_older_copy_lacks(
-    order, meets_between
+    order, meets_between, first_port
 ):
     # One host has the version that the store has lost, one was cut off before
     # it was written and one has just started.  The latter two had the copy's
@@ -704,31 +717,33 @@
     for number in order:
         hosts[number].read(1, 20, 14, 25)
         if meets_between:
-            await _meet(hosts, 19114)
-    await _meet(hosts, 19114)
+            await _meet(hosts, first_port)
+    await _meet(hosts, first_port)
     assert [host.list_versions() for host in hosts] == [[18]] * 3
     # Nothing more is fetched for it, before the operator writes and after.
-    assert await _meet(hosts, 19114) == 0
+    assert await _meet(hosts, first_port) == 0
     for host in hosts:
         host.read(1, 26, 18, 26)
-    assert await _meet(hosts, 19114) == 0
+    assert await _meet(hosts, first_port) == 0
     for host in hosts:
         assert len(peer_sync.list_revisions(host.cache)) == 8
 
 
-async def test_kept_version_that_cannot_be_used_is_fetched_once():
+async def test_kept_version_that_cannot_be_used_is_fetched_once(first_port):
     keeper, local = _VersionHost(0, 30, 18), _VersionHost(1, 20, 14)
     keeper.read(1, 20, 14, 20)
     unreadable = local.cache._decode
     local.cache._decode = lambda collection, name, document: (
         None if document == 18 else unreadable(collection, name, document)
     )
-    fetches = [await _meet([keeper, local], 19115) for _ in range(3)]
+    fetches = [await _meet([keeper, local], first_port) for _ in range(3)]
     assert fetches == [1, 0, 0]
     assert local.list_versions() == [14]
 
 
-async def test_kept_version_of_an_earlier_era_is_fetched_once_it_is_confirmed():
+async def test_kept_version_of_an_earlier_era_is_fetched_once_it_is_confirmed(
+    first_port,
+):
     # Until then the answer would be ignored, and not asked for again.
     keeper, local = _VersionHost(0, 30, 18), _VersionHost(2, 18, 13)
     keeper.read(1, 20, 14, 25)
@@ -736,8 +751,8 @@
         local.cache.advance(collection, object_cache.make_revision(2, 19))
     stated = peer_sync.list_revisions(keeper.cache)
     assert peer_sync.find_kept_version(local.cache, stated) == 0
-    async with _serve(keeper.cache, 19116) as queries:
-        address = model.Address("127.0.0.1", 19116)
+    async with _serve(keeper.cache, first_port) as queries:
+        address = model.Address("127.0.0.1", first_port)
         local.sync.handle_revisions("h", address, stated)
         await asyncio.sleep(0.05)
         assert queries == []
@@ -866,13 +881,13 @@
     assert stated[_ROLLOUTS] == 12 > behind.get_applied_revision(_ROLLOUTS)
 
 
-async def test_fetch_from_a_host_without_rollouts_is_complete():
+async def test_fetch_from_a_host_without_rollouts_is_complete(first_port):
     # A collection that the other host lacks must not count as missing: the
     # fetch would be repeated for as long as that host is ahead.
     base, using = _make_cache(), _make_cache_with_rollouts()
     _fill(base, 9)
     sync = peer_sync.PeerSync(cache=using, log=fakes.Log())
-    async with _serve(base, 19109):
-        assert await sync.fetch("h2", model.Address("127.0.0.1", 19109))
+    async with _serve(base, first_port):
+        assert await sync.fetch("h2", model.Address("127.0.0.1", first_port))
     assert using.get_applied_revision(_SERVERS) == 9
     assert not sync.lacks_deletions
--- a/eelgrasshall/gateway/peers_test.py
+++ b/eelgrasshall/gateway/peers_test.py
@@ -37,13 +37,13 @@
 
 def _make_hosts(count: int, *, port: int):
     return [
-        fakes.make_host(f"h{i}", zone="abc"[i % 3], port=port + 10 * i)
+        fakes.make_host(f"h{i}", zone="abc"[i % 3], port=port + 3 * i)
         for i in range(count)
     ]
 
 
-async def test_hosts_discover_each_other_through_heartbeats():
-    first, second = _make_hosts(2, port=18100)
+async def test_hosts_discover_each_other_through_heartbeats(first_port):
+    first, second = _make_hosts(2, port=first_port)
     one, _ = _make_protocol(first)
     two, received = _make_protocol(second)
     await one.start()
@@ -62,9 +62,11 @@
     two.stop()
 
 
-async def test_a_host_without_recent_heartbeats_is_not_alive(monkeypatch):
+async def test_a_host_without_recent_heartbeats_is_not_alive(
+    monkeypatch, first_port
+):
     monkeypatch.setattr(peers, "DIRECT_TIMEOUT_S", 0.05)
-    first, second = _make_hosts(2, port=18200)
+    first, second = _make_hosts(2, port=first_port)
     one, _ = _make_protocol(first)
     two, _ = _make_protocol(second)
     await one.start()
@@ -78,8 +80,8 @@
     two.stop()
 
 
-async def test_a_leaving_host_is_neither_candidate_nor_load():
-    first, second = _make_hosts(2, port=18300)
+async def test_a_leaving_host_is_neither_candidate_nor_load(first_port):
+    first, second = _make_hosts(2, port=first_port)
     one, _ = _make_protocol(first)
     two, _ = _make_protocol(second)
     await one.start()
@@ -94,11 +96,13 @@
     two.stop()
 
 
-async def test_a_large_fleet_learns_of_every_host_through_relays(monkeypatch):
+async def test_a_large_fleet_learns_of_every_host_through_relays(
+    monkeypatch, first_port
+):
     monkeypatch.setattr(peers, "MIN_RELAY_PERIOD_S", 0.02)
     monkeypatch.setattr(peers, "RELAY_PERIOD_PER_HOST_S", 0.0)
     monkeypatch.setattr(peers, "DIRECT_PERIOD_S", 0.02)
-    hosts = _make_hosts(24, port=18400)
+    hosts = _make_hosts(24, port=first_port)
     protocols = [_make_protocol(host)[0] for host in hosts]
     for each in protocols:
         await each.start()
@@ -111,8 +115,8 @@
         each.stop()
 
 
-async def test_an_older_heartbeat_does_not_replace_a_newer_one():
-    first, second = _make_hosts(2, port=18700)
+async def test_an_older_heartbeat_does_not_replace_a_newer_one(first_port):
+    first, second = _make_hosts(2, port=first_port)
     one, _ = _make_protocol(first)
     two, _ = _make_protocol(second)
     sent = []
@@ -131,8 +135,8 @@
     assert two.list_alive()[0][1].state is heartbeats.State.LEAVING
 
 
-async def test_first_heartbeat_after_a_restart_replaces_older_ones():
-    first, second = _make_hosts(2, port=18800)
+async def test_first_heartbeat_after_a_restart_replaces_older_ones(first_port):
+    first, second = _make_hosts(2, port=first_port)
     sent = []
 
     class Transport:
@@ -348,8 +352,10 @@
     assert max(rate, 0) == 0
 
 
-async def test_a_host_without_links_is_active_only_if_all_have_lost_them():
-    first, second = _make_hosts(2, port=18960)
+async def test_a_host_without_links_is_active_only_if_all_have_lost_them(
+    first_port,
+):
+    first, second = _make_hosts(2, port=first_port)
     linked = {first.name: False, second.name: True}
     protocols = []
     for host in (first, second):
@@ -410,10 +416,12 @@
 
 
 @pytest.mark.parametrize("index", range(12))
-async def test_malformed_field_of_a_header_does_no_lasting_harm(index):
+async def test_malformed_field_of_a_header_does_no_lasting_harm(
+    index, first_port
+):
     # A host whose cores were not a number made every answer of the directory
     # fail from then on.
-    first, second = _make_hosts(2, port=19000)
+    first, second = _make_hosts(2, port=first_port)
     protocol, _ = _make_protocol(first)
     header = heartbeats.Header(
         host=second,
@@ -437,8 +445,10 @@
     assert not protocol.list_alive()
 
 
-async def test_crash_datagrams_reach_other_hosts_with_the_heartbeats():
-    first, second = _make_hosts(2, port=18900)
+async def test_crash_datagrams_reach_other_hosts_with_the_heartbeats(
+    first_port,
+):
+    first, second = _make_hosts(2, port=first_port)
     received = []
     datagram = crash_gossip.PREFIX + b"[]"
     protocols = [
@@ -471,7 +481,7 @@
     assert received and set(received) == {datagram}
 
 
-async def test_channel_reaches_its_receivers_in_a_large_fleet():
+async def test_channel_reaches_its_receivers_in_a_large_fleet(first_port):
     # Counts of a rollout would take a second and more by random hosts alone.
     sent = []
 
@@ -480,7 +490,7 @@
             if data == b"counts\n":
                 sent.append(address)
 
-    hosts = _make_hosts(40, port=20000)
+    hosts = _make_hosts(40, port=first_port)
     receivers = hosts[:6]
     protocol, _ = _make_protocol(hosts[0])
     protocol._channels = [
--- a/eelgrasshall/gateway/registry_test.py
+++ b/eelgrasshall/gateway/registry_test.py
@@ -413,9 +413,10 @@
                 sent.append(len(piece))
                 await writer.drain()
 
-    server = await asyncio.start_server(answer, "127.0.0.1", 18990)
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
     registry, _ = _make_registry()
-    registry.set_server("s1", fakes.make_server("s1", port=18990), 1)
+    registry.set_server("s1", fakes.make_server("s1", port=port), 1)
     (backend,) = registry.find_candidates("orders")
     backend.unreachable = True
     registry.start_probe(backend)
--- a/eelgrasshall/gateway/relay_test.py
+++ b/eelgrasshall/gateway/relay_test.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from eelgrasshall.fakes import ports
 from eelgrasshall.gateway import connections
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import host as host_module
@@ -15,6 +16,7 @@
 from eelgrasshall.gateway import relay
 from eelgrasshall.gateway import relay_choice
 
+_PORTS_PER_HOST = 3
 _MARKED = (b"Eelgrasshall-Relayed", b"1")
 _ANSWER = (
     b"HTTP/1.1 200 OK\r\nX-Id: a1\r\nEelgrasshall-Relayed: 1\r\n"
@@ -26,14 +28,15 @@
     """A relay and the helpers that it knows.
 
     Args:
-      hosts: The helpers, in the order in which they are tried.
+      *hosts: The helpers, in the order in which they are tried.
     """
 
     def __init__(self, *hosts: model.Host):
+        self.hosts = hosts
         self.counts: list[str] = []
         self._loop = asyncio.get_running_loop()
         self.relay = relay.Relay(
-            own=fakes.make_host("own", port=26000),
+            own=fakes.make_host("own"),
             names=fakes.NAMES,
             random=random.Random(1),
             # The first gets all requests unless it is excluded.
@@ -94,21 +97,22 @@
 
 
 @contextlib.asynccontextmanager
-async def _open(port: int, handle=None):
+async def _open(handle=None):
     """Opens a sender with one helper; yields both."""
     helper = _Helper(handle)
-    host = fakes.make_host("helper", port=port)
-    await helper.listener.start(host.control_address)
-    sender = _Sender(host)
-    try:
-        yield sender, helper
-    finally:
-        sender.relay.close()
-        helper.listener.stop()
+    with ports.PortRange(count=_PORTS_PER_HOST) as reserved:
+        host = fakes.make_host("helper", port=reserved.first)
+        await helper.listener.start(host.control_address)
+        sender = _Sender(host)
+        try:
+            yield sender, helper
+        finally:
+            sender.relay.close()
+            helper.listener.stop()
 
 
 @contextlib.asynccontextmanager
-async def _open_scripted(port: int, script):
+async def _open_scripted(script):
     """Opens a sender with a helper that follows a script per connection.
 
     Yields:
@@ -127,16 +131,17 @@
         finally:
             writer.close()
 
-    host = fakes.make_host("helper", port=port)
-    server = await asyncio.start_server(serve, *host.control_address)
-    sender = _Sender(host)
-    try:
-        yield sender, heads
-    finally:
-        sender.relay.close()
-        server.close()
-        for task in tasks:
-            task.cancel()
+    with ports.PortRange(count=_PORTS_PER_HOST) as reserved:
+        host = fakes.make_host("helper", port=reserved.first)
+        server = await asyncio.start_server(serve, *host.control_address)
+        sender = _Sender(host)
+        try:
+            yield sender, heads
+        finally:
+            sender.relay.close()
+            server.close()
+            for task in tasks:
+                task.cancel()
 
 
 async def _wait_until(condition) -> None:
@@ -146,7 +151,7 @@
 
 
 async def test_request_is_passed_on_as_it_came():
-    async with _open(26100) as (sender, helper):
+    async with _open() as (sender, helper):
         request = fakes.make_request(
             "/find/x?q=%20&q",
             method="POST",
@@ -175,7 +180,7 @@
 
 
 async def test_time_budget_counts_down_and_replaces_that_of_the_caller():
-    async with _open(26110) as (sender, helper):
+    async with _open() as (sender, helper):
         request = fakes.make_request(headers=(("X-Budget", "90000"),))
         await sender.send(request, remaining_s=1.5)
         await sender.send(request, remaining_s=0.5)
@@ -204,7 +209,7 @@
             )
         )
 
-    async with _open(26120, handle) as (sender, helper):
+    async with _open(handle) as (sender, helper):
         helper.listener.start_draining()
         result = await sender.send(
             fakes.make_request(
@@ -231,7 +236,7 @@
 
 
 async def test_relayed_request_is_not_relayed_again():
-    async with _open(26130) as (sender, helper):
+    async with _open() as (sender, helper):
         request = fakes.make_request(
             headers=(("Eelgrasshall-Relayed", "other"),)
         )
@@ -242,7 +247,7 @@
 
 
 async def test_connection_is_used_again_for_idempotent_requests_only():
-    async with _open(26140) as (sender, helper):
+    async with _open() as (sender, helper):
         for _ in range(3):
             assert (await sender.send()).answered
         assert len(helper.connections) == 1
@@ -253,7 +258,7 @@
 
 async def test_idle_connection_is_closed(monkeypatch):
     monkeypatch.setattr(relay, "IDLE_TIMEOUT_S", 0.05)
-    async with _open(26150) as (sender, helper):
+    async with _open() as (sender, helper):
         await sender.send()
         assert sender.connection_count == 1
         await _wait_until(lambda: sender.connection_count == 0)
@@ -269,7 +274,7 @@
         await asyncio.sleep(0.15)
         return listener.Response(200, [_MARKED], b"")
 
-    async with _open(26155, handle) as (sender, helper):
+    async with _open(handle) as (sender, helper):
         assert (await sender.send()).answered
         assert (await sender.send()).answered
         assert len(helper.connections) == 1
@@ -286,7 +291,7 @@
             200, [_MARKED, (b"X-Id", request_id)], request.body
         )
 
-    async with _open(26160, handle) as (sender, helper):
+    async with _open(handle) as (sender, helper):
 
         def make(number: int) -> messages.Request:
             request = fakes.make_request(method="POST", body=b"%d" % number)
@@ -320,7 +325,7 @@
         await asyncio.sleep(0.1)
         return listener.Response(200, [_MARKED], b"")
 
-    async with _open(26170, handle) as (sender, helper):
+    async with _open(handle) as (sender, helper):
         results = await asyncio.gather(*(sender.send() for _ in range(5)))
         assert sum(each.answered for each in results) == 2
         assert [each.reason for each in results if each.not_run] == [
@@ -330,11 +335,11 @@
         assert (await sender.send()).answered
 
 
-async def test_second_helper_is_tried_if_the_first_is_not_reached():
+async def test_second_helper_is_tried_if_the_first_is_not_reached(first_port):
     helper = _Helper()
-    host = fakes.make_host("up", port=26180)
+    host = fakes.make_host("up", port=first_port)
     await helper.listener.start(host.control_address)
-    sender = _Sender(fakes.make_host("down", port=26184), host)
+    sender = _Sender(fakes.make_host("down", port=first_port + 4), host)
     result = await sender.send(idempotent=False)
     assert result.answered and result.helper == "up"
     assert sender.counts == ["relay_not_run", "relay_answered"]
@@ -347,8 +352,8 @@
     helper.listener.stop()
 
 
-async def test_request_that_reached_no_helper_has_not_run():
-    down = [fakes.make_host(f"h{i}", port=26190 + 3 * i) for i in range(3)]
+async def test_request_that_reached_no_helper_has_not_run(first_port):
+    down = [fakes.make_host(f"h{i}", port=first_port + 3 * i) for i in range(3)]
     sender = _Sender(*down)
     result = await sender.send()
     assert result.not_run and not result.may_have_run
@@ -364,7 +369,7 @@
 
 
 async def test_this_host_is_not_its_own_helper():
-    sender = _Sender(fakes.make_host("own", port=26000))
+    sender = _Sender(fakes.make_host("own"))
     assert (await sender.send()).reason == "no helper"
 
 
@@ -373,9 +378,7 @@
         await asyncio.Event().wait()
 
     monkeypatch.setattr(relay, "CONNECT_TIMEOUT_S", 0.05)
-    sender = _Sender(
-        fakes.make_host("h1", port=26200), fakes.make_host("h2", port=26204)
-    )
+    sender = _Sender(fakes.make_host("h1"), fakes.make_host("h2", port=7004))
     loop = asyncio.get_running_loop()
     monkeypatch.setattr(loop, "create_connection", hang)
     started_s = loop.time()
@@ -391,18 +394,22 @@
     assert loop.time() - started_s < 0.5
 
 
-async def test_connection_lost_before_anything_is_sent_is_not_run(monkeypatch):
+async def test_connection_lost_before_anything_is_sent_is_not_run(
+    monkeypatch, first_port
+):
     connect = relay.Relay._connect
 
     async def connect_and_lose(self, address, deadline_s):
         connection = await connect(self, address, deadline_s)
-        if address.port == 26211:
+        if address == hosts[0].control_address:
             connection.connection_lost(None)
         return connection
 
     monkeypatch.setattr(relay.Relay, "_connect", connect_and_lose)
     first, second = _Helper(), _Helper()
-    hosts = [fakes.make_host(f"h{i}", port=26210 + 4 * i) for i in range(2)]
+    hosts = [
+        fakes.make_host(f"h{i}", port=first_port + 4 * i) for i in range(2)
+    ]
     await first.listener.start(hosts[0].control_address)
     await second.listener.start(hosts[1].control_address)
     sender = _Sender(*hosts)
@@ -448,7 +455,9 @@
         "upgrade",
     ],
 )
-async def test_request_without_complete_answer_may_have_run(pieces, idempotent):
+async def test_request_without_complete_answer_may_have_run(
+    pieces, idempotent, first_port
+):
     async def script(writer):
         for piece in pieces:
             writer.write(piece)
@@ -456,10 +465,10 @@
         writer.close()
 
     spare = _Helper()
-    spare_host = fakes.make_host("spare", port=26224)
+    spare_host = fakes.make_host("spare", port=first_port)
     await spare.listener.start(spare_host.control_address)
-    async with _open_scripted(26220, script) as (_, heads):
-        sender = _Sender(fakes.make_host("helper", port=26220), spare_host)
+    async with _open_scripted(script) as (scripted, heads):
+        sender = _Sender(*scripted.hosts, spare_host)
         result = await sender.send(idempotent=idempotent)
         assert result.may_have_run and not result.not_run
         assert result.ending is relay.Ending.LOST and result.reason
@@ -477,7 +486,7 @@
     async def script(writer):
         writer.transport.abort()
 
-    async with _open_scripted(26230, script) as (sender, heads):
+    async with _open_scripted(script) as (sender, heads):
         result = await sender.send()
         assert result.ending is relay.Ending.LOST
         assert len(heads) == 1
@@ -490,7 +499,7 @@
         else:
             writer.transport.abort()
 
-    async with _open_scripted(26240, script) as (sender, heads):
+    async with _open_scripted(script) as (sender, heads):
         assert (await sender.send()).answered
         assert (await sender.send()).may_have_run
         assert len(heads) == 2
@@ -504,7 +513,7 @@
             await asyncio.sleep(0.05)
             writer.write(_ANSWER.replace(b"abc", b"old"))
 
-    async with _open_scripted(26250, script) as (sender, heads):
+    async with _open_scripted(script) as (sender, heads):
         assert (await sender.send()).body == b"abc"
         assert sender.connection_count == 1
         await _wait_until(lambda: sender.connection_count == 0)
@@ -525,7 +534,7 @@
         writer.write(piece)
         await asyncio.sleep(5.0)
 
-    async with _open_scripted(26260, script) as (sender, _):
+    async with _open_scripted(script) as (sender, _):
         result = await sender.send(remaining_s=4.0)
         assert result.ending is relay.Ending.LOST
         assert sender.connection_count == 0
@@ -540,7 +549,7 @@
             b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
         )
 
-    async with _open_scripted(26270, script) as (sender, _):
+    async with _open_scripted(script) as (sender, _):
         assert (await sender.send()).answered
         sender.relay.receive_buffer.size = connections.MAX_BUFFERED_BYTES
         assert (await sender.send()).ending is relay.Ending.LOST
@@ -554,7 +563,7 @@
             b"X-Seal: s\r\n\r\n3\r\nabc\r\n0\r\nX-Trailer: t\r\n\r\n"
         )
 
-    async with _open_scripted(26280, script) as (sender, _):
+    async with _open_scripted(script) as (sender, _):
         result = await sender.send()
         assert result.answered and result.body == b"abc"
         assert result.headers == [(b"X-Seal", b"s")]
@@ -565,7 +574,7 @@
     async def handle(request):
         return listener.Response(status, [(b"X-Id", b"a1")], b"unmarked")
 
-    async with _open(26290, handle) as (sender, helper):
+    async with _open(handle) as (sender, helper):
         result = await sender.send()
         # An earlier build answers 404 to what it does not know.
         assert result.not_run == (status == 404)
@@ -574,12 +583,16 @@
         assert result.body == b"" and result.status == 0
 
 
-async def test_helper_of_an_earlier_build_is_followed_by_another_one():
+async def test_helper_of_an_earlier_build_is_followed_by_another_one(
+    first_port,
+):
     async def handle(request):
         return listener.Response(404, [], b"")
 
     earlier, later = _Helper(handle), _Helper()
-    hosts = [fakes.make_host(f"h{i}", port=26300 + 4 * i) for i in range(2)]
+    hosts = [
+        fakes.make_host(f"h{i}", port=first_port + 4 * i) for i in range(2)
+    ]
     await earlier.listener.start(hosts[0].control_address)
     await later.listener.start(hosts[1].control_address)
     sender = _Sender(*hosts)
@@ -597,7 +610,7 @@
     ("status", "passed_over"), [(503, True), (502, False), (200, False)]
 )
 async def test_helper_that_has_lost_its_links_is_passed_over(
-    status, passed_over
+    status, passed_over, first_port
 ):
     async def handle(request):
         return relay.mark_response(
@@ -606,8 +619,8 @@
 
     first, second = _Helper(handle), _Helper()
     hosts = [
-        fakes.make_host("first", port=26680),
-        fakes.make_host("second", port=26690),
+        fakes.make_host("first", port=first_port),
+        fakes.make_host("second", port=first_port + 4),
     ]
     for helper, host in zip((first, second), hosts, strict=True):
         await helper.listener.start(host.control_address)
@@ -625,14 +638,14 @@
     async def handle(request):
         return relay.mark_response(listener.Response(404, [], b"no route"))
 
-    async with _open(26310, handle) as (sender, _):
+    async with _open(handle) as (sender, _):
         result = await sender.send()
         assert result.answered and result.status == 404
         assert result.headers == []
 
 
 async def test_nothing_is_sent_shortly_before_the_deadline():
-    async with _open(26320) as (sender, helper):
+    async with _open() as (sender, helper):
         for remaining_s in (0.004, 0.0, -1.0):
             result = await sender.send(remaining_s=remaining_s)
             assert result.not_run and result.reason == "too little time left"
@@ -644,7 +657,7 @@
     async def handle(request):
         await asyncio.sleep(5.0)
 
-    async with _open(26330, handle) as (sender, helper):
+    async with _open(handle) as (sender, helper):
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         result = await sender.send(remaining_s=0.1)
@@ -663,7 +676,7 @@
             writer.write(_ANSWER[at : at + 1])
             await asyncio.sleep(0.01)
 
-    async with _open_scripted(26340, script) as (sender, _):
+    async with _open_scripted(script) as (sender, _):
         result = await sender.send(remaining_s=0.1)
         assert result.ending is relay.Ending.TIMED_OUT
         assert sender.relay.receive_buffer.size == 0
@@ -676,7 +689,7 @@
             await asyncio.sleep(5.0)
         return listener.Response(200, [_MARKED], b"")
 
-    async with _open(26350, handle) as (sender, helper):
+    async with _open(handle) as (sender, helper):
         if kept:
             await sender.send()
         helper.began.clear()
@@ -695,7 +708,7 @@
 
 
 async def test_caller_who_leaves_during_the_connect_leaves_nothing_behind():
-    async with _open(26360) as (sender, helper):
+    async with _open() as (sender, helper):
         task = asyncio.ensure_future(sender.send())
         await asyncio.sleep(0)
         task.cancel()
@@ -711,7 +724,7 @@
         writer.write(_ANSWER)
         await asyncio.sleep(5.0)
 
-    async with _open_scripted(26370, script) as (sender, _):
+    async with _open_scripted(script) as (sender, _):
         # More than the buffers of a connection that is not read take.
         request = fakes.make_request(method="POST", body=b"b" * 20_000_000)
         assert (await sender.send(request)).answered
@@ -722,7 +735,7 @@
     async def handle(request):
         await asyncio.sleep(5.0)
 
-    async with _open(26380, handle) as (sender, helper):
+    async with _open(handle) as (sender, helper):
         task = asyncio.ensure_future(sender.send())
         async with asyncio.timeout(2.0):
             await helper.began.wait()
@@ -735,7 +748,7 @@
 
 async def test_workspaces_are_relayed_to_hosts_that_know_them_only():
     # Others would send the request without the name of its workspace.
-    async with _open(26190) as (sender, helper):
+    async with _open() as (sender, helper):
         workspace = fakes.make_workspace("acme", "k-1")
         (known,) = sender.relay._list_helpers()
 
--- a/eelgrasshall/platform/api_keys_test.py
+++ b/eelgrasshall/platform/api_keys_test.py
@@ -117,9 +117,7 @@
 
 
 async def test_keys_are_added_and_withdrawn_and_written_nowhere(tmp_path):
-    fleet = fleet_module.Fleet(
-        folder=tmp_path, port=28400, hosts=3, shards=2, replicas=2
-    )
+    fleet = fleet_module.Fleet(folder=tmp_path, hosts=3, shards=2, replicas=2)
     try:
         fleet.store.era = 1
         await _start(fleet)
@@ -198,9 +196,7 @@
 @pytest.mark.parametrize("strict", [True, False])
 async def test_strict_revocation_needs_contact_to_the_store(tmp_path, strict):
     # A host that cannot learn of a withdrawn key must not go on accepting it.
-    fleet = fleet_module.Fleet(
-        folder=tmp_path, port=28600, hosts=3, shards=2, replicas=2
-    )
+    fleet = fleet_module.Fleet(folder=tmp_path, hosts=3, shards=2, replicas=2)
     if strict:
         revoke_ms = round(_REVOKE_S * 1000)
         fleet.more_bounds = f"strictRevoke = true\nrevokeMs = {revoke_ms}"
@@ -227,7 +223,7 @@
 
 async def test_host_that_is_cut_off_relays_with_the_name(tmp_path):
     fleet = fleet_module.Fleet(
-        folder=tmp_path, port=28800, hosts=3, shards=2, replicas=2, links=True
+        folder=tmp_path, hosts=3, shards=2, replicas=2, links=True
     )
     try:
         await _start(fleet)
--- a/eelgrasshall/platform/builds_test.py
+++ b/eelgrasshall/platform/builds_test.py
@@ -189,9 +189,7 @@
 
 
 async def test_hosts_are_replaced_one_by_one_and_back(tmp_path, old_build):
-    fleet = fleet_module.Fleet(
-        folder=tmp_path, port=26400, hosts=4, shards=2, replicas=3
-    )
+    fleet = fleet_module.Fleet(folder=tmp_path, hosts=4, shards=2, replicas=3)
     fleet.source_trees = dict.fromkeys(fleet.host_names, old_build)
     try:
         fleet.store.era = 1
@@ -224,7 +222,7 @@
 async def test_two_builds_share_what_they_know(tmp_path, old_build):
     # Half of the hosts run each build.
     fleet = fleet_module.Fleet(
-        folder=tmp_path, port=26600, hosts=4, shards=2, replicas=3, links=True
+        folder=tmp_path, hosts=4, shards=2, replicas=3, links=True
     )
     old, new = fleet.host_names[:2], fleet.host_names[2:]
     fleet.source_trees = dict.fromkeys(old, old_build)
@@ -268,9 +266,7 @@
 
 async def test_rates_of_servers_hold_over_all_hosts(tmp_path):
     # One host alone keeps to a rate easily; three times as much arrived.
-    fleet = fleet_module.Fleet(
-        folder=tmp_path, port=26800, hosts=4, shards=2, replicas=2
-    )
+    fleet = fleet_module.Fleet(folder=tmp_path, hosts=4, shards=2, replicas=2)
     limited = fleet.servers["shard0-0"]
     rate = 3.0
     try:
@@ -311,11 +307,11 @@
 
 
 def _make_fleet_with_workspaces(
-    folder: pathlib.Path, *, port: int, build: pathlib.Path
+    folder: pathlib.Path, *, build: pathlib.Path
 ) -> fleet_module.Fleet:
     """Returns a fleet of three hosts, of which the first has another build."""
     fleet = fleet_module.Fleet(
-        folder=folder, port=port, hosts=3, shards=2, replicas=2, links=True
+        folder=folder, hosts=3, shards=2, replicas=2, links=True
     )
     fleet.tenants = [
         {"name": "acme", "apiKeys": ["k-acme"]},
@@ -363,7 +359,7 @@
 ):
     # Hosts of that build send the key on, or no name.
     fleet = _make_fleet_with_workspaces(
-        tmp_path, port=29000, build=build_without_workspaces
+        tmp_path, build=build_without_workspaces
     )
     try:
         await _start_with_cut(fleet, "host1")
@@ -397,7 +393,7 @@
 async def test_workspaces_are_relayed_to_the_build_before_and_back(
     tmp_path, old_build
 ):
-    fleet = _make_fleet_with_workspaces(tmp_path, port=29600, build=old_build)
+    fleet = _make_fleet_with_workspaces(tmp_path, build=old_build)
     try:
         await _start_with_cut(fleet, "host1")
         fleet.signal_host("host2", signal.SIGKILL)
@@ -421,9 +417,7 @@
 ):
     # The revisions of the fifth collection stand where the build before could
     # read a kept version, and it gets datagrams that it does not know.
-    fleet = fleet_module.Fleet(
-        folder=tmp_path, port=28500, hosts=3, contracts=("rollout",)
-    )
+    fleet = fleet_module.Fleet(folder=tmp_path, hosts=3, contracts=("rollout",))
     fleet.versions = {
         name: "v2" if name.endswith("-1") else "v1" for name in fleet.servers
     }
--- a/eelgrasshall/platform/console_test.py
+++ b/eelgrasshall/platform/console_test.py
@@ -24,7 +24,7 @@
 @pytest.fixture
 async def fleet(tmp_path):
     """A fleet of two ready hosts."""
-    local_fleet = fleet_module.Fleet(folder=tmp_path, port=22400)
+    local_fleet = fleet_module.Fleet(folder=tmp_path)
     await local_fleet.start()
     for name in local_fleet.host_names:
         await local_fleet.wait_ready(name)
@@ -134,7 +134,7 @@
 @pytest.mark.parametrize(
     "belief", [b'{"c": {"revision": 5, "news": []}}', b"[]", b"no JSON", None]
 )
-async def test_host_of_an_earlier_version_has_no_known_era(belief):
+async def test_host_of_an_earlier_version_has_no_known_era(belief, first_port):
     async def answer(request):
         if request.path == "/metrics":
             body = b"eelgrasshall_configuration_version 4\n"
@@ -144,7 +144,7 @@
         return listener.Response(200, [], belief)
 
     server = listener.Listener(handler=answer, get_limits=model.CallerLimits)
-    address = model.Address("127.0.0.1", 22450)
+    address = model.Address("127.0.0.1", first_port)
     await server.start(address)
     try:
         host = model.Host("h1", "a", *[address] * 3, 1.0, 10.0)
--- a/eelgrasshall/platform/crash_request_test.py
+++ b/eelgrasshall/platform/crash_request_test.py
@@ -52,11 +52,9 @@
     ]
 
 
-async def _count_late_tries(folder, *, port: int, kind: str) -> int:
+async def _count_late_tries(folder, *, kind: str) -> int:
     """Returns how many late tries of a request reach servers."""
-    fleet = fleet_module.Fleet(
-        folder=folder, port=port, hosts=4, shards=3, replicas=3
-    )
+    fleet = fleet_module.Fleet(folder=folder, hosts=4, shards=3, replicas=3)
     try:
         await fleet.start()
         for name in fleet.host_names:
@@ -71,11 +69,8 @@
 
 async def test_repeated_request_that_crashes_servers_is_stopped(tmp_path):
     # A search, a request to one service, and one that runs at most once.
-    kinds = {"search": 22800, "single": 23400, "once": 25000}
+    kinds = ("search", "single", "once")
     counts = await asyncio.gather(
-        *(
-            _count_late_tries(tmp_path / kind, port=port, kind=kind)
-            for kind, port in kinds.items()
-        )
+        *(_count_late_tries(tmp_path / kind, kind=kind) for kind in kinds)
     )
     assert max(counts) <= _TRIES_ALLOWED, dict(zip(kinds, counts, strict=True))
--- a/eelgrasshall/platform/fleet.py
+++ b/eelgrasshall/platform/fleet.py
@@ -20,6 +20,7 @@
 from typing import Any
 from typing import BinaryIO
 
+from eelgrasshall.fakes import ports
 from eelgrasshall.gateway import model
 from eelgrasshall.platform import fake_server
 from eelgrasshall.platform import fake_store
@@ -88,7 +89,8 @@
 
     Args:
       folder: Directory for settings files and logs.
-      port: First port to use.  The store takes one port, each host eight more
+      port: First port to use; None for free ports, which stay reserved until
+        the fleet is stopped.  The store takes one port, each host eight more
         and each backend server two more.
       hosts: Number of entry hosts.
       shards: Number of services that a search fans out to.
@@ -104,7 +106,7 @@
         self,
         *,
         folder: pathlib.Path,
-        port: int,
+        port: int | None = None,
         hosts: int = 2,
         shards: int = 3,
         replicas: int = 2,
@@ -118,6 +120,16 @@
         self._contracts = contracts
         self.versions: dict[str, str] = {}
         self.held_back: set[str] = set()
+        server_count = shards * replicas
+        self._reserved: ports.PortRange | None = None
+        if port is None:
+            links_per_server = hosts if links else 0
+            self._reserved = ports.PortRange(
+                count=1
+                + hosts * _PORTS_PER_HOST
+                + server_count * (2 + links_per_server)
+            )
+            port = self._reserved.first
         self._port = port
         self.store = fake_store.FakeStore()
         self._store_address = model.Address("127.0.0.1", port)
@@ -197,6 +209,8 @@
         for server in self.servers.values():
             server.stop()
         self.store.stop()
+        if self._reserved is not None:
+            self._reserved.release()
 
     def list_proxies(self) -> list[fault_proxy.FaultProxy]:
         """Returns the proxies to the store and to the backend servers."""
--- a/eelgrasshall/platform/late_requests_test.py
+++ b/eelgrasshall/platform/late_requests_test.py
@@ -80,9 +80,9 @@
     executions: collections.Counter[str]
 
 
-async def _run(folder, target: str, port: int) -> _Run:
+async def _run(folder, target: str) -> _Run:
     """Stops a host while requests to a target become complete."""
-    fleet = fleet_module.Fleet(folder=folder, port=port, hosts=2)
+    fleet = fleet_module.Fleet(folder=folder, hosts=2)
     fleet.timeout_ms = 20000
     try:
         await fleet.start()
@@ -126,9 +126,8 @@
 def run(request, tmp_path_factory) -> tuple[str, _Run]:
     """Returns the kind of request and what was seen."""
     kind = request.param
-    port = {"once": 28000, "single": 28040, "search": 28700}[kind]
     folder = tmp_path_factory.mktemp(kind)
-    return kind, asyncio.run(_run(folder, f"/{kind}/late", port))
+    return kind, asyncio.run(_run(folder, f"/{kind}/late"))
 
 
 def test_late_requests_are_answered_or_refused(run):
--- a/eelgrasshall/platform/lost_watchers_test.py
+++ b/eelgrasshall/platform/lost_watchers_test.py
@@ -51,13 +51,12 @@
 
 
 async def _measure_latest_s(
-    folder, *, port, leaving, more_killed, killed_s, restart_s
+    folder, *, leaving, more_killed, killed_s, restart_s
 ) -> float:
     """Returns when the servers that leave got their last search.
 
     Args:
       folder: The folder for files.
-      port: The first port.
       leaving: The servers that leave.
       more_killed: How many hosts are killed that do not watch the store.
       killed_s: When hosts are killed.
@@ -67,7 +66,7 @@
       The time, in seconds after the entries were removed, as are all times.
     """
     fleet = fleet_module.Fleet(
-        folder=folder, port=port, hosts=_HOSTS, shards=2, replicas=3
+        folder=folder, hosts=_HOSTS, shards=2, replicas=3
     )
     tasks: list[asyncio.Task] = []
     try:
@@ -119,7 +118,6 @@
     # those who still had it never learned that it was gone (DRAIN, review/3).
     latest_s = await _measure_latest_s(
         tmp_path,
-        port=30200,
         leaving=_ONE,
         more_killed=0,
         killed_s=-0.1,
@@ -133,7 +131,6 @@
     # from then on (DRAIN, review/4).
     latest_s = await _measure_latest_s(
         tmp_path,
-        port=30300,
         leaving=_ONE,
         more_killed=1,
         killed_s=-0.1,
@@ -149,7 +146,6 @@
     # others did not know of them before (DRAIN, the day of review/3, seed 3).
     latest_s = await _measure_latest_s(
         tmp_path,
-        port=30300,
         leaving=_MANY,
         more_killed=0,
         killed_s=1.8,
@@ -173,7 +169,7 @@
     # store without servers; the others took them for gone until they had
     # registered again.
     fleet = fleet_module.Fleet(
-        folder=tmp_path, port=30200, hosts=_HOSTS, shards=2, replicas=3
+        folder=tmp_path, hosts=_HOSTS, shards=2, replicas=3
     )
     try:
         await fleet.start()
--- a/eelgrasshall/platform/odd_entries_test.py
+++ b/eelgrasshall/platform/odd_entries_test.py
@@ -100,22 +100,21 @@
 
 
 @pytest.mark.parametrize(
-    ("kind", "spec", "port"),
+    ("kind", "spec"),
     [
-        ("servers", _SERVER, 29200),
-        ("eelgrasshall-hosts", _HOST, 29300),
-        ("rollouts", _ROLLOUT, 29400),
-        ("evacuations", {}, 29500),
+        ("servers", _SERVER),
+        ("eelgrasshall-hosts", _HOST),
+        ("rollouts", _ROLLOUT),
+        ("evacuations", {}),
     ],
 )
 async def test_hosts_follow_the_good_entries_beside_odd_ones(
-    tmp_path, kind, spec, port
+    tmp_path, kind, spec
 ):
     # One entry that was nested too deeply, or with a number too long, made the
     # list unreadable, so that hosts followed no other entry while it stood.
     fleet = fleet_module.Fleet(
         folder=tmp_path,
-        port=port,
         hosts=2,
         shards=4,
         replicas=5,
--- a/eelgrasshall/platform/planned_stop_test.py
+++ b/eelgrasshall/platform/planned_stop_test.py
@@ -126,7 +126,7 @@
     Returns:
       For each kind of caller, its requests that got no answer.
     """
-    fleet = fleet_module.Fleet(folder=folder, port=25800, hosts=2)
+    fleet = fleet_module.Fleet(folder=folder, hosts=2)
     connections = {
         name: _Connection(port=fleet.find_port("host0")) for name in _CALLERS
     }
--- a/eelgrasshall/platform/program_test.py
+++ b/eelgrasshall/platform/program_test.py
@@ -12,8 +12,8 @@
 
 
 @contextlib.asynccontextmanager
-async def _run(tmp_path, *, port: int, **fleet_sizes: int):
-    fleet = fleet_module.Fleet(folder=tmp_path, port=port, **fleet_sizes)
+async def _run(tmp_path, **fleet_sizes: int):
+    fleet = fleet_module.Fleet(folder=tmp_path, **fleet_sizes)
     try:
         await fleet.start()
         for name in fleet.host_names:
@@ -32,7 +32,7 @@
 
 
 async def test_serves_requests_and_logs_them(tmp_path):
-    async with _run(tmp_path, port=21000) as fleet:
+    async with _run(tmp_path) as fleet:
         status, headers, body = await fleet.send_request(
             "host0", "/search/x", "q1"
         )
@@ -54,7 +54,7 @@
 
 
 async def test_serves_addresses_and_metrics(tmp_path):
-    async with _run(tmp_path, port=21200) as fleet:
+    async with _run(tmp_path) as fleet:
         await asyncio.sleep(0.6)
         request = b"GET /-/resolve?zone=a HTTP/1.1\r\nConnection: close\r\n\r\n"
         _, _, body = await fleet_module.fetch(
@@ -69,7 +69,7 @@
 
 
 async def test_draining_server_receives_no_requests(tmp_path):
-    async with _run(tmp_path, port=21400) as fleet:
+    async with _run(tmp_path) as fleet:
         draining = [name for name in fleet.servers if name.endswith("-0")]
         for name in draining:
             fleet.register_server(name, state="draining")
@@ -82,7 +82,7 @@
 
 
 async def test_graceful_shutdown_completes_requests_in_flight(tmp_path):
-    async with _run(tmp_path, port=21600) as fleet:
+    async with _run(tmp_path) as fleet:
         for server in fleet.servers.values():
             server.service_time_s = 0.3
         calls = [
@@ -102,7 +102,7 @@
 
 async def test_requests_that_outlast_the_grace_time_are_answered(tmp_path):
     # Their connections were closed without an answer when the process ended.
-    async with _run(tmp_path, port=23400, hosts=1) as fleet:
+    async with _run(tmp_path, hosts=1) as fleet:
         fleet.publish_configuration(timeoutMs=20000)
         await asyncio.sleep(1.0)
         for server in fleet.servers.values():
@@ -132,7 +132,7 @@
 
 
 async def test_host_restarts_while_store_is_unavailable(tmp_path):
-    async with _run(tmp_path, port=21800) as fleet:
+    async with _run(tmp_path) as fleet:
         fleet.store.down = True
         fleet.signal_host("host0", signal.SIGKILL)
         await fleet.processes["host0"].wait()
@@ -144,7 +144,7 @@
 async def test_configuration_is_in_force_in_time_after_unresponsive_store(
     tmp_path,
 ):
-    async with _run(tmp_path, port=22000) as fleet:
+    async with _run(tmp_path) as fleet:
         fleet.store.swallowing = True
         await asyncio.sleep(2.5)
         fleet.store.swallowing = False
@@ -156,15 +156,16 @@
 
 
 async def test_invalid_settings_end_process_with_exit_code_2(tmp_path):
-    fleet = fleet_module.Fleet(folder=tmp_path, port=22200, hosts=1)
+    fleet = fleet_module.Fleet(folder=tmp_path, hosts=1)
     fleet._make_settings = lambda name: "nodeName = 5"
     await fleet.start_host("host0")
     assert await fleet.processes["host0"].wait() == 2
+    await fleet.stop()
     assert "host0.toml" in fleet.read_log("host0")
 
 
 async def test_fleet_stops_hosts_whose_start_was_cancelled(tmp_path):
-    fleet = fleet_module.Fleet(folder=tmp_path, port=22400, hosts=1)
+    fleet = fleet_module.Fleet(folder=tmp_path, hosts=1)
     task = asyncio.create_task(fleet.start_host("host0"))
     await asyncio.sleep(0)
     task.cancel()
@@ -175,7 +176,7 @@
 
 
 async def test_store_that_comes_back_older_takes_nothing_from_callers(tmp_path):
-    async with _run(tmp_path, port=22600) as fleet:
+    async with _run(tmp_path) as fleet:
         fleet.store.era = 1
         copy = fleet.store.take_copy()
         # As if it were older than the hosts' own objects.
@@ -209,7 +210,7 @@
 
 
 async def test_server_that_says_that_it_leaves_gets_no_requests(tmp_path):
-    async with _run(tmp_path, port=22800) as fleet:
+    async with _run(tmp_path) as fleet:
         fleet.servers["shard0-0"].leaving = True
         for number in range(30):
             for name in fleet.host_names:
@@ -221,7 +222,7 @@
 
 
 async def test_server_that_asks_for_a_pause_is_spared(tmp_path):
-    async with _run(tmp_path, port=23200) as fleet:
+    async with _run(tmp_path) as fleet:
         server = fleet.servers["shard0-0"]
         server.paused_until_s = time.monotonic() + 1.5
         for number in range(60):
--- a/eelgrasshall/platform/quotas_test.py
+++ b/eelgrasshall/platform/quotas_test.py
@@ -38,10 +38,9 @@
 
 
 @contextlib.asynccontextmanager
-async def _run(tmp_path, *, port: int):
+async def _run(tmp_path):
     fleet = fleet_module.Fleet(
         folder=tmp_path,
-        port=port,
         hosts=3,
         shards=1,
         replicas=2,
@@ -112,7 +111,7 @@
 
 async def test_demand_below_the_limit_is_served_at_one_host(tmp_path):
     # The host's own part of the limit is a third of it.
-    async with _run(tmp_path, port=27000) as fleet:
+    async with _run(tmp_path) as fleet:
         counts = collections.Counter()
         await _send(fleet, counts, ["host0"], _RATE_PER_S / 1.6, 6.0)
         await _send(fleet, counts, ["host2"], _RATE_PER_S / 1.6, 4.0)
@@ -125,8 +124,7 @@
 
 
 async def _press(tmp_path, fault: str) -> None:
-    ports = {"none": 27200, "restart": 27400, "freeze": 27600}
-    async with _run(tmp_path, port=ports[fault]) as fleet:
+    async with _run(tmp_path) as fleet:
         counts = collections.Counter()
         press = asyncio.create_task(
             _send(fleet, counts, fleet.host_names, 100.0, 9.0)
--- a/eelgrasshall/platform/rollout_test.py
+++ b/eelgrasshall/platform/rollout_test.py
@@ -61,11 +61,10 @@
 
 
 @contextlib.asynccontextmanager
-async def _run(tmp_path, *, port: int, contracts=("rollout",)):
+async def _run(tmp_path, *, contracts=("rollout",)):
     """Runs a fleet with servers of the old version, and its callers."""
     fleet = fleet_module.Fleet(
         folder=tmp_path,
-        port=port,
         hosts=3,
         shards=1,
         replicas=4,
@@ -126,7 +125,7 @@
 
 
 async def test_good_version_takes_over_and_no_request_is_lost(tmp_path):
-    async with _run(tmp_path, port=28100) as (fleet, callers):
+    async with _run(tmp_path) as (fleet, callers):
         ordered_s = await _order(fleet)
         await _wait_for(fleet, "running", ordered_s + 2.0)
         await _wait_for(fleet, "completed", ordered_s + _PERIOD_S)
@@ -147,8 +146,7 @@
 
 @pytest.mark.parametrize("kind", ["failing", "slow"])
 async def test_bad_version_is_rolled_back_within_its_bounds(tmp_path, kind):
-    port = 28200 if kind == "failing" else 28300
-    async with _run(tmp_path, port=port) as (fleet, callers):
+    async with _run(tmp_path) as (fleet, callers):
         for name in _NEW:
             server = fleet.servers[name]
             if kind == "failing":
@@ -180,7 +178,7 @@
 
 
 async def test_without_the_contract_orders_and_versions_mean_nothing(tmp_path):
-    async with _run(tmp_path, port=28400, contracts=()) as (fleet, callers):
+    async with _run(tmp_path, contracts=()) as (fleet, callers):
         for name in _NEW:
             fleet.register_server(name)
         spec = {"service": _SERVICE, "targetVersion": "v2", "periodS": 3}
--- a/eelgrasshall/platform/soak.py
+++ b/eelgrasshall/platform/soak.py
@@ -125,7 +125,7 @@
     Args:
       seed: Seed of the random decisions.
       folder: Directory for settings files and logs.
-      port: First port to use.
+      port: First port to use; None for free ones.
       hosts: Number of entry hosts.
       interval_s: Mean time between the requests of one caller; with few
         requests, hosts learn less from their traffic.
@@ -139,7 +139,7 @@
         *,
         seed: int,
         folder: pathlib.Path,
-        port: int,
+        port: int | None = None,
         hosts: int = 4,
         interval_s: float = MEAN_REQUEST_INTERVAL_S,
         first_fault: str | None = None,
@@ -734,8 +734,8 @@
     seed: int,
     seconds: float,
     folder: pathlib.Path,
-    port: int,
     hosts: int,
+    port: int | None = None,
     interval_s: float = MEAN_REQUEST_INTERVAL_S,
     first_fault: str | None = None,
 ) -> Soak:
@@ -762,7 +762,7 @@
     parser.add_argument(
         "--interval", type=float, default=MEAN_REQUEST_INTERVAL_S
     )
-    parser.add_argument("--port", type=int, default=24000)
+    parser.add_argument("--port", type=int)
     parser.add_argument("--folder", type=pathlib.Path, default="out/soak")
     args = parser.parse_args()
     failed_seeds = 0
--- a/eelgrasshall/platform/store_test.py
+++ b/eelgrasshall/platform/store_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from eelgrasshall.fakes import ports
 from eelgrasshall.gateway import fakes as gateway_fakes
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import object_cache
@@ -16,20 +17,21 @@
 
 
 @contextlib.asynccontextmanager
-async def _open(port: int):
-    address = model.Address("127.0.0.1", port)
+async def _open():
     fake = fake_store.FakeStore()
-    await fake.start(address)
-    client = store.StoreClient(address=address)
-    try:
-        yield fake, client
-    finally:
-        client.close()
-        fake.stop()
+    with ports.PortRange(count=1) as reserved:
+        address = model.Address("127.0.0.1", reserved.first)
+        await fake.start(address)
+        client = store.StoreClient(address=address)
+        try:
+            yield fake, client
+        finally:
+            client.close()
+            fake.stop()
 
 
 async def test_read_all_reads_every_page():
-    async with _open(18901) as (fake, client):
+    async with _open() as (fake, client):
         fake.page_size = 3
         for number in range(8):
             fake.put("servers", f"i-{number}", {"n": number})
@@ -46,7 +48,7 @@
 ):
     # The listing had the revision of its last page, so that a server which was
     # deleted from a page that had been read stayed for good (DRAIN, review/5).
-    async with _open(18915) as (fake, client):
+    async with _open() as (fake, client):
         fake.page_size = 3
         for number in range(8):
             fake.put("servers", f"i-{number}", {"n": number})
@@ -75,7 +77,7 @@
 
 
 async def test_wait_returns_changes_and_deletions():
-    async with _open(18902) as (fake, client):
+    async with _open() as (fake, client):
         fake.put("servers", "i-1", {"n": 1})
         fake.put("servers", "i-2", {"n": 2})
         fake.delete("servers", "i-1")
@@ -90,7 +92,7 @@
 
 
 async def test_wait_reports_dropped_history():
-    async with _open(18903) as (fake, client):
+    async with _open() as (fake, client):
         fake.put("servers", "i-1", {})
         fake.drop_history()
         result = await client.wait_for_changes(_SERVERS, 0, 1.0)
@@ -100,7 +102,7 @@
 async def test_refusing_or_unresponsive_store_is_unavailable(monkeypatch):
     monkeypatch.setattr(store, "CALL_TIMEOUT_S", 0.05)
     monkeypatch.setattr(store, "WATCH_TIMEOUT_MARGIN_S", 0.05)
-    async with _open(18904) as (fake, client):
+    async with _open() as (fake, client):
         fake.down = True
         assert isinstance(await client.read_all(_SERVERS), watcher.Unavailable)
         fake.down = False
@@ -116,7 +118,7 @@
 
 
 async def test_publish_replaces_existing_object():
-    async with _open(18905) as (fake, client):
+    async with _open() as (fake, client):
         host = gateway_fakes.make_host()
         assert await client.publish(host)
         assert await client.publish(host)
@@ -127,7 +129,7 @@
 
 
 async def test_read_all_ignores_other_configurations():
-    async with _open(18906) as (fake, client):
+    async with _open() as (fake, client):
         fake.put("config", "other", {"version": 9})
         fake.put("config", "main", {"version": 1})
         listing = await client.read_all(object_cache.Collection.CONFIGURATION)
@@ -135,7 +137,7 @@
 
 
 async def test_read_all_skips_objects_without_name():
-    async with _open(18907) as (fake, client):
+    async with _open() as (fake, client):
         fake.put("servers", "i-1", {})
         fake._objects["servers"]["bad"] = {"spec": {}}
         listing = await client.read_all(_SERVERS)
@@ -154,7 +156,7 @@
 
 
 async def test_revisions_contain_the_era_that_the_store_states():
-    async with _open(18908) as (fake, client):
+    async with _open() as (fake, client):
         fake.era = 3
         fake.put("servers", "i-1", {"n": 1})
         listing = await client.read_all(_SERVERS)
@@ -169,7 +171,7 @@
 async def test_watch_of_an_earlier_era_has_no_history():
     # The store has given the same revisions out again, so that it would answer
     # the watch as if nothing had happened.
-    async with _open(18909) as (fake, client):
+    async with _open() as (fake, client):
         fake.era = 1
         fake.put("servers", "i-1", {})
         stored = fake.take_copy()
@@ -191,7 +193,7 @@
 
 
 async def test_listing_over_two_eras_is_not_used(monkeypatch):
-    async with _open(18910) as (fake, client):
+    async with _open() as (fake, client):
         fake.era, fake.page_size = 1, 2
         for number in range(4):
             fake.put("servers", f"i-{number}", {})
@@ -208,7 +210,7 @@
 
 @pytest.mark.parametrize("text", [b"", b"x", b"-1", b"1.5", b"9" * 5000])
 async def test_malformed_era_is_ignored(monkeypatch, text):
-    async with _open(18911) as (fake, client):
+    async with _open() as (fake, client):
         fake.put("servers", "i-1", {})
         answer = fake._answer
 
@@ -229,7 +231,7 @@
 
 
 async def test_status_of_a_rollout_is_written_on_its_revision_only():
-    async with _open(18921) as (fake, client):
+    async with _open() as (fake, client):
         spec = {"service": "orders", "targetVersion": "v2", "periodS": 12}
         fake.put("rollouts", "orders", spec)
         revision = object_cache.make_revision(2, 1)
@@ -249,7 +251,7 @@
 
 
 async def test_write_without_an_answer_is_neither_accepted_nor_refused():
-    async with _open(18922) as (fake, client):
+    async with _open() as (fake, client):
         fake.put("rollouts", "orders", {})
         fake.down = True
         assert await client.write_rollout_status(_RUNNING, 1) is None
--- a/eelgrasshall/platform/traffic.py
+++ b/eelgrasshall/platform/traffic.py
@@ -108,7 +108,7 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--hosts", type=int, default=20)
     parser.add_argument("--shards", type=int, default=30)
-    parser.add_argument("--port", type=int, default=28000)
+    parser.add_argument("--port", type=int)
     parser.add_argument("--folder", type=pathlib.Path, default="out/traffic")
     asyncio.run(_run(parser.parse_args()))
 
--- a/eelgrasshall/platform/unlinked_host_test.py
+++ b/eelgrasshall/platform/unlinked_host_test.py
@@ -31,11 +31,6 @@
 # Statuses that do not say whether the request was executed.
 _UNKNOWN_STATUSES = (502, 504)
 _KINDS = ("search", "single", "once")
-_PORTS = {
-    fault_proxy.Cut.HANG: 25200,
-    fault_proxy.Cut.RESET: 25400,
-    fault_proxy.Cut.REFUSE_NEW: 25600,
-}
 
 
 class _Try(NamedTuple):
@@ -157,10 +152,10 @@
     return named
 
 
-async def _run(folder, *, port: int, kind: fault_proxy.Cut) -> _Run:
+async def _run(folder, *, kind: fault_proxy.Cut) -> _Run:
     """Cuts hosts that callers use off from all servers for a while."""
     fleet = fleet_module.Fleet(
-        folder=folder, port=port, hosts=6, shards=3, replicas=3, links=True
+        folder=folder, hosts=6, shards=3, replicas=3, links=True
     )
     try:
         await fleet.start()
@@ -210,17 +205,14 @@
 
     async def run_all() -> list[_Run]:
         return await asyncio.gather(
-            *(
-                _run(folder / kind.name, port=port, kind=kind)
-                for kind, port in _PORTS.items()
-            )
+            *(_run(folder / kind.name, kind=kind) for kind in fault_proxy.Cut)
         )
 
-    return dict(zip(_PORTS, asyncio.run(run_all()), strict=True))
+    return dict(zip(fault_proxy.Cut, asyncio.run(run_all()), strict=True))
 
 
 _for_each_kind = pytest.mark.parametrize(
-    "kind", list(_PORTS), ids=lambda kind: kind.name
+    "kind", list(fault_proxy.Cut), ids=lambda kind: kind.name
 )
 
 
--- a/measure/deployment.py
+++ b/measure/deployment.py
@@ -410,7 +410,7 @@
         self, configuration: configurations.Configuration
     ) -> list[Host]:
         """Distributes the daemons over the zones and assigns their ports."""
-        ports = processes.find_free_ports(3 * self.plan.hosts)
+        ports = processes.reserve_ports(3 * self.plan.hosts)
         hosts = []
         for number in range(self.plan.hosts):
             zone = configuration.zones[number % len(configuration.zones)]
--- a/measure/processes.py
+++ b/measure/processes.py
@@ -8,17 +8,15 @@
 import contextlib
 import json
 import pathlib
-import random
 import signal
-import socket
 import sys
 from typing import Any
 
+from eelgrasshall.fakes import ports
+
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 READ_LIMIT_BYTES = 1 << 24
-MIN_PORT = 12_000
-MAX_PORT = 32_000
 
 
 class StartError(Exception):
@@ -169,21 +167,11 @@
         pass
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Returns TCP ports that are free on the loopback interface now.
+def reserve_ports(count: int) -> list[int]:
+    """Returns neighbouring free ports, reserved until this process ends.
 
-    The ports lie below the ephemeral port range, so that no outgoing
-    connection takes one before its daemon listens.
+    Raises:
+      ports.NoFreePorts: There are not as many.
     """
-    ports: list[int] = []
-    source = random.SystemRandom()
-    while len(ports) < count:
-        port = source.randint(MIN_PORT, MAX_PORT)
-        with socket.socket() as bound:
-            try:
-                bound.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        if port not in ports:
-            ports.append(port)
-    return ports
+    first = ports.PortRange(count=count).first
+    return list(range(first, first + count))
