Client: a response that may be that of another call fails the call

A host could have taken the store's response to one call for that to another one, and so an older listing, or a refusal of a write that was accepted: calls bear no ids, and a response is that of a call only by its place on the kept connection. These cases gave a wrong response:

- two responses in one read: the first was taken, though it may be a copy of the one before, and a body cut short had its end from the next response;
- bytes that had arrived before a call was sent, and were read after it;
- a header with one meaning that stands twice: the last one won;
- a call beside another one on the same client: it got the other's response, and the other waited for its time-out;
- a connection went on after a response that came before the request was sent completely, and after a body that was no JSON.

The call fails in the first, third and fourth case, and the connection is not used again in the others. The look at unread bytes is shared with the listener (sockets.py). A response that ends a connection also closes this side of it.

Ruled out by tests that passed before: bytes while no call waits, and a call that timed out or was cancelled, close the connection. What remains: a copy that arrives between a call and its response, without more bytes, looks like the response.

--- a/eelgrasshall/gateway/client.py
+++ b/eelgrasshall/gateway/client.py
@@ -2,6 +2,13 @@
 
 A client keeps one connection, which carries one request at a time.  The client
 never retries; that is left to its user.
+
+Requests have no ids, so a response is known to be that of a request only by its
+place on the connection.  The connection is closed, and the request in flight
+fails, as soon as there is more on it than one response to each request: bytes
+behind a response, or before a request.  A response that is sent twice, and
+arrives the second time just after the next request was sent, looks like the
+response to that; whoever must exclude this uses a client for each request.
 """
 
 import asyncio
@@ -15,6 +22,7 @@
 from eelgrasshall.gateway import documents
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import response_parser
+from eelgrasshall.gateway import sockets
 
 # Several round trips; a longer wait means that the address is unreachable.
 CONNECT_TIMEOUT_S = 0.7
@@ -27,6 +35,9 @@
 MAX_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
+# Decides how the body is read.
+_UNIQUE_HEADERS = frozenset((b"content-encoding",))
+
 # Selects the gzip format in zlib.
 _GZIP_WBITS = 16 + zlib.MAX_WBITS
 
@@ -65,12 +76,22 @@
     Args:
       address: The address of the server.
       accepts_gzip: Whether the server may compress its responses.
+      unique_headers: Names, in lower case, of headers that a response may have
+        once at most.
     """
 
-    def __init__(self, *, address: model.Address, accepts_gzip: bool = False):
+    def __init__(
+        self,
+        *,
+        address: model.Address,
+        accepts_gzip: bool = False,
+        unique_headers: frozenset[bytes] = frozenset(),
+    ):
         self._address = address
+        self._unique_headers = unique_headers | _UNIQUE_HEADERS
         self._accepted = "Accept-Encoding: gzip\r\n" if accepts_gzip else ""
         self._connection: _Connection | None = None
+        self._is_calling = False
         # Bytes that were sent and received, of heads and bodies.
         self.transferred_bytes = 0
 
@@ -91,6 +112,23 @@
           timeout_s: Time-out of the call, seconds; extended while a response
             arrives.
 
+        Raises:
+          CallError: There was no valid response, or another call is in
+            progress.
+        """
+        if self._is_calling:
+            raise CallError("another call is in progress")
+        self._is_calling = True
+        try:
+            return await self._call(method, target, document, timeout_s)
+        finally:
+            self._is_calling = False
+
+    async def _call(
+        self, method: str, target: str, document: Any, timeout_s: float
+    ) -> Response:
+        """Sends one request and waits for its response.
+
         Raises:
           CallError: There was no valid response.
         """
@@ -102,7 +140,11 @@
         )
         try:
             async with asyncio.timeout(timeout_s) as timeout:
-                if self._connection is None or self._connection.closed:
+                if self._connection is not None and not (
+                    self._connection.is_usable
+                ):
+                    self.close()
+                if self._connection is None:
                     await self._connect()
                 status, data = await self._connection.send(
                     head.encode() + body, timeout
@@ -125,6 +167,7 @@
             text = _decompress(data) if compressed == b"gzip" else data
             document = documents.parse(text) if text else None
         except (ValueError, zlib.error) as error:
+            self.close()
             raise CallError(
                 f"invalid JSON in the response: {error}",
                 received_bytes=len(data),
@@ -143,7 +186,12 @@
         ip, port = self._address
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, self._connection = await loop.create_connection(
-                lambda: _Connection(on_transferred=self._add_bytes), ip, port
+                lambda: _Connection(
+                    on_transferred=self._add_bytes,
+                    unique_headers=self._unique_headers,
+                ),
+                ip,
+                port,
             )
 
     def _add_bytes(self, size: int) -> None:
@@ -156,16 +204,31 @@
 
     Args:
       on_transferred: Called with the number of bytes sent or received.
+      unique_headers: Names of the headers that may not be repeated.
     """
 
-    def __init__(self, *, on_transferred: Callable[[int], None]):
+    def __init__(
+        self,
+        *,
+        on_transferred: Callable[[int], None],
+        unique_headers: frozenset[bytes],
+    ):
         self.closed = False
+        self._unique_headers = unique_headers
         self._on_transferred = on_transferred
         self._parser: response_parser.ResponseParser | None = None
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._response_future: asyncio.Future[tuple[int, bytes]] | None = None
 
+    @property
+    def is_usable(self) -> bool:
+        """Whether a request may be sent.
+
+        Bytes that have arrived before it are not its response.
+        """
+        return not self.closed and not sockets.has_unread_data(self._transport)
+
     @property
     def headers(self) -> dict[bytes, bytes]:
         """The headers of the last response, with names in lower case."""
@@ -194,6 +257,7 @@
         self._parser = response_parser.ResponseParser(
             max_head_bytes=MAX_HEAD_BYTES,
             get_max_body_bytes=lambda: MAX_BODY_BYTES,
+            unique_headers=self._unique_headers,
         )
         self._transport.write(data)
         self._on_transferred(len(data))
@@ -223,14 +287,25 @@
             self._fail(error)
             self.close()
             return
-        if self._parser.complete:
-            if not self._parser.keeps_open:
-                self.closed = True
-            self._response_future.set_result(
-                (self._parser.status, self._parser.body)
-            )
-            if self._parser.has_extra:
-                self.close()
+        if not self._parser.complete:
+            return
+        if self._parser.has_extra:
+            # Whose bytes these are is unknown, and so whose the response is.
+            self._fail(ConnectionError("bytes after the response"))
+            self.close()
+            return
+        self._response_future.set_result(
+            (self._parser.status, self._parser.body)
+        )
+        if (
+            not self._parser.keeps_open
+            or self._transport.get_write_buffer_size()
+        ):
+            self.close()
+
+    def eof_received(self) -> None:
+        """Ends the use of the connection, which the transport closes."""
+        self.closed = True
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fails the request that is waiting for a response."""
--- a/eelgrasshall/gateway/client_test.py
+++ b/eelgrasshall/gateway/client_test.py
@@ -170,3 +170,185 @@
     async with _serve(19320, [_encode(body)]) as json_client:
         with pytest.raises(client.CallError, match="invalid JSON"):
             await json_client.call("GET", "/", timeout_s=0.5)
+
+
+@contextlib.asynccontextmanager
+async def _serve_script(script):
+    """Serves with a script, which is called with each request.
+
+    Args:
+      script: Coroutine function that gets the connection's writer, the number
+        of its connection and the number of the request on it, from 1.
+
+    Yields:
+      A client and the number of requests by connection.
+    """
+    counts: list[int] = []
+    tasks = set()
+
+    async def serve(reader, writer):
+        tasks.add(asyncio.current_task())
+        counts.append(0)
+        own = len(counts)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                counts[own - 1] += 1
+                await script(writer, own, counts[own - 1])
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    json_client = client.JsonClient(
+        address=model.Address("127.0.0.1", port),
+        unique_headers=frozenset((b"x-era",)),
+    )
+    try:
+        yield json_client, counts
+    finally:
+        json_client.close()
+        server.close()
+        for task in tasks:
+            task.cancel()
+
+
+_OLD, _NEW = _encode(b'{"n": 1}'), _encode(b'{"n": 2}')
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        _OLD + _NEW,
+        _OLD + b"x",
+        # Cut within its body, whose end is then taken from the next one.
+        _OLD[:-5] + _NEW,
+        _OLD[:14] + _NEW,
+        _OLD[:-12] + _NEW,
+        _OLD.replace(b"Content", b"X-Era: 1\r\nX-Era: 2\r\nContent"),
+    ],
+    ids=[
+        "two",
+        "bytes behind",
+        "cut in the body",
+        "cut in the reason phrase",
+        "cut in the head",
+        "repeated header",
+    ],
+)
+async def test_response_that_may_be_that_of_another_call_is_an_error(data):
+    # A response before it that is sent twice, late, stands before the response
+    # to this call: the first of two was taken.
+    async def script(writer, connection, number):
+        writer.write(data if connection == 1 else _NEW)
+
+    async with _serve_script(script) as (json_client, counts):
+        with pytest.raises(client.CallError):
+            await json_client.call("GET", "/", timeout_s=1.0)
+        response = await json_client.call("GET", "/", timeout_s=1.0)
+        assert response.document == {"n": 2}
+        assert counts == [1, 1]
+
+
+async def test_bytes_that_arrived_before_a_call_are_not_its_response():
+    # The next call was sent before the event loop had read them.
+    async def script(writer, connection, number):
+        writer.write(_OLD if connection == 1 else _NEW)
+        writers.append(writer)
+
+    writers = []
+    async with _serve_script(script) as (json_client, counts):
+        await json_client.call("GET", "/", timeout_s=1.0)
+        # Sent at once, as nothing waits to be sent.
+        writers[0].write(_OLD)
+        response = await json_client.call("GET", "/", timeout_s=1.0)
+        assert response.document == {"n": 2}
+        assert counts == [1, 1]
+
+
+async def test_bytes_while_no_call_waits_close_the_connection():
+    async def script(writer, connection, number):
+        writer.write(_OLD if connection == 1 else _NEW)
+        writers.append(writer)
+
+    writers = []
+    async with _serve_script(script) as (json_client, counts):
+        await json_client.call("GET", "/", timeout_s=1.0)
+        writers[0].write(_OLD)
+        await asyncio.sleep(0.05)
+        response = await json_client.call("GET", "/", timeout_s=1.0)
+        assert response.document == {"n": 2}
+        assert counts == [1, 1]
+
+
+@pytest.mark.parametrize("leaving", ["time-out", "cancelled"])
+async def test_late_response_to_a_call_that_was_given_up_reaches_no_other(
+    leaving,
+):
+    async def script(writer, connection, number):
+        if connection == 1:
+            await asyncio.sleep(0.1)
+        writer.write(_OLD if connection == 1 else _NEW)
+
+    async with _serve_script(script) as (json_client, counts):
+        call = asyncio.ensure_future(
+            json_client.call("GET", "/", timeout_s=0.05)
+        )
+        if leaving == "cancelled":
+            await asyncio.sleep(0.02)
+            call.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await call
+        else:
+            with pytest.raises(client.CallError, match="TimeoutError"):
+                await call
+        for _ in range(3):
+            response = await json_client.call("GET", "/", timeout_s=1.0)
+            assert response.document == {"n": 2}
+            await asyncio.sleep(0.05)
+        assert counts == [1, 3]
+
+
+async def test_call_beside_another_one_does_not_take_its_response():
+    # Both were sent on the connection.  The second got the first response, and
+    # the first call waited until its time-out.
+    async def script(writer, connection, number):
+        await asyncio.sleep(0.05)
+        writer.write(_encode(b'{"n": %d}' % number))
+
+    async with _serve_script(script) as (json_client, counts):
+        first = asyncio.ensure_future(
+            json_client.call("GET", "/", timeout_s=1.0)
+        )
+        await asyncio.sleep(0.02)
+        with pytest.raises(client.CallError, match="in progress"):
+            await json_client.call("GET", "/", timeout_s=1.0)
+        assert (await first).document == {"n": 1}
+        second = await json_client.call("GET", "/", timeout_s=1.0)
+        assert second.document == {"n": 2}
+        assert counts == [2]
+
+
+async def test_connection_is_not_used_again_after_an_early_response():
+    # The rest of the request is still to follow.
+    async def script(writer, connection, number):
+        writer.write(_OLD if connection == 1 else _NEW)
+        if connection == 1:
+            await asyncio.sleep(5.0)
+
+    async with _serve_script(script) as (json_client, counts):
+        document = {"x": "x" * 20_000_000}
+        first = await json_client.call("POST", "/", document, timeout_s=2.0)
+        assert first.document == {"n": 1}
+        second = await json_client.call("GET", "/", timeout_s=1.0)
+        assert second.document == {"n": 2}
+
+
+async def test_connection_is_not_used_again_after_malformed_json():
+    async def script(writer, connection, number):
+        writer.write(_encode(b"{") if connection == 1 else _NEW)
+
+    async with _serve_script(script) as (json_client, counts):
+        with pytest.raises(client.CallError, match="invalid JSON"):
+            await json_client.call("GET", "/", timeout_s=1.0)
+        await json_client.call("GET", "/", timeout_s=1.0)
+        assert counts == [1, 1]
--- a/eelgrasshall/gateway/fakes.py
+++ b/eelgrasshall/gateway/fakes.py
@@ -115,6 +115,10 @@
         """Marks the transport as closed."""
         self.closed = True
 
+    def is_closing(self) -> bool:
+        """Returns whether it is closed."""
+        return self.closed
+
     def get_write_buffer_size(self) -> int:
         """Returns the number of unsent bytes that a test has set."""
         return self.unsent_bytes
--- a/eelgrasshall/gateway/listener.py
+++ b/eelgrasshall/gateway/listener.py
@@ -9,8 +9,6 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
-import fcntl
-import termios
 from typing import NamedTuple
 
 import httptools
@@ -18,6 +16,7 @@
 from eelgrasshall.gateway import connections
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import model
+from eelgrasshall.gateway import sockets
 
 # Maximum number of pipelined requests that wait on one connection.
 MAX_PIPELINED = 32
@@ -248,14 +247,9 @@
 
     def _has_unread_data(self) -> bool:
         """Returns whether the kernel holds data that has not been read yet."""
-        if self._transport is None or self._transport.is_closing():
-            return False
-        sock = self._transport.get_extra_info("socket")
-        if sock is None:
-            return False
-        size = bytearray(4)
-        fcntl.ioctl(sock.fileno(), termios.FIONREAD, size)
-        return any(size)
+        return self._transport is not None and sockets.has_unread_data(
+            self._transport
+        )
 
     def data_received(self, data: bytes) -> None:
         """Parses received data."""
--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -693,7 +693,13 @@
         started_s = loop.time()
         received_bytes = changed = 0
         failure: Exception | None = None
-        peer_client = client.JsonClient(address=address, accepts_gzip=True)
+        peer_client = client.JsonClient(
+            address=address,
+            accepts_gzip=True,
+            unique_headers=frozenset(
+                (_CLOCK_HEADER.lower(), _AGE_HEADER.lower())
+            ),
+        )
         try:
             response = await peer_client.call(
                 "GET", f"{UPDATES_PATH}?{numbers}", timeout_s=FETCH_TIMEOUT_S
