Store client: listings and writes have connections of their own

A host that wrote the state of a rollout listed the orders on the connection on which it watched them. The listing got the response to the watch, or none, and the watch heard of no change until its time-out, up to some two seconds.

A store that sends a response a second time, just after the next call, also left every call after that with the response to the call before it: a page for the next page, a last page for a whole listing (its other objects then count as deleted), and a watch always one answer behind.

Each listing opens a connection, so that the first response on it is its own; a page with a name of the page before fails the listing. A watch that tells what was known already, or has no history, closes its connection; what it told holds, since updates are ordered by their revisions. A response with two eras is invalid.

A listing costs one connection more; it is made at the start and after a loss of history.

--- a/eelgrasshall/platform/store.py
+++ b/eelgrasshall/platform/store.py
@@ -29,8 +29,9 @@
 class StoreClient:
     """Reads from and publishes to the platform's store.
 
-    Each collection has a connection of its own, so that a waiting watch holds
-    up no other call.
+    The watch of each collection has a connection of its own, so that it holds
+    up no other call.  Each listing and each write opens one: what is left of
+    calls before it, such as a response that is sent twice, cannot reach it.
 
     Args:
       address: Address of the store.
@@ -47,7 +48,7 @@
         self._address = address
         self._stale_collections = stale_collections
         self._clients: dict[object_cache.Collection, client.JsonClient] = {
-            collection: client.JsonClient(address=address)
+            collection: _open_client(address)
             for collection in object_cache.Collection
         }
 
@@ -59,13 +60,24 @@
         The listing has the revision of the first page: what changes in a page
         after it has been read is found by a watch from there.
         """
+        lister = _open_client(self._address)
+        try:
+            return await self._read_pages(lister, collection)
+        finally:
+            lister.close()
+
+    async def _read_pages(
+        self, lister: client.JsonClient, collection: object_cache.Collection
+    ) -> object_cache.Listing | watcher.Unavailable:
+        """Reads all pages of a collection on a connection."""
         updates: list[object_cache.Update] = []
+        last_names: set[str] = set()
         after = ""
         era: int | None = None
         first_revision: int | None = None
         while True:
             query = f"?after={urllib.parse.quote(after)}" if after else ""
-            response = await self._call(collection, query, CALL_TIMEOUT_S)
+            response = await _call(lister, collection, query, CALL_TIMEOUT_S)
             if isinstance(response, watcher.Unavailable):
                 return response
             if response.status != _OK:
@@ -80,10 +92,16 @@
                     era, response.document["storeRevision"]
                 )
                 more = response.document["hasMore"]
-                updates += _parse_objects(collection, page, era)
+                page_updates = _parse_objects(collection, page, era)
                 after = _find_last_name(page)
             except (KeyError, TypeError, ValueError) as error:
                 return watcher.Unavailable(f"malformed list: {error!r}")
+            names = {each.name for each in page_updates}
+            if names & last_names:
+                # What follows on the connection would be one page late.
+                return watcher.Unavailable("a page was sent twice")
+            last_names = names
+            updates += page_updates
             if first_revision is None:
                 first_revision = revision
             if not more:
@@ -103,13 +121,15 @@
         query = f"?watch={number}&waitMs={int(wait_s * 1000)}"
         if collection in self._stale_collections:
             query += "&allowStale=1"
-        response = await self._call(
-            collection, query, wait_s + WATCH_TIMEOUT_MARGIN_S
+        watching = self._clients[collection]
+        response = await _call(
+            watching, collection, query, wait_s + WATCH_TIMEOUT_MARGIN_S
         )
         if isinstance(response, watcher.Unavailable):
             return response
         if response.status == _GONE or _read_era(response) not in (None, era):
             # A store that came back may have given the same numbers out again.
+            watching.close()
             return watcher.HistoryGone()
         if response.status != _OK:
             return watcher.Unavailable(f"status {response.status}")
@@ -124,14 +144,22 @@
                     deleted=event["deleted"],
                 )
             ]
-            return object_cache.Listing(
+            listing = object_cache.Listing(
                 tuple(updates),
                 object_cache.make_revision(
                     era, response.document["storeRevision"]
                 ),
             )
         except (KeyError, TypeError) as error:
+            watching.close()
             return watcher.Unavailable(f"malformed watch response: {error!r}")
+        if listing.revision < revision or any(
+            each.revision <= revision for each in updates
+        ):
+            # It may answer the watch before, sent twice.  What it tells holds,
+            # but the next response on the connection would be late as well.
+            watching.close()
+        return listing
 
     async def publish(self, host: model.Host) -> bool:
         """Creates or replaces the object of an entry host.
@@ -144,7 +172,7 @@
         path = (
             f"{wire_names.OBJECTS_PATH}/{wire_names.OBJECT_KINDS[collection]}"
         )
-        publisher = client.JsonClient(address=self._address)
+        publisher = _open_client(self._address)
         try:
             document = {"meta": {"name": host.name}, "spec": spec}
             response = await publisher.call(
@@ -187,7 +215,7 @@
             "meta": {"name": rollout.service, "revision": number},
             "status": codec.encode_rollout_status(rollout),
         }
-        writer = client.JsonClient(address=self._address)
+        writer = _open_client(self._address)
         try:
             response = await writer.call(
                 "PUT", path, document, timeout_s=CALL_TIMEOUT_S
@@ -205,20 +233,29 @@
         for each in self._clients.values():
             each.close()
 
-    async def _call(
-        self, collection: object_cache.Collection, query: str, timeout_s: float
-    ) -> client.Response | watcher.Unavailable:
-        """Sends one GET request on the connection of a collection."""
-        target = (
-            f"{wire_names.OBJECTS_PATH}/"
-            f"{wire_names.OBJECT_KINDS[collection]}{query}"
-        )
-        try:
-            return await self._clients[collection].call(
-                "GET", target, timeout_s=timeout_s
-            )
-        except client.CallError as error:
-            return watcher.Unavailable(str(error))
+
+def _open_client(address: model.Address) -> client.JsonClient:
+    """Returns a client of the store without an open connection."""
+    return client.JsonClient(
+        address=address, unique_headers=frozenset((wire_names.ERA_HEADER,))
+    )
+
+
+async def _call(
+    caller: client.JsonClient,
+    collection: object_cache.Collection,
+    query: str,
+    timeout_s: float,
+) -> client.Response | watcher.Unavailable:
+    """Sends one GET request for a collection."""
+    target = (
+        f"{wire_names.OBJECTS_PATH}/"
+        f"{wire_names.OBJECT_KINDS[collection]}{query}"
+    )
+    try:
+        return await caller.call("GET", target, timeout_s=timeout_s)
+    except client.CallError as error:
+        return watcher.Unavailable(str(error))
 
 
 def _read_era(response: client.Response) -> int | None:
--- a/eelgrasshall/platform/store_test.py
+++ b/eelgrasshall/platform/store_test.py
@@ -1,6 +1,8 @@
 """Tests for the store client, against a fake store."""
 
+import asyncio
 import contextlib
+import json
 
 import pytest
 
@@ -253,3 +255,167 @@
         fake.put("rollouts", "orders", {})
         fake.down = True
         assert await client.write_rollout_status(_RUNNING, 1) is None
+
+
+async def test_listing_beside_a_watch_gets_its_own_response():
+    # The writer of rollouts lists what the watcher watches.  Both calls were
+    # sent on one connection: the listing got the response to the watch, and the
+    # watch was deaf until its time-out.
+    async with _open(18923) as (fake, client):
+        fake.put("rollouts", "orders", {"n": 1})
+        watch = asyncio.ensure_future(
+            client.wait_for_changes(_ROLLOUTS, 1, 1.0)
+        )
+        await asyncio.sleep(0.05)
+        listing = await asyncio.wait_for(client.read_all(_ROLLOUTS), 0.5)
+        assert [each.name for each in listing.updates] == ["orders"]
+        fake.put("rollouts", "items", {"n": 2})
+        changes = await asyncio.wait_for(watch, 0.5)
+        assert [each.name for each in changes.updates] == ["items"]
+        assert changes.revision == 2
+
+
+class _Stutterer:
+    """A store that sends some responses a second time.
+
+    A copy goes out just after the next call has arrived, before its response.
+
+    Args:
+      documents: The responses, in the order of the calls.
+      repeated: Indexes of the responses that are sent twice.
+    """
+
+    def __init__(self, documents: list, repeated: set[int]):
+        self.calls: list[str] = []
+        self.connection_count = 0
+        self._documents = iter(enumerate(documents))
+        self._repeated = repeated
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self) -> model.Address:
+        """Starts to listen; returns the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return model.Address(*self._server.sockets[0].getsockname())
+
+    def stop(self) -> None:
+        """Closes the listening socket and all connections."""
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+
+    async def _serve(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        self.connection_count += 1
+        copy = b""
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.calls.append(head.split()[1].decode().partition("?")[2])
+                index, document = next(self._documents)
+                body = json.dumps(document).encode()
+                response = (
+                    b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+                    % (len(body), body)
+                )
+                writer.write(copy)
+                # The copy is read before the response arrives.
+                await asyncio.sleep(0.02)
+                writer.write(response)
+                copy = response if index in self._repeated else b""
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def _open_stutterer(documents: list, repeated: set[int]):
+    stutterer = _Stutterer(documents, repeated)
+    client = store.StoreClient(address=await stutterer.start())
+    try:
+        yield stutterer, client
+    finally:
+        client.close()
+        stutterer.stop()
+
+
+def _make_object(name: str, revision: int) -> dict:
+    return {"meta": {"name": name, "revision": revision}, "spec": {}}
+
+
+def _make_page(*names: str, more: bool) -> dict:
+    return {
+        "items": [_make_object(name, 1) for name in names],
+        "hasMore": more,
+        "storeRevision": 1,
+    }
+
+
+def _make_changes(revision: int, *changed: tuple[str, int]) -> dict:
+    return {
+        "events": [
+            {"object": _make_object(*each), "deleted": False}
+            for each in changed
+        ],
+        "storeRevision": revision,
+    }
+
+
+async def test_page_that_is_sent_twice_is_not_the_next_page():
+    # The last page was taken for the response to the next call, and the objects
+    # of the pages in between for deleted ones.
+    first, last = _make_page("a", "b", more=True), _make_page("c", more=False)
+    documents = [first, last, first, last]
+    async with _open_stutterer(documents, {0}) as (stutterer, client):
+        result = await client.read_all(_SERVERS)
+        assert result == watcher.Unavailable("a page was sent twice")
+        listing = await client.read_all(_SERVERS)
+        assert [each.name for each in listing.updates] == ["a", "b", "c"]
+
+
+async def test_response_of_the_listing_before_does_not_reach_the_next_one():
+    # The copy of a last page passed for the whole collection.
+    first, last = _make_page("a", "b", more=True), _make_page("c", more=False)
+    documents = [first, last, first, last]
+    async with _open_stutterer(documents, {1, 3}) as (_, client):
+        for _ in range(2):
+            listing = await client.read_all(_SERVERS)
+            assert [each.name for each in listing.updates] == ["a", "b", "c"]
+
+
+async def test_responses_to_watches_do_not_stay_one_behind():
+    # After a copy, each watch got the response to the one before it.
+    documents = [
+        _make_changes(2, ("a", 2)),
+        _make_changes(3, ("a", 3)),
+        _make_changes(4, ("a", 4)),
+        _make_changes(5, ("a", 5)),
+    ]
+    async with _open_stutterer(documents, {0}) as (stutterer, client):
+        revision, seen = 1, []
+        for _ in range(4):
+            result = await client.wait_for_changes(_SERVERS, revision, 0.5)
+            revision = max(revision, result.revision)
+            seen.append(result.revision)
+        # The copy tells nothing new; what follows comes on a new connection.
+        assert seen == [2, 2, 4, 5]
+        assert stutterer.calls == [
+            f"watch={number}&waitMs=500" for number in (1, 2, 2, 4)
+        ]
+        assert stutterer.connection_count == 2
+
+
+async def test_response_with_two_eras_is_not_used():
+    async with _open(18924) as (fake, client):
+        fake.era = 3
+        fake.put("servers", "i-1", {})
+        answer = fake._answer
+
+        async def answer_with_era(request):
+            response = await answer(request)
+            response.headers.append((b"store-era", b"2"))
+            return response
+
+        fake._answer = answer_with_era
+        for result in (
+            await client.read_all(_SERVERS),
+            await client.wait_for_changes(_SERVERS, 1, 0.01),
+        ):
+            assert isinstance(result, watcher.Unavailable)
