Health checks: only the server's own response tells of it

Two faults of the same kind. A response that bears the id of a caller's request passed for a healthy one, so that a server that was down could get requests again. And what a response to a check says (that the server stops, pauses or takes a rate) was recorded before anyone looked at which server sent it: once another server had the address, the one before it counted as leaving and as alive.

A check still opens a connection of its own, so the response of an earlier request cannot arrive on it; only a server that sends unasked bytes could bring the first fault about. A response without a server's id still counts as healthy, since requests name the server that may run them.

--- a/eelgrasshall/gateway/registry.py
+++ b/eelgrasshall/gateway/registry.py
@@ -590,12 +590,16 @@
         backend: upstream.Backend,
         outcome: messages.Reply | messages.Failure,
     ) -> bool:
-        """Returns whether a health check succeeded and the server matches."""
+        """Returns whether a health check succeeded and the server matches.
+
+        A response that bears the id of a request is not that to a check.
+        """
         if not isinstance(outcome, messages.Reply) or outcome.status != 200:
             return False
-        name = self._environment.names.server_id
-        ids = [value for key, value in outcome.headers if key.lower() == name]
-        return ids in ([], [backend.server.id.encode()])
+        request_id = self._environment.names.request_id
+        return backend.is_sender_of(outcome) and not any(
+            value for key, value in outcome.headers if key.lower() == request_id
+        )
 
     def _update_candidate(self, server: model.Server) -> None:
         """Adds a usable server to the candidates, or removes another one."""
--- a/eelgrasshall/gateway/registry_test.py
+++ b/eelgrasshall/gateway/registry_test.py
@@ -425,3 +425,76 @@
     assert sent and sum(sent) < 64 * 1024 * 1024
     registry.close()
     server.close()
+
+
+async def _check_once(monkeypatch, head: bytes):
+    """Answers the first health check of a server with a head.
+
+    Returns:
+      The registry, the observer, the server, and whether it is healthy.
+    """
+    monkeypatch.setattr(registry_module, "MIN_PROBE_DELAY_S", 0.01)
+    answered = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        if answered.is_set():
+            await asyncio.sleep(5.0)
+        writer.write(head + b"Content-Length: 0\r\n\r\n")
+        answered.set()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    registry, log = _make_registry()
+    registry.set_server("s1", fakes.make_server("s1", port=port), 1)
+    backend = registry.find_candidates("orders")[0]
+    backend.unreachable = True
+    registry.start_probe(backend)
+    async with asyncio.timeout(2.0):
+        await answered.wait()
+    await asyncio.sleep(0.05)
+    observer = registry._environment.observer
+    healthy = bool(log.list_events("server_reached"))
+    registry.close()
+    server.close()
+    return observer, backend, healthy
+
+
+@pytest.mark.parametrize(
+    ("header", "expected"),
+    [
+        (b"X-Server: s1\r\n", True),
+        # Requests name the server that may run them.
+        (b"", True),
+        (b"X-Server: s2\r\n", False),
+        (b"X-Server: s1\r\nX-Server: s2\r\n", False),
+        (b"X-Id: a1\r\nX-Seal: s\r\n", False),
+        (b"X-Id: a1\r\nX-Server: s1\r\n", False),
+    ],
+    ids=["own", "none", "other", "two", "request", "request to the server"],
+)
+async def test_response_to_something_else_is_no_health(
+    monkeypatch, header, expected
+):
+    # A server that was down got requests again because of the late response to
+    # a caller's request.
+    head = b"HTTP/1.1 200 OK\r\n" + header
+    _, _, healthy = await _check_once(monkeypatch, head)
+    assert healthy == expected
+
+
+@pytest.mark.parametrize("status", [b"200 OK", b"503 Busy"])
+@pytest.mark.parametrize(("name", "applies"), [(b"s1", True), (b"s2", False)])
+async def test_other_server_at_the_address_speaks_for_itself_only(
+    monkeypatch, name, applies, status
+):
+    # A server was taken for one that stops, pauses or states a rate, since
+    # another one had its address.
+    head = (
+        b"HTTP/1.1 %s\r\nX-Server: %s\r\nX-Leaving: 1\r\nX-Limit: 2\r\n"
+        b"Retry-After: 1\r\n" % (status, name)
+    )
+    observer, backend, _ = await _check_once(monkeypatch, head)
+    assert bool(observer.leaving) == applies
+    assert [rate for rate, _ in observer.stated_rates] == [2.0] * applies
+    assert bool(observer.pauses_s) == (applies and status != b"200 OK")
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -387,6 +387,16 @@
             self._release_connection(connection)
         self._report_outcome(attempt, outcome)
 
+    def is_sender_of(self, reply: messages.Reply) -> bool:
+        """Returns whether a response to a health check may be this server's.
+
+        One that names no server passes: requests name the server that may run
+        them.
+        """
+        name = self.environment.names.server_id
+        ids = [value for key, value in reply.headers if key.lower() == name]
+        return ids in ([], [self.server.id.encode()])
+
     def record_bytes(self, attempt: attempts.Attempt, size: int) -> None:
         """Counts bytes of an attempt that were sent or received."""
         traffic = self.environment.traffic
@@ -461,6 +471,9 @@
         if reply.status == 421:
             self.environment.observer.on_misdirected(self)
             return
+        if attempt.is_health_check and not self.is_sender_of(reply):
+            # Another server has the address; it speaks for itself only.
+            return
         self._alive_s = now
         if attempt.sent_s > self._unanswered_s:
             self._unanswered_s = math.inf
