Relays: no request is sent behind bytes that have arrived

A request that followed stray bytes on a kept connection to another host failed with 502, since the bytes were read only after it was sent. The connection is closed instead and the request opens another one.

--- a/eelgrasshall/gateway/relay.py
+++ b/eelgrasshall/gateway/relay.py
@@ -30,6 +30,7 @@
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import relay_choice
 from eelgrasshall.gateway import response_parser
+from eelgrasshall.gateway import sockets
 
 RELAYED = messages.RELAYED
 # Most helpers that one request is offered to.
@@ -394,14 +395,21 @@
     def _take_idle(
         self, address: model.Address, idempotent: bool
     ) -> "_Connection | None":
-        """Returns a kept connection, or None if a new one is to be opened."""
+        """Returns a kept connection, or None if a new one is to be opened.
+
+        One on which bytes have arrived without a request is closed.
+        """
         if not idempotent:
             return None
-        for connection in reversed(self._idle):
-            if connection.address == address:
-                self._idle.remove(connection)
-                connection.stop_idling()
-                return connection
+        for connection in reversed(list(self._idle)):
+            if connection.address != address:
+                continue
+            if connection.has_unread:
+                connection.close()
+                continue
+            self._idle.remove(connection)
+            connection.stop_idling()
+            return connection
         return None
 
     def _keep(self, connection: "_Connection") -> None:
@@ -469,6 +477,11 @@
         """Whether the connection waits for the next request."""
         return self._idle_timer is not None
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes have arrived that were not read yet."""
+        return sockets.has_unread_data(self._transport)
+
     @property
     def has_unsent(self) -> bool:
         """Whether a part of the request has not been sent yet."""
--- a/eelgrasshall/gateway/relay_test.py
+++ b/eelgrasshall/gateway/relay_test.py
@@ -920,3 +920,18 @@
     response = _mark(request, 400, linked=linked)
     mark = b"1" if linked else b"0"
     assert response.headers == [(b"Eelgrasshall-Relayed", mark)]
+
+
+async def test_request_is_not_sent_behind_bytes_that_have_arrived():
+    # They were read after it was sent, so that it may have run and failed.
+    async def script(writer, number):
+        writer.write(_ANSWER)
+        writers.append(writer)
+
+    writers = []
+    async with _open_on_free_port(script) as (sender, heads):
+        assert (await sender.send()).answered
+        # Sent at once, as nothing waits to be sent.
+        writers[0].write(_EARLIER_ANSWER)
+        assert (await sender.send()).answered
+        assert [len(each) for each in heads] == [1, 1]
