Listener: a request without a response ends its connection

A caller could have got the response to its second request as that to the first: if the coroutine that answers a request ended with a cancellation while the connection was open, the listener forgot the request and went on with what came next. Only what awaits a cancelled task or future inside the handler could bring that about; the handler's own paths on a planned stop turn a cancellation into an answer, so no record shows it.

The connection is closed instead, behind the responses before it. The test in listener_sequences_test, which compares what a caller reads with what it sent, failed before.

--- a/eelgrasshall/gateway/listener.py
+++ b/eelgrasshall/gateway/listener.py
@@ -434,7 +434,12 @@
         try:
             while self._queue and self._transport is not None:
                 request = self._queue.popleft()
-                response = await self._listener.answer(request)
+                try:
+                    response = await self._listener.answer(request)
+                except BaseException:
+                    # The next response would pass for that to this request.
+                    self.close()
+                    raise
                 self._idle_since_s = self._loop.time()
                 self._idle_timeout_s = (
                     self._listener.get_limits().idle_timeout_s
