Listener: a blank line is not a request

A caller that sends a blank line behind a body, as old ones do, got a 408 after the time for a head, or a 503 at a planned stop, with no request waiting; it would have passed for the answer to the request that it sends next. A request counted as being received from the first byte in the connection, and counts from its own first byte now. Two of the cases of listener_sequences_test failed before.

--- a/eelgrasshall/gateway/listener.py
+++ b/eelgrasshall/gateway/listener.py
@@ -256,8 +256,8 @@
         if self._error_status or self._finished:
             return
         if not self._receiving:
-            self._request_started_s = self._loop.time()
-            self._receiving = True
+            # Blank lines before a request belong to none.
+            self._header_bytes = 0
         if not self._in_body:
             self._header_bytes += len(data)
         else:
@@ -343,7 +343,6 @@
     def on_message_begin(self) -> None:
         """Resets the state for a new request."""
         if not self._receiving:
-            # It begins in the data in which the request before it ends.
             self._request_started_s = self._loop.time()
             self._receiving = True
         self._target = b""
--- a/eelgrasshall/gateway/listener_sequences_test.py
+++ b/eelgrasshall/gateway/listener_sequences_test.py
@@ -307,6 +307,8 @@
     "steps",
     [
         [_Send(("get", "get"), 0), "cancel", _Send(("get",), 0), "answer"],
+        ["send_blank_line", "wait_long"],
+        [_Send(("post",), 0), "answer", "send_blank_line", "refuse_incomplete"],
         # CASES
     ],
 )
