Listener: 100 Continue waits for the responses before it

A caller that pipelines a request with "Expect: 100-continue" behind another one got the interim response at once, before the response to the first request, where it passes for an interim response to that. It is sent now when its request is the next one to be answered, unless the body has come by then, and not to HTTP/1.0 callers, which do not know it.

--- a/eelgrasshall/gateway/listener.py
+++ b/eelgrasshall/gateway/listener.py
@@ -163,6 +163,7 @@
     __slots__ = (
         "_body",
         "_body_bytes",
+        "_continue_due",
         "_error_status",
         "_finished",
         "_handler_task",
@@ -190,6 +191,8 @@
         self._queue: collections.deque[messages.Request] = collections.deque()
         self._handler_task: asyncio.Task | None = None
         self._error_status = 0
+        # Whether the caller waits to be told to send the body.
+        self._continue_due = False
         self._finished = False
         self._receiving = False
         self._in_body = False
@@ -382,11 +385,13 @@
                 elif int(value) > limits.max_body_bytes:
                     self._error_status = 413
             elif name == b"expect" and value.lower() == b"100-continue":
-                self._transport.write(_CONTINUE_RESPONSE)
+                self._continue_due = self._parser.get_http_version() != "1.0"
         if len(lengths) > 1:
             self._error_status = 400
         if self._error_status:
             raise ValueError("refused")
+        if self._handler_task is None:
+            self._send_continue()
         self._in_body = True
         # The body begins in the bytes that have arrived with the head.
         self._received_body_bytes = max(self._header_bytes - size, 0)
@@ -409,6 +414,7 @@
             return
         self._in_body = False
         self._receiving = False
+        self._continue_due = False
         self._header_bytes = 0
         self._received_body_bytes = 0
         if len(self._queue) >= MAX_PIPELINED:
@@ -459,11 +465,25 @@
                 if closing:
                     self._finish()
                     return
-            if self._error_status and self._transport is not None:
+            if self._transport is None:
+                return
+            if self._error_status:
                 self._send_error_and_close(self._error_status)
+            else:
+                self._send_continue()
         finally:
             self._handler_task = None
 
+    def _send_continue(self) -> None:
+        """Tells the caller to send the body if it waits for that.
+
+        Not before the responses to earlier requests: it would pass for a part
+        of the response to the first of them.
+        """
+        if self._continue_due and self._transport is not None:
+            self._continue_due = False
+            self._transport.write(_CONTINUE_RESPONSE)
+
     def _has_more(self) -> bool:
         """Returns whether the caller has sent more than has been answered."""
         return bool(self._queue or self._receiving or self._has_unread_data())
--- a/eelgrasshall/gateway/listener_sequences_test.py
+++ b/eelgrasshall/gateway/listener_sequences_test.py
@@ -309,8 +309,23 @@
         [_Send(("get", "get"), 0), "cancel", _Send(("get",), 0), "answer"],
         ["send_blank_line", "wait_long"],
         [_Send(("post",), 0), "answer", "send_blank_line", "refuse_incomplete"],
+        [_Send(("get", "expecting"), 5), "answer", _Send((), 0), "answer"],
+        [_Send(("get", "expecting"), 0), "answer", "answer"],
         # CASES
     ],
 )
 def test_response_is_that_of_the_request_that_waits(steps):
     _run(steps)
+
+
+async def test_caller_is_told_to_go_on_once_it_is_its_turn():
+    caller = _Caller()
+    await caller.run(_Send(("get", "expecting"), 5))
+    assert caller.transport.data == b""
+    await caller.run("answer")
+    assert caller.transport.data.endswith(b"HTTP/1.1 100 Continue\r\n\r\n")
+    assert caller.transport.data.count(b"HTTP/1.1 200 ") == 1
+    await caller.run(_Send((), 0))
+    await caller.run("answer")
+    assert caller.transport.data.count(b"HTTP/1.1 200 ") == 2
+    assert caller.transport.data.count(b"HTTP/1.1 100 ") == 1
