Backend servers that answer twice or in part, and a run that checks callers' answers

Change: the fake server sends some answers a second time (at once, late, in the segment of the answer or in front of the next one; whole or cut; another status; without id) or in part; all its answers echo the id and have four records that no other answer has. stutter_run.py compares each answer of callers with what the servers signed and lists what was sent on the connection.

--- a/eelgrasshall/platform/fake_server.py
+++ b/eelgrasshall/platform/fake_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import hashlib
 import random
 import time
 from typing import NamedTuple
@@ -9,7 +10,11 @@
 from eelgrasshall.gateway import listener
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import model
+from eelgrasshall.platform import stutter
 
+# Number and size of the records in the body of an answer.
+RECORD_COUNT = 4
+RECORD_BYTES = 16
 # A request with this in its target crashes each server that begins to run it.
 CRASH_MARKER = b"/crash"
 
@@ -46,6 +51,22 @@
     has_credential: bool
 
 
+class Answer(NamedTuple):
+    """An answer that a server signed.
+
+    Attributes:
+      server_id: The server.
+      request_id: Id of the try.
+      status: Its status.
+      body: Its body.
+    """
+
+    server_id: str
+    request_id: str
+    status: int
+    body: bytes
+
+
 class FakeBackendServer:
     """A fake backend server that records the requests that it executes.
 
@@ -60,6 +81,7 @@
         states for how long.
       paused_count: Number of requests that it turned away so.
       failure_share: Share of the requests that it answers with status 500.
+      refusal_share: Share of the requests that it turns away without a reason.
       slow_share: Share of the requests that take five times as long.
       on_crash: Called when a request crashes it.
       arrivals: Monotonic time and id of each request, also of those that it
@@ -69,6 +91,8 @@
       limited: Monotonic time and request id of each answer that stated a rate.
       pauses: Monotonic time, request id and end of the pause of each request
         that it turned away because of a pause.
+      answers: All answers that it signed, by signature.
+      stutterer: Sends answers twice, or in part; sends each once by default.
 
     Args:
       server_id: The id of the server.
@@ -86,6 +110,7 @@
         self.paused_until_s = 0.0
         self.paused_count = 0
         self.failure_share = 0.0
+        self.refusal_share = 0.0
         self.slow_share = 0.0
         self._random = random.Random(server_id)
         self.on_crash: Callable[[Crash], None] | None = None
@@ -93,8 +118,10 @@
         self.identities: list[Identity] = []
         self.limited: list[tuple[float, str]] = []
         self.pauses: list[tuple[float, str, float]] = []
-        self._listener = listener.Listener(
-            handler=self._handle, get_limits=model.CallerLimits
+        self.answers: dict[str, Answer] = {}
+        self.stutterer = stutter.Stutterer(random=random.Random(server_id))
+        self._listener = stutter.StutteringListener(
+            stutterer=self.stutterer, handler=self._handle
         )
 
     async def start(self, address: model.Address) -> None:
@@ -112,12 +139,15 @@
     async def _handle(self, request: messages.Request) -> listener.Response:
         """Answers a request, with what the server says of itself."""
         response = await self._answer(request)
+        request_id = request.get_header(b"x-attempt-id")
+        if request_id:
+            response.headers.append((b"X-Attempt-Id", request_id))
         if self.leaving:
             response.headers.append((b"Server-Leaving", b"1"))
         if self.rate_limit is not None:
             response.headers.append((b"Server-Limit", b"%g" % self.rate_limit))
-            request_id = request.get_header(b"x-attempt-id") or b""
-            self.limited.append((time.monotonic(), request_id.decode()))
+            limited_id = (request_id or b"").decode()
+            self.limited.append((time.monotonic(), limited_id))
         return response
 
     async def _answer(self, request: messages.Request) -> listener.Response:
@@ -148,6 +178,10 @@
             )
         if request.get_header(b"x-target-instance") != self.server_id.encode():
             return listener.Response(421, identity, b"")
+        if self.refusal_share and self._random.random() < self.refusal_share:
+            refusal = [(b"X-Not-Executed", b"1")]
+            status = self._random.choice((429, 503))
+            return listener.Response(status, identity + refusal, b"")
         self.executed.append((request_id, request.target + request.body))
         self.requests.append(request)
         if CRASH_MARKER in request.target and self.on_crash is not None:
@@ -157,15 +191,25 @@
             await asyncio.Event().wait()
         is_slow = self._random.random() < self.slow_share
         await asyncio.sleep(self.service_time_s * (5 if is_slow else 1))
-        if self._random.random() < self.failure_share:
-            return listener.Response(500, identity, b"")
-        seal = f"{self.server_id}.{request_id}".encode()
-        headers = [
-            (b"X-Attempt-Id", request_id.encode()),
-            (b"X-Server-Seal", seal),
-        ]
-        body = self.server_id.encode().ljust(16, b".")
-        return listener.Response(200, headers, body)
+        status = 500 if self._random.random() < self.failure_share else 200
+        seal = f"{self.server_id}.{len(self.answers)}.{request_id}"
+        body = make_records(seal)
+        self.answers[seal] = Answer(self.server_id, request_id, status, body)
+        headers = [(b"X-Server-Seal", seal.encode())]
+        return listener.Response(status, headers, body)
+
+
+def make_records(seal: str) -> bytes:
+    """Returns the body of an answer: records that no other answer has.
+
+    They are in no order.  With several of them, a part that has lost its
+    records shows in nearly each search.
+
+    Args:
+      seal: The signature of the answer.
+    """
+    size = RECORD_COUNT * RECORD_BYTES
+    return hashlib.shake_128(seal.encode()).hexdigest(size // 2).encode()
 
 
 def _list_values(request: messages.Request, name: bytes) -> list[str]:
--- a/eelgrasshall/platform/fleet.py
+++ b/eelgrasshall/platform/fleet.py
@@ -62,6 +62,8 @@
 [platform]
 address = "127.0.0.1:{store}"
 """
+# Least share of the shards in a search that succeeds.
+MIN_SHARE = 0.5
 
 
 class Fleet:
@@ -159,6 +161,8 @@
         # Time-out of all routes in the next configurations, ms; None for
         # different ones.
         self.timeout_ms: int | None = None
+        # Most records of a search in the next configurations.
+        self.top_n = 3
         # Key of callers that state none of their own.
         self.key: str | None = None
 
@@ -273,8 +277,8 @@
             "timeoutMs": 2000,
             "gather": self.shards,
             "maxAttempts": 2,
-            "topN": 3,
-            "minShare": 0.5,
+            "topN": self.top_n,
+            "minShare": MIN_SHARE,
             **changes,
         }
         single = {
--- a/eelgrasshall/platform/soak_checks.py
+++ b/eelgrasshall/platform/soak_checks.py
@@ -5,6 +5,7 @@
 """
 
 import bisect
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -15,6 +16,10 @@
 
 # Time in which a host verifies a crash and tells the others of it.
 REPORT_TIME_S = 1.0
+# Statuses that say that the request was not executed.
+NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
+# Statuses that hosts give themselves to requests that are allowed.
+_OWN_STATUSES = frozenset((408, 429, 500, 502, 503, 504))
 
 
 class Arrival(NamedTuple):
@@ -132,6 +137,160 @@
     burst: float
 
 
+class CallerAnswer(NamedTuple):
+    """An answer that a caller got.
+
+    Attributes:
+      request_id: Id of the try that it is for.
+      kind: The route of that try.
+      status: Its status.
+      headers: Its headers, with names in lower case.
+      body: Its body.
+    """
+
+    request_id: str
+    kind: str
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class WrongAnswer(NamedTuple):
+    """An answer to a caller that is wrong.
+
+    Attributes:
+      answer: The answer.
+      reason: What is wrong, in the same words for each such answer.
+      server_ids: The servers whose answers it was made from, as far as they
+        are known, or only that which was answered wrongly.
+    """
+
+    answer: CallerAnswer
+    reason: str
+    server_ids: tuple[str, ...] = ()
+
+
+def find_wrong_answers(
+    answers: Iterable[CallerAnswer],
+    signed: Mapping[str, fake_server.Answer],
+    executed: Collection[str],
+    *,
+    shards: Sequence[str],
+    top: int,
+    min_share: float,
+) -> list[WrongAnswer]:
+    """Returns the answers that are not what the servers answered.
+
+    Args:
+      answers: What callers got.
+      signed: All answers that servers signed, by signature.
+      executed: Ids of the tries that servers executed.
+      shards: The services of a search.
+      top: Number of records that a search returns.
+      min_share: Least share of the shards in a search that succeeds.
+    """
+    found = []
+    for answer in answers:
+        wrong = None
+        if answer.kind == "search" and 200 <= answer.status < 300:
+            wrong = _check_search(answer, signed, shards, top, min_share)
+        else:
+            wrong = _check_single(answer, signed)
+        if (
+            wrong is None
+            and answer.kind == "once"
+            and answer.status in NOT_EXECUTED_STATUSES
+            and answer.request_id in executed
+        ):
+            wrong = WrongAnswer(answer, "refused though executed")
+        if wrong is not None:
+            found.append(wrong)
+    return found
+
+
+def _check_search(
+    answer: CallerAnswer,
+    signed: Mapping[str, fake_server.Answer],
+    shards: Sequence[str],
+    top: int,
+    min_share: float,
+) -> WrongAnswer | None:
+    """Returns what is wrong with a search that succeeded, or None."""
+    text = answer.headers.get("x-part-seals", "")
+    seals = [each.strip() for each in text.split(",") if each.strip()]
+    parts = [signed.get(seal) for seal in seals]
+    if not seals or None in parts:
+        return WrongAnswer(answer, "no signature of a server")
+    ids = tuple(part.server_id for part in parts)
+    for part in parts:
+        if part.request_id != answer.request_id:
+            return WrongAnswer(
+                answer, "part of another request", (part.server_id,)
+            )
+        if part.status >= 300:
+            return WrongAnswer(answer, "part is a failure", (part.server_id,))
+    services = {each.rpartition("-")[0] for each in ids}
+    missing = int(answer.headers.get("x-parts-missing", "0"))
+    if (
+        len(services) != len(parts)
+        or not services <= set(shards)
+        or len(parts) + missing != len(shards)
+    ):
+        return WrongAnswer(answer, "wrong number of parts", ids)
+    if len(parts) < min_share * len(shards):
+        return WrongAnswer(answer, "too few parts", ids)
+    if answer.body == _merge(parts, top):
+        return None
+    for part in parts:
+        others = [each for each in parts if each is not part]
+        if answer.body == _merge(others, top):
+            return WrongAnswer(
+                answer, "part without its records", (part.server_id,)
+            )
+    return WrongAnswer(answer, "other records", ids)
+
+
+def _merge(parts: Iterable[fake_server.Answer], top: int) -> bytes:
+    """Returns the greatest records of some parts, greatest first."""
+    size = fake_server.RECORD_BYTES
+    records = [
+        part.body[start : start + size]
+        for part in parts
+        for start in range(0, len(part.body) - size + 1, size)
+    ]
+    return b"".join(sorted(records, reverse=True)[:top])
+
+
+def _check_single(
+    answer: CallerAnswer, signed: Mapping[str, fake_server.Answer]
+) -> WrongAnswer | None:
+    """Returns what is wrong with a server's answer or a failure, or None."""
+    seal = answer.headers.get("x-server-seal")
+    succeeded = 200 <= answer.status < 300
+    stated_id = answer.headers.get("x-attempt-id", answer.request_id)
+    if stated_id != answer.request_id:
+        return WrongAnswer(answer, "answer to another request")
+    if seal is None:
+        if succeeded:
+            return WrongAnswer(answer, "no signature of a server")
+        if answer.status not in _OWN_STATUSES:
+            return WrongAnswer(answer, f"unsigned status {answer.status}")
+        return None
+    sent = signed.get(seal)
+    if sent is None:
+        return WrongAnswer(answer, "no signature of a server")
+    ids = (sent.server_id,)
+    if sent.request_id != answer.request_id:
+        return WrongAnswer(answer, "answer to another request", ids)
+    if sent.status != answer.status:
+        if succeeded:
+            return WrongAnswer(answer, "failure passed on as success", ids)
+        return WrongAnswer(answer, "failure with another status", ids)
+    if succeeded and sent.body != answer.body:
+        return WrongAnswer(answer, "not the whole body", ids)
+    return None
+
+
 def find_excess(
     arrivals: Iterable[Arrival],
     tries: Iterable[Try],
