--- a/eelgrasshall/platform/soak.py
+++ b/eelgrasshall/platform/soak.py
@@ -7,12 +7,12 @@
 one direction; hosts are cut off from all backend servers; the store refuses
 calls, leaves them unanswered or drops its history or goes back to a copy;
 backend servers drain, announce that they leave, ask for pauses, state how many
-requests they take, hang, crash under a request that is sent again, or lose
-their registration, and recover; and configurations change, which add and
-withdraw API keys.  Callers of several tenants send requests throughout, one of
-them far beyond its quota, and some with keys that are not valid.  Invariants
-are checked on what callers and backend servers observe; each breach names its
-invariant, and the logs stay in the folder.
+requests they take, hang, crash under a request that is sent again, answer twice
+or in part, or lose their registration, and recover; and configurations change,
+which add and withdraw API keys.  Callers of several tenants send requests
+throughout, one of them far beyond its quota, and some with keys that are not
+valid.  Invariants are checked on what callers and backend servers observe; each
+breach names its invariant, and the logs stay in the folder.
 """
 
 import argparse
@@ -32,6 +32,7 @@
 from eelgrasshall.platform import fleet as fleet_module
 from eelgrasshall.platform import soak_checks
 from eelgrasshall.platform import soak_faults
+from eelgrasshall.platform import stutter
 
 # Mean time between the requests of one caller, and between faults.
 MEAN_REQUEST_INTERVAL_S = 0.02
@@ -81,8 +82,9 @@
 _OK = 200
 _UNAUTHORIZED = 401
 _OVER_QUOTA = 429
-# Statuses that say that the request was not executed.
-_NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
+_NOT_FOUND = 404
+# Nearly each search that lacks the records of a part shows it.
+TOP_N = 10
 
 
 class Breach(NamedTuple):
@@ -109,6 +111,7 @@
       draining: Monotonic time at which each draining server began to drain.
       tries: All tries of callers.
       served: Whether each first try was served, by its id.
+      answers: The answers to callers, but not those that refuse a key.
       cuts: The times for which hosts were cut off from all backend servers.
       host_disturbances: Times at which each host was ended, started, frozen or
         woken.
@@ -155,6 +158,7 @@
             extra_attempts=(EXTRA_ATTEMPT_RATIO, EXTRA_ATTEMPTS),
             links=True,
         )
+        self.fleet.top_n = TOP_N
         self.fleet.on_restart = self._forget_state
         self.breaches: list[Breach] = []
         self.statuses: collections.Counter[str] = collections.Counter()
@@ -164,6 +168,7 @@
         self.last_disturbance_s = time.monotonic()
         self.tries: list[soak_checks.Try] = []
         self.served: dict[str, bool] = {}
+        self.answers: list[soak_checks.CallerAnswer] = []
         self.cuts: list[soak_checks.HostCut] = []
         self.host_disturbances: dict[str, list[float]] = {}
         self.rate_spans: list[soak_checks.RateSpan] = []
@@ -208,6 +213,7 @@
             await self._check_recovered()
             for task in callers:
                 task.cancel()
+            self._check_answers()
             self._check_executions()
             self._check_extra_attempts()
             self._check_crash_requests()
@@ -394,51 +400,45 @@
                 self.served[request_id] = False
                 continue
             self.statuses[str(status)] += 1
+            if status != _UNAUTHORIZED:
+                self.answers.append(
+                    soak_checks.CallerAnswer(
+                        request_id, kind, status, headers, body
+                    )
+                )
             if status in (_UNAUTHORIZED, _OVER_QUOTA):
                 self.refused.add(request_id)
                 self._check_refused(request_id, status)
                 continue
             self.served[request_id] = status == _OK
             if status == _OK:
-                self._check_response(kind, request_id, headers, body)
                 self._note_leaving(name, headers)
-            elif status in _NOT_EXECUTED_STATUSES and kind == "once":
+            elif status in soak_checks.NOT_EXECUTED_STATUSES and kind == "once":
                 self._check_not_executed(request_id)
             self._check_draining(request_id, sent_s)
             self._check_leaving(name, request_id, sent_s)
 
-    def _check_response(
-        self, kind: str, request_id: str, headers: dict[str, str], body: bytes
-    ) -> None:
-        """Checks that a response is complete and belongs to its request."""
-        if kind == "once":
-            seal = headers.get("x-server-seal", "")
-            if seal.rpartition(".")[2] != request_id:
-                self.record_breach(
-                    "response matches request", f"{request_id}: {seal}"
-                )
-            return
-        seals = headers["x-part-seals"].split(", ")
-        missing = int(headers["x-parts-missing"])
-        shards = {seal.rpartition("-")[0] for seal in seals}
-        total = len(self.fleet.shards)
-        if len(shards) != len(seals) or len(seals) + missing != total:
-            self.record_breach(
-                "accurate coverage", f"{request_id}: {seals}, {missing}"
-            )
-        if any(seal.rpartition(".")[2] != request_id for seal in seals):
+    def _check_answers(self) -> None:
+        """Checks that answers are those of servers to the same requests."""
+        servers = self.fleet.servers.values()
+        for each in soak_checks.find_wrong_answers(
+            self.answers,
+            {
+                seal: answer
+                for server in servers
+                for seal, answer in server.answers.items()
+            },
+            {each for server in servers for each, _ in server.executed},
+            shards=self.fleet.shards,
+            top=TOP_N,
+            min_share=fleet_module.MIN_SHARE,
+            # At the end the searches are moved to another path.
+            own_statuses=soak_checks.OWN_STATUSES | {_NOT_FOUND},
+        ):
             self.record_breach(
-                "response matches request", f"{request_id}: {seals}"
+                "answers are those of servers",
+                f"{each.reason}: {each.answer}",
             )
-        ids = sorted(
-            (
-                seal.rpartition(".")[0].encode().ljust(16, b".")
-                for seal in seals
-            ),
-            reverse=True,
-        )
-        if body != b"".join(ids[:3]):
-            self.record_breach("complete response", f"{request_id}: {body!r}")
 
     def _check_not_executed(self, request_id: str) -> None:
         """Checks that a request reported as not executed was not executed."""
@@ -488,7 +488,7 @@
         """Notes that a host has passed on answers of servers that leave."""
         seals = headers.get("x-part-seals", headers.get("x-server-seal", ""))
         for seal in seals.split(", "):
-            hosts = self.leaving.get(seal.rpartition(".")[0])
+            hosts = self.leaving.get(seal.partition(".")[0])
             if hosts is not None:
                 hosts.setdefault(host, time.monotonic())
 
@@ -698,6 +698,10 @@
             server.service_time_s = 0.005
             server.paused_until_s = 0.0
             server.rate_limit = None
+            server.failure_share = server.refusal_share = 0.0
+            if server.stutterer.is_active:
+                server.stutterer.habits = stutter.Habits()
+                server.started_at_ms += 1
             if self.leaving.pop(name, None) is not None:
                 server.leaving = False
                 server.started_at_ms += 1
--- a/eelgrasshall/platform/soak_checks.py
+++ b/eelgrasshall/platform/soak_checks.py
@@ -19,7 +19,7 @@
 # Statuses that say that the request was not executed.
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 # Statuses that hosts give themselves to requests that are allowed.
-_OWN_STATUSES = frozenset((408, 429, 500, 502, 503, 504))
+OWN_STATUSES = frozenset((408, 429, 500, 502, 503, 504))
 
 
 class Arrival(NamedTuple):
@@ -178,6 +178,7 @@
     shards: Sequence[str],
     top: int,
     min_share: float,
+    own_statuses: Collection[int] = OWN_STATUSES,
 ) -> list[WrongAnswer]:
     """Returns the answers that are not what the servers answered.
 
@@ -188,14 +189,14 @@
       shards: The services of a search.
       top: Number of records that a search returns.
       min_share: Least share of the shards in a search that succeeds.
+      own_statuses: Statuses without a signature that callers may get.
     """
     found = []
     for answer in answers:
-        wrong = None
         if answer.kind == "search" and 200 <= answer.status < 300:
             wrong = _check_search(answer, signed, shards, top, min_share)
         else:
-            wrong = _check_single(answer, signed)
+            wrong = _check_single(answer, signed, own_statuses)
         if (
             wrong is None
             and answer.kind == "once"
@@ -262,7 +263,9 @@
 
 
 def _check_single(
-    answer: CallerAnswer, signed: Mapping[str, fake_server.Answer]
+    answer: CallerAnswer,
+    signed: Mapping[str, fake_server.Answer],
+    own_statuses: Collection[int],
 ) -> WrongAnswer | None:
     """Returns what is wrong with a server's answer or a failure, or None."""
     seal = answer.headers.get("x-server-seal")
@@ -273,7 +276,7 @@
     if seal is None:
         if succeeded:
             return WrongAnswer(answer, "no signature of a server")
-        if answer.status not in _OWN_STATUSES:
+        if answer.status not in own_statuses:
             return WrongAnswer(answer, f"unsigned status {answer.status}")
         return None
     sent = signed.get(seal)
--- a/eelgrasshall/platform/soak_faults.py
+++ b/eelgrasshall/platform/soak_faults.py
@@ -17,6 +17,7 @@
 from eelgrasshall.gateway import object_cache
 from eelgrasshall.platform import fault_proxy
 from eelgrasshall.platform import soak_checks
+from eelgrasshall.platform import stutter
 from eelgrasshall.platform import wire_names
 
 if TYPE_CHECKING:
@@ -26,6 +27,12 @@
 # than this after it did.
 MAX_REQUESTS_IN_PAUSE = 2
 PAUSE_NOTICE_S = 0.5
+# What a server that stutters does to its answers, and the share of the requests
+# that it fails or turns away meanwhile.
+STUTTER_HABITS = stutter.Habits(
+    copies=0.3, cuts=0.05, cut_copies=0.4, other_status=0.4, no_id=0.3
+)
+STUTTER_FAILURE_SHARE = 0.1
 # Kind of the objects in which hosts publish themselves.
 HOST_KIND = wire_names.OBJECT_KINDS[object_cache.Collection.HOSTS]
 
@@ -285,3 +292,30 @@
     soak.rate_spans.append(
         soak_checks.RateSpan(name, rate, begin_s, time.monotonic())
     )
+
+
+@register_fault
+async def stutter_answers(soak: "soak_module.Soak") -> None:
+    """Lets one to three servers answer twice or in part, and fail at times."""
+    names = soak.random.sample(sorted(soak.fleet.servers), 3)
+    names = [
+        name
+        for name in names[: soak.random.randint(1, 3)]
+        if not soak.fleet.servers[name].stutterer.is_active
+    ]
+    for name in names:
+        server = soak.fleet.servers[name]
+        server.stutterer.habits = STUTTER_HABITS
+        server.failure_share = server.refusal_share = STUTTER_FAILURE_SHARE
+    await asyncio.sleep(soak.random.uniform(2.0, 6.0))
+    for name in names:
+        server = soak.fleet.servers[name]
+        server.stutterer.habits = stutter.Habits()
+        server.failure_share = server.refusal_share = 0.0
+        if name in soak.leaving:
+            # It starts again when it has left.
+            continue
+        # Hosts use a server no more after a copy with status 421.
+        server.started_at_ms += 1
+        state = "draining" if name in soak.draining else "ready"
+        soak.fleet.register_server(name, state=state)
--- a/eelgrasshall/platform/stutter.py
+++ b/eelgrasshall/platform/stutter.py
@@ -20,10 +20,6 @@
 # carries the request that follows.
 MIN_DELAY_S = 0.001
 MAX_DELAY_S = 2.0
-# Shares of the copies that have another status, no request id, or are cut.
-OTHER_STATUS_SHARE = 0.4
-NO_ID_SHARE = 0.3
-CUT_COPY_SHARE = 0.4
 _STATUSES = (200, 404, 421, 429, 500, 503, 504)
 _ID_HEADER = b"x-attempt-id:"
 _HEAD_END = b"\r\n\r\n"
@@ -54,6 +50,24 @@
 COPY_KINDS = (Kind.AT_ONCE, Kind.LATE, Kind.BEHIND, Kind.AHEAD)
 
 
+class Habits(NamedTuple):
+    """How often a server stutters, and how.
+
+    Attributes:
+      copies: Share of the answers that are followed by a copy.
+      cuts: Share of the answers that are sent in part.
+      cut_copies: Share of the copies that are sent in part.
+      other_status: Share of the copies that have another status.
+      no_id: Share of the copies that state no request id.
+    """
+
+    copies: float = 0.0
+    cuts: float = 0.0
+    cut_copies: float = 0.0
+    other_status: float = 0.0
+    no_id: float = 0.0
+
+
 class Sent(NamedTuple):
     """An answer or a copy that was sent on a connection.
 
@@ -116,9 +130,8 @@
     """Decides what a server sends besides or instead of its answers.
 
     Attributes:
-      copy_share: Share of the answers that are followed by a copy.
-      cut_share: Share of the answers that are sent in part.
-      sent: All that was sent while either share was above 0.
+      habits: How often it stutters, and how; not at all by default.
+      sent: All that was sent while it stuttered.
 
     Args:
       random: Random number generator.
@@ -126,15 +139,14 @@
 
     def __init__(self, *, random: random_module.Random):
         self.random = random
-        self.copy_share = 0.0
-        self.cut_share = 0.0
+        self.habits = Habits()
         self.sent: list[Sent] = []
         self._connection_count = 0
 
     @property
     def is_active(self) -> bool:
         """Whether it changes answers at present."""
-        return self.copy_share > 0.0 or self.cut_share > 0.0
+        return self.habits != Habits()
 
     def number_connection(self) -> int:
         """Returns the number of a new connection."""
@@ -144,9 +156,9 @@
     def choose_kind(self) -> Kind:
         """Returns what is to become of an answer."""
         draw = self.random.random()
-        if draw < self.cut_share:
+        if draw < self.habits.cuts:
             return self.random.choice((Kind.CUT_IN_HEAD, Kind.CUT_IN_BODY))
-        if draw < self.cut_share + self.copy_share:
+        if draw < self.habits.cuts + self.habits.copies:
             return self.random.choice(COPY_KINDS)
         return Kind.ANSWER
 
@@ -178,11 +190,11 @@
     def make_copy(self, answer: _Message) -> _Message:
         """Returns a copy of an answer, with differences that it draws."""
         status, has_id = answer.status, answer.has_id
-        if self.random.random() < OTHER_STATUS_SHARE:
+        if self.random.random() < self.habits.other_status:
             status = self.random.choice(
                 [each for each in _STATUSES if each != status]
             )
-        if self.random.random() < NO_ID_SHARE:
+        if self.random.random() < self.habits.no_id:
             has_id = False
         head, _, body = answer.data.partition(_HEAD_END)
         status_line, *lines = head.split(b"\r\n")
@@ -201,7 +213,7 @@
 
     def choose_part(self, copy: _Message) -> bytes:
         """Returns the bytes of a copy, or those up to a random one."""
-        if self.random.random() < CUT_COPY_SHARE:
+        if self.random.random() < self.habits.cut_copies:
             return copy.data[: self.random.randrange(1, len(copy.data))]
         return copy.data
 
--- a/eelgrasshall/platform/stutter_run.py
+++ b/eelgrasshall/platform/stutter_run.py
@@ -7,7 +7,8 @@
 answer is compared with what the servers signed.  For each wrong one it prints
 what the servers had sent on the connection; the exit code is 1 if there is any.
 With `--sources FOLDER` the hosts run the program of another build, as
-`git archive COMMIT eelgrasshall` gives it.
+`git archive COMMIT eelgrasshall` gives it; further flags leave out kinds of
+stutter.
 """
 
 import argparse
@@ -38,10 +39,11 @@
 # Longest pause of a caller between an answer and its next request.
 MAX_PAUSE_S = 0.01
 SERVICE_TIME_S = 0.008
-# Shares of the answers that are sent twice or in part, of the requests that
-# fail or are turned away, and of those that take five times as long.
-COPY_SHARE = 0.2
-CUT_SHARE = 0.03
+# What servers do to their answers.
+HABITS = stutter.Habits(
+    copies=0.2, cuts=0.03, cut_copies=0.4, other_status=0.4, no_id=0.3
+)
+# Shares of the requests that fail, are turned away, or take five times as long.
 FAILURE_SHARE = 0.08
 REFUSAL_SHARE = 0.04
 SLOW_SHARE = 0.05
@@ -197,6 +199,7 @@
       seed: The seed.
       folder: Directory for settings files and logs.
       port: First port.
+      habits: How often the servers stutter, and how.
       sources: Folder with another version of the program; None for this one.
     """
 
@@ -206,8 +209,10 @@
         seed: int,
         folder: pathlib.Path,
         port: int,
+        habits: stutter.Habits = HABITS,
         sources: pathlib.Path | None = None,
     ):
+        self._habits = habits
         self._seed = seed
         self._random = random_module.Random(seed)
         self.fleet = fleet_module.Fleet(
@@ -249,8 +254,7 @@
                 server.refusal_share = REFUSAL_SHARE
                 server.slow_share = SLOW_SHARE
                 server.stutterer.random.seed(f"{self._seed} {name}")
-                server.stutterer.copy_share = COPY_SHARE
-                server.stutterer.cut_share = CUT_SHARE
+                server.stutterer.habits = self._habits
             end_s = asyncio.get_running_loop().time() + seconds
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._renew_servers(end_s))
@@ -384,17 +388,15 @@
       request_id: Id of the request.
     """
     causes = []
-    # Copies since the answer before.
+    # Copies since the answer before, and the request of that.
     copies: list[stutter.Sent] = []
     previous_id: str | None = None
     for each in sent:
         if each.kind in stutter.COPY_KINDS:
             copies.append(each)
-            if previous_id == request_id and each.kind in (
-                stutter.Kind.AT_ONCE,
-                stutter.Kind.BEHIND,
-            ):
-                causes.append(f"after it: {each.describe()}")
+            if previous_id == request_id:
+                own = "" if each.request_id == request_id else " of an earlier"
+                causes.append(f"after it: {each.describe()}{own}")
             continue
         if each.request_id == request_id:
             causes += [f"before it: {copy.describe()}" for copy in copies]
@@ -410,6 +412,7 @@
     seed: int,
     seconds: float,
     folder: pathlib.Path,
+    habits: stutter.Habits = HABITS,
     sources: pathlib.Path | None = None,
 ) -> Result:
     """Runs one seed on ports that are free.
@@ -423,7 +426,9 @@
     count += servers * (_SERVER_PORTS + HOSTS)
     port, reservation = free_ports.reserve_ports(count)
     with reservation:
-        run = StutterRun(seed=seed, folder=folder, port=port, sources=sources)
+        run = StutterRun(
+            seed=seed, folder=folder, port=port, habits=habits, sources=sources
+        )
         return await run.run(seconds)
 
 
@@ -481,9 +486,13 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
+    for name, share in HABITS._asdict().items():
+        flag = f"--{name.replace('_', '-')}"
+        parser.add_argument(flag, type=float, default=share)
     parser.add_argument("--sources", type=pathlib.Path)
     parser.add_argument("--folder", type=pathlib.Path, default="out/stutter")
     args = parser.parse_args()
+    habits = stutter.Habits(*(vars(args)[name] for name in HABITS._fields))
     failed = False
     for seed in range(args.seed, args.seed + args.seeds):
         result = asyncio.run(
@@ -491,6 +500,7 @@
                 seed=seed,
                 seconds=args.seconds,
                 folder=args.folder / str(seed),
+                habits=habits,
                 sources=args.sources,
             )
         )
