Soak: a flag for the first fault

So that a check can be seen to fail with its mechanism taken out: random draws depend on real time, so a seed alone does not bring a fault about.

--- a/eelgrasshall/platform/soak.py
+++ b/eelgrasshall/platform/soak.py
@@ -766,6 +766,7 @@
     parser.add_argument(
         "--interval", type=float, default=MEAN_REQUEST_INTERVAL_S
     )
+    parser.add_argument("--first-fault", choices=sorted(soak_faults.FAULTS))
     parser.add_argument("--port", type=int, default=24000)
     parser.add_argument("--folder", type=pathlib.Path, default="out/soak")
     args = parser.parse_args()
@@ -779,6 +780,7 @@
                 port=args.port,
                 hosts=args.hosts,
                 interval_s=args.interval,
+                first_fault=args.first_fault,
             )
         )
         failed_seeds += bool(soak.breaches)
