--- a/eelgrasshall/platform/soak_checks_test.py
+++ b/eelgrasshall/platform/soak_checks_test.py
@@ -255,3 +255,116 @@
     assert _find_quota_excess([*within, 23.5]) == ["a: 35 of 34"]
     assert not _find_quota_excess([*within, 25.1])
     assert not _find_quota_excess([*within, 23.5], tenant="b")
+
+
+_SHARDS = ("a", "b", "c")
+_RECORDS = {
+    name: [number * 16 for number in numbers]
+    for name, numbers in (
+        ("a", (b"9", b"1")),
+        ("b", (b"7", b"8")),
+        ("c", (b"5", b"6")),
+    )
+}
+# Answers to the request q, the failure included, and one to another.
+_SIGNED = {
+    f"{service}.{request_id}.{status}": fake_server.Answer(
+        f"{service}-0", request_id, status, b"".join(_RECORDS[service])
+    )
+    for service in _SHARDS
+    for request_id in ("q", "other")
+    for status in (200, 500)
+}
+
+
+def _list_reasons(
+    kind: str,
+    status: int,
+    headers: dict[str, str],
+    body: bytes = b"",
+    *,
+    executed=(),
+) -> list[str]:
+    answer = soak_checks.CallerAnswer("q", kind, status, headers, body)
+    found = soak_checks.find_wrong_answers(
+        [answer], _SIGNED, executed, shards=_SHARDS, top=3, min_share=0.5
+    )
+    return [each.reason for each in found]
+
+
+def _search(seals: list[str], missing: int, records: bytes) -> list[str]:
+    headers = {
+        "x-part-seals": ", ".join(seals),
+        "x-parts-missing": str(missing),
+    }
+    body = b"".join(bytes([record]) * 16 for record in records)
+    return _list_reasons("search", 200, headers, body)
+
+
+def test_search_of_whole_parts_is_right():
+    assert not _search(["a.q.200", "b.q.200", "c.q.200"], 0, b"987")
+    assert not _search(["c.q.200", "a.q.200"], 1, b"965")
+
+
+def test_search_with_a_part_without_records_is_found():
+    # The next greatest record stands in place of those that are missing.
+    assert _search(["a.q.200", "b.q.200", "c.q.200"], 0, b"965") == [
+        "part without its records"
+    ]
+    assert _search(["a.q.200", "b.q.200"], 1, b"981") == ["other records"]
+
+
+def test_search_with_a_part_that_is_no_answer_to_it_is_found():
+    assert _search(["a.q.200", "b.other.200"], 1, b"987") == [
+        "part of another request"
+    ]
+    assert _search(["a.q.200", "b.q.500"], 1, b"987") == ["part is a failure"]
+    assert _search(["a.q.200", "b.q.2"], 1, b"987") == [
+        "no signature of a server"
+    ]
+    assert _search([], 3, b"") == ["no signature of a server"]
+
+
+def test_search_with_a_wrong_number_of_parts_is_found():
+    assert _search(["a.q.200", "b.q.200"], 0, b"987") == [
+        "wrong number of parts"
+    ]
+    assert _search(["a.q.200", "a.q.200"], 1, b"991") == [
+        "wrong number of parts"
+    ]
+    assert _search(["a.q.200"], 2, b"91") == ["too few parts"]
+
+
+def test_single_answer_is_right_with_signature_status_and_body():
+    body = b"".join(_RECORDS["a"])
+    for status in (200, 500):
+        seal = {"x-server-seal": f"a.q.{status}", "x-attempt-id": "q"}
+        assert not _list_reasons("single", status, seal, body)
+    assert not _list_reasons("once", 504, {})
+
+
+def test_single_answer_that_differs_from_the_servers_is_found():
+    body = b"".join(_RECORDS["a"])
+    for status, headers, expected in (
+        (200, {}, "no signature of a server"),
+        (200, {"x-server-seal": "a.q.2"}, "no signature of a server"),
+        (200, {"x-server-seal": "a.other.200"}, "answer to another request"),
+        (500, {"x-server-seal": "a.other.500"}, "answer to another request"),
+        (200, {"x-server-seal": "a.q.500"}, "failure passed on as success"),
+        (504, {"x-server-seal": "a.q.500"}, "failure with another status"),
+        (500, {"x-server-seal": "a.q.200"}, "failure with another status"),
+        (502, {"x-attempt-id": "other"}, "answer to another request"),
+        (404, {}, "unsigned status 404"),
+    ):
+        assert _list_reasons("single", status, headers, body) == [expected]
+    seal = {"x-server-seal": "a.q.200"}
+    assert _list_reasons("once", 200, seal, body[:16]) == ["not the whole body"]
+
+
+def test_refusal_of_what_was_executed_is_found():
+    assert not _list_reasons("once", 503, {}, executed={"other"})
+    assert _list_reasons("once", 503, {}, executed={"q"}) == [
+        "refused though executed"
+    ]
+    # It may run again, so the refusal does not mislead.
+    assert not _list_reasons("single", 503, {}, executed={"q"})
