Do not pass on a server's success that has no signature

Cause: the response that ended the last attempt is passed on as an error response, whatever its status. A 2xx response without a signature counts as failed and came back as it was. An empty signature counted as one.

Such a response now ends in 502, as the request may have run; the attempt is still repeated first where that is allowed. review_of_answers_test: the nine cases failed before. The tests of fan-outs, messages, request handler, backend servers, late copies, lost links, hedging, quarantine, unreachable servers and load replay pass.

--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -570,11 +570,17 @@
 
         For a single service, an error response is kept to be passed on,
         unless the caller could conclude from it that the request did not run.
+        A success that failed here lacks its signature, and the caller would
+        take it for one.
         """
         shard.failed = True
         if self._route.shards or not isinstance(outcome, messages.Reply):
             return
-        if outcome.not_run or outcome.status in NOT_RUN_STATUSES:
+        if (
+            outcome.not_run
+            or outcome.status in NOT_RUN_STATUSES
+            or 200 <= outcome.status < 300
+        ):
             return
         shard.reply = outcome
 
--- a/eelgrasshall/gateway/messages.py
+++ b/eelgrasshall/gateway/messages.py
@@ -122,7 +122,7 @@
     @property
     def succeeded(self) -> bool:
         """Whether the response has a 2xx status and a signature."""
-        return 200 <= self.status < 300 and self.seal is not None
+        return 200 <= self.status < 300 and bool(self.seal)
 
 
 class FailureKind(enum.Enum):
