Tests of the review: responses joined within a body, HEAD, lost answers

Wrong answers: a response that is cut within its body and then sent a second time on the connection is taken with the head of the second one in its body.

Lost answers: an id with a space behind it, a Via header with the address of a proxy, a text without length that has over 256 status lines.

Cost: 60 KB that begin with 255 nested heads take 1.2 s of processor time.

--- a/eelgrasshall/gateway/review_of_answers_test.py
+++ b/eelgrasshall/gateway/review_of_answers_test.py
@@ -1,10 +1,11 @@
 """Tests of answers that are not the whole response to their own request.
 
 They cover what a caller may get from a server that answers one request twice or
-in part.
+in part, and right responses that look like two.
 """
 
 import asyncio
+import time
 
 import pytest
 
@@ -12,6 +13,7 @@
 from eelgrasshall.gateway import fanout
 from eelgrasshall.gateway import messages
 
+_STATUS_LINE_BYTES = len(b"HTTP/1.1 200")
 _BODY = b"".join(b"record %02d of 16" % number for number in range(6))
 
 
@@ -29,6 +31,14 @@
     )
 
 
+def _encode_without_length(request_id: bytes, body: bytes) -> bytes:
+    """Returns a response that ends with its connection."""
+    return b"HTTP/1.1 200 Status\r\nX-Id: %s\r\nX-Seal: seal\r\n\r\n%s" % (
+        request_id,
+        body,
+    )
+
+
 async def _receive(pieces: list[bytes], request_id: str = "b2") -> object:
     """Returns the outcome of a request whose server closes after the pieces."""
     connected = fakes.ConnectedBackend()
@@ -85,6 +95,79 @@
     return outcome
 
 
+@pytest.mark.parametrize("together", [False, True])
+async def test_body_cut_off_is_not_filled_up_by_the_second_response(together):
+    # A server breaks off within the body of its first response to a request and
+    # sends the second one on the same connection.  Both have the right id.  The
+    # body had the head of the second response where its rest was due.
+    response = _encode(b"b2", _BODY)
+    head_bytes = len(response) - len(_BODY)
+    wrong = []
+    for end in range(head_bytes, len(response) - _STATUS_LINE_BYTES + 1):
+        pieces = [response[:end], response]
+        outcome = await _receive([b"".join(pieces)] if together else pieces)
+        if isinstance(outcome, messages.Reply) and outcome.body != _BODY:
+            wrong.append(end - head_bytes)
+    assert not wrong
+
+
+async def test_end_of_a_body_is_not_the_begin_of_the_second_response():
+    # As above, with less to come than shows a status line.  The rest of the
+    # line arrives in the same read, behind the body.
+    response = _encode(b"b2", _BODY)
+    wrong = []
+    for missing in range(1, _STATUS_LINE_BYTES):
+        outcome = await _receive([response[:-missing] + response])
+        if isinstance(outcome, messages.Reply) and outcome.body != _BODY:
+            wrong.append(missing)
+    assert not wrong
+
+
+async def test_chunk_cut_off_is_not_filled_up_by_the_second_response():
+    # The chunk ended with the last header of the second response, whose line
+    # end and whose chunks then passed for the rest of the first one.
+    head = (
+        b"HTTP/1.1 200 Status\r\nX-Id: b2\r\nX-Seal: seal\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n"
+    )
+    body = _BODY * 2
+    response = head + b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+    wrong = []
+    for end in range(len(head), len(response)):
+        for pieces in (
+            [response[:end] + response],
+            [response[:end], response],
+        ):
+            outcome = await _receive(pieces)
+            if isinstance(outcome, messages.Reply) and outcome.body != body:
+                wrong.append(end - len(head))
+    assert not wrong
+
+
+async def test_search_does_not_lose_records_to_the_second_response_of_a_part():
+    # The answer named the signature of the part, lacked its greatest record and
+    # had the next one in its place.
+    part = _encode(b"a1", b"A" * 16 + b"B" * 16 + b"z" * 16)
+    other = _encode(b"a1", b"T" * 32, headers=b"X-Seal: other\r\n")
+    outcome = await _run(
+        [part[:-16] + part, other], shards=("p", "q"), replicas=1
+    )
+    seals = dict(outcome.headers)[fakes.NAMES.part_seals]
+    assert b"other" in seals
+    if b"seal" in seals:
+        assert outcome.body == b"z" * 16 + b"T" * 16
+
+
+@pytest.mark.parametrize("copies", [1, 2])
+async def test_response_to_head_has_no_body_whatever_length_it_states(copies):
+    # A response to HEAD states the length of a body that does not follow.  The
+    # request timed out, or the copy of the head became the body.
+    head = _encode(b"a1", b"x" * 40)[:-40]
+    outcome = await _run([head * copies], method="HEAD")
+    assert outcome.status == 200
+    assert outcome.body == b""
+
+
 @pytest.mark.parametrize("status", [200, 206])
 @pytest.mark.parametrize("idempotent", [False, True])
 @pytest.mark.parametrize("headers", [b"", b"X-Seal: \r\n"])
@@ -111,12 +194,47 @@
     assert outcome.body == b"T" * 16
 
 
+@pytest.mark.parametrize(
+    "response_id", [b"b2 ", b"b2\t", b"  b2"], ids=["space", "tab", "before"]
+)
+async def test_space_around_an_id_is_no_part_of_it(response_id):
+    # Every attempt failed as the response to another request.
+    outcome = await _receive([_encode(response_id, _BODY)])
+    assert isinstance(outcome, messages.Reply)
+
+
 @pytest.mark.parametrize("response_id", [b"B2", b"b 2", b"b2,b2", b"b", b"b22"])
 async def test_id_that_is_only_alike_is_another_one(response_id):
     outcome = await _receive([_encode(response_id, _BODY)])
     assert outcome == messages.Failure(messages.FailureKind.INVALID_RESPONSE)
 
 
+async def test_host_in_a_header_is_no_status_line():
+    # All responses of servers behind such a proxy were rejected.
+    via = b"X-Seal: seal\r\nVia: HTTP/1.1 192.168.0.1:8080\r\n"
+    outcome = await _receive([_encode(b"b2", _BODY, headers=via)])
+    assert isinstance(outcome, messages.Reply)
+
+
+async def test_text_with_many_status_lines_is_no_response():
+    # All attempts at such a document fail where it has over 256 of the lines.
+    body = b"GET /a HTTP/1.1 200 512\n" * 300
+    outcome = await _receive([_encode_without_length(b"b2", body)])
+    assert isinstance(outcome, messages.Reply)
+
+
+async def test_body_of_nested_heads_costs_little_to_look_through():
+    # Each of the status lines begins a head that goes on for 60 KB.
+    body = b"HTTP/1.1 200 \r\nA:" * 255 + b"\r\n" + b"a:\r\n" * 14_000 + b"\r\n"
+    connected = fakes.ConnectedBackend()
+    connected.send("b2")
+    connected.feed(_encode_without_length(b"b2", body))
+    started_s = time.process_time()
+    connected.connection.eof_received()
+    assert time.process_time() - started_s < 0.1
+    await connected.close()
+
+
 async def test_state_of_a_response_does_not_outlast_it():
     # Status, headers, body and size of a response must not be those of the one
     # before on its connection.
