Reject a body that was filled up by a second response

A server breaks off within the body of a response and sends the response once more on the connection: the beginning of the second one fills up the first. This is among what the users' servers do (they stutter) and shows as their record does: a record of a part is missing, and the next one stands there.

Cause: a body ends with its stated length, whatever its bytes are.

A response fails if bytes behind it in the same read are no response, and if its body holds a status line and, after it, a header with the name of the id or the signature. What remains: a second response of which exactly the missing bytes arrive, without such a header. The address of a proxy in a header is no status line.

--- a/eelgrasshall/gateway/connections.py
+++ b/eelgrasshall/gateway/connections.py
@@ -160,6 +160,9 @@
         except response_parser.InvalidResponse as error:
             self._reject(error.reason)
             return
+        if self._parser.has_garbage:
+            self._reject(response_parser.MALFORMED)
+            return
         if self._parser.complete:
             self._complete_attempt()
             return
--- a/eelgrasshall/gateway/response_parser.py
+++ b/eelgrasshall/gateway/response_parser.py
@@ -8,15 +8,13 @@
 
 # How a response begins.  Within a header or the reason phrase, it shows that a
 # response was cut off there and another one followed on the connection.
-_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?=[ \r\n]|\Z)")
 # Reasons for which bytes are no valid response.
 MALFORMED = "malformed"
 OVERSIZED = "oversized"
 REPEATED_HEADER = "repeated_header"
 STATUS_LINE_IN_HEAD = "status_line_in_head"
 RESPONSE_IN_BODY = "response_in_body"
-# Status lines in a body that are looked at; a body with more is rejected.
-MAX_STATUS_LINES = 256
 # These state where the body ends.
 _FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
@@ -47,6 +45,8 @@
       complete: Whether the response has ended.
       keeps_open: Whether the connection stays open after the response.
       has_extra: Whether bytes followed that do not belong to the response.
+      has_garbage: Whether they are no response either.  Then the response may
+        have been cut off, and its body filled up by the beginning of the next.
       status: The HTTP status; 0 before the end of the head.
       headers: The headers, with names as received; without trailers.
       body_bytes: Size of the part of the body that has arrived.
@@ -62,6 +62,7 @@
         self.complete = False
         self.keeps_open = False
         self.has_extra = False
+        self.has_garbage = False
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.body_bytes = 0
@@ -102,7 +103,7 @@
                     f"invalid response: {error}"
                 )
                 raise fault from error
-            self.has_extra = True
+            self.has_extra = self.has_garbage = True
         if not self.complete and self._is_too_long():
             raise InvalidResponse("response too large", reason=OVERSIZED)
 
@@ -114,33 +115,39 @@
         Raises:
           InvalidResponse: The body may have another response at its end.
         """
-        framed = not self._seen_headers.isdisjoint(_FRAMING_HEADERS)
-        if self.complete or not self.status or framed:
+        if self.complete or not self.status or self._is_framed:
             return
-        if self._holds_response():
-            raise InvalidResponse(
-                "response within a body", reason=RESPONSE_IN_BODY
-            )
+        self._check_body()
         self.complete = True
         self.keeps_open = False
 
-    def _holds_response(self) -> bool:
-        """Returns whether the body seems to contain another response.
+    @property
+    def _is_framed(self) -> bool:
+        """Whether the head states where the body ends."""
+        return not self._seen_headers.isdisjoint(_FRAMING_HEADERS)
+
+    def _check_body(self) -> None:
+        """Looks for another response within the body.
 
-        That is a head which has one of the headers that the user of the parser
-        has named, so that a text about HTTP is none, or which the body breaks
-        off.
+        A text about HTTP has no header that the user of the parser has named.
+
+        Raises:
+          InvalidResponse: A status line and such a header are in the body, or a
+            body without a stated length ends within a head.
         """
         body = self.body
+        starts = [match.start() for match in _STATUS_LINE.finditer(body)]
+        if not starts:
+            return
+        text = body[starts[0] :].lower()
         names = self._unique_headers - _FRAMING_HEADERS
-        for count, match in enumerate(_STATUS_LINE.finditer(body)):
-            head = _Head(unique_headers=names)
-            head.feed(
-                body[match.start() : match.start() + self._max_head_bytes]
+        if any(b"\n%s:" % name in text for name in names) or (
+            not self._is_framed
+            and _is_unfinished_head(
+                body[starts[-1] : starts[-1] + self._max_head_bytes]
             )
-            if head.is_suspect or count >= MAX_STATUS_LINES:
-                return True
-        return False
+        ):
+            self._reject("response within a body", RESPONSE_IN_BODY)
 
     # Callbacks of the parser.
 
@@ -205,7 +212,11 @@
         self._body.append(data)
 
     def on_message_complete(self) -> None:
-        """Notes the end of the response; skips interim ones."""
+        """Notes the end of the response; skips interim ones.
+
+        Raises:
+          InvalidResponse: The body seems to contain another response.
+        """
         if self.complete:
             return
         if not self.status:
@@ -213,6 +224,7 @@
             self._seen_headers.clear()
             self._reason_phrase = b""
             return
+        self._check_body()
         self.complete = True
         self.keeps_open = self._parser.should_keep_alive()
 
@@ -237,41 +249,22 @@
         return self._received_bytes > limit
 
 
-class _Head:
-    """Tells whether bytes begin with the head of a response, or a part of it.
-
-    Args:
-      unique_headers: Names, in lower case, of headers that show that it is the
-        head of a response.
-    """
-
-    def __init__(self, *, unique_headers: frozenset[bytes]):
-        self._unique_headers = unique_headers
-        self._parser = httptools.HttpResponseParser(self)
-        self._is_whole = False
-        self._is_valid = True
-        self._names: set[bytes] = set()
+class _HeadEnd:
+    """A receiver of a parser's callbacks that notes the end of the head."""
 
-    @property
-    def is_suspect(self) -> bool:
-        """Whether the bytes are a part of a head, or one with such a header."""
-        if self._is_whole:
-            return not self._names.isdisjoint(self._unique_headers)
-        return self._is_valid
-
-    def feed(self, data: bytes) -> None:
-        """Parses the bytes."""
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._is_valid = False
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores the name of a header."""
-        del value
-        if not self._is_whole:
-            self._names.add(name.lower())
+    def __init__(self):
+        self.seen = False
 
     def on_headers_complete(self) -> None:
         """Notes the end of the head."""
-        self._is_whole = True
+        self.seen = True
+
+
+def _is_unfinished_head(data: bytes) -> bool:
+    """Returns whether data is the beginning of a head, without its end."""
+    head_end = _HeadEnd()
+    try:
+        httptools.HttpResponseParser(head_end).feed_data(data)
+    except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        return False
+    return not head_end.seen
