End a response to HEAD with its head; ids without the space around them

What callers got: 504 for each HEAD request whose response states a length, as hosts waited for a body that never follows; with a second response in the same read, a success whose body was the head of that one (MIXED). And 502 for all requests to a server that sends a space behind the id, which is no part of a header's value: every response counted as crossed.

An attempt tells whether a response may have a body. The id and the signature are taken without the white space around them. review_of_answers_test: the four cases failed before.

--- a/eelgrasshall/gateway/attempts.py
+++ b/eelgrasshall/gateway/attempts.py
@@ -44,6 +44,7 @@
         the caller retries it; None for a health check.
       route_name: The route of the request; empty for a health check.
       is_extra: Whether it is a hedge or a retry.
+      expects_body: Whether a response may have a body.
     """
 
     __slots__ = (
@@ -55,6 +56,7 @@
         "due_s",
         "encode",
         "expected_latency_s",
+        "expects_body",
         "is_extra",
         "needs_new_connection",
         "owner",
@@ -80,9 +82,11 @@
         compute_fingerprint: Callable[[], str] | None = None,
         route_name: str = "",
         is_extra: bool = False,
+        expects_body: bool = True,
     ):
         self.route_name = route_name
         self.is_extra = is_extra
+        self.expects_body = expects_body
         self.compute_fingerprint = compute_fingerprint
         self.owner = owner
         self.tag = tag
--- a/eelgrasshall/gateway/connections.py
+++ b/eelgrasshall/gateway/connections.py
@@ -34,6 +34,8 @@
 # reused.
 IDLE_TIMEOUT_SHARE = 0.7
 
+# Surrounds the value of a header without being a part of it.
+_WHITESPACE = b" \t"
 # Why bytes of a server do not count as a response, beside the reasons of
 # `response_parser`.  The response was cut off:
 CUT = "cut"
@@ -137,6 +139,7 @@
             max_head_bytes=MAX_HEAD_BYTES,
             get_max_body_bytes=environment.receive_buffer.get_body_limit,
             unique_headers=frozenset((names.request_id, names.seal)),
+            has_body=attempt.expects_body,
         )
         self.transport.write(data)
         self.backend.record_bytes(attempt, len(data))
@@ -215,9 +218,9 @@
         for key, value in parser.headers:
             name = key.lower()
             if name == names.request_id:
-                response_id = value
+                response_id = value.strip(_WHITESPACE)
             elif name == names.seal:
-                seal = value
+                seal = value.strip(_WHITESPACE)
             elif name == names.not_run:
                 not_run = True
             elif name == names.leaving:
--- a/eelgrasshall/gateway/fanout.py
+++ b/eelgrasshall/gateway/fanout.py
@@ -508,6 +508,7 @@
             compute_fingerprint=self._compute_fingerprint,
             route_name=self._route.name,
             is_extra=bool(shard.tried),
+            expects_body=self._request.method != b"HEAD",
         )
         shard.active.append(attempt)
         shard.tried.append(chosen)
--- a/eelgrasshall/gateway/response_parser.py
+++ b/eelgrasshall/gateway/response_parser.py
@@ -40,6 +40,7 @@
         bytes.
       unique_headers: Names, in lower case, of headers that a response may have
         once at most, beside those that state the length of its body.
+      has_body: Whether a body may follow the head, whatever the head states.
 
     Attributes:
       complete: Whether the response has ended.
@@ -58,6 +59,7 @@
         max_head_bytes: int,
         get_max_body_bytes: Callable[[], int],
         unique_headers: frozenset[bytes] = frozenset(),
+        has_body: bool = True,
     ):
         self.complete = False
         self.keeps_open = False
@@ -68,6 +70,7 @@
         self.body_bytes = 0
         self._max_head_bytes = max_head_bytes
         self._get_max_body_bytes = get_max_body_bytes
+        self._has_body = has_body
         self._unique_headers = unique_headers | _FRAMING_HEADERS
         self._seen_headers: set[bytes] = set()
         self._reason_phrase = b""
@@ -103,7 +106,8 @@
                     f"invalid response: {error}"
                 )
                 raise fault from error
-            self.has_extra = self.has_garbage = True
+            self.has_extra = True
+            self.has_garbage = self._has_body
         if not self.complete and self._is_too_long():
             raise InvalidResponse("response too large", reason=OVERSIZED)
 
@@ -197,6 +201,9 @@
         status = self._parser.get_status_code()
         if status >= 200 and not self.complete:
             self.status = status
+            if not self._has_body:
+                self.complete = True
+                self.keeps_open = self._parser.should_keep_alive()
 
     def on_body(self, data: bytes) -> None:
         """Appends a fragment of the body.
@@ -205,6 +212,7 @@
           InvalidResponse: The body exceeds the limit.
         """
         if self.complete:
+            self.has_extra = True
             return
         self.body_bytes += len(data)
         if self.body_bytes > self._get_max_body_bytes():
