--- a/eelgrasshall/gateway/review_of_answers_test.py
+++ b/eelgrasshall/gateway/review_of_answers_test.py
@@ -9,9 +9,11 @@
 
 import pytest
 
+from eelgrasshall.gateway import connections
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import fanout
 from eelgrasshall.gateway import messages
+from eelgrasshall.gateway import model
 
 _STATUS_LINE_BYTES = len(b"HTTP/1.1 200")
 _BODY = b"".join(b"record %02d of 16" % number for number in range(6))
@@ -54,6 +56,21 @@
     return owner.outcomes[attempt]
 
 
+def _make_fanout(
+    context: fakes.Context, route: model.Route, *, method: str = "GET"
+) -> fanout.Fanout:
+    """Returns the fan-out of request a1."""
+    return fanout.Fanout(
+        context=context,
+        request=fakes.make_request(method=method),
+        route=route,
+        services=tuple(context.backends),
+        request_id=b"a1",
+        deadline_s=context.loop.time() + 0.5,
+        has_waiting=lambda: False,
+    )
+
+
 async def _run(
     responses: list[bytes],
     *,
@@ -68,17 +85,10 @@
     """
     services = shards or ("orders",)
     context = fakes.Context(services, replicas=replicas)
-    request_fanout = fanout.Fanout(
-        context=context,
-        request=fakes.make_request(method=method),
-        route=fakes.make_route(
-            shards=shards, idempotent=idempotent, min_share=0.5, top_n=2
-        ),
-        services=services,
-        request_id=b"a1",
-        deadline_s=context.loop.time() + 0.5,
-        has_waiting=lambda: False,
+    route = fakes.make_route(
+        shards=shards, idempotent=idempotent, min_share=0.5, top_n=2
     )
+    request_fanout = _make_fanout(context, route, method=method)
     task = context.loop.create_task(request_fanout.run())
     servers = [each for name in services for each in context.backends[name]]
     for response in responses:
@@ -263,3 +273,72 @@
     assert buffer.size == 0
     assert not connected.transport.closed
     await connected.close()
+
+
+async def test_failure_with_another_id_is_not_taken_on_a_new_connection():
+    # Without an id it would be taken there.
+    outcome = await _receive([_encode(b"a1", b"", status=503)])
+    assert outcome == messages.Failure(messages.FailureKind.INVALID_RESPONSE)
+
+
+async def test_connection_that_the_server_closes_gets_no_other_request():
+    # The request would be lost, as the server reads nothing more.
+    connected = fakes.ConnectedBackend()
+    attempt, owner = connected.send("a1")
+    closing = b"X-Seal: seal\r\nConnection: close\r\n"
+    connected.feed(_encode(b"a1", _BODY, headers=closing))
+    assert owner.get_reply(attempt).body == _BODY
+    assert connected.transport.closed
+    await connected.close()
+
+
+async def test_response_that_is_lost_leaves_no_bytes_counted():
+    # The count only grew, until the host took no large responses any more.
+    connected = fakes.ConnectedBackend()
+    connected.send("a1")
+    connected.feed(_encode(b"a1", _BODY)[:-1])
+    connected.connection.connection_lost(None)
+    assert connected.backend.environment.receive_buffer.size == 0
+    await connected.close()
+
+
+async def test_hedge_does_not_go_to_the_server_of_the_first_attempt():
+    # Both attempts have one id, so that each could get the other's response.
+    context = fakes.Context(("orders",), replicas=1)
+    [server] = context.backends["orders"]
+    second = fakes.Transport()
+    connection = connections.Connection(backend=server.backend)
+    connection.connection_made(second)
+    server.backend.add_connection(connection)
+    request_fanout = _make_fanout(context, fakes.make_route())
+    task = context.loop.create_task(request_fanout.run())
+    await asyncio.sleep(0.1)
+    assert len(server.backend.pending) == 1
+    assert len(server.transport.written) + len(second.written) == 1
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    await server.close()
+
+
+@pytest.mark.parametrize("is_lost", [False, True])
+async def test_request_that_may_run_once_is_offered_to_no_second_server(
+    is_lost,
+):
+    # A second attempt that was only waiting for its connection would run it
+    # twice; the outcome is the same until then.
+    context = fakes.Context(("orders",))
+    servers = context.backends["orders"]
+    request_fanout = _make_fanout(context, fakes.make_route(idempotent=False))
+    task = context.loop.create_task(request_fanout.run())
+    for _ in range(3):
+        await asyncio.sleep(0)
+    [server] = [each for each in servers if each.backend.pending]
+    server.backend.add_connection(server.connection)
+    if is_lost:
+        server.connection.connection_lost(None)
+    else:
+        server.feed(_encode(b"b2", _BODY))
+    assert not any(each.backend.pending for each in servers)
+    assert (await task).status == 502
+    for each in servers:
+        await each.close()
