Close the connections that tests open, which ended runs on 3.11

Cause: on 3.11.6 a StreamWriter that is collected after its event loop was closed raises "Event loop is closed". That failed whichever test ran at the time: with 3.11.6, three tests of transport, coordination and the rest, and five or six of the gateway. Twelve tests left such writers behind, all on the side of a scripted server whose handler returned without closing, still slept, or still read (found by a pytest plugin, a trial, that lists the writers open after each test).

Change: fakes/streams.py serves scripted connections and, at the end, cancels the handlers and resets what they left open. The tests use it; upstream_test closes its connections itself, as its server has to be closed earlier than these. No assertion is changed.

--- a/eelgrasshall/gateway/client_test.py
+++ b/eelgrasshall/gateway/client_test.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from eelgrasshall.fakes import streams
 from eelgrasshall.gateway import client
 from eelgrasshall.gateway import model
 
@@ -26,12 +27,10 @@
                 await asyncio.sleep(pause_s)
         writer.close()
 
-    server = await asyncio.start_server(answer, "127.0.0.1", 0)
-    address = model.Address(*server.sockets[0].getsockname())
-    try:
-        yield client.JsonClient(address=address, accepts_gzip=True)
-    finally:
-        server.close()
+    async with streams.serve(answer) as address:
+        yield client.JsonClient(
+            address=model.Address(*address), accepts_gzip=True
+        )
 
 
 def _encode(body: bytes, header: bytes = b"") -> bytes:
--- a/eelgrasshall/gateway/host_test.py
+++ b/eelgrasshall/gateway/host_test.py
@@ -6,7 +6,10 @@
 import os
 import random
 
+import pytest
+
 from eelgrasshall.fakes import ports
+from eelgrasshall.fakes import streams
 from eelgrasshall.gateway import cold_start
 from eelgrasshall.gateway import crash_gossip
 from eelgrasshall.gateway import deletions
@@ -508,24 +511,20 @@
         writer.close()
 
     monkeypatch.setattr(host_module, "DRAIN_DELAY_S", 0.1)
-    server = await asyncio.start_server(read, "127.0.0.1", 0)
-    address = model.Address(*server.sockets[0].getsockname())
     store = _FakeStore()
     route = fakes.make_route(
         path_prefix="/find/", timeout_s=20.0, max_attempts=1, **route
     )
     configuration = fakes.make_configuration(1, routes=(route,))
     store.write(_CONFIGURATION, "main", 5, configuration)
-    store.write(
-        object_cache.Collection.SERVERS,
-        "s1",
-        6,
-        fakes.make_server("s1")._replace(address=address),
-    )
-    async with _run_host(store, grace_s=0.9) as (host, call):
-        await asyncio.sleep(0.1)
-        yield host, call, received
-    server.close()
+    async with streams.serve(read) as address:
+        server = fakes.make_server("s1")._replace(
+            address=model.Address(*address)
+        )
+        store.write(object_cache.Collection.SERVERS, "s1", 6, server)
+        async with _run_host(store, grace_s=0.9) as (host, call):
+            await asyncio.sleep(0.1)
+            yield host, call, received
 
 
 async def test_request_in_flight_at_the_end_of_the_grace_time_is_answered(
@@ -641,6 +640,7 @@
         assert host.dump()["counters"]["unreadable_objects"] >= 1
 
 
+@pytest.mark.alone
 async def test_watch_that_ends_by_an_error_begins_again(monkeypatch):
     monkeypatch.setattr(supervision, "TASK_RESTART_DELAY_S", 0.1)
     monkeypatch.setattr(watcher, "INITIAL_ROLE_DELAY_S", 0.0)
--- a/eelgrasshall/gateway/peer_sync_test.py
+++ b/eelgrasshall/gateway/peer_sync_test.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from eelgrasshall.fakes import streams
 from eelgrasshall.gateway import client
 from eelgrasshall.gateway import deletions
 from eelgrasshall.gateway import fakes
@@ -440,18 +441,20 @@
     for collection in object_cache.Collection:
         remote.advance(collection, 5)
     sync = peer_sync.PeerSync(cache=local, log=fakes.Log())
-    hanging = await asyncio.start_server(hang, "127.0.0.1", first_port)
-    async with _serve(remote, first_port + 1):
+    async with (
+        streams.serve(hang, first_port),
+        _serve(remote, first_port + 1),
+    ):
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         await sync.fetch_from_seeds(
             [model.Address("127.0.0.1", first_port + i) for i in range(2)], 1.0
         )
         assert loop.time() - started_s < 0.5
-    hanging.close()
     assert local.get_received_revision(_SERVERS) == 5
 
 
+@pytest.mark.alone
 async def test_seeds_without_data_are_asked_until_the_wait_is_over(first_port):
     remote, local = _make_cache(), _make_cache()
     sync = peer_sync.PeerSync(cache=local, log=fakes.Log())
@@ -462,9 +465,7 @@
     assert len(queries) >= 2
 
 
-async def test_log_tells_slow_sources_from_sources_that_hang(
-    monkeypatch, first_port
-):
+async def test_log_tells_slow_sources_from_sources_that_hang(monkeypatch):
     # Without duration and size, failed fetches all looked alike (inc1).
     monkeypatch.setattr(peer_sync, "FETCH_TIMEOUT_S", 0.1)
     monkeypatch.setattr(client, "STALL_TIMEOUT_S", 0.1)
@@ -478,13 +479,10 @@
 
     log = fakes.Log()
     sync = peer_sync.PeerSync(cache=_make_cache(), log=log)
-    for port, begins in ((first_port, True), (first_port + 1, False)):
-        server = await asyncio.start_server(
-            functools.partial(answer, begins=begins), "127.0.0.1", port
-        )
-        address = model.Address("127.0.0.1", port)
-        assert not await sync.fetch(f"h{port}", address)
-        server.close()
+    for name, begins in (("h1", True), ("h2", False)):
+        handle = functools.partial(answer, begins=begins)
+        async with streams.serve(handle) as address:
+            assert not await sync.fetch(name, model.Address(*address))
     failures = log.list_events("exchange_failed")
     assert [each["received_bytes"] for each in failures] == [1, 0]
     assert all(each["took_ms"] >= 100 for each in failures)
--- a/eelgrasshall/gateway/registry_test.py
+++ b/eelgrasshall/gateway/registry_test.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from eelgrasshall.fakes import streams
 from eelgrasshall.gateway import cold_start
 from eelgrasshall.gateway import connections
 from eelgrasshall.gateway import fakes
@@ -131,22 +132,20 @@
             % name
         )
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    registry, log = _make_registry()
-    registry.set_server("s1", fakes.make_server("s1", port=port), 1)
-    backend = registry.find_candidates("orders")[0]
-    backend.unreachable = True
-    registry.start_probe(backend)
-    for _ in range(200):
-        if not backend.unreachable and log.list_events("server_reached"):
-            break
-        await asyncio.sleep(0.01)
-    assert log.list_events("server_reached")
-    assert len(requests) == 2
-    assert requests[0].startswith(b"GET /health HTTP/1.1")
-    registry.close()
-    server.close()
+    async with streams.serve(serve) as (_, port):
+        registry, log = _make_registry()
+        registry.set_server("s1", fakes.make_server("s1", port=port), 1)
+        backend = registry.find_candidates("orders")[0]
+        backend.unreachable = True
+        registry.start_probe(backend)
+        for _ in range(200):
+            if not backend.unreachable and log.list_events("server_reached"):
+                break
+            await asyncio.sleep(0.01)
+        assert log.list_events("server_reached")
+        assert len(requests) == 2
+        assert requests[0].startswith(b"GET /health HTTP/1.1")
+        registry.close()
 
 
 async def test_a_cold_server_gets_only_its_share_of_requests():
--- a/eelgrasshall/gateway/upstream_test.py
+++ b/eelgrasshall/gateway/upstream_test.py
@@ -374,10 +374,12 @@
     assert "connections_opened" not in connected.counts
 
 
-async def _open_server() -> tuple[asyncio.Server, model.Server]:
+async def _open_server(
+    accepted: list[asyncio.StreamWriter],
+) -> tuple[asyncio.Server, model.Server]:
     """Returns a server that accepts connections and says nothing."""
     server = await asyncio.start_server(
-        lambda reader, writer: None, "127.0.0.1", 0
+        lambda reader, writer: accepted.append(writer), "127.0.0.1", 0
     )
     port = server.sockets[0].getsockname()[1]
     return server, fakes.make_server(port=port)
@@ -386,7 +388,8 @@
 async def test_crash_is_noticed_although_a_connection_was_just_accepted():
     # A process that ends slowly: its connections are reset, but the system
     # still accepts new ones for it, the verification's included.
-    server, registration = await _open_server()
+    accepted: list[asyncio.StreamWriter] = []
+    server, registration = await _open_server(accepted)
     connected = fakes.ConnectedBackend(server=registration)
     connected.send("a1")
     connected.connection.connection_lost(ConnectionResetError())
@@ -396,6 +399,8 @@
     verifying.connection_lost(ConnectionResetError())
     await _settle()
     assert connected.observer.unreachable == [connected.backend]
+    for writer in accepted:
+        writer.close()
 
 
 async def test_crash_is_noticed_although_all_connections_are_in_use():
