--- a/eelgrasshall/gateway/rate_limits_load_test.py
+++ b/eelgrasshall/gateway/rate_limits_load_test.py
@@ -141,8 +141,11 @@
     assert max(each.took_s for each in refused) <= 0.8
 
 
-def test_server_whose_limit_has_ended_is_used_again(loop):
-    simulation = _simulate(loop, {"p0-0": 2.2, "p0-1": 0.0}, hosts=20)
+@pytest.mark.parametrize("seed", [1, 2, 3, 4, 5, 14])
+def test_server_whose_limit_has_ended_is_used_again(loop, seed):
+    simulation = _simulate(
+        loop, {"p0-0": 2.2, "p0-1": 0.0}, hosts=20, seed=seed
+    )
     for server_id in ("p0-0", "p0-1"):
         server = simulation.servers[server_id]
         assert _count_arrivals(server, 15.0, 16.0) >= 10, server_id
