Run the tests in four processes, those that need it alone after them

The second call runs after a failure of the first, too, and each fails the run. Four workers leave half of 8 cores to the processes that tests start; `WORKERS=` sets another number. Files of the platform begin first, since they wait most and last longest.

--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,16 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN := $(VENV)/bin
+# Test processes.  On 8 cores, half are left to the processes that tests start,
+# so that tests that measure time keep their bounds.
+WORKERS ?= 4
 
 .PHONY: env format check demo measure soak
 
 env: $(VENV)/.installed
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt
+	$(PYTHON) -c "import eelgrasshall"
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet -r requirements-dev.txt
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
@@ -21,7 +25,12 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/lint-imports
-	$(BIN)/python -m pytest
+	@# The second call runs after a failure of the first, too; each fails the run.
+	status=0; \
+	$(BIN)/python -m pytest -n $(WORKERS) --dist loadfile \
+	  --no-loadscope-reorder -m "not alone" || status=1; \
+	$(BIN)/python -m pytest -m alone || status=1; \
+	exit $$status
 
 demo: env
 	$(BIN)/python -m measure.demo
--- a/conftest.py
+++ b/conftest.py
@@ -23,6 +23,7 @@
 # More than any test with this fixture uses.
 _PORTS_PER_TEST = 120
 
+_PLATFORM = pathlib.Path(__file__).parent / "eelgrasshall" / "platform"
 _KNOWN_RED = pathlib.Path(__file__).parent / "KNOWN-RED.txt"
 
 
@@ -39,7 +40,13 @@
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Marks the tests in KNOWN-RED.txt as expected failures (strict)."""
+    """Orders the tests and marks those in KNOWN-RED.txt.
+
+    Those in the list are expected failures (strict).  The files of the platform
+    begin first: each takes long, mostly waiting, and one that began last would
+    keep a single worker busy at the end.
+    """
+    items.sort(key=lambda item: _PLATFORM not in item.path.parents)
     known_red = _read_known_red()
     for item in items:
         if item.nodeid in known_red:
--- a/eelgrasshall/owner_faults_test.py
+++ b/eelgrasshall/owner_faults_test.py
@@ -7,6 +7,8 @@
 import contextlib
 import random
 
+import pytest
+
 from eelgrasshall import clock as clocks
 from eelgrasshall import invariants as invariants_module
 from eelgrasshall.coordination import executor as executors
@@ -91,6 +93,7 @@
     )
 
 
+@pytest.mark.alone
 async def test_cold_servers_warm_up_under_burst_without_crashes_or_sheds():
     async with run_owner(cold=True, cold_capacity=1, warm_step=8) as (
         servers,
--- a/eelgrasshall/platform/odd_entries_test.py
+++ b/eelgrasshall/platform/odd_entries_test.py
@@ -99,6 +99,7 @@
         await asyncio.sleep(0.7)
 
 
+@pytest.mark.alone
 @pytest.mark.parametrize(
     ("kind", "spec"),
     [
--- a/eelgrasshall/platform/unlinked_host_test.py
+++ b/eelgrasshall/platform/unlinked_host_test.py
@@ -16,6 +16,9 @@
 from eelgrasshall.platform import fault_proxy
 from eelgrasshall.platform import fleet as fleet_module
 
+# 18 processes, of which the tests compare rates in 1.5 s.
+pytestmark = pytest.mark.alone
+
 # Time after the beginning of a cut from which on the bounds hold, and time for
 # which they are checked.
 _CONTACT_S = 4.0
