Tests of the transport close their connections without the stand-ins

Cause: the layers forbid eelgrasshall.transport to use eelgrasshall.fakes, which did in two test files; lint-imports failed from there on.

Change: the two tests close what their own servers accepted. The layers are as they were.

--- a/eelgrasshall/transport/bodies_test.py
+++ b/eelgrasshall/transport/bodies_test.py
@@ -6,7 +6,6 @@
 import aiohttp
 import pytest
 
-from eelgrasshall.fakes import streams
 from eelgrasshall.transport import bodies
 from eelgrasshall.transport import connection as connections
 
@@ -73,11 +72,19 @@
             b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
         )
         await writer.drain()
+        # The connection is to stay open as long as the caller wants.
+        await reader.read()
+        writer.close()
+        closed.set()
 
-    async with streams.serve(answer) as (_, port):
-        connection = connections.Connection(host="127.0.0.1", port=port, now=0)
-        status, _, received = await connection.request(
-            "GET", "/", total_s=5.0, progress_timeout_s=2.0
-        )
-        assert status == 200 and received == body and connection.is_open()
-        await connection.close()
+    closed = asyncio.Event()
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    connection = connections.Connection(host="127.0.0.1", port=port, now=0)
+    status, _, received = await connection.request(
+        "GET", "/", total_s=5.0, progress_timeout_s=2.0
+    )
+    assert status == 200 and received == body and connection.is_open()
+    await connection.close()
+    await closed.wait()
+    server.close()
--- a/eelgrasshall/transport/peers_test.py
+++ b/eelgrasshall/transport/peers_test.py
@@ -5,7 +5,6 @@
 import pytest
 import uvloop
 
-from eelgrasshall.fakes import streams
 from eelgrasshall.protocol import messages
 from eelgrasshall.protocol import peers as codec
 from eelgrasshall.transport import frames
@@ -130,19 +129,23 @@
         await reader.read()
         writer.close()
 
-    async with streams.serve(ignore_input) as address:
-        stream = peers.PeerStream(name="a", address=peers.Address(*address))
-        failures = []
-        stream.send_request(make_request("s1"), failures.append)
-        with pytest.raises(peers.PeerError) as raised:
-            await stream.gossip(messages.Gossip("a", 1, 2))
-        assert not isinstance(raised.value, peers.PeerNotReachedError)
-        assert len(failures) == 1
-        # The next call opens a new connection.
-        with pytest.raises(peers.PeerError):
-            await stream.gossip(messages.Gossip("a", 1, 2))
-        assert len(accepted) == 2
-        stream.close()
+    server = await asyncio.start_server(ignore_input, "127.0.0.1", 0)
+    address = peers.Address(*server.sockets[0].getsockname())
+    stream = peers.PeerStream(name="a", address=address)
+    failures = []
+    stream.send_request(make_request("s1"), failures.append)
+    with pytest.raises(peers.PeerError) as raised:
+        await stream.gossip(messages.Gossip("a", 1, 2))
+    assert not isinstance(raised.value, peers.PeerNotReachedError)
+    assert len(failures) == 1
+    # The next call opens a new connection.
+    with pytest.raises(peers.PeerError):
+        await stream.gossip(messages.Gossip("a", 1, 2))
+    assert len(accepted) == 2
+    stream.close()
+    server.close()
+    for writer in accepted:
+        writer.close()
 
 
 async def test_slow_reply_does_not_close_a_connection_with_other_replies():
