--- a/eelgrasshall/transport/bodies_test.py
+++ b/eelgrasshall/transport/bodies_test.py
@@ -72,7 +72,12 @@
             b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
         )
         await writer.drain()
+        # The connection is to stay open as long as the caller wants.
+        await reader.read()
+        writer.close()
+        closed.set()
 
+    closed = asyncio.Event()
     server = await asyncio.start_server(answer, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     connection = connections.Connection(host="127.0.0.1", port=port, now=0)
@@ -81,4 +86,5 @@
     )
     assert status == 200 and received == body and connection.is_open()
     await connection.close()
+    await closed.wait()
     server.close()
