Run with stutter: ports above those of other tests, and a cut that keeps them

Cause: one run on a scratch copy had 274 answers with an unsigned 404 of another program's server: it listened on a port of the host that was cut off, which the cut had closed. A reservation does not keep such a port from a listener that allows its address to be reused.

Change: ports from 31000 on, which no test names, and a cut that hangs.

--- a/eelgrasshall/platform/free_ports.py
+++ b/eelgrasshall/platform/free_ports.py
@@ -5,9 +5,9 @@
 import socket
 
 # Below those of outgoing connections, which the system keeps for a minute after
-# their end, and below those that tests name.
-_FIRST_PORT = 10000
-_LAST_PORT = 19999
+# their end, and above those that other tests name.
+_FIRST_PORT = 31000
+_LAST_PORT = 32767
 # Most ranges that are tried.
 _MAX_TRIES = 200
 
@@ -16,7 +16,8 @@
     """Reserves ports that follow each other.
 
     Another reservation does not get them.  Listeners that allow their address
-    to be reused, as those of asyncio do, can be bound to them.
+    to be reused, as those of asyncio do, can be bound to them, also those of
+    other processes: a port on which nothing listens is not safe from these.
 
     Args:
       count: Number of ports.
--- a/eelgrasshall/platform/stutter_run.py
+++ b/eelgrasshall/platform/stutter_run.py
@@ -246,7 +246,9 @@
         try:
             for name in fleet.host_names:
                 await fleet.wait_ready(name)
-            fleet.cut_host(fleet.host_names[-1], fault_proxy.Cut.RESET)
+            # A cut that hangs keeps the ports.  On those that another cut had
+            # closed, a server of another program was reached once.
+            fleet.cut_host(fleet.host_names[-1], fault_proxy.Cut.HANG)
             await asyncio.sleep(CONTACT_S)
             for name, server in fleet.servers.items():
                 server.service_time_s = SERVICE_TIME_S
