Servers that stutter: answers without a length; more copies

And an answer that ends with its connection takes a copy behind it for a part of its body, which no server played.

Change: a share of the answers state no length and end with their connection; more copies, cuts of copies, other statuses and failures in stutter_run.py.

--- a/eelgrasshall/platform/soak_faults.py
+++ b/eelgrasshall/platform/soak_faults.py
@@ -30,7 +30,12 @@
 # What a server that stutters does to its answers, and the share of the requests
 # that it fails or turns away meanwhile.
 STUTTER_HABITS = stutter.Habits(
-    copies=0.3, cuts=0.05, cut_copies=0.4, other_status=0.4, no_id=0.3
+    copies=0.3,
+    cuts=0.05,
+    cut_copies=0.4,
+    other_status=0.4,
+    no_id=0.3,
+    unframed=0.05,
 )
 STUTTER_FAILURE_SHARE = 0.1
 # Kind of the objects in which hosts publish themselves.
--- a/eelgrasshall/platform/stutter.py
+++ b/eelgrasshall/platform/stutter.py
@@ -22,6 +22,7 @@
 MAX_DELAY_S = 2.0
 _STATUSES = (200, 404, 421, 429, 500, 503, 504)
 _ID_HEADER = b"x-attempt-id:"
+_LENGTH_HEADER = b"content-length:"
 _HEAD_END = b"\r\n\r\n"
 
 
@@ -59,6 +60,9 @@
       cut_copies: Share of the copies that are sent in part.
       other_status: Share of the copies that have another status.
       no_id: Share of the copies that state no request id.
+      unframed: Share of the answers that state no length and end with their
+        connection.  They are cut within their head only, and their copies not
+        at all: what is left could not be told from a whole body.
     """
 
     copies: float = 0.0
@@ -66,6 +70,7 @@
     cut_copies: float = 0.0
     other_status: float = 0.0
     no_id: float = 0.0
+    unframed: float = 0.0
 
 
 class Sent(NamedTuple):
@@ -79,6 +84,7 @@
       status: The status that it states.
       other_status: Whether that is not the status of the answer.
       has_id: Whether it states the id of its request.
+      framed: Whether it states the length of its body.
       delay_s: Time since the answer for a late copy, seconds; otherwise 0.
       size: Number of bytes that were sent.
       full_size: Number of bytes that a whole one has.
@@ -91,6 +97,7 @@
     status: int
     other_status: bool
     has_id: bool
+    framed: bool
     delay_s: float
     size: int
     full_size: int
@@ -105,6 +112,8 @@
                 words.append("other status")
             if not self.has_id:
                 words.append("no id")
+            if not self.framed:
+                words.append("no length")
         return ", ".join(words)
 
 
@@ -116,6 +125,7 @@
       status: The status that it states.
       other_status: Whether that is not the status of the answer.
       has_id: Whether it states the id.
+      framed: Whether it states the length of its body.
       data: The bytes.
     """
 
@@ -123,6 +133,7 @@
     status: int
     other_status: bool
     has_id: bool
+    framed: bool
     data: bytes
 
 
@@ -153,13 +164,18 @@
         self._connection_count += 1
         return self._connection_count
 
-    def choose_kind(self) -> Kind:
-        """Returns what is to become of an answer."""
+    def choose_kind(self, *, framed: bool) -> Kind:
+        """Returns what is to become of an answer.
+
+        Args:
+          framed: Whether it states the length of its body.
+        """
         draw = self.random.random()
         if draw < self.habits.cuts:
-            return self.random.choice((Kind.CUT_IN_HEAD, Kind.CUT_IN_BODY))
+            kinds = (Kind.CUT_IN_HEAD, Kind.CUT_IN_BODY)
+            return self.random.choice(kinds) if framed else Kind.CUT_IN_HEAD
         if draw < self.habits.cuts + self.habits.copies:
-            return self.random.choice(COPY_KINDS)
+            return self.random.choice(COPY_KINDS) if framed else Kind.BEHIND
         return Kind.ANSWER
 
     def choose_delay_s(self) -> float:
@@ -181,11 +197,17 @@
         """
         head, _, body = data.partition(_HEAD_END)
         status_line, *lines = head.split(b"\r\n")
+        framed = self.random.random() >= self.habits.unframed
+        if not framed:
+            lines = _remove_header(lines, _LENGTH_HEADER)
+            lines.append(b"Connection: close")
         self.random.shuffle(lines)
         request_id = _find_id(lines)
         data = b"\r\n".join((status_line, *lines)) + _HEAD_END + body
         status = int(status_line.split()[1])
-        return _Message(request_id, status, False, bool(request_id), data)
+        return _Message(
+            request_id, status, False, bool(request_id), framed, data
+        )
 
     def make_copy(self, answer: _Message) -> _Message:
         """Returns a copy of an answer, with differences that it draws."""
@@ -199,21 +221,20 @@
         head, _, body = answer.data.partition(_HEAD_END)
         status_line, *lines = head.split(b"\r\n")
         if not has_id:
-            lines = [
-                line
-                for line in lines
-                if not line.lower().startswith(_ID_HEADER)
-            ]
+            lines = _remove_header(lines, _ID_HEADER)
         if status != answer.status:
             status_line = b"HTTP/1.1 %d Status" % status
         data = b"\r\n".join((status_line, *lines)) + _HEAD_END + body
-        return _Message(
-            answer.request_id, status, status != answer.status, has_id, data
+        return answer._replace(
+            status=status,
+            other_status=status != answer.status,
+            has_id=has_id,
+            data=data,
         )
 
     def choose_part(self, copy: _Message) -> bytes:
         """Returns the bytes of a copy, or those up to a random one."""
-        if self.random.random() < self.habits.cut_copies:
+        if copy.framed and self.random.random() < self.habits.cut_copies:
             return copy.data[: self.random.randrange(1, len(copy.data))]
         return copy.data
 
@@ -235,6 +256,7 @@
                 message.status,
                 message.other_status,
                 message.has_id,
+                message.framed,
                 delay_s,
                 size,
                 len(message.data),
@@ -331,7 +353,7 @@
             self._transport.write(ahead + data)
             return
         answer = stutterer.make_answer(data)
-        kind = stutterer.choose_kind()
+        kind = stutterer.choose_kind(framed=answer.framed)
         if kind in (Kind.CUT_IN_HEAD, Kind.CUT_IN_BODY):
             size = stutterer.choose_cut(answer.data, kind)
             stutterer.record(self._number, answer, kind, size)
@@ -340,14 +362,16 @@
             return
         size = len(answer.data)
         stutterer.record(self._number, answer, Kind.ANSWER, size)
-        if kind is Kind.ANSWER:
-            self._transport.write(ahead + answer.data)
-            return
-        copy = stutterer.make_copy(answer)
-        part = stutterer.choose_part(copy)
+        copy, part = answer, b""
+        if kind is not Kind.ANSWER:
+            copy = stutterer.make_copy(answer)
+            part = stutterer.choose_part(copy)
         if kind is Kind.BEHIND:
             stutterer.record(self._number, copy, kind, len(part))
+        if kind in (Kind.ANSWER, Kind.BEHIND):
             self._transport.write(ahead + answer.data + part)
+            if not answer.framed:
+                self._transport.close()
             return
         self._transport.write(ahead + answer.data)
         if kind is Kind.AHEAD:
@@ -370,6 +394,16 @@
         self._transport.write(part)
 
 
+def _remove_header(lines: list[bytes], name: bytes) -> list[bytes]:
+    """Returns header lines without those of a header.
+
+    Args:
+      lines: The lines.
+      name: Its name in lower case, with the colon.
+    """
+    return [line for line in lines if not line.lower().startswith(name)]
+
+
 def _find_id(lines: list[bytes]) -> str:
     """Returns the request id that header lines state, or an empty string."""
     for line in lines:
--- a/eelgrasshall/platform/stutter_run.py
+++ b/eelgrasshall/platform/stutter_run.py
@@ -41,10 +41,15 @@
 SERVICE_TIME_S = 0.008
 # What servers do to their answers.
 HABITS = stutter.Habits(
-    copies=0.2, cuts=0.03, cut_copies=0.4, other_status=0.4, no_id=0.3
+    copies=0.35,
+    cuts=0.03,
+    cut_copies=0.5,
+    other_status=0.5,
+    no_id=0.3,
+    unframed=0.05,
 )
 # Shares of the requests that fail, are turned away, or take five times as long.
-FAILURE_SHARE = 0.08
+FAILURE_SHARE = 0.15
 REFUSAL_SHARE = 0.04
 SLOW_SHARE = 0.05
 # Hosts repeat what these servers spoil.
--- a/eelgrasshall/platform/stuttering_server_test.py
+++ b/eelgrasshall/platform/stuttering_server_test.py
@@ -21,8 +21,8 @@
 _SECONDS = 20.0
 # The connections are in use nearly all the time, so far more are sent.
 _MIN_REQUESTS = 1000
-# Shares of the requests that succeed.  One in eight answers is a failure or a
-# refusal, which is repeated, except for requests that may run once.
+# Shares of the requests that succeed.  Nearly one in five answers is a failure
+# or a refusal, which is repeated, except for requests that may run once.
 _MIN_SERVED = {"search": 0.9, "single": 0.7, "once": 0.6}
 
 
@@ -136,7 +136,7 @@
 async def test_late_copy_comes_while_the_next_request_is_at_the_server():
     server = _make_server(stutter.Habits(copies=1.0), 1)
     server.service_time_s = 0.1
-    server.stutterer.choose_kind = lambda: stutter.Kind.LATE
+    server.stutterer.choose_kind = lambda framed: stutter.Kind.LATE
     server.stutterer.choose_delay_s = lambda: 0.01
     sent = await _fetch_twice(server)
     assert [(each.request_id, each.kind) for each in sent] == [
@@ -156,10 +156,22 @@
     assert kinds == {stutter.Kind.CUT_IN_HEAD, stutter.Kind.CUT_IN_BODY}
 
 
+async def test_answer_without_length_ends_its_connection():
+    kinds = set()
+    for seed in range(12):
+        server = _make_server(stutter.Habits(copies=0.5, unframed=1.0), seed)
+        sent = await _fetch_twice(server)
+        assert all(each.request_id == "q0" for each in sent)
+        assert all(each.size == each.full_size for each in sent)
+        kinds.add(tuple(each.kind for each in sent))
+    answer, copy = stutter.Kind.ANSWER, stutter.Kind.BEHIND
+    assert kinds == {(answer,), (answer, copy)}
+
+
 def test_causes_are_what_was_sent_around_the_answer():
     def make(request_id, kind, *, other_status=False):
         return stutter.Sent(
-            0.0, 1, request_id, kind, 200, other_status, True, 0.0, 9, 9
+            0.0, 1, request_id, kind, 200, other_status, True, True, 0.0, 9, 9
         )
 
     answer, late = stutter.Kind.ANSWER, stutter.Kind.LATE
