--- a/eelgrasshall/gateway/response_parser.py
+++ b/eelgrasshall/gateway/response_parser.py
@@ -8,15 +8,13 @@
 
 # How a response begins.  Within a header or the reason phrase, it shows that a
 # response was cut off there and another one followed on the connection.
-_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?=[ \r\n]|\Z)")
 # Reasons for which bytes are no valid response.
 MALFORMED = "malformed"
 OVERSIZED = "oversized"
 REPEATED_HEADER = "repeated_header"
 STATUS_LINE_IN_HEAD = "status_line_in_head"
 RESPONSE_IN_BODY = "response_in_body"
-# Status lines in a body that are looked at; a body with more is rejected.
-MAX_STATUS_LINES = 256
 # These state where the body ends.
 _FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
@@ -42,11 +40,14 @@
         bytes.
       unique_headers: Names, in lower case, of headers that a response may have
         once at most, beside those that state the length of its body.
+      has_body: Whether a body may follow the head, whatever the head states.
 
     Attributes:
       complete: Whether the response has ended.
       keeps_open: Whether the connection stays open after the response.
       has_extra: Whether bytes followed that do not belong to the response.
+      has_garbage: Whether they are no response either.  Then the response may
+        have been cut off, and its body filled up by the beginning of the next.
       status: The HTTP status; 0 before the end of the head.
       headers: The headers, with names as received; without trailers.
       body_bytes: Size of the part of the body that has arrived.
@@ -58,21 +59,25 @@
         max_head_bytes: int,
         get_max_body_bytes: Callable[[], int],
         unique_headers: frozenset[bytes] = frozenset(),
+        has_body: bool = True,
     ):
         self.complete = False
         self.keeps_open = False
         self.has_extra = False
+        self.has_garbage = False
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.body_bytes = 0
         self._max_head_bytes = max_head_bytes
         self._get_max_body_bytes = get_max_body_bytes
+        self._has_body = has_body
         self._unique_headers = unique_headers | _FRAMING_HEADERS
         self._seen_headers: set[bytes] = set()
         self._reason_phrase = b""
         self._fault: InvalidResponse | None = None
         self._body: list[bytes] = []
         self._received_bytes = 0
+        self._trailer_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
 
     @property
@@ -102,6 +107,7 @@
                 )
                 raise fault from error
             self.has_extra = True
+            self.has_garbage = self._has_body
         if not self.complete and self._is_too_long():
             raise InvalidResponse("response too large", reason=OVERSIZED)
 
@@ -113,33 +119,39 @@
         Raises:
           InvalidResponse: The body may have another response at its end.
         """
-        framed = not self._seen_headers.isdisjoint(_FRAMING_HEADERS)
-        if self.complete or not self.status or framed:
+        if self.complete or not self.status or self._is_framed:
             return
-        if self._holds_response():
-            raise InvalidResponse(
-                "response within a body", reason=RESPONSE_IN_BODY
-            )
+        self._check_body()
         self.complete = True
         self.keeps_open = False
 
-    def _holds_response(self) -> bool:
-        """Returns whether the body seems to contain another response.
+    @property
+    def _is_framed(self) -> bool:
+        """Whether the head states where the body ends."""
+        return not self._seen_headers.isdisjoint(_FRAMING_HEADERS)
+
+    def _check_body(self) -> None:
+        """Looks for another response within the body.
+
+        A text about HTTP has no header that the user of the parser has named.
 
-        That is a head which has one of the headers that the user of the parser
-        has named, so that a text about HTTP is none, or which the body breaks
-        off.
+        Raises:
+          InvalidResponse: A status line and such a header are in the body, or a
+            body without a stated length ends within a head.
         """
         body = self.body
+        starts = [match.start() for match in _STATUS_LINE.finditer(body)]
+        if not starts:
+            return
+        text = body[starts[0] :].lower()
         names = self._unique_headers - _FRAMING_HEADERS
-        for count, match in enumerate(_STATUS_LINE.finditer(body)):
-            head = _Head(unique_headers=names)
-            head.feed(
-                body[match.start() : match.start() + self._max_head_bytes]
+        if any(b"\n%s:" % name in text for name in names) or (
+            not self._is_framed
+            and _is_unfinished_head(
+                body[starts[-1] : starts[-1] + self._max_head_bytes]
             )
-            if head.is_suspect or count >= MAX_STATUS_LINES:
-                return True
-        return False
+        ):
+            self._reject("response within a body", RESPONSE_IN_BODY)
 
     # Callbacks of the parser.
 
@@ -157,12 +169,16 @@
         """Stores a header; a trailer is only checked.
 
         Raises:
-          InvalidResponse: The header shows that two responses were joined.
+          InvalidResponse: The header shows that two responses were joined, or
+            the trailers exceed the limit of a head.
         """
         if self.complete:
             return
         self._check_text(value)
         if self.status:
+            self._trailer_bytes += len(name) + len(value)
+            if self._trailer_bytes > self._max_head_bytes:
+                self._reject("trailers too large", OVERSIZED)
             return
         lower_name = name.lower()
         if lower_name in self._unique_headers:
@@ -185,6 +201,9 @@
         status = self._parser.get_status_code()
         if status >= 200 and not self.complete:
             self.status = status
+            if not self._has_body:
+                self.complete = True
+                self.keeps_open = self._parser.should_keep_alive()
 
     def on_body(self, data: bytes) -> None:
         """Appends a fragment of the body.
@@ -193,6 +212,7 @@
           InvalidResponse: The body exceeds the limit.
         """
         if self.complete:
+            self.has_extra = True
             return
         self.body_bytes += len(data)
         if self.body_bytes > self._get_max_body_bytes():
@@ -200,7 +220,11 @@
         self._body.append(data)
 
     def on_message_complete(self) -> None:
-        """Notes the end of the response; skips interim ones."""
+        """Notes the end of the response; skips interim ones.
+
+        Raises:
+          InvalidResponse: The body seems to contain another response.
+        """
         if self.complete:
             return
         if not self.status:
@@ -208,6 +232,7 @@
             self._seen_headers.clear()
             self._reason_phrase = b""
             return
+        self._check_body()
         self.complete = True
         self.keeps_open = self._parser.should_keep_alive()
 
@@ -232,41 +257,22 @@
         return self._received_bytes > limit
 
 
-class _Head:
-    """Tells whether bytes begin with the head of a response, or a part of it.
-
-    Args:
-      unique_headers: Names, in lower case, of headers that show that it is the
-        head of a response.
-    """
-
-    def __init__(self, *, unique_headers: frozenset[bytes]):
-        self._unique_headers = unique_headers
-        self._parser = httptools.HttpResponseParser(self)
-        self._is_whole = False
-        self._is_valid = True
-        self._names: set[bytes] = set()
+class _HeadEnd:
+    """A receiver of a parser's callbacks that notes the end of the head."""
 
-    @property
-    def is_suspect(self) -> bool:
-        """Whether the bytes are a part of a head, or one with such a header."""
-        if self._is_whole:
-            return not self._names.isdisjoint(self._unique_headers)
-        return self._is_valid
-
-    def feed(self, data: bytes) -> None:
-        """Parses the bytes."""
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._is_valid = False
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores the name of a header."""
-        del value
-        if not self._is_whole:
-            self._names.add(name.lower())
+    def __init__(self):
+        self.seen = False
 
     def on_headers_complete(self) -> None:
         """Notes the end of the head."""
-        self._is_whole = True
+        self.seen = True
+
+
+def _is_unfinished_head(data: bytes) -> bool:
+    """Returns whether data is the beginning of a head, without its end."""
+    head_end = _HeadEnd()
+    try:
+        httptools.HttpResponseParser(head_end).feed_data(data)
+    except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        return False
+    return not head_end.seen
--- a/eelgrasshall/platform/stutter_run.py
+++ b/eelgrasshall/platform/stutter_run.py
@@ -23,9 +23,9 @@
 import sys
 from typing import NamedTuple
 
+from eelgrasshall.fakes import ports
 from eelgrasshall.platform import fault_proxy
 from eelgrasshall.platform import fleet as fleet_module
-from eelgrasshall.platform import free_ports
 from eelgrasshall.platform import soak_checks
 from eelgrasshall.platform import stutter
 
@@ -425,16 +425,19 @@
     """Runs one seed on ports that are free.
 
     Raises:
-      OSError: No ports are free.
+      NoFreePorts: No ports are free.
       TimeoutError: A host does not become ready.
     """
     servers = SHARDS * REPLICAS
     count = _STORE_PORTS + HOSTS * _HOST_PORTS
     count += servers * (_SERVER_PORTS + HOSTS)
-    port, reservation = free_ports.reserve_ports(count)
-    with reservation:
+    with ports.PortRange(count=count) as reserved:
         run = StutterRun(
-            seed=seed, folder=folder, port=port, habits=habits, sources=sources
+            seed=seed,
+            folder=folder,
+            port=reserved.first,
+            habits=habits,
+            sources=sources,
         )
         return await run.run(seconds)
 
--- a/eelgrasshall/platform/stuttering_server_test.py
+++ b/eelgrasshall/platform/stuttering_server_test.py
@@ -11,9 +11,9 @@
 
 import pytest
 
+from eelgrasshall.fakes import ports
 from eelgrasshall.gateway import model
 from eelgrasshall.platform import fake_server
-from eelgrasshall.platform import free_ports
 from eelgrasshall.platform import stutter
 from eelgrasshall.platform import stutter_run
 
@@ -80,8 +80,8 @@
       What it says that it has sent.  The bytes that arrive must be as many.
     """
     sent = server.stutterer.sent
-    port, reservation = free_ports.reserve_ports(1)
-    with reservation:
+    with ports.PortRange(count=1) as reserved:
+        port = reserved.first
         await server.start(model.Address("127.0.0.1", port))
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         try:
