--- a/eelgrasshall/platform/stutter_run.py
+++ b/eelgrasshall/platform/stutter_run.py
@@ -41,10 +41,15 @@
 SERVICE_TIME_S = 0.008
 # What servers do to their answers.
 HABITS = stutter.Habits(
-    copies=0.2, cuts=0.03, cut_copies=0.4, other_status=0.4, no_id=0.3
+    copies=0.35,
+    cuts=0.03,
+    cut_copies=0.5,
+    other_status=0.5,
+    no_id=0.3,
+    unframed=0.05,
 )
 # Shares of the requests that fail, are turned away, or take five times as long.
-FAILURE_SHARE = 0.08
+FAILURE_SHARE = 0.15
 REFUSAL_SHARE = 0.04
 SLOW_SHARE = 0.05
 # Hosts repeat what these servers spoil.
@@ -246,7 +251,9 @@
         try:
             for name in fleet.host_names:
                 await fleet.wait_ready(name)
-            fleet.cut_host(fleet.host_names[-1], fault_proxy.Cut.RESET)
+            # A cut that hangs keeps the ports.  On those that another cut had
+            # closed, a server of another program was reached once.
+            fleet.cut_host(fleet.host_names[-1], fault_proxy.Cut.HANG)
             await asyncio.sleep(CONTACT_S)
             for name, server in fleet.servers.items():
                 server.service_time_s = SERVICE_TIME_S
