Listener: a test with generated sequences on a connection

Requests of eleven kinds, whole and cut, together and apart, with answers, errors and cancellations of the handler, time-outs, refusals, draining, slow reading, a half-close and a reset between them, on a fake transport that ends like one of asyncio. It checks after each step that the caller has one response to each request that waits, in order and whole.

--- a/eelgrasshall/gateway/listener_sequences_test.py
+++ b/eelgrasshall/gateway/listener_sequences_test.py
@@ -1,4 +1,4 @@
-"""Tests of the listener with sequences of events on a connection.
+"""Tests of the listener with generated sequences of events on a connection.
 
 Whatever callers, handlers and timers do, and in any order, a caller must get
 one response to each request, in order, whole or visibly cut; never a second
@@ -9,6 +9,8 @@
 import re
 from typing import NamedTuple
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from eelgrasshall.gateway import fakes
@@ -279,6 +281,31 @@
         return responses
 
 
+_STEPS = st.one_of(
+    st.builds(
+        _Send,
+        st.lists(st.sampled_from(sorted(_REQUESTS)), max_size=4).map(tuple),
+        st.integers(0, 60),
+    ),
+    st.sampled_from(
+        ["answer"] * 4
+        + [
+            "send_blank_line",
+            "send_garbage",
+            "fail",
+            "cancel",
+            "wait_long",
+            "refuse_incomplete",
+            "start_draining",
+            "leave",
+            "read_slowly",
+            "read_on",
+            "reset",
+        ]
+    ),
+)
+
+
 def _run(steps) -> None:
     """Runs steps, and then lets all handlers answer."""
 
@@ -312,7 +339,6 @@
         [_Send(("get", "expecting"), 5), "answer", _Send((), 0), "answer"],
         [_Send(("get", "expecting"), 0), "answer", "answer"],
         [_Send(("head", "get"), 0), "answer", "answer"],
-        # CASES
     ],
 )
 def test_response_is_that_of_the_request_that_waits(steps):
@@ -330,3 +356,9 @@
     await caller.run("answer")
     assert caller.transport.data.count(b"HTTP/1.1 200 ") == 2
     assert caller.transport.data.count(b"HTTP/1.1 100 ") == 1
+
+
+@hypothesis.settings(max_examples=400, deadline=None, derandomize=True)
+@hypothesis.given(st.lists(_STEPS, max_size=12))
+def test_each_request_gets_one_response_in_order(steps):
+    _run(steps)
