--- a/eelgrasshall/gateway/response_parser.py
+++ b/eelgrasshall/gateway/response_parser.py
@@ -9,6 +9,14 @@
 # How a response begins.  Within a header or the reason phrase, it shows that a
 # response was cut off there and another one followed on the connection.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+# Reasons for which bytes are no valid response.
+MALFORMED = "malformed"
+OVERSIZED = "oversized"
+REPEATED_HEADER = "repeated_header"
+STATUS_LINE_IN_HEAD = "status_line_in_head"
+RESPONSE_IN_BODY = "response_in_body"
+# Status lines in a body that are looked at; a body with more is rejected.
+MAX_STATUS_LINES = 256
 # These state where the body ends.
 _FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
@@ -17,11 +25,10 @@
     """The bytes are no valid response, or exceed a limit.
 
     Attributes:
-      reason: Why, as a word for logs and counters: "malformed", "oversized",
-        "repeated_header" or "status_line_in_head".
+      reason: Why, as a word for logs and counters; a constant of this module.
     """
 
-    def __init__(self, message: str, *, reason: str = "malformed"):
+    def __init__(self, message: str, *, reason: str = MALFORMED):
         super().__init__(message)
         self.reason = reason
 
@@ -66,6 +73,7 @@
         self._fault: InvalidResponse | None = None
         self._body: list[bytes] = []
         self._received_bytes = 0
+        self._trailer_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
 
     @property
@@ -96,7 +104,43 @@
                 raise fault from error
             self.has_extra = True
         if not self.complete and self._is_too_long():
-            raise InvalidResponse("response too large", reason="oversized")
+            raise InvalidResponse("response too large", reason=OVERSIZED)
+
+    def end(self) -> None:
+        """Notes the end of the connection.
+
+        It completes a response that has a whole head which states no length.
+
+        Raises:
+          InvalidResponse: The body may have another response at its end.
+        """
+        framed = not self._seen_headers.isdisjoint(_FRAMING_HEADERS)
+        if self.complete or not self.status or framed:
+            return
+        if self._holds_response():
+            raise InvalidResponse(
+                "response within a body", reason=RESPONSE_IN_BODY
+            )
+        self.complete = True
+        self.keeps_open = False
+
+    def _holds_response(self) -> bool:
+        """Returns whether the body seems to contain another response.
+
+        That is a head which has one of the headers that the user of the parser
+        has named, so that a text about HTTP is none, or which the body breaks
+        off.
+        """
+        body = self.body
+        names = self._unique_headers - _FRAMING_HEADERS
+        for count, match in enumerate(_STATUS_LINE.finditer(body)):
+            head = _Head(unique_headers=names)
+            head.feed(
+                body[match.start() : match.start() + self._max_head_bytes]
+            )
+            if head.is_suspect or count >= MAX_STATUS_LINES:
+                return True
+        return False
 
     # Callbacks of the parser.
 
@@ -114,19 +158,23 @@
         """Stores a header; a trailer is only checked.
 
         Raises:
-          InvalidResponse: The header shows that two responses were joined.
+          InvalidResponse: The header shows that two responses were joined, or
+            the trailers exceed the limit of a head.
         """
         if self.complete:
             return
         self._check_text(value)
         if self.status:
+            self._trailer_bytes += len(name) + len(value)
+            if self._trailer_bytes > self._max_head_bytes:
+                self._reject("trailers too large", OVERSIZED)
             return
         lower_name = name.lower()
         if lower_name in self._unique_headers:
             if lower_name in self._seen_headers:
                 self._reject(
                     f"repeated header {lower_name.decode('latin-1')}",
-                    "repeated_header",
+                    REPEATED_HEADER,
                 )
             self._seen_headers.add(lower_name)
         self.headers.append((name, value))
@@ -153,7 +201,7 @@
             return
         self.body_bytes += len(data)
         if self.body_bytes > self._get_max_body_bytes():
-            self._reject("response too large", "oversized")
+            self._reject("response too large", OVERSIZED)
         self._body.append(data)
 
     def on_message_complete(self) -> None:
@@ -171,7 +219,7 @@
     def _check_text(self, text: bytes) -> None:
         """Rejects a header's value or a reason phrase with a status line."""
         if _STATUS_LINE.search(text):
-            self._reject("status line within a head", "status_line_in_head")
+            self._reject("status line within a head", STATUS_LINE_IN_HEAD)
 
     def _reject(self, message: str, reason: str) -> NoReturn:
         """Ends the parsing; `feed` raises the error.
@@ -187,3 +235,43 @@
         if self.status:
             limit += self._get_max_body_bytes()
         return self._received_bytes > limit
+
+
+class _Head:
+    """Tells whether bytes begin with the head of a response, or a part of it.
+
+    Args:
+      unique_headers: Names, in lower case, of headers that show that it is the
+        head of a response.
+    """
+
+    def __init__(self, *, unique_headers: frozenset[bytes]):
+        self._unique_headers = unique_headers
+        self._parser = httptools.HttpResponseParser(self)
+        self._is_whole = False
+        self._is_valid = True
+        self._names: set[bytes] = set()
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the bytes are a part of a head, or one with such a header."""
+        if self._is_whole:
+            return not self._names.isdisjoint(self._unique_headers)
+        return self._is_valid
+
+    def feed(self, data: bytes) -> None:
+        """Parses the bytes."""
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._is_valid = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Stores the name of a header."""
+        del value
+        if not self._is_whole:
+            self._names.add(name.lower())
+
+    def on_headers_complete(self) -> None:
+        """Notes the end of the head."""
+        self._is_whole = True
