Reject a body whose end is the beginning of another response

A caller could have got a body that was cut off and filled up with the next response: a server that breaks off within a body and sends the response again, on the same connection and with the same id, leaves bytes that fit the stated length. Bytes behind a response do not make it invalid by themselves, and ids and signature are those of the request.

A body with a stated length is now looked through for another response, as one without a length is. If bytes follow, the beginning of a status line at its end counts too.

What can't be told: the end of a body that lacks less than a status line and its end, if the bytes of the second response arrive apart from it at just that place.

--- a/eelgrasshall/gateway/response_parser.py
+++ b/eelgrasshall/gateway/response_parser.py
@@ -9,6 +9,8 @@
 # How a response begins.  Within a header or the reason phrase, it shows that a
 # response was cut off there and another one followed on the connection.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+# The beginning of one, at the end of a body.
+_CUT_STATUS_LINE = re.compile(rb"H(T(T(P(/(\d(\.(\d( \d{0,2})?)?)?)?)?)?)?)?\Z")
 # Reasons for which bytes are no valid response.
 MALFORMED = "malformed"
 OVERSIZED = "oversized"
@@ -105,6 +107,11 @@
             self.has_extra = True
         if not self.complete and self._is_too_long():
             raise InvalidResponse("response too large", reason=OVERSIZED)
+        if self.complete and self._is_spliced():
+            self.complete = False
+            raise InvalidResponse(
+                "response within a body", reason=RESPONSE_IN_BODY
+            )
 
     def end(self) -> None:
         """Notes the end of the connection.
@@ -124,12 +131,27 @@
         self.complete = True
         self.keeps_open = False
 
-    def _holds_response(self) -> bool:
+    def _is_spliced(self) -> bool:
+        """Returns whether the end of the body seems to be another response's.
+
+        That is so if a response was cut off within its body and another one
+        followed.  If less was cut off than a status line has, only the bytes
+        that follow the body show it.  A text may name a status line at its end;
+        without bytes behind it, it takes the end of the line as well.
+        """
+        if self.has_extra and _CUT_STATUS_LINE.search(self.body):
+            return True
+        return self._holds_response(needs_line_end=not self.has_extra)
+
+    def _holds_response(self, *, needs_line_end: bool = False) -> bool:
         """Returns whether the body seems to contain another response.
 
         That is a head which has one of the headers that the user of the parser
         has named, so that a text about HTTP is none, or which the body breaks
         off.
+
+        Args:
+          needs_line_end: Whether a status line counts only with its end.
         """
         body = self.body
         names = self._unique_headers - _FRAMING_HEADERS
@@ -138,6 +160,8 @@
             head.feed(
                 body[match.start() : match.start() + self._max_head_bytes]
             )
+            if needs_line_end and body.find(b"\r\n", match.start()) < 0:
+                return False
             if head.is_suspect or count >= MAX_STATUS_LINES:
                 return True
         return False
--- a/eelgrasshall/gateway/response_parser_test.py
+++ b/eelgrasshall/gateway/response_parser_test.py
@@ -208,3 +208,55 @@
     with pytest.raises(response_parser.InvalidResponse) as raised:
         parser.feed(b"X-A: b\r\n" * 100)
     assert raised.value.reason == response_parser.OVERSIZED
+
+
+_BODY = b"0123456789abcdef" * 3
+_PART = (
+    b"HTTP/1.1 200 OK\r\nX-Id: a1\r\nX-Seal: s\r\nContent-Length: 48\r\n\r\n"
+    + _BODY
+)
+
+
+@pytest.mark.parametrize("missing", range(1, len(_BODY) + 1))
+def test_body_that_another_response_fills_up_is_an_error(missing):
+    # A response was cut off within its body and sent a second time: the rest of
+    # the body was the beginning of the second one, with the right id.
+    data = _PART[:-missing] + _PART
+    parser = _make_parser(unique_headers=frozenset((b"x-id", b"x-seal")))
+    with pytest.raises(response_parser.InvalidResponse) as raised:
+        parser.feed(data)
+    assert raised.value.reason == response_parser.RESPONSE_IN_BODY
+    assert not parser.complete
+
+
+@pytest.mark.parametrize("missing", range(17, len(_BODY) + 1))
+def test_body_that_is_filled_up_byte_by_byte_is_an_error(missing):
+    # With less than a status line and its end, the bytes that tell arrive too
+    # late.
+    parser = _make_parser(unique_headers=frozenset((b"x-id", b"x-seal")))
+    with pytest.raises(response_parser.InvalidResponse):
+        for byte in _PART[:-missing] + _PART:
+            parser.feed(bytes((byte,)))
+            assert not parser.complete
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"see HTTP/1.1 200 OK and more",
+        b"HTTP/1.1 200 OK\r\nServer: a\r\n\r\nexample",
+        b"GET / HTTP/1.1\r\nX-Id: a1",
+        b"ends with HTTP",
+    ],
+)
+@pytest.mark.parametrize("in_pieces", [False, True])
+def test_body_about_http_is_a_body(body, in_pieces):
+    response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (
+        len(body),
+        body,
+    )
+    parser = _make_parser(unique_headers=frozenset((b"x-id",)))
+    size = 1 if in_pieces else len(response)
+    for at in range(0, len(response), size):
+        parser.feed(response[at : at + size])
+    assert parser.complete and parser.body == body
