Attempts: which of one try can meet on a connection, and unread bytes

An attempt failed that was sent on a kept connection on which a late copy had arrived but was not read yet; a hedge or retry had to make up for it. Such a connection is closed now and another one is used.

Two attempts of one try never share a connection, under pauses, refusals, some 200 hedges and a few retries: a shard's servers are tried once each, and an object that replaces a server has connections of its own. The connection of an attempt whose owner has left does carry the next request, after its response; a second copy of that fails the next attempt, by its id. One that is withdrawn while it waits is not sent. Copies of responses, whole or cut at a fifth or a half, at three delays, gave no attempt another body.

Before the change to upstream.py the test of bytes that had arrived failed.

--- a/eelgrasshall/gateway/load_model.py
+++ b/eelgrasshall/gateway/load_model.py
@@ -365,6 +365,7 @@
         deadline_s: float,
     ) -> listener.Response:
         self._count += 1
+        request_id = b"r%d" % self._count
         handler = self.random.choice(self.handlers)
         delay_s = CALLER_DELAY_S
         if self._cross_zone_delay_s and handler.zone != self.random.choice(
@@ -375,7 +376,7 @@
         remaining_s = deadline_s - self.loop.time()
         headers = [
             (b"Host", kind.route.host.encode()),
-            (b"X-Id", b"r%d" % self._count),
+            (b"X-Id", request_id),
             (b"X-Budget", b"%d" % int(remaining_s * 1000)),
         ]
         if workspace:
--- a/eelgrasshall/gateway/sockets.py
+++ b/eelgrasshall/gateway/sockets.py
@@ -11,10 +11,8 @@
     The event loop reads after it has run what is due, so that bytes may have
     arrived that the protocol has not seen.  False without a socket.
     """
-    if transport.is_closing():
-        return False
     sock = transport.get_extra_info("socket")
-    if sock is None:
+    if sock is None or transport.is_closing():
         return False
     size = bytearray(4)
     fcntl.ioctl(sock.fileno(), termios.FIONREAD, size)
--- a/eelgrasshall/gateway/upstream.py
+++ b/eelgrasshall/gateway/upstream.py
@@ -23,6 +23,7 @@
 from eelgrasshall.gateway import pauses
 from eelgrasshall.gateway import rate_limits
 from eelgrasshall.gateway import send_queue
+from eelgrasshall.gateway import sockets
 from eelgrasshall.gateway import zone_traffic
 
 # Several round trips to another zone; after that the server is unreachable.
@@ -289,6 +290,7 @@
                     not connection.must_close
                     and now - connection.idle_since_s
                     < connection.idle_timeout_s
+                    and not sockets.has_unread_data(connection.transport)
                 ):
                     self._send(connection, attempt)
                     return
