--- a/eelgrasshall/gateway/response_parser.py
+++ b/eelgrasshall/gateway/response_parser.py
@@ -9,6 +9,9 @@
 # How a response begins.  Within a header or the reason phrase, it shows that a
 # response was cut off there and another one followed on the connection.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?=[ \r\n]|\Z)")
+# The beginning of one, at the end of a body.
+_CUT_STATUS_LINE = re.compile(rb"H(T(T(P(/(\d(\.(\d( \d{0,2})?)?)?)?)?)?)?)?\Z")
+_STATUS_LINE_BYTES = len("HTTP/1.1 200")
 # Reasons for which bytes are no valid response.
 MALFORMED = "malformed"
 OVERSIZED = "oversized"
@@ -46,8 +49,6 @@
       complete: Whether the response has ended.
       keeps_open: Whether the connection stays open after the response.
       has_extra: Whether bytes followed that do not belong to the response.
-      has_garbage: Whether they are no response either.  Then the response may
-        have been cut off, and its body filled up by the beginning of the next.
       status: The HTTP status; 0 before the end of the head.
       headers: The headers, with names as received; without trailers.
       body_bytes: Size of the part of the body that has arrived.
@@ -64,7 +65,6 @@
         self.complete = False
         self.keeps_open = False
         self.has_extra = False
-        self.has_garbage = False
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.body_bytes = 0
@@ -107,8 +107,9 @@
                 )
                 raise fault from error
             self.has_extra = True
-            self.has_garbage = self._has_body
-        if not self.complete and self._is_too_long():
+        if self.complete:
+            self._check_body()
+        elif self._is_too_long():
             raise InvalidResponse("response too large", reason=OVERSIZED)
 
     def end(self) -> None:
@@ -121,9 +122,9 @@
         """
         if self.complete or not self.status or self._is_framed:
             return
-        self._check_body()
         self.complete = True
         self.keeps_open = False
+        self._check_body()
 
     @property
     def _is_framed(self) -> bool:
@@ -131,27 +132,34 @@
         return not self._seen_headers.isdisjoint(_FRAMING_HEADERS)
 
     def _check_body(self) -> None:
-        """Looks for another response within the body.
+        """Looks for another response in the body of a whole response.
 
-        A text about HTTP has no header that the user of the parser has named.
+        If a response was cut off and another one followed, the beginning of
+        that is in the body.  A text about HTTP has no header that the user of
+        the parser has named.  It may end with a status line, which counts only
+        if bytes follow the body, or with the end of the line.
 
         Raises:
-          InvalidResponse: A status line and such a header are in the body, or a
-            body without a stated length ends within a head.
+          InvalidResponse: There seems to be another response.
         """
         body = self.body
         starts = [match.start() for match in _STATUS_LINE.finditer(body)]
-        if not starts:
-            return
-        text = body[starts[0] :].lower()
-        names = self._unique_headers - _FRAMING_HEADERS
-        if any(b"\n%s:" % name in text for name in names) or (
-            not self._is_framed
-            and _is_unfinished_head(
-                body[starts[-1] : starts[-1] + self._max_head_bytes]
+        is_cut = self.has_extra and _CUT_STATUS_LINE.search(
+            body[-_STATUS_LINE_BYTES:]
+        )
+        if starts and not is_cut:
+            text = body[starts[0] :].lower()
+            names = self._unique_headers - _FRAMING_HEADERS
+            end = body[starts[-1] : starts[-1] + self._max_head_bytes]
+            is_cut = any(b"\n%s:" % name in text for name in names) or (
+                (self.has_extra or not self._is_framed or b"\r\n" in end)
+                and _is_unfinished_head(end)
+            )
+        if is_cut:
+            self.complete = False
+            raise InvalidResponse(
+                "response within a body", reason=RESPONSE_IN_BODY
             )
-        ):
-            self._reject("response within a body", RESPONSE_IN_BODY)
 
     # Callbacks of the parser.
 
@@ -220,11 +228,7 @@
         self._body.append(data)
 
     def on_message_complete(self) -> None:
-        """Notes the end of the response; skips interim ones.
-
-        Raises:
-          InvalidResponse: The body seems to contain another response.
-        """
+        """Notes the end of the response; skips interim ones."""
         if self.complete:
             return
         if not self.status:
@@ -232,7 +236,6 @@
             self._seen_headers.clear()
             self._reason_phrase = b""
             return
-        self._check_body()
         self.complete = True
         self.keeps_open = self._parser.should_keep_alive()
 
