Search of answers: orders apart from the oracle, kinds by rule

Requests that are not wholly sent yet, and bodies that hold the beginning of a head, are searched as well.

--- a/eelgrasshall/gateway/answer_search.py
+++ b/eelgrasshall/gateway/answer_search.py
@@ -1,10 +1,8 @@
 """Searches what a server may send on one connection for wrong outcomes.
 
-An order is what a backend server sends on one connection over up to three
-requests: whole answers, late or cut copies of them, bytes that are no response,
-and the end of the connection, divided into reads.  The orders are delivered to
-a real `connections.Connection`.  The oracle knows which bytes were sent for
-which request, and names each outcome that they don't allow.
+The orders of `answer_orders` are delivered to a real `connections.Connection`.
+The oracle knows which bytes were sent for which request, and names each outcome
+that they don't allow.
 
     python -m eelgrasshall.gateway.answer_search --orders 300000 --seed 1
 """
@@ -12,438 +10,90 @@
 import argparse
 import asyncio
 import collections
-from collections.abc import Callable
 from collections.abc import Container
-from collections.abc import Iterable
 from collections.abc import Iterator
-from collections.abc import Sequence
 import enum
-import functools
 import itertools
 import random
 import re
 import time
-from typing import Any
 from typing import NamedTuple
 
+from eelgrasshall.gateway import answer_orders
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import messages
 
-_INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n"
-# Bytes that are no response.  A line break before a response is one that
-# parsers tend to skip.
-_SURPLUS = (b"x", b"\r\n", b"\x00\xff\r\n\r\n", b"garbage\r\n\r\n")
-# The name of a health check, which has no id.
-HEALTH_CHECK = ""
-
-
-class Framing(enum.Enum):
-    """How the end of a body is stated."""
-
-    LENGTH_FIRST = "length first"
-    LENGTH_LAST = "length last"
-    CHUNKS = "chunks"
-    TRAILER = "chunks and trailer"
-    NONE = "none"
-
-
-class Answer(NamedTuple):
-    """A server's answer to a request; its body names request and status.
-
-    Attributes:
-      request: Name of the request, which is its id.
-      status: The status; 503 states that the request did not run.
-      framing: How the end of the body is stated.
-      has_id: Whether it has the id of the request.
-      has_seal: Whether it has a signature.
-      has_interim: Whether an interim response stands before it.
-      version: The version of HTTP.
-    """
-
-    request: str
-    status: int = 200
-    framing: Framing = Framing.LENGTH_LAST
-    has_id: bool = True
-    has_seal: bool = True
-    has_interim: bool = False
-    version: str = "1.1"
-
-    @property
-    def body(self) -> bytes:
-        """The body."""
-        return f"body-{self.request}-{self.status}".encode()
-
-    @property
-    def seal(self) -> bytes | None:
-        """The signature, if any."""
-        seal = f"seal-{self.request}-{self.status}".encode()
-        return seal if self.has_seal else None
-
-    @property
-    def ends_connection(self) -> bool:
-        """Whether the server closes the connection behind it."""
-        return self.framing is Framing.NONE or self.version == "1.0"
-
-    @property
-    def headers(self) -> list[tuple[bytes, bytes]]:
-        """The headers in the order in which they are sent."""
-        headers = [(b"Date", b"d")]
-        if self.framing is Framing.LENGTH_FIRST:
-            headers.insert(0, (b"Content-Length", b"%d" % len(self.body)))
-        if self.status == 503:
-            headers.append((b"X-Not-Run", b"1"))
-        if self.has_id:
-            headers.append((b"X-Id", self.request.encode()))
-        if self.has_seal:
-            headers.append((b"X-Seal", self.seal))
-        if self.framing is Framing.LENGTH_LAST:
-            headers.append((b"Content-Length", b"%d" % len(self.body)))
-        elif self.framing in (Framing.CHUNKS, Framing.TRAILER):
-            headers.append((b"Transfer-Encoding", b"chunked"))
-        return headers
-
-
-@functools.cache
-def encode_head(answer: Answer) -> bytes:
-    """Returns the head of an answer, without an interim response."""
-    lines = [f"HTTP/{answer.version} {answer.status} OK".encode()]
-    lines += [b"%s: %s" % header for header in answer.headers]
-    return b"\r\n".join([*lines, b"", b""])
-
-
-@functools.cache
-def encode(answer: Answer) -> bytes:
-    """Returns all bytes of an answer."""
-    body = answer.body
-    if answer.framing in (Framing.CHUNKS, Framing.TRAILER):
-        trailer = (
-            b"X-Check: 1\r\n" if answer.framing is Framing.TRAILER else b""
-        )
-        body = b"4\r\n%s\r\n%x\r\n%s\r\n0\r\n%s\r\n" % (
-            body[:4],
-            len(body) - 4,
-            body[4:],
-            trailer,
-        )
-    interim = _INTERIM if answer.has_interim else b""
-    return interim + encode_head(answer) + body
-
-
-# What happens on a connection.
-
-
-class Send(NamedTuple):
-    """A request is sent, unless the connection is closed or in use."""
-
-    request: str
-
-
-class Piece(NamedTuple):
-    """Bytes that the server sends.
-
-    Attributes:
-      data: The bytes.
-      answer: The answer that begins with them; None if they are no response.
-    """
-
-    data: bytes
-    answer: Answer | None = None
-
-    @property
-    def is_whole(self) -> bool:
-        """Whether it is a whole answer."""
-        return self.answer is not None and self.data == encode(self.answer)
-
-
-class End(NamedTuple):
-    """The server ends the connection."""
-
-    reset: bool = False
-
-
-class Order(NamedTuple):
-    """What is sent on a connection.
-
-    Attributes:
-      steps: What happens, in order.  A close follows the last step.
-      cuts: Positions in the bytes of the server at which a read ends, besides
-        the places where a request is sent or the connection ends.
-    """
-
-    steps: "Script"
-    cuts: Container[int] = ()
+# Delivery to a connection.
 
 
 class Exchange(NamedTuple):
     """A request that was sent, and its outcome.
 
     Attributes:
-      request: Name of the request.
+      sent: The request.
       start: Position in the bytes of the server when it was sent.
       end: Position after the read that brought the outcome.
       ending: The end of the connection, if that brought the outcome.
       outcome: The outcome; None if there is none.
     """
 
-    request: str
+    sent: answer_orders.Send
     start: int
     end: int
-    ending: End | None
+    ending: answer_orders.End | None
     outcome: messages.Reply | messages.Failure | None
 
-
-Script = tuple[Send | Piece | End, ...]
-
-
-# The generator.
-
-
-def cut(answer: Answer, size: int | None = None) -> Piece:
-    """Returns the first bytes of an answer; all of them by default."""
-    return Piece(encode(answer)[:size], answer)
-
-
-def list_answers(requests: Iterable[str]) -> Iterator[Answer]:
-    """Lists answers to requests, one kind of oddity at a time."""
-    for request in requests:
-        has_id = request != HEALTH_CHECK
-        for framing, status in itertools.product(Framing, (200, 500, 503, 404)):
-            answer = Answer(request, status, framing, has_id=has_id)
-            yield answer
-            if has_id:
-                yield answer._replace(has_id=False)
-        for status in (200, 500):
-            answer = Answer(request, status, has_id=has_id)
-            yield answer._replace(has_seal=False)
-            yield answer._replace(has_interim=True)
-            yield answer._replace(version="1.0")
-            yield answer._replace(version="1.0", framing=Framing.NONE)
-
-
-def list_cuts(answer: Answer, step: int = 1) -> Iterator[Piece]:
-    """Lists the beginnings of an answer, and the whole of it last."""
-    size = len(encode(answer))
-    for end in range(1, size, step):
-        yield cut(answer, end)
-    yield cut(answer)
-
-
-def list_few_answers(request: str) -> Iterator[Answer]:
-    """Lists some answers that differ in all that matters most."""
-    has_id = request != HEALTH_CHECK
-    for status, framing, with_id in (
-        (200, Framing.LENGTH_LAST, True),
-        (200, Framing.NONE, True),
-        (200, Framing.CHUNKS, True),
-        (500, Framing.LENGTH_LAST, True),
-        (500, Framing.NONE, False),
-        (503, Framing.LENGTH_FIRST, False),
-    ):
-        yield Answer(request, status, framing, has_id=has_id and with_id)
-
-
-def divide(steps: Script, *, thorough: bool) -> Iterator[Order]:
-    """Lists orders that differ in their reads only.
-
-    These are as few reads as possible, one for each byte, and a further read
-    that ends with a piece.
-
-    Args:
-      steps: What happens.
-      thorough: Whether further reads end with a head, and one byte before or
-        behind the end of a head or a piece.
-    """
-    yield Order(steps)
-    position = 0
-    places = set()
-    for step in steps:
-        if not isinstance(step, Piece):
-            continue
-        if thorough and step.answer is not None:
-            interim = len(_INTERIM) if step.answer.has_interim else 0
-            head = position + interim + len(encode_head(step.answer))
-            places |= {position + interim, head - 1, head, head + 1}
-        position += len(step.data)
-        places.add(position)
-        if thorough:
-            places |= {position - 1, position + 1}
-    yield Order(steps, range(position))
-    for place in sorted(places):
-        if 0 < place < position:
-            yield Order(steps, (place,))
-
-
-def list_scripts(*, thorough: bool, step: int = 1) -> Iterator[Script]:
-    """Lists scripts of up to two requests with one disturbance.
-
-    A third request follows to show whether the connection is still in use.
-
-    Args:
-      thorough: Whether each kind of answer meets each of some, rather than
-        some of them each other.
-      step: Of the bytes at which an answer is cut, how far apart they are.
-    """
-    yield from list_single(step)
-    yield from list_restarts(thorough, step)
-    for former in ("a", HEALTH_CHECK):
-        yield from list_copies(former, thorough, step)
-    yield from list_surplus()
-
-
-_KEPT = (Send("a"), cut(Answer("a")))
-_THIRD = (Send("c"), cut(Answer("c")))
-
-
-def _pair(
-    first: str, second: str, thorough: bool
-) -> Iterator[tuple[Answer, Answer]]:
-    """Lists pairs of answers to two requests."""
-    some = list(list_few_answers(first)), list(list_few_answers(second))
-    yield from itertools.product(*some)
-    if thorough:
-        yield from itertools.product(list_answers([first]), some[1])
-        yield from itertools.product(some[0], list_answers([second]))
-
-
-def list_single(step: int) -> Iterator[Script]:
-    """Lists answers that are whole, or cut by the end of the connection."""
-    for begin, request in (((), "a"), ((), HEALTH_CHECK), (_KEPT, "b")):
-        for answer in list_answers([request]):
-            yield (*begin, Send(request), cut(answer), *_THIRD)
-            for piece in list_cuts(answer, step):
-                yield (*begin, Send(request), piece)
-                yield (*begin, Send(request), piece, End(reset=True))
-
-
-def list_restarts(thorough: bool, step: int) -> Iterator[Script]:
-    """Lists cut answers that another one to the same request follows."""
-    for first, second in _pair("a", "a", thorough):
-        for piece in list_cuts(first, step):
-            yield (Send("a"), piece, cut(second), *_THIRD)
-
-
-def list_copies(former: str, thorough: bool, step: int) -> Iterator[Script]:
-    """Lists copies behind an answer, or around the answer to the next one."""
-    has_id = former != HEALTH_CHECK
-    begin = (Send(former), cut(Answer(former, has_id=has_id)))
-    for copy, answer in _pair(former, "b", thorough):
-        for piece in list_cuts(copy, step):
-            yield (*begin, piece, Send("b"), cut(answer), *_THIRD)
-            yield (*begin, Send("b"), piece, cut(answer), *_THIRD)
-            yield (*begin, Send("b"), cut(answer), piece, *_THIRD)
-
-
-def list_surplus() -> Iterator[Script]:
-    """Lists bytes that are no response, at any place."""
-    for data, answer in itertools.product(_SURPLUS, list_answers(["b"])):
-        surplus, send, own = Piece(data), Send("b"), cut(answer)
-        for begin in ((), _KEPT):
-            yield (*begin, surplus, send, own, *_THIRD)
-            yield (*begin, send, surplus, own, *_THIRD)
-            yield (*begin, send, own, surplus, *_THIRD)
-
-
-Choose = Callable[[Sequence[Any]], Any]
-
-
-@functools.cache
-def _get_answers(request: str) -> Sequence[Answer]:
-    """Returns the answers to a request."""
-    return tuple(list_answers([request]))
-
-
-def make_order(choose: Choose) -> Order:
-    """Returns an order with any number of disturbances.
-
-    Args:
-      choose: Returns an item of a sequence; the first one is the simplest.
-    """
-    steps: list[Send | Piece | End] = []
-    asked: list[str] = []
-    first = choose(("a", HEALTH_CHECK))
-    for request in (first, "b", "c")[: choose((2, 3, 1))]:
-        steps.append(Send(request))
-        asked.append(request)
-        for _ in range(choose((0, 1, 0, 2))):
-            steps.append(_make_disturbance(choose, asked))
-        if choose((True, True, True, False)):
-            has_id = request != HEALTH_CHECK
-            answer = Answer(request, has_id=has_id)
-            if choose((False, True)):
-                answer = choose(_get_answers(request))
-            steps.append(cut(answer))
-        for _ in range(choose((0, 0, 1))):
-            steps.append(_make_disturbance(choose, asked))
-    if choose((False, True)):
-        steps.append(End(reset=True))
-    size = sum(len(each.data) for each in steps if isinstance(each, Piece))
-    cuts: Container[int] = ()
-    if size and choose((False, True)):
-        cuts = range(size)
-        if choose((True, False)):
-            cuts = tuple(choose(range(size)) for _ in range(choose((1, 2, 3))))
-    return Order(tuple(steps), cuts)
-
-
-def _make_disturbance(choose: Choose, asked: list[str]) -> Piece:
-    """Returns a copy of an answer that may be cut, or no response."""
-    if choose((True, True, True, False)):
-        answer = choose(_get_answers(choose(asked)))
-        if choose((True, False)):
-            return cut(answer)
-        return cut(answer, choose(range(1, len(encode(answer)))))
-    return Piece(choose(_SURPLUS))
-
-
-# Delivery to a connection.
+    @property
+    def request(self) -> str:
+        """Name of the request."""
+        return self.sent.request
 
 
-def deliver(order: Order) -> list[Exchange]:
+def deliver(order: answer_orders.Order) -> list[Exchange]:
     """Delivers an order to a connection; needs a running event loop.
 
     Returns:
       The requests that were sent.  It stops when the connection is closed.
     """
     connected = fakes.ConnectedBackend()
-    connection, backend = connected.connection, connected.backend
+    connection, transport = connected.connection, connected.transport
     owner = fakes.OutcomeRecorder()
     exchanges: list[Exchange] = []
-    position = 0
-    attempt = None
+    sent, start, position = None, 0, 0
     waiting: list[bytes] = []
 
-    def record(ending: End | None = None) -> None:
-        outcome = owner.outcomes.get(attempt)
-        if attempt is not None and exchanges[-1].outcome is None:
-            exchanges[-1] = exchanges[-1]._replace(
-                end=position, ending=ending, outcome=outcome
-            )
+    def record(ending: answer_orders.End | None = None) -> None:
+        """Notes the outcome of the attempt in flight."""
+        nonlocal sent
+        if sent is not None:
+            outcome = owner.outcomes.pop(attempt, None)
+            exchanges.append(Exchange(sent, start, position, ending, outcome))
+            sent = None
 
-    for step in (*order.steps, End()):
-        if isinstance(step, Piece):
+    for step in (*order.steps, answer_orders.End()):
+        if isinstance(step, answer_orders.Piece):
             waiting.append(step.data)
             continue
         for data in _divide(b"".join(waiting), position, order.cuts):
-            position += len(data)
-            connection.data_received(data)
-            record()
-            if connected.transport.closed:
-                break
+            if not transport.closed:
+                position += len(data)
+                connection.data_received(data)
+                if owner.outcomes:
+                    record()
         waiting = []
-        if connected.transport.closed:
+        if transport.closed:
             break
-        if isinstance(step, Send) and connection.attempt is None:
+        if isinstance(step, answer_orders.Send) and sent is None:
+            sent, start = step, position
+            transport.unsent_bytes = int(step.is_partial)
             attempt = fakes.make_attempt(owner, step.request)
             attempt.request_id = step.request.encode() or None
-            backend.submit(attempt)
-            exchanges.append(
-                Exchange(step.request, position, position, None, None)
-            )
-            if attempt.connection is not connection:
-                raise AssertionError("sent on another connection")
+            connected.backend.submit(attempt)
             continue
         # A connection with a request in flight carries no other one.
-        ending = step if isinstance(step, End) else End()
+        ending = answer_orders.End()
+        if isinstance(step, answer_orders.End):
+            ending = step
         if not ending.reset:
             connection.eof_received()
         connection.connection_lost(
@@ -451,7 +101,8 @@
         )
         record(ending)
         break
-    backend.close()
+    record()
+    connected.backend.close()
     return exchanges
 
 
@@ -518,7 +169,7 @@
 _STATUS_LINE = re.compile(rb"HTTP/1\.\d \d\d\d")
 
 
-def judge(order: Order, exchanges: list[Exchange]) -> Verdict:
+def judge(order: answer_orders.Order, exchanges: list[Exchange]) -> Verdict:
     """Returns which outcomes the bytes of an order do not allow.
 
     An attempt may always fail, unless its answer came first on a connection
@@ -563,22 +214,26 @@
             if reason is not None:
                 verdict.unknowable.append(reason)
             else:
-                kind = _describe(outcome, exchange, own)
+                kind = _describe(outcome, own)
         elif due is not None and not _equals(outcome, due, due.body):
             kind = "answer that came second is taken"
         if kind is not None:
             verdict.violations.append(Violation(kind, exchange.request))
         clean = clean and any(
-            received == encode(each._replace(has_interim=False))
-            and not each.ends_connection
+            received == answer_orders.encode(each._replace(has_interim=False))
+            and not (each.ends_connection or exchange.sent.is_partial)
             for each in own
         )
     return verdict
 
 
-def _locate(order: Order) -> list[tuple[int, Piece]]:
+def _locate(
+    order: answer_orders.Order,
+) -> list[tuple[int, answer_orders.Piece]]:
     """Returns the pieces with their positions."""
-    pieces = [each for each in order.steps if isinstance(each, Piece)]
+    pieces = [
+        each for each in order.steps if isinstance(each, answer_orders.Piece)
+    ]
     sizes = (len(each.data) for each in pieces)
     positions = itertools.accumulate(sizes, initial=0)
     return list(zip(positions, pieces, strict=False))
@@ -586,37 +241,44 @@
 
 def _skip_interim(data: bytes) -> bytes:
     """Returns bytes without interim responses; these belong to no request."""
-    while data.startswith(_INTERIM):
-        data = data[len(_INTERIM) :]
+    while data.startswith(answer_orders.INTERIM):
+        data = data[len(answer_orders.INTERIM) :]
     return data
 
 
-def _is_ended(answer: Answer, exchange: Exchange) -> bool:
+def _is_ended(answer: answer_orders.Answer, exchange: Exchange) -> bool:
     """Returns whether an answer that has arrived is known to be whole."""
-    ends_with_close = answer.framing is Framing.NONE
-    return not ends_with_close or exchange.ending == End(reset=False)
+    ends_with_close = answer.framing is answer_orders.Framing.NONE
+    return not ends_with_close or exchange.ending == answer_orders.End(
+        reset=False
+    )
 
 
 def _find_due(
-    number: int, exchange: Exchange, own: list[Answer], received: bytes
-) -> Answer | None:
+    number: int,
+    exchange: Exchange,
+    own: list[answer_orders.Answer],
+    received: bytes,
+) -> answer_orders.Answer | None:
     """Returns the answer that must be taken, if any.
 
     One without an id may be a late one, unless it is a failure on a connection
     that carried no request before.
     """
     for answer in own[:1]:
-        data = encode(answer._replace(has_interim=False))
-        named = answer.has_id or exchange.request == HEALTH_CHECK
+        data = answer_orders.encode(answer._replace(has_interim=False))
+        named = answer.has_id or exchange.request == answer_orders.HEALTH_CHECK
         if not (named or (number == 0 and answer.status >= 300)):
             return None
-        if answer.framing is Framing.NONE:
+        if answer.framing is answer_orders.Framing.NONE:
             return answer if received == data else None
         return answer if received.startswith(data) else None
     return None
 
 
-def _equals(reply: messages.Reply, answer: Answer, body: bytes) -> bool:
+def _equals(
+    reply: messages.Reply, answer: answer_orders.Answer, body: bytes
+) -> bool:
     """Returns whether a response is an answer, with a body."""
     headers = [each for each in reply.headers if each[0] != b"X-Check"]
     return (
@@ -629,7 +291,9 @@
 
 
 def _explain(
-    exchange: Exchange, pieces: list[tuple[int, Piece]], received: bytes
+    exchange: Exchange,
+    pieces: list[tuple[int, answer_orders.Piece]],
+    received: bytes,
 ) -> Unknowable | None:
     """Returns why a response with a wrong body cannot be told, if so.
 
@@ -639,12 +303,14 @@
         answer = piece.answer
         if start < exchange.start or answer is None:
             continue
-        head = encode_head(answer)
+        head = answer_orders.encode_head(answer)
         if answer.request != exchange.request or not received.startswith(head):
             return None
         body = received[len(head) :]
-        if answer.framing is Framing.NONE:
-            if exchange.ending != End() or _STATUS_LINE.search(body):
+        if answer.framing is answer_orders.Framing.NONE:
+            if exchange.ending != answer_orders.End() or _STATUS_LINE.search(
+                body
+            ):
                 return None
             reason = Unknowable.FOLLOWED_WITHOUT_LENGTH
             if answer.body.startswith(body):
@@ -656,33 +322,28 @@
     return None
 
 
-def _describe(
-    reply: messages.Reply, exchange: Exchange, own: list[Answer]
-) -> str:
-    """Returns what is wrong with a response."""
+def _describe(reply: messages.Reply, own: list[answer_orders.Answer]) -> str:
+    """Returns what is wrong with a response, the worst of it."""
     kind = "success" if reply.succeeded else "failure"
     if not own:
-        return f"{kind} without an answer to this request"
-    answer = own[0]
-    wrong = [
-        name
-        for name, differs in (
-            ("status", reply.status != answer.status),
-            ("signature", reply.seal != answer.seal),
-            ("body", reply.body != answer.body),
-            ("not run", reply.not_run != (answer.status == 503)),
-        )
-        if differs
-    ]
-    return f"{kind} with wrong {', '.join(wrong or ['headers'])}"
-
-
-def describe(order: Order, exchanges: list[Exchange]) -> str:
+        return f"{kind} without a whole answer to this request"
+    if all(reply.status != each.status for each in own):
+        return f"{kind} where the answer has another status"
+    if reply.not_run and not any(each.status == 503 for each in own):
+        return "not run, which was not said of this request"
+    if all(reply.body != each.body for each in own):
+        return f"{kind} with another body"
+    if all(reply.seal != each.seal for each in own):
+        return f"{kind} with another signature"
+    return f"{kind} with other headers"
+
+
+def describe(order: answer_orders.Order, exchanges: list[Exchange]) -> str:
     """Returns an order, its reads and its outcomes as text."""
     lines = []
     position = 0
     for step in order.steps:
-        if not isinstance(step, Piece):
+        if not isinstance(step, answer_orders.Piece):
             lines.append(f"  {step}")
             continue
         data = step.data
@@ -721,7 +382,7 @@
         self.kinds: collections.Counter[str] = collections.Counter()
         self.shortest: dict[str, tuple[int, str]] = {}
 
-    def check(self, order: Order) -> None:
+    def check(self, order: answer_orders.Order) -> None:
         """Delivers and judges an order; needs a running event loop."""
         exchanges = deliver(order)
         verdict = judge(order, exchanges)
@@ -730,7 +391,11 @@
         self.unknowable.update(each.value for each in verdict.unknowable)
         for violation in verdict.violations:
             self.kinds[violation.kind] += 1
-            pieces = [each for each in order.steps if isinstance(each, Piece)]
+            pieces = [
+                each
+                for each in order.steps
+                if isinstance(each, answer_orders.Piece)
+            ]
             size = sum(len(each.data) for each in pieces)
             size += 100 * len(pieces) + len(list(order.cuts))
             shortest = self.shortest.get(violation.kind)
@@ -754,13 +419,13 @@
     """Searches all orders with one disturbance, then random ones."""
     tally = Tally()
     started_s = time.monotonic()
-    for script in list_scripts(thorough=True, step=options.step):
-        for order in divide(script, thorough=True):
+    for script in answer_orders.list_scripts(thorough=True, step=options.step):
+        for order in answer_orders.divide(script, thorough=True):
             tally.check(order)
     print(f"one disturbance: {time.monotonic() - started_s:.0f} s")
     choose = random.Random(options.seed).choice
     for _ in range(options.orders):
-        tally.check(make_order(choose))
+        tally.check(answer_orders.make_order(choose))
     print(f"all: {time.monotonic() - started_s:.0f} s")
     return tally
 
