--- a/eelgrasshall/gateway/answer_search.py
+++ b/eelgrasshall/gateway/answer_search.py
@@ -91,9 +91,7 @@
             connected.backend.submit(attempt)
             continue
         # A connection with a request in flight carries no other one.
-        ending = answer_orders.End()
-        if isinstance(step, answer_orders.End):
-            ending = step
+        ending = step if isinstance(step, answer_orders.End) else _CLOSE
         if not ending.reset:
             connection.eof_received()
         connection.connection_lost(
@@ -165,7 +163,9 @@
     unknowable: list[Unknowable]
 
 
-# The beginning of a head, which a body that is not cut does not have here.
+# An orderly end of the connection.
+_CLOSE = answer_orders.End()
+# The beginning of a head, which no body without a length has here.
 _STATUS_LINE = re.compile(rb"HTTP/1\.\d \d\d\d")
 
 
@@ -197,7 +197,7 @@
             and start + len(piece.data) <= exchange.end
             and piece.is_whole
             and piece.answer.request == exchange.request
-            and _is_ended(piece.answer, exchange)
+            and (_is_framed(piece.answer) or exchange.ending == _CLOSE)
         ]
         due = _find_due(number, exchange, own, received) if clean else None
         outcome = exchange.outcome
@@ -217,6 +217,8 @@
                 kind = _describe(outcome, own)
         elif due is not None and not _equals(outcome, due, due.body):
             kind = "answer that came second is taken"
+        elif due is not None and _is_framed(due) and exchange.ending:
+            kind = "answer that came first is taken late"
         if kind is not None:
             verdict.violations.append(Violation(kind, exchange.request))
         clean = clean and any(
@@ -246,12 +248,9 @@
     return data
 
 
-def _is_ended(answer: answer_orders.Answer, exchange: Exchange) -> bool:
-    """Returns whether an answer that has arrived is known to be whole."""
-    ends_with_close = answer.framing is answer_orders.Framing.NONE
-    return not ends_with_close or exchange.ending == answer_orders.End(
-        reset=False
-    )
+def _is_framed(answer: answer_orders.Answer) -> bool:
+    """Returns whether the end of the body is stated."""
+    return answer.framing is not answer_orders.Framing.NONE
 
 
 def _find_due(
@@ -270,9 +269,9 @@
         named = answer.has_id or exchange.request == answer_orders.HEALTH_CHECK
         if not (named or (number == 0 and answer.status >= 300)):
             return None
-        if answer.framing is answer_orders.Framing.NONE:
-            return answer if received == data else None
-        return answer if received.startswith(data) else None
+        if _is_framed(answer):
+            return answer if received.startswith(data) else None
+        return answer if received == data else None
     return None
 
 
@@ -301,23 +300,25 @@
     """
     for start, piece in pieces:
         answer = piece.answer
-        if start < exchange.start or answer is None:
+        if (
+            answer is None
+            or answer.request != exchange.request
+            or not exchange.start <= start < exchange.end
+        ):
             continue
         head = answer_orders.encode_head(answer)
-        if answer.request != exchange.request or not received.startswith(head):
-            return None
+        if not received.startswith(head):
+            continue
         body = received[len(head) :]
-        if answer.framing is answer_orders.Framing.NONE:
-            if exchange.ending != answer_orders.End() or _STATUS_LINE.search(
-                body
-            ):
-                return None
-            reason = Unknowable.FOLLOWED_WITHOUT_LENGTH
-            if answer.body.startswith(body):
-                reason = Unknowable.CUT_WITHOUT_LENGTH
-        else:
+        if _is_framed(answer):
             body = body[: len(answer.body)]
             reason = Unknowable.FILLED
+        elif exchange.ending != _CLOSE or _STATUS_LINE.search(body):
+            return None
+        elif answer.body.startswith(body):
+            reason = Unknowable.CUT_WITHOUT_LENGTH
+        else:
+            reason = Unknowable.FOLLOWED_WITHOUT_LENGTH
         return reason if _equals(exchange.outcome, answer, body) else None
     return None
 
