Oracle of answers: say what cannot be told of bodies and cut heads

A body without a length may hold any text, so only a head that names a request or a signature, or with which the body ends, shows a response there. A cut head may be ended by bytes that are no response.

--- a/eelgrasshall/gateway/answer_search.py
+++ b/eelgrasshall/gateway/answer_search.py
@@ -133,10 +133,12 @@
     # within the body looks like its end.
     CUT_WITHOUT_LENGTH = "body without length that is cut by a close"
     # All bytes up to the close belong to the body, unless they show the head of
-    # a response.
-    FOLLOWED_WITHOUT_LENGTH = "body without length and bytes of no response"
+    # a response to a request.
+    FOLLOWED_WITHOUT_LENGTH = "body without length that other bytes follow"
     # The stated number of bytes has arrived behind the head.
     FILLED = "cut body that is filled up by what follows"
+    # A header may have any value, and other bytes may bring its end.
+    HEAD_COMPLETED = "cut head that is ended by bytes of no response"
 
 
 class Violation(NamedTuple):
@@ -165,8 +167,13 @@
 
 # An orderly end of the connection.
 _CLOSE = answer_orders.End()
-# The beginning of a head, which no body without a length has here.
-_STATUS_LINE = re.compile(rb"HTTP/1\.\d \d\d\d")
+# A head, or the part of it that has arrived.
+_HEAD = re.compile(
+    rb"HTTP/1\.\d \d{3}(?: [^\r\n]*)?(?:\r\n[\w-]+:[^\r\n]*)*(\r\n\r\n)?"
+)
+# The part of a line that may stand behind it if the bytes end there.
+_LINE_PART = re.compile(rb"\r?(?:\r\n[\w-]*\r?)?")
+_NAMES = (b"\r\nX-Id:", b"\r\nX-Seal:")
 
 
 def judge(order: answer_orders.Order, exchanges: list[Exchange]) -> Verdict:
@@ -294,11 +301,12 @@
     pieces: list[tuple[int, answer_orders.Piece]],
     received: bytes,
 ) -> Unknowable | None:
-    """Returns why a response with a wrong body cannot be told, if so.
+    """Returns why a wrong response cannot be told, if so.
 
-    That needs the whole head of an answer to this request as the first bytes.
+    That needs the head of an answer to this request as the first bytes.
     """
-    for start, piece in pieces:
+    reply = exchange.outcome
+    for (start, piece), (_, following) in itertools.pairwise([*pieces, _NONE]):
         answer = piece.answer
         if (
             answer is None
@@ -307,22 +315,48 @@
         ):
             continue
         head = answer_orders.encode_head(answer)
-        if not received.startswith(head):
-            continue
-        body = received[len(head) :]
-        if _is_framed(answer):
-            body = body[: len(answer.body)]
-            reason = Unknowable.FILLED
-        elif exchange.ending != _CLOSE or _STATUS_LINE.search(body):
-            return None
-        elif answer.body.startswith(body):
-            reason = Unknowable.CUT_WITHOUT_LENGTH
-        else:
-            reason = Unknowable.FOLLOWED_WITHOUT_LENGTH
-        return reason if _equals(exchange.outcome, answer, body) else None
+        data = _skip_interim(piece.data)
+        if received.startswith(head):
+            body = received[len(head) :]
+            if _is_framed(answer):
+                body = body[: len(answer.body)]
+                reason = Unknowable.FILLED
+            elif exchange.ending != _CLOSE or _shows_response(body):
+                return None
+            elif answer.body.startswith(body):
+                reason = Unknowable.CUT_WITHOUT_LENGTH
+            else:
+                reason = Unknowable.FOLLOWED_WITHOUT_LENGTH
+            return reason if _equals(reply, answer, body) else None
+        if (
+            received.startswith(data + following.data)
+            and len(data) < len(head)
+            and following.answer is None
+            and b"\r\n\r\n" in following.data
+            and reply.status == answer.status
+        ):
+            return Unknowable.HEAD_COMPLETED
     return None
 
 
+# Stands behind the last piece.
+_NONE = (0, answer_orders.Piece(b""))
+
+
+def _shows_response(body: bytes) -> bool:
+    """Returns whether a part of a body is a response to a request.
+
+    Any text may hold a head.  One that names a request or a signature, or with
+    which the body ends, shows that the server has sent it as a response.
+    """
+    return any(
+        any(name in match[0] for name in _NAMES)
+        if match[1]
+        else _LINE_PART.fullmatch(body[match.end() :])
+        for match in _HEAD.finditer(body)
+    )
+
+
 def _describe(reply: messages.Reply, own: list[answer_orders.Answer]) -> str:
     """Returns what is wrong with a response, the worst of it."""
     kind = "success" if reply.succeeded else "failure"
