--- a/eelgrasshall/gateway/answer_orders.py
+++ b/eelgrasshall/gateway/answer_orders.py
@@ -47,6 +47,8 @@
       has_seal: Whether it has a signature.
       has_interim: Whether an interim response stands before it.
       version: The version of HTTP.
+      repeated: Name of a header that stands there twice, first with the value
+        for another request; such a response may not be taken.
     """
 
     request: str
@@ -56,6 +58,7 @@
     has_seal: bool = True
     has_interim: bool = False
     version: str = "1.1"
+    repeated: bytes = b""
 
     @property
     def body(self) -> bytes:
@@ -71,6 +74,12 @@
         seal = f"seal-{self.request}-{self.status}".encode()
         return seal if self.has_seal else None
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether it may be taken for an answer: a success needs its id."""
+        is_named = self.has_id or self.request == HEALTH_CHECK
+        return not self.repeated and (is_named or self.status >= 300)
+
     @property
     def ends_connection(self) -> bool:
         """Whether the server closes the connection behind it."""
@@ -84,6 +93,8 @@
             headers.insert(0, (b"Content-Length", b"%d" % len(self.body)))
         if self.status == 503:
             headers.append((b"X-Not-Run", b"1"))
+        if self.repeated:
+            headers.append((self.repeated, b"other"))
         if self.has_id:
             headers.append((b"X-Id", self.request.encode()))
         if self.has_seal:
@@ -150,8 +161,12 @@
 
     @property
     def is_whole(self) -> bool:
-        """Whether it is a whole answer."""
-        return self.answer is not None and self.data == encode(self.answer)
+        """Whether it is a whole answer that may be taken for one."""
+        return (
+            self.answer is not None
+            and self.answer.is_valid
+            and self.data == encode(self.answer)
+        )
 
 
 class End(NamedTuple):
@@ -198,6 +213,9 @@
         yield answer._replace(has_interim=True)
         yield answer._replace(version="1.0")
         yield answer._replace(version="1.0", framing=Framing.NONE)
+        yield answer._replace(repeated=b"X-Seal")
+        if has_id:
+            yield answer._replace(repeated=b"X-Id")
 
 
 def list_cuts(answer: Answer, step: int = 1) -> Iterator[Piece]:
--- a/eelgrasshall/gateway/answer_search.py
+++ b/eelgrasshall/gateway/answer_search.py
@@ -135,7 +135,8 @@
     # All bytes up to the close belong to the body, unless they show the head of
     # a response to a request.
     FOLLOWED_WITHOUT_LENGTH = "body without length that other bytes follow"
-    # The stated number of bytes has arrived behind the head.
+    # The stated number of bytes has arrived behind the head, or the last chunk
+    # and the end of trailers.
     FILLED = "cut body that is filled up by what follows"
     # A header may have any value, and other bytes may bring its end.
     HEAD_COMPLETED = "cut head that is ended by bytes of no response"
@@ -167,9 +168,10 @@
 
 # An orderly end of the connection.
 _CLOSE = answer_orders.End()
+_LAST_CHUNK = b"\r\n0\r\n"
 # A head, or the part of it that has arrived.
 _HEAD = re.compile(
-    rb"HTTP/1\.\d \d{3}(?: [^\r\n]*)?(?:\r\n[\w-]+:[^\r\n]*)*(\r\n\r\n)?"
+    rb"HTTP/1\.\d \d{3}(?: [^\r\n]*)?(?:\r\n[\w-]+:[^\r\n\0]*)*(\r\n\r\n)?"
 )
 # The part of a line that may stand behind it if the bytes end there.
 _LINE_PART = re.compile(rb"\r?(?:\r\n[\w-]*\r?)?")
@@ -306,7 +308,7 @@
     That needs the head of an answer to this request as the first bytes.
     """
     reply = exchange.outcome
-    for (start, piece), (_, following) in itertools.pairwise([*pieces, _NONE]):
+    for number, (start, piece) in enumerate(pieces):
         answer = piece.answer
         if (
             answer is None
@@ -315,11 +317,12 @@
         ):
             continue
         head = answer_orders.encode_head(answer)
-        data = _skip_interim(piece.data)
-        if received.startswith(head):
+        if received.startswith(head) and answer.is_valid:
             body = received[len(head) :]
             if _is_framed(answer):
                 body = body[: len(answer.body)]
+                if _LAST_CHUNK in piece.data:
+                    body = answer.body
                 reason = Unknowable.FILLED
             elif exchange.ending != _CLOSE or _shows_response(body):
                 return None
@@ -328,21 +331,24 @@
             else:
                 reason = Unknowable.FOLLOWED_WITHOUT_LENGTH
             return reason if _equals(reply, answer, body) else None
+        data = _skip_interim(piece.data)
+        following = itertools.takewhile(
+            lambda item: item[1].answer is None and item[0] < exchange.end,
+            pieces[number + 1 :],
+        )
+        data += b"".join(each.data for _, each in following)
+        names = {name for name, _ in reply.headers}
         if (
-            received.startswith(data + following.data)
-            and len(data) < len(head)
-            and following.answer is None
-            and b"\r\n\r\n" in following.data
+            received.startswith(data)
+            and not data.startswith(head)
+            and b"\r\n\r\n" in data
             and reply.status == answer.status
+            and len(names) == len(reply.headers)
         ):
             return Unknowable.HEAD_COMPLETED
     return None
 
 
-# Stands behind the last piece.
-_NONE = (0, answer_orders.Piece(b""))
-
-
 def _shows_response(body: bytes) -> bool:
     """Returns whether a part of a body is a response to a request.
 
