--- a/eelgrasshall/platform/store_test.py
+++ b/eelgrasshall/platform/store_test.py
@@ -1,9 +1,12 @@
 """Tests for the store client, against a fake store."""
 
+import asyncio
 import contextlib
+import json
 
 import pytest
 
+from eelgrasshall.fakes import ports
 from eelgrasshall.gateway import fakes as gateway_fakes
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import object_cache
@@ -16,20 +19,21 @@
 
 
 @contextlib.asynccontextmanager
-async def _open(port: int):
-    address = model.Address("127.0.0.1", port)
+async def _open():
     fake = fake_store.FakeStore()
-    await fake.start(address)
-    client = store.StoreClient(address=address)
-    try:
-        yield fake, client
-    finally:
-        client.close()
-        fake.stop()
+    with ports.PortRange(count=1) as reserved:
+        address = model.Address("127.0.0.1", reserved.first)
+        await fake.start(address)
+        client = store.StoreClient(address=address)
+        try:
+            yield fake, client
+        finally:
+            client.close()
+            fake.stop()
 
 
 async def test_read_all_reads_every_page():
-    async with _open(18901) as (fake, client):
+    async with _open() as (fake, client):
         fake.page_size = 3
         for number in range(8):
             fake.put("servers", f"i-{number}", {"n": number})
@@ -46,7 +50,7 @@
 ):
     # The listing had the revision of its last page, so that a server which was
     # deleted from a page that had been read stayed for good (DRAIN, review/5).
-    async with _open(18915) as (fake, client):
+    async with _open() as (fake, client):
         fake.page_size = 3
         for number in range(8):
             fake.put("servers", f"i-{number}", {"n": number})
@@ -75,7 +79,7 @@
 
 
 async def test_wait_returns_changes_and_deletions():
-    async with _open(18902) as (fake, client):
+    async with _open() as (fake, client):
         fake.put("servers", "i-1", {"n": 1})
         fake.put("servers", "i-2", {"n": 2})
         fake.delete("servers", "i-1")
@@ -90,7 +94,7 @@
 
 
 async def test_wait_reports_dropped_history():
-    async with _open(18903) as (fake, client):
+    async with _open() as (fake, client):
         fake.put("servers", "i-1", {})
         fake.drop_history()
         result = await client.wait_for_changes(_SERVERS, 0, 1.0)
@@ -100,7 +104,7 @@
 async def test_refusing_or_unresponsive_store_is_unavailable(monkeypatch):
     monkeypatch.setattr(store, "CALL_TIMEOUT_S", 0.05)
     monkeypatch.setattr(store, "WATCH_TIMEOUT_MARGIN_S", 0.05)
-    async with _open(18904) as (fake, client):
+    async with _open() as (fake, client):
         fake.down = True
         assert isinstance(await client.read_all(_SERVERS), watcher.Unavailable)
         fake.down = False
@@ -116,7 +120,7 @@
 
 
 async def test_publish_replaces_existing_object():
-    async with _open(18905) as (fake, client):
+    async with _open() as (fake, client):
         host = gateway_fakes.make_host()
         assert await client.publish(host)
         assert await client.publish(host)
@@ -127,7 +131,7 @@
 
 
 async def test_read_all_ignores_other_configurations():
-    async with _open(18906) as (fake, client):
+    async with _open() as (fake, client):
         fake.put("config", "other", {"version": 9})
         fake.put("config", "main", {"version": 1})
         listing = await client.read_all(object_cache.Collection.CONFIGURATION)
@@ -135,7 +139,7 @@
 
 
 async def test_read_all_skips_objects_without_name():
-    async with _open(18907) as (fake, client):
+    async with _open() as (fake, client):
         fake.put("servers", "i-1", {})
         fake._objects["servers"]["bad"] = {"spec": {}}
         listing = await client.read_all(_SERVERS)
@@ -154,7 +158,7 @@
 
 
 async def test_revisions_contain_the_era_that_the_store_states():
-    async with _open(18908) as (fake, client):
+    async with _open() as (fake, client):
         fake.era = 3
         fake.put("servers", "i-1", {"n": 1})
         listing = await client.read_all(_SERVERS)
@@ -169,7 +173,7 @@
 async def test_watch_of_an_earlier_era_has_no_history():
     # The store has given the same revisions out again, so that it would answer
     # the watch as if nothing had happened.
-    async with _open(18909) as (fake, client):
+    async with _open() as (fake, client):
         fake.era = 1
         fake.put("servers", "i-1", {})
         stored = fake.take_copy()
@@ -191,7 +195,7 @@
 
 
 async def test_listing_over_two_eras_is_not_used(monkeypatch):
-    async with _open(18910) as (fake, client):
+    async with _open() as (fake, client):
         fake.era, fake.page_size = 1, 2
         for number in range(4):
             fake.put("servers", f"i-{number}", {})
@@ -208,7 +212,7 @@
 
 @pytest.mark.parametrize("text", [b"", b"x", b"-1", b"1.5", b"9" * 5000])
 async def test_malformed_era_is_ignored(monkeypatch, text):
-    async with _open(18911) as (fake, client):
+    async with _open() as (fake, client):
         fake.put("servers", "i-1", {})
         answer = fake._answer
 
@@ -229,7 +233,7 @@
 
 
 async def test_status_of_a_rollout_is_written_on_its_revision_only():
-    async with _open(18921) as (fake, client):
+    async with _open() as (fake, client):
         spec = {"service": "orders", "targetVersion": "v2", "periodS": 12}
         fake.put("rollouts", "orders", spec)
         revision = object_cache.make_revision(2, 1)
@@ -249,7 +253,171 @@
 
 
 async def test_write_without_an_answer_is_neither_accepted_nor_refused():
-    async with _open(18922) as (fake, client):
+    async with _open() as (fake, client):
         fake.put("rollouts", "orders", {})
         fake.down = True
         assert await client.write_rollout_status(_RUNNING, 1) is None
+
+
+async def test_listing_beside_a_watch_gets_its_own_response():
+    # The writer of rollouts lists what the watcher watches.  Both calls were
+    # sent on one connection: the listing got the response to the watch, and the
+    # watch was deaf until its time-out.
+    async with _open() as (fake, client):
+        fake.put("rollouts", "orders", {"n": 1})
+        watch = asyncio.ensure_future(
+            client.wait_for_changes(_ROLLOUTS, 1, 1.0)
+        )
+        await asyncio.sleep(0.05)
+        listing = await asyncio.wait_for(client.read_all(_ROLLOUTS), 0.5)
+        assert [each.name for each in listing.updates] == ["orders"]
+        fake.put("rollouts", "items", {"n": 2})
+        changes = await asyncio.wait_for(watch, 0.5)
+        assert [each.name for each in changes.updates] == ["items"]
+        assert changes.revision == 2
+
+
+class _Stutterer:
+    """A store that sends some responses a second time.
+
+    A copy goes out just after the next call has arrived, before its response.
+
+    Args:
+      documents: The responses, in the order of the calls.
+      repeated: Indexes of the responses that are sent twice.
+    """
+
+    def __init__(self, documents: list, repeated: set[int]):
+        self.calls: list[str] = []
+        self.connection_count = 0
+        self._documents = iter(enumerate(documents))
+        self._repeated = repeated
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self) -> model.Address:
+        """Starts to listen; returns the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return model.Address(*self._server.sockets[0].getsockname())
+
+    def stop(self) -> None:
+        """Closes the listening socket and all connections."""
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+
+    async def _serve(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        self.connection_count += 1
+        copy = b""
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.calls.append(head.split()[1].decode().partition("?")[2])
+                index, document = next(self._documents)
+                body = json.dumps(document).encode()
+                response = (
+                    b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+                    % (len(body), body)
+                )
+                writer.write(copy)
+                # The copy is read before the response arrives.
+                await asyncio.sleep(0.02)
+                writer.write(response)
+                copy = response if index in self._repeated else b""
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def _open_stutterer(documents: list, repeated: set[int]):
+    stutterer = _Stutterer(documents, repeated)
+    client = store.StoreClient(address=await stutterer.start())
+    try:
+        yield stutterer, client
+    finally:
+        client.close()
+        stutterer.stop()
+
+
+def _make_object(name: str, revision: int) -> dict:
+    return {"meta": {"name": name, "revision": revision}, "spec": {}}
+
+
+def _make_page(*names: str, more: bool) -> dict:
+    return {
+        "items": [_make_object(name, 1) for name in names],
+        "hasMore": more,
+        "storeRevision": 1,
+    }
+
+
+def _make_changes(revision: int, *changed: tuple[str, int]) -> dict:
+    return {
+        "events": [
+            {"object": _make_object(*each), "deleted": False}
+            for each in changed
+        ],
+        "storeRevision": revision,
+    }
+
+
+async def test_page_that_is_sent_twice_is_not_the_next_page():
+    # The last page was taken for the response to the next call, and the objects
+    # of the pages in between for deleted ones.
+    first, last = _make_page("a", "b", more=True), _make_page("c", more=False)
+    documents = [first, last, first, last]
+    async with _open_stutterer(documents, {0}) as (stutterer, client):
+        result = await client.read_all(_SERVERS)
+        assert result == watcher.Unavailable("a page was sent twice")
+        listing = await client.read_all(_SERVERS)
+        assert [each.name for each in listing.updates] == ["a", "b", "c"]
+
+
+async def test_response_of_the_listing_before_does_not_reach_the_next_one():
+    # The copy of a last page passed for the whole collection.
+    first, last = _make_page("a", "b", more=True), _make_page("c", more=False)
+    documents = [first, last, first, last]
+    async with _open_stutterer(documents, {1, 3}) as (_, client):
+        for _ in range(2):
+            listing = await client.read_all(_SERVERS)
+            assert [each.name for each in listing.updates] == ["a", "b", "c"]
+
+
+async def test_responses_to_watches_do_not_stay_one_behind():
+    # After a copy, each watch got the response to the one before it.
+    documents = [
+        _make_changes(2, ("a", 2)),
+        _make_changes(3, ("a", 3)),
+        _make_changes(4, ("a", 4)),
+        _make_changes(5, ("a", 5)),
+    ]
+    async with _open_stutterer(documents, {0}) as (stutterer, client):
+        revision, seen = 1, []
+        for _ in range(4):
+            result = await client.wait_for_changes(_SERVERS, revision, 0.5)
+            revision = max(revision, result.revision)
+            seen.append(result.revision)
+        # The copy tells nothing new; what follows comes on a new connection.
+        assert seen == [2, 2, 4, 5]
+        assert stutterer.calls == [
+            f"watch={number}&waitMs=500" for number in (1, 2, 2, 4)
+        ]
+        assert stutterer.connection_count == 2
+
+
+async def test_response_with_two_eras_is_not_used():
+    async with _open() as (fake, client):
+        fake.era = 3
+        fake.put("servers", "i-1", {})
+        answer = fake._answer
+
+        async def answer_with_era(request):
+            response = await answer(request)
+            response.headers.append((b"store-era", b"2"))
+            return response
+
+        fake._answer = answer_with_era
+        for result in (
+            await client.read_all(_SERVERS),
+            await client.wait_for_changes(_SERVERS, 1, 0.01),
+        ):
+            assert isinstance(result, watcher.Unavailable)
