--- a/eelgrasshall/gateway/answer_search.py
+++ b/eelgrasshall/gateway/answer_search.py
@@ -23,6 +23,10 @@
 from eelgrasshall.gateway import fakes
 from eelgrasshall.gateway import messages
 
+# An orderly end of the connection.
+_CLOSE = answer_orders.End()
+
+
 # Delivery to a connection.
 
 
@@ -70,7 +74,7 @@
             exchanges.append(Exchange(sent, start, position, ending, outcome))
             sent = None
 
-    for step in (*order.steps, answer_orders.End()):
+    for step in (*order.steps, _CLOSE):
         if isinstance(step, answer_orders.Piece):
             waiting.append(step.data)
             continue
@@ -166,8 +170,6 @@
     unknowable: list[Unknowable]
 
 
-# An orderly end of the connection.
-_CLOSE = answer_orders.End()
 _LAST_CHUNK = b"\r\n0\r\n"
 # A head, or the part of it that has arrived.
 _HEAD = re.compile(
@@ -230,10 +232,16 @@
             kind = "answer that came first is taken late"
         if kind is not None:
             verdict.violations.append(Violation(kind, exchange.request))
-        clean = clean and any(
-            received == answer_orders.encode(each._replace(has_interim=False))
-            and not (each.ends_connection or exchange.sent.is_partial)
-            for each in own
+        clean = (
+            clean
+            and isinstance(outcome, messages.Reply)
+            and not exchange.sent.is_partial
+            and any(
+                received
+                == answer_orders.encode(each._replace(has_interim=False))
+                and not each.ends_connection
+                for each in own
+            )
         )
     return verdict
 
@@ -343,6 +351,7 @@
             and not data.startswith(head)
             and b"\r\n\r\n" in data
             and reply.status == answer.status
+            and (not reply.not_run or answer.status == 503)
             and len(names) == len(reply.headers)
         ):
             return Unknowable.HEAD_COMPLETED
