--- a/eelgrasshall/gateway/answer_orders.py
+++ b/eelgrasshall/gateway/answer_orders.py
@@ -36,8 +36,8 @@
 class Answer(NamedTuple):
     """A server's answer to a request; its body names request and status.
 
-    If the body states its end, that of a 404 response holds the beginning of a
-    head, which is nothing that a host may take amiss.
+    If the end of the body is stated, that of a 404 response quotes a response,
+    which is nothing that a host may take amiss.
 
     Attributes:
       request: Name of the request, which is its id.
@@ -65,8 +65,9 @@
         """The body."""
         body = f"body-{self.request}-{self.status}".encode()
         if self.status == 404 and self.framing is not Framing.NONE:
-            body += b" HTTP/1.1 404"
-        return body
+            body = b"HTTP/1.1 404 OK\r\n\r\n" + body
+        # A chunk may have room for the whole head of another response.
+        return body.ljust(100) if self.framing is Framing.CHUNKS else body
 
     @property
     def seal(self) -> bytes | None:
@@ -118,15 +119,13 @@
 def encode(answer: Answer) -> bytes:
     """Returns all bytes of an answer."""
     body = answer.body
-    if answer.framing in (Framing.CHUNKS, Framing.TRAILER):
-        trailer = (
-            b"X-Check: 1\r\n" if answer.framing is Framing.TRAILER else b""
-        )
-        body = b"4\r\n%s\r\n%x\r\n%s\r\n0\r\n%s\r\n" % (
+    if answer.framing is Framing.CHUNKS:
+        body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+    elif answer.framing is Framing.TRAILER:
+        body = b"4\r\n%s\r\n%x\r\n%s\r\n0\r\nX-Check: 1\r\n\r\n" % (
             body[:4],
             len(body) - 4,
             body[4:],
-            trailer,
         )
     interim = INTERIM if answer.has_interim else b""
     return interim + encode_head(answer) + body
--- a/eelgrasshall/gateway/answer_search.py
+++ b/eelgrasshall/gateway/answer_search.py
@@ -140,7 +140,7 @@
     # a response to a request.
     FOLLOWED_WITHOUT_LENGTH = "body without length that other bytes follow"
     # The stated number of bytes has arrived behind the head, or the last chunk
-    # and the end of trailers.
+    # and the end of trailers, and no more that shows the head of a response.
     FILLED = "cut body that is filled up by what follows"
     # A header may have any value, and other bytes may bring its end.
     HEAD_COMPLETED = "cut head that is ended by bytes of no response"
@@ -328,11 +328,13 @@
         if received.startswith(head) and answer.is_valid:
             body = received[len(head) :]
             if _is_framed(answer):
-                body = body[: len(answer.body)]
-                if _LAST_CHUNK in piece.data:
-                    body = answer.body
+                size = len(answer.body)
+                if _shows_response(body, size):
+                    return None
+                whole = _LAST_CHUNK in piece.data
+                body = answer.body if whole else body[:size]
                 reason = Unknowable.FILLED
-            elif exchange.ending != _CLOSE or _shows_response(body):
+            elif exchange.ending != _CLOSE or _shows_response(body, len(body)):
                 return None
             elif answer.body.startswith(body):
                 reason = Unknowable.CUT_WITHOUT_LENGTH
@@ -358,17 +360,22 @@
     return None
 
 
-def _shows_response(body: bytes) -> bool:
-    """Returns whether a part of a body is a response to a request.
+def _shows_response(data: bytes, size: int) -> bool:
+    """Returns whether another response to a request begins within a body.
 
     Any text may hold a head.  One that names a request or a signature, or with
-    which the body ends, shows that the server has sent it as a response.
+    which the bytes end, shows that the server has sent it as a response.
+
+    Args:
+      data: The body and what has arrived with its end.
+      size: The size of the body.
     """
     return any(
         any(name in match[0] for name in _NAMES)
         if match[1]
-        else _LINE_PART.fullmatch(body[match.end() :])
-        for match in _HEAD.finditer(body)
+        else _LINE_PART.fullmatch(data[match.end() :])
+        for match in _HEAD.finditer(data)
+        if match.start() < size
     )
 
 
