--- a/eelgrasshall/gateway/answer_search.py
+++ b/eelgrasshall/gateway/answer_search.py
@@ -171,9 +171,16 @@
 
 
 _LAST_CHUNK = b"\r\n0\r\n"
+_STATUS_LINE = re.compile(rb"HTTP/1\.\d \d{3}(?=[ \r\n]|\Z)")
 # A head, or the part of it that has arrived.
 _HEAD = re.compile(
-    rb"HTTP/1\.\d \d{3}(?: [^\r\n]*)?(?:\r\n[\w-]+:[^\r\n\0]*)*(\r\n\r\n)?"
+    rb"HTTP/1\.\d \d{3}(?: [^\r\n]*)?"
+    rb"(?:\r\n(?!Content-Length: *\d*[^\d\s])[\w-]+:[^\r\n\0]*)*(\r\n\r\n)?"
+)
+# An interim response, which may be cut and ended by other bytes.
+_INTERIM = re.compile(
+    rb"HTTP/1\.1 103(?:(?!HTTP/)[^\r\n])*\r\n"
+    rb"(?:(?:(?!HTTP/)[^\r\n])+\r\n)*\r\n"
 )
 # The part of a line that may stand behind it if the bytes end there.
 _LINE_PART = re.compile(rb"\r?(?:\r\n[\w-]*\r?)?")
@@ -221,7 +228,9 @@
             elif due is not None:
                 kind = "answer that came first is not taken"
         elif not any(_equals(outcome, each, each.body) for each in own):
-            reason = _explain(exchange, pieces, received) if clean else None
+            reason = None
+            if clean or verdict.unknowable:
+                reason = _explain(exchange, pieces, received)
             if reason is not None:
                 verdict.unknowable.append(reason)
             else:
@@ -260,8 +269,8 @@
 
 def _skip_interim(data: bytes) -> bytes:
     """Returns bytes without interim responses; these belong to no request."""
-    while data.startswith(answer_orders.INTERIM):
-        data = data[len(answer_orders.INTERIM) :]
+    while match := _INTERIM.match(data):
+        data = data[match.end() :]
     return data
 
 
@@ -279,16 +288,19 @@
     """Returns the answer that must be taken, if any.
 
     One without an id may be a late one, unless it is a failure on a connection
-    that carried no request before.
+    that carried no request before.  One with a body in which a response seems
+    to begin need not be taken if bytes follow that may be the rest of that.
     """
     for answer in own[:1]:
         data = answer_orders.encode(answer._replace(has_interim=False))
         named = answer.has_id or exchange.request == answer_orders.HEALTH_CHECK
         if not (named or (number == 0 and answer.status >= 300)):
             return None
-        if _is_framed(answer):
-            return answer if received.startswith(data) else None
-        return answer if received == data else None
+        if received == data:
+            return answer
+        if not _is_framed(answer) or not received.startswith(data):
+            return None
+        return None if _STATUS_LINE.search(answer.body) else answer
     return None
 
 
@@ -334,16 +346,20 @@
                 whole = _LAST_CHUNK in piece.data
                 body = answer.body if whole else body[:size]
                 reason = Unknowable.FILLED
-            elif exchange.ending != _CLOSE or _shows_response(body, len(body)):
+            elif exchange.ending != _CLOSE or _shows_response(body):
                 return None
             elif answer.body.startswith(body):
                 reason = Unknowable.CUT_WITHOUT_LENGTH
             else:
                 reason = Unknowable.FOLLOWED_WITHOUT_LENGTH
             return reason if _equals(reply, answer, body) else None
+        # What follows shows no status line, which takes 12 bytes.
         data = _skip_interim(piece.data)
         following = itertools.takewhile(
-            lambda item: item[1].answer is None and item[0] < exchange.end,
+            lambda item: (
+                item[0] < exchange.end
+                and (item[1].answer is None or len(item[1].data) < 12)
+            ),
             pieces[number + 1 :],
         )
         data += b"".join(each.data for _, each in following)
@@ -360,23 +376,26 @@
     return None
 
 
-def _shows_response(data: bytes, size: int) -> bool:
+def _shows_response(data: bytes, size: int | None = None) -> bool:
     """Returns whether another response to a request begins within a body.
 
-    Any text may hold a head.  One that names a request or a signature, or with
-    which the bytes end, shows that the server has sent it as a response.
+    Any text may hold a head.  One that names a request or a signature shows
+    that the server has sent it as a response.  So does one that is broken off,
+    unless that is done by the stated end of the body.
 
     Args:
       data: The body and what has arrived with its end.
-      size: The size of the body.
+      size: The size of the body; None if it is not stated.
     """
-    return any(
-        any(name in match[0] for name in _NAMES)
-        if match[1]
-        else _LINE_PART.fullmatch(data[match.end() :])
-        for match in _HEAD.finditer(data)
-        if match.start() < size
-    )
+    for match in _HEAD.finditer(data):
+        if size is not None and match.start() >= size:
+            return False
+        if any(name in match[0] for name in _NAMES):
+            return True
+        is_broken_off = _LINE_PART.fullmatch(data[match.end() :])
+        if is_broken_off and not match[1] and len(data) != size:
+            return True
+    return False
 
 
 def _describe(reply: messages.Reply, own: list[answer_orders.Answer]) -> str:
