--- a/eelgrasshall/gateway/deletions_test.py
+++ b/eelgrasshall/gateway/deletions_test.py
@@ -198,3 +198,64 @@
     applied.record_age(1.0)
     applied.deletions.following = True
     assert applied.deletions.get_age_s() == pytest.approx(0.0, abs=0.05)
+
+
+async def test_deletion_after_a_new_entry_from_another_host_is_adopted():
+    # The entry lapses here (6), another host tells that it was written again
+    # (7), and then that it puts off its deletion (8).  The timer of the first
+    # deletion was taken for one of the second, which was dropped: requests went
+    # to the server as long as it served (found by platform/fleet_walks).
+    applied = _Applied()
+    applied.deletions.doubt()
+    applied.deletions.apply(applied.make_update("a", 6))
+    applied.cache.apply(applied.make_update("a", 7, "y"))
+    until_s = asyncio.get_running_loop().time() + 0.3
+    applied.deletions.adopt(
+        applied.make_update("a", 8), after=7, until_s=until_s
+    )
+    applied.cache.advance(_SERVERS, 8)
+    assert applied.cache.get_applied_revision(_SERVERS) == 7
+    await asyncio.sleep(0.35)
+    assert applied.values == {"b": "x"}
+
+
+async def test_deletion_after_a_new_entry_from_another_host_is_inferred():
+    # As above, but a host that has listed the store gives names only.
+    applied = _Applied()
+    applied.deletions.doubt()
+    applied.deletions.apply(applied.make_update("a", 6))
+    applied.cache.apply(applied.make_update("a", 7, "y"))
+    applied.deletions.infer([applied.make_update("a", 8)], after=7)
+    await asyncio.sleep(0.35)
+    assert applied.values == {"b": "x"}
+
+
+@pytest.mark.parametrize("tells", ["adopt", "infer"])
+async def test_later_deletion_of_an_entry_is_named_by_its_own_revision(tells):
+    # A host that puts off a deletion (6) and hears of a later one of the same
+    # name (9) kept the first.  To a host that had the entry of revision 8 it
+    # could not name the deletion after that.
+    applied = _Applied()
+    applied.deletions.doubt()
+    applied.deletions.apply(applied.make_update("a", 6))
+    later = applied.make_update("a", 9)
+    if tells == "adopt":
+        due_s = asyncio.get_running_loop().time() + 5.0
+        applied.deletions.adopt(later, after=8, until_s=due_s)
+    else:
+        applied.deletions.infer([later], after=8)
+    assert applied.values == {"a": "x", "b": "x"}
+    await asyncio.sleep(0.3)
+    assert applied.values == {"b": "x"}
+    assert later in applied.cache.list_updates(_SERVERS)
+
+
+async def test_entry_that_is_older_than_a_deletion_does_not_cancel_it():
+    # A listing that arrives late has the entry as it was before the deletion
+    # that another host has told of meanwhile.
+    applied = _Applied()
+    applied.deletions.doubt()
+    applied.deletions.apply(applied.make_update("a", 6))
+    applied.deletions.apply(applied.make_update("a", 3, "x"))
+    await asyncio.sleep(0.3)
+    assert applied.values == {"b": "x"}
--- a/eelgrasshall/transport/peers_test.py
+++ b/eelgrasshall/transport/peers_test.py
@@ -144,6 +144,8 @@
     assert len(accepted) == 2
     stream.close()
     server.close()
+    for writer in accepted:
+        writer.close()
 
 
 async def test_slow_reply_does_not_close_a_connection_with_other_replies():
