--- a/eelgrasshall/gateway/answer_search.py
+++ b/eelgrasshall/gateway/answer_search.py
@@ -207,7 +207,8 @@
                 Violation("connection used after a doubt", exchange.request)
             )
         position = exchange.end
-        received = _skip_interim(stream[exchange.start : exchange.end])
+        data = stream[exchange.start : exchange.end]
+        received = _skip_interim(data)
         own = [
             piece.answer
             for start, piece in pieces
@@ -217,7 +218,7 @@
             and piece.answer.request == exchange.request
             and (_is_framed(piece.answer) or exchange.ending == _CLOSE)
         ]
-        due = _find_due(number, exchange, own, received) if clean else None
+        due = _find_due(number, exchange, own, data) if clean else None
         outcome = exchange.outcome
         kind = None
         if outcome is None:
@@ -291,6 +292,9 @@
     that carried no request before.  One with a body in which a response seems
     to begin need not be taken if bytes follow that may be the rest of that.
     """
+    # An interim response that is not as servers send it is a doubt.
+    while received.startswith(answer_orders.INTERIM):
+        received = received[len(answer_orders.INTERIM) :]
     for answer in own[:1]:
         data = answer_orders.encode(answer._replace(has_interim=False))
         named = answer.has_id or exchange.request == answer_orders.HEALTH_CHECK
