--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,4 @@
 explore: env
 	$(BIN)/python -m eelgrasshall.platform.exploration --depth 6 --seconds 900
 	$(BIN)/python -m eelgrasshall.platform.fleet_walks --examples 2000
+	$(BIN)/python -m eelgrasshall.gateway.answer_search
