Keep a body as its bytes, not as a list of its fragments

Cause: the limits count bytes that were received, and each fragment of a body was kept as an object of its own, several times its size.

--- a/eelgrasshall/gateway/response_parser.py
+++ b/eelgrasshall/gateway/response_parser.py
@@ -75,7 +75,9 @@
         self._seen_headers: set[bytes] = set()
         self._reason_phrase = b""
         self._fault: InvalidResponse | None = None
-        self._body: list[bytes] = []
+        # Not a list of fragments: of small chunks, each would take several times
+        # its size.
+        self._body = bytearray()
         self._received_bytes = 0
         self._trailer_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
@@ -83,7 +85,7 @@
     @property
     def body(self) -> bytes:
         """The body, as far as it has arrived."""
-        return b"".join(self._body)
+        return bytes(self._body)
 
     def feed(self, data: bytes) -> None:
         """Parses the next bytes.
@@ -225,7 +227,7 @@
         self.body_bytes += len(data)
         if self.body_bytes > self._get_max_body_bytes():
             self._reject("response too large", OVERSIZED)
-        self._body.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Notes the end of the response; skips interim ones."""
--- a/eelgrasshall/gateway/response_parser_test.py
+++ b/eelgrasshall/gateway/response_parser_test.py
@@ -1,5 +1,7 @@
 """Tests of parsing responses."""
 
+import tracemalloc
+
 import pytest
 
 from eelgrasshall.gateway import response_parser
@@ -260,3 +262,20 @@
     for at in range(0, len(response), size):
         parser.feed(response[at : at + size])
     assert parser.complete and parser.body == body
+
+
+def test_body_in_small_chunks_takes_no_more_memory_than_its_bytes():
+    # Each fragment was kept as an object of its own, several times its size, so
+    # that endless responses in small chunks exceeded the memory of a process.
+    parser = _make_parser(max_body_bytes=4_000_000)
+    parser.feed(_CHUNKED)
+    chunks = b"10\r\n0123456789abcdef\r\n" * 1000
+    tracemalloc.start()
+    try:
+        for _ in range(100):
+            parser.feed(chunks)
+        size, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert parser.body_bytes == 1_600_000
+    assert size < 1.5 * parser.body_bytes
