--- a/eelgrasshall/gateway/response_parser.py
+++ b/eelgrasshall/gateway/response_parser.py
@@ -75,8 +75,8 @@
         self._seen_headers: set[bytes] = set()
         self._reason_phrase = b""
         self._fault: InvalidResponse | None = None
-        # Not a list of fragments: of small chunks, each would take several times
-        # its size.
+        # Not a list of fragments: each small one would take several times its
+        # size.
         self._body = bytearray()
         self._received_bytes = 0
         self._trailer_bytes = 0
