Take what a host knows of the store out of the host

Cause: which sources fill the copy of the store's objects, what the host states of it and whether the host watches was decided inside the process that opens sockets, so that no search over the order of events could run it.

Change: gateway/knowledge.py has the copy, the deletions, the watchers, the exchange, the election and the start; host.py keeps sockets and requests. Nothing that is sent or called differs. host_test sets the retention in the module that has it now.

--- a/eelgrasshall/gateway/host.py
+++ b/eelgrasshall/gateway/host.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Sequence
 import json
 import math
 import random as random_module
@@ -17,13 +16,13 @@
 
 from eelgrasshall.gateway import active_hosts
 from eelgrasshall.gateway import cold_start
-from eelgrasshall.gateway import deletions
 from eelgrasshall.gateway import directory
 from eelgrasshall.gateway import election
 from eelgrasshall.gateway import events
 from eelgrasshall.gateway import gossip_channels
 from eelgrasshall.gateway import heartbeats
 from eelgrasshall.gateway import hedging
+from eelgrasshall.gateway import knowledge
 from eelgrasshall.gateway import listener
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import metrics
@@ -63,17 +62,10 @@
 # Part of that margin in which the last answers are sent.
 LAST_ANSWERS_S = 0.2
 DRAIN_POLL_INTERVAL_S = 0.05
-# How long a starting host asks its seeds before it reads from the store itself.
-# Hosts that start together do so within a third of a second, and their seeds
-# have no data at first.
-SEED_TIMEOUT_S = 0.8
 
 # Time over which the hosts of a fleet publish themselves again in a store that
 # came back from a copy.
 REPUBLISH_SPREAD_S = 2.0
-# How long objects other than servers stay that a store which came back from a
-# copy lacks: by then operators and hosts have written them again.
-UNCONFIRMED_RETENTION_S = 6.0
 # Bytes that a host may add to the headers of a request that it relays, and how
 # long its connections may be idle: longer than it keeps them itself.
 RELAY_HEADER_BYTES = 1024
@@ -203,48 +195,23 @@
         self._workspace_hosts = workspace_hosts.WorkspaceHosts()
         self._started_s = self._loop.time()
         self._registry = self._request_handler.registry
-        self._object_cache = object_cache.ObjectCache(
+        self._knowledge = knowledge.HostKnowledge(
+            own=options.host,
+            collections=collections,
+            bounds_s=options.bounds_s,
+            store=store,
             decode=self._decode,
             on_update=self._handle_update,
             on_new_era=self._handle_new_era,
-            supersedes=_supersedes,
-            collections=collections,
-        )
-        self._deletions = {
-            collection: deletions.Deletions(
-                collection=collection,
-                cache=self._object_cache,
-                loop=self._loop,
-                log=log,
-                bound_s=options.bounds_s[collection],
-            )
-            for collection in collections
-        }
-        self._watchers = [
-            watcher.Watcher(
-                collection=collection,
-                store=store,
-                cache=self._object_cache,
-                deletions=self._deletions[collection],
-                log=log,
-                random=random,
-                should_watch=self._should_watch,
-                bound_s=options.bounds_s[collection],
-            )
-            for collection in collections
-        ]
-        self._store = store
-        self._peer_sync = peer_sync.PeerSync(
-            cache=self._object_cache,
-            log=log,
+            list_candidates=lambda: self._peers.list_candidates(),
             on_transferred=self._record_exchange,
-            deletions=self._deletions,
-        )
-        self._update_answers = peer_sync.UpdateAnswers(
-            cache=self._object_cache,
-            get_age_s=self._get_servers_age_s,
-            get_time_s=self._loop.time,
+            loop=self._loop,
+            random=random,
+            log=log,
         )
+        self._store = store
+        self._object_cache = self._knowledge.cache
+        self._peer_sync = self._knowledge.peer_sync
         self._notify_scheduled = False
         self._peers = peers.HeartbeatProtocol(
             own=options.host,
@@ -253,7 +220,7 @@
             reaches_servers=self._reaches_servers,
             loop=self._loop,
             random=random,
-            reaches_store=self._reaches_store,
+            reaches_store=self._knowledge.reaches_store,
             get_gossip=self._build_gossip,
             on_gossip=self._handle_gossip,
             on_hosts_changed=self._schedule_share_update,
@@ -280,12 +247,8 @@
         self._active_hosts: list[model.Host] = []
         self._helpers: list[relay_choice.Helper] = []
         self._view_time_s = -VIEW_TTL_S
-        self._watch_elected = True
-        self._watch_elected_time_s = -VIEW_TTL_S
         # The latest era of the store for which this host has published itself.
         self._published_era = 0
-        # When this host or another one was last known to reach the store.
-        self._store_reached_s = self._loop.time()
         self._attempts_per_s = 0.0
         self._last_attempts_sent = 0
 
@@ -446,7 +409,7 @@
         if path == peer_sync.UPDATES_PATH and (
             from_host or not self._hides_objects()
         ):
-            return self._update_answers.answer(request)
+            return self._knowledge.answers.answer(request)
         if path == "/metrics":
             return listener.Response(200, [], self._render_metrics())
         return listener.Response(404, [], b"")
@@ -499,7 +462,7 @@
                 "servers": self._registry.count_servers(),
                 "hosts_alive": len(self._peers.list_alive()) + 1,
                 "requests_in_flight": self._caller_listener.busy_count,
-                "store_reachable": int(self._reaches_store()),
+                "store_reachable": int(self._knowledge.reaches_store()),
                 "servers_reachable": int(self._reaches_servers()),
                 "log_lines_dropped": self._log.dropped,
                 **(tracker.list_gauges() if tracker is not None else {}),
@@ -530,7 +493,7 @@
                 )
                 for each in self._object_cache.collections
             },
-            "listens": self._reaches_store(),
+            "listens": self._knowledge.reaches_store(),
             "reaches_servers": self._reaches_servers(),
             "hosts": {
                 host.name: heartbeat._asdict()
@@ -613,50 +576,18 @@
         else:
             self._peers.add_host(value)
 
-    def _get_servers_age_s(self) -> float | None:
-        """Returns how old this host's knowledge of the servers may be."""
-        return self._deletions[object_cache.Collection.SERVERS].get_age_s()
-
     def _handle_new_era(
         self, collection: object_cache.Collection, old: int, new: int
     ) -> None:
-        """Keeps what a store that came back older may lack, for some time.
-
-        Its writers write it again meanwhile; so does this host.
-        """
-        old_era, old_number = object_cache.split_revision(old)
-        era, number = object_cache.split_revision(new)
-        self._log.record(
-            "store_era_changed",
-            collection=collection.name,
-            era=era,
-            old_era=old_era,
-            revision=number,
-            old_revision=old_number,
-        )
+        """Publishes this host again, as the store may have lost its object."""
+        del collection, old
+        era = object_cache.get_era(new)
         if era > self._published_era:
             # Whichever collection shows it first: a call for the hosts' own may
             # be swallowed.
             self._published_era = era
             delay_s = self._random.uniform(0.0, REPUBLISH_SPREAD_S)
             self._loop.call_later(delay_s, self._start_publishing)
-        if collection is not object_cache.Collection.CONFIGURATION:
-            delay_s = UNCONFIRMED_RETENTION_S
-            if collection is object_cache.Collection.SERVERS:
-                delay_s = deletions.DELETION_GRACE_S
-            self._loop.call_later(
-                delay_s, self._delete_unconfirmed, collection, era
-            )
-
-    def _delete_unconfirmed(
-        self, collection: object_cache.Collection, era: int
-    ) -> None:
-        """Deletes what has not been written again in an era of the store."""
-        received = self._object_cache.get_received_revision(collection)
-        if object_cache.get_era(received) != era:
-            return
-        for update in self._object_cache.list_unconfirmed(collection):
-            self._object_cache.apply(update)
 
     def _start_publishing(self) -> None:
         """Publishes this host in the background."""
@@ -780,14 +711,8 @@
                     names, self._loop.time()
                 )
             )
-        return [
-            peer_sync.list_revisions(self._object_cache),
-            entries,
-            peer_sync.encode_age(self._get_servers_age_s()),
-            self._object_cache.get_received_revision(
-                object_cache.Collection.SERVERS
-            ),
-        ]
+        revisions, *servers_state = self._knowledge.list_claims()
+        return [revisions, entries, *servers_state]
 
     def _handle_gossip(self, sender: str, gossip: list) -> None:
         """Fetches newer objects from another host."""
@@ -801,11 +726,8 @@
         self._merge_announcement(sender, gossip[1:2])
         host = self._peers.find_host(sender)
         if host is not None:
-            self._peer_sync.handle_revisions(
-                sender,
-                host.control_address,
-                revisions,
-                *_read_servers_state(gossip[2:]),
+            self._knowledge.handle_claims(
+                sender, host.control_address, revisions, gossip[2:]
             )
 
     def _merge_announcement(self, sender: str, entries: list) -> None:
@@ -831,7 +753,7 @@
             self._peers.store_contact_s,
             *(
                 each.answered_s
-                for each in self._watchers
+                for each in self._knowledge.watchers
                 if each.collection is object_cache.Collection.CONFIGURATION
             ),
         )
@@ -884,10 +806,6 @@
         self._attempts_per_s += (rate - self._attempts_per_s) * RATE_WEIGHT
         self._update_shares()
 
-    def _reaches_store(self) -> bool:
-        """Returns whether the watches of all collections are connected."""
-        return all(each.connected for each in self._watchers)
-
     def _reaches_servers(self) -> bool:
         """Returns whether this host reaches backend servers."""
         return not self._request_handler.links.lost
@@ -897,43 +815,11 @@
         self._announce(self._peers.state)
         self._update_shares()
 
-    def _should_watch(self) -> bool:
-        """Returns whether this host should watch the store."""
-        if self._peer_sync.lacks_deletions:
-            return True
-        now = self._loop.time()
-        if now - self._watch_elected_time_s >= VIEW_TTL_S:
-            host = self._options.host
-            own = election.Candidate(
-                host.name, host.zone, self._reaches_store()
-            )
-            others = self._peers.list_candidates()
-            if any(each.reaches_store for each in (own, *others)):
-                self._store_reached_s = now
-            self._watch_elected = election.should_watch(
-                own, others, now - self._store_reached_s
-            )
-            self._watch_elected_time_s = now
-        return self._watch_elected
-
     async def _bootstrap(self) -> None:
-        """Fetches the state from seed hosts, then starts the watchers.
-
-        A host that is itself a seed does not wait for the other seeds.
-        """
-        seeds = list(self._options.seeds)
-        own = self._options.host.control_address
-        if own not in seeds:
-            self._random.shuffle(seeds)
-            await self._wait_for_seeds(seeds)
-        else:
-            seeds.remove(own)
-            self._supervisor.start(
-                "fetch from seeds",
-                lambda: self._peer_sync.fetch_from_seeds(seeds, 0.0),
-            )
-        for each in self._watchers:
-            self._supervisor.start(f"watch {each.collection.name}", each.run)
+        """Fetches the objects, follows them and writes rollouts."""
+        await self._knowledge.bootstrap(
+            self._options.seeds, self._data_wanted.wait, self._supervisor.start
+        )
         if self._orders is not None:
             writer = rollout_writer.RolloutWriter(
                 orders=self._orders,
@@ -951,34 +837,14 @@
         host = self._options.host
         heard = self._peers.list_alive()
         return rollout_writer.Fleet(
-            election.Candidate(host.name, host.zone, self._reaches_store()),
+            election.Candidate(
+                host.name, host.zone, self._knowledge.reaches_store()
+            ),
             tuple(self._peers.list_candidates()),
             tuple(other.name for other, _ in heard),
             (len(heard) + 1) * 2 < len(heard) + 1 + self._peers.count_missing(),
         )
 
-    async def _wait_for_seeds(self, seeds: list[model.Address]) -> None:
-        """Fetches the state from seeds, unless a caller wants it earlier.
-
-        When all hosts start at the same time, seeds may be the last.  Callers
-        know a few hosts only, so that few read from the store.
-        """
-        tasks = [
-            self._loop.create_task(
-                self._peer_sync.fetch_from_seeds(seeds, SEED_TIMEOUT_S)
-            ),
-            self._loop.create_task(self._data_wanted.wait()),
-        ]
-        try:
-            done, _ = await asyncio.wait(
-                tasks, return_when=asyncio.FIRST_COMPLETED
-            )
-            for task in done:
-                task.result()
-        finally:
-            for task in tasks:
-                task.cancel()
-
     async def _publish_with_retries(self) -> None:
         """Publishes this host in the store; retries until it succeeds."""
         pause_s = watcher.MIN_BACKOFF_S
@@ -1020,29 +886,3 @@
             get_limits=get_limits or self._request_handler.get_caller_limits,
             on_error=self._log_handler_error,
         )
-
-
-def _read_servers_state(fields: Sequence[Any]) -> tuple[float | None, int]:
-    """Returns what another host states of its knowledge of the servers.
-
-    Returns:
-      Its age in seconds, and the revision up to which all changes have been
-      received; None and 0 if the host, of an earlier version, states none.
-    """
-    age, received = [*fields[:2], None, None][:2]
-    if type(received) is not int:
-        received = 0
-    return peer_sync.decode_time(age), received
-
-
-def _supersedes(
-    collection: object_cache.Collection, new: Any, old: Any
-) -> bool:
-    """Returns whether a value of a store that came back older is used.
-
-    A configuration is not if a later version is known, since that one has been
-    accepted and its operator writes it again.
-    """
-    if collection is not object_cache.Collection.CONFIGURATION or old is None:
-        return True
-    return new is not None and new.version >= old.version
--- a/eelgrasshall/gateway/host_test.py
+++ b/eelgrasshall/gateway/host_test.py
@@ -15,6 +15,7 @@
 from eelgrasshall.gateway import heartbeats
 from eelgrasshall.gateway import hedging
 from eelgrasshall.gateway import host as host_module
+from eelgrasshall.gateway import knowledge
 from eelgrasshall.gateway import messages
 from eelgrasshall.gateway import model
 from eelgrasshall.gateway import object_cache
@@ -371,7 +372,7 @@
 async def test_older_store_takes_neither_configuration_nor_evacuation_back(
     monkeypatch,
 ):
-    monkeypatch.setattr(host_module, "UNCONFIRMED_RETENTION_S", 0.2)
+    monkeypatch.setattr(knowledge, "UNCONFIRMED_RETENTION_S", 0.2)
     monkeypatch.setattr(deletions, "DELETION_GRACE_S", 0.1)
     evacuations = object_cache.Collection.EVACUATIONS
     servers = object_cache.Collection.SERVERS
