--- a/eelgrasshall/platform/fake_store.py
+++ b/eelgrasshall/platform/fake_store.py
@@ -58,7 +58,7 @@
         self._raw_specs: list[bytes] = []
         self._changed = asyncio.Event()
         self._listener = listener.Listener(
-            handler=self._handle, get_limits=model.CallerLimits
+            handler=self.handle, get_limits=model.CallerLimits
         )
 
     async def start(self, address: model.Address) -> None:
@@ -125,6 +125,11 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    @property
+    def revision(self) -> int:
+        """The revision of the last change."""
+        return self._revision
+
     def get_spec(self, kind: str, name: str) -> Any:
         """Returns the spec of an object."""
         return self._objects[kind][name]["spec"]
@@ -143,7 +148,7 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _handle(self, request: messages.Request) -> listener.Response:
+    async def handle(self, request: messages.Request) -> listener.Response:
         """Handles one call."""
         response = await self._answer(request)
         if self.era is not None:
