--- a/eelgrasshall/platform/simulated_fleet.py
+++ b/eelgrasshall/platform/simulated_fleet.py
@@ -87,6 +87,10 @@
         """Returns the timers that have not expired."""
         return [each for each in self._scheduled if not each.cancelled()]
 
+    async def create_connection(self, *args, **kwargs):
+        """Refuses: no backend server answers health checks."""
+        raise ConnectionRefusedError
+
     async def create_datagram_endpoint(self, factory, **kwargs):
         """Connects a protocol to the simulated network."""
         protocol = factory()
