Adopt the deletion of an entry that was written again meanwhile

Cause: a host that puts a deletion off keeps a timer for it. When another host tells that the entry was written again, the cache forgets the deletion, but the timer stays. A later deletion that yet another host puts off, or that follows from its names, was then taken for the one that is put off already and dropped, while its revision was taken over: the server got requests as long as it served, and hosts that asked this one did not get the deletion either.

Two tests of deletions_test failed before.

Change: whether a deletion is put off is asked of the cache alone. A timer whose deletion was forgotten has no effect, also after the store came back older.

Result: deletions_test, watcher_test and object_cache_test pass.

--- a/eelgrasshall/gateway/deletions.py
+++ b/eelgrasshall/gateway/deletions.py
@@ -82,7 +82,9 @@
         self._expires = collection is object_cache.Collection.SERVERS
         self._failed_s = -math.inf
         self._doubt_until_s = -math.inf
-        self._deferred: dict[str, asyncio.TimerHandle] = {}
+        # What is put off is known by the cache, which forgets it when another
+        # host tells of a later entry; the timer then stays without effect.
+        self._timers: dict[str, asyncio.TimerHandle] = {}
 
     @property
     def _outage_suspected(self) -> bool:
@@ -141,10 +143,9 @@
           after: See `object_cache.ObjectCache.defer`.
         """
         until_s = self._doubt_until_s
-        deferred = self._deferred.pop(update.name, None)
+        deferred = self._cache.find_deferral(update)
         if deferred is not None:
-            deferred.cancel()
-            until_s = min(until_s, deferred.when())
+            until_s = min(until_s, deferred.until_s)
         if update.document is None and until_s > self._loop.time():
             self._defer(update, after, until_s)
             return
@@ -164,13 +165,11 @@
           after: See `object_cache.ObjectCache.defer`.
           until_s: Monotonic time at which it is to be applied, seconds.
         """
-        deferred = self._deferred.get(update.name)
-        if deferred is not None and deferred.when() <= until_s:
+        deferred = self._cache.find_deferral(update)
+        if deferred is not None and deferred.until_s <= until_s:
             return
         if not self._cache.is_live(update):
             return
-        if deferred is not None:
-            deferred.cancel()
         self._defer(update, after, until_s)
 
     def infer(
@@ -182,7 +181,9 @@
           updates: The deletions.
           after: The revision after which they may have been made.
         """
-        found = [each for each in updates if each.name not in self._deferred]
+        found = [
+            each for each in updates if not self._cache.find_deferral(each)
+        ]
         if found:
             self.doubt(len(found))
         for update in found:
@@ -207,12 +208,19 @@
     ) -> None:
         """Puts a deletion off until a monotonic time."""
         self._cache.defer(update, after=after, until_s=until_s)
-        self._deferred[update.name] = self._loop.call_at(
-            until_s, self._apply_deferred, update
+        timer = self._timers.pop(update.name, None)
+        if timer is not None:
+            timer.cancel()
+        self._timers[update.name] = self._loop.call_at(
+            until_s, self._apply_deferred, update.name
         )
 
-    def _apply_deferred(self, update: object_cache.Update) -> None:
+    def _apply_deferred(self, name: str) -> None:
         """Applies a deferred deletion that no later update has replaced."""
-        self._deferred.pop(update.name, None)
-        self._cache.cancel_deferral(update)
-        self._cache.apply(update)
+        del self._timers[name]
+        deferred = self._cache.find_deferral(
+            object_cache.Update(self._collection, name, 0, None)
+        )
+        if deferred is not None:
+            self._cache.cancel_deferral(deferred.update)
+            self._cache.apply(deferred.update)
--- a/eelgrasshall/gateway/deletions_test.py
+++ b/eelgrasshall/gateway/deletions_test.py
@@ -198,3 +198,33 @@
     applied.record_age(1.0)
     applied.deletions.following = True
     assert applied.deletions.get_age_s() == pytest.approx(0.0, abs=0.05)
+
+
+async def test_deletion_after_a_new_entry_from_another_host_is_adopted():
+    # The entry lapses here (6), another host tells that it was written again
+    # (7), and then that it puts off its deletion (8).  The timer of the first
+    # deletion was taken for one of the second, which was dropped: requests went
+    # to the server as long as it served (found by platform/fleet_walks).
+    applied = _Applied()
+    applied.deletions.doubt()
+    applied.deletions.apply(applied.make_update("a", 6))
+    applied.cache.apply(applied.make_update("a", 7, "y"))
+    until_s = asyncio.get_running_loop().time() + 0.3
+    applied.deletions.adopt(
+        applied.make_update("a", 8), after=7, until_s=until_s
+    )
+    applied.cache.advance(_SERVERS, 8)
+    assert applied.cache.get_applied_revision(_SERVERS) == 7
+    await asyncio.sleep(0.35)
+    assert applied.values == {"b": "x"}
+
+
+async def test_deletion_after_a_new_entry_from_another_host_is_inferred():
+    # As above, but a host that has listed the store gives names only.
+    applied = _Applied()
+    applied.deletions.doubt()
+    applied.deletions.apply(applied.make_update("a", 6))
+    applied.cache.apply(applied.make_update("a", 7, "y"))
+    applied.deletions.infer([applied.make_update("a", 8)], after=7)
+    await asyncio.sleep(0.35)
+    assert applied.values == {"b": "x"}
--- a/eelgrasshall/gateway/object_cache.py
+++ b/eelgrasshall/gateway/object_cache.py
@@ -243,6 +243,10 @@
         """Returns the deletions that are to be applied later."""
         return list(self._deferred[collection].values())
 
+    def find_deferral(self, update: Update) -> Deferral | None:
+        """Returns what is put off for the object of an update."""
+        return self._deferred[update.collection].get(update.name)
+
     def cancel_deferral(self, update: Update) -> None:
         """Forgets the deferred update of an object."""
         self._deferred[update.collection].pop(update.name, None)
