Name a deletion that is put off by its latest revision

Cause: a host that put a deletion off kept its revision when it heard that the entry had been written again and deleted once more. It then stated the later revision, but could not name the later deletion to a host that had the entry.

Change: the later of both deletions is put off, for the shorter time.

--- a/eelgrasshall/gateway/deletions.py
+++ b/eelgrasshall/gateway/deletions.py
@@ -166,8 +166,17 @@
           until_s: Monotonic time at which it is to be applied, seconds.
         """
         deferred = self._cache.find_deferral(update)
-        if deferred is not None and deferred.until_s <= until_s:
-            return
+        if deferred is not None:
+            known = deferred.update
+            if (
+                deferred.until_s <= until_s
+                and known.revision >= update.revision
+            ):
+                return
+            until_s = min(until_s, deferred.until_s)
+            # What happened in between is not known here; hosts that know it
+            # need the later one.
+            update = max(known, update, key=lambda each: each.revision)
         if not self._cache.is_live(update):
             return
         self._defer(update, after, until_s)
@@ -186,8 +195,12 @@
         ]
         if found:
             self.doubt(len(found))
-        for update in found:
-            self.apply(update, after=after)
+        for update in updates:
+            deferred = self._cache.find_deferral(update)
+            if deferred is not None:
+                self.adopt(update, after=after, until_s=deferred.until_s)
+            else:
+                self.apply(update, after=after)
 
     def get_age_s(self) -> float | None:
         """Returns how old the knowledge of this host may be, in seconds.
--- a/eelgrasshall/gateway/deletions_test.py
+++ b/eelgrasshall/gateway/deletions_test.py
@@ -228,3 +228,23 @@
     applied.deletions.infer([applied.make_update("a", 8)], after=7)
     await asyncio.sleep(0.35)
     assert applied.values == {"b": "x"}
+
+
+@pytest.mark.parametrize("tells", ["adopt", "infer"])
+async def test_later_deletion_of_an_entry_is_named_by_its_own_revision(tells):
+    # A host that puts off a deletion (6) and hears of a later one of the same
+    # name (9) kept the first.  To a host that had the entry of revision 8 it
+    # could not name the deletion after that.
+    applied = _Applied()
+    applied.deletions.doubt()
+    applied.deletions.apply(applied.make_update("a", 6))
+    later = applied.make_update("a", 9)
+    if tells == "adopt":
+        due_s = asyncio.get_running_loop().time() + 5.0
+        applied.deletions.adopt(later, after=8, until_s=due_s)
+    else:
+        applied.deletions.infer([later], after=8)
+    assert applied.values == {"a": "x", "b": "x"}
+    await asyncio.sleep(0.3)
+    assert applied.values == {"b": "x"}
+    assert later in applied.cache.list_updates(_SERVERS)
