Keep a deletion that is put off when an older entry arrives

Cause: any update of an object ended the delay of its deletion, also the entry as it was before, from a listing or watch that was asked for earlier. The cache then refused the old entry, and the deletion was gone as well.

--- a/eelgrasshall/gateway/deletions.py
+++ b/eelgrasshall/gateway/deletions.py
@@ -145,6 +145,11 @@
         until_s = self._doubt_until_s
         deferred = self._cache.find_deferral(update)
         if deferred is not None:
+            if update.revision < deferred.update.revision:
+                # A listing or a watch that was asked for before this host heard
+                # of the deletion.
+                self._cache.apply(update)
+                return
             until_s = min(until_s, deferred.until_s)
         if update.document is None and until_s > self._loop.time():
             self._defer(update, after, until_s)
--- a/eelgrasshall/gateway/deletions_test.py
+++ b/eelgrasshall/gateway/deletions_test.py
@@ -248,3 +248,14 @@
     await asyncio.sleep(0.3)
     assert applied.values == {"b": "x"}
     assert later in applied.cache.list_updates(_SERVERS)
+
+
+async def test_entry_that_is_older_than_a_deletion_does_not_cancel_it():
+    # A listing that arrives late has the entry as it was before the deletion
+    # that another host has told of meanwhile.
+    applied = _Applied()
+    applied.deletions.doubt()
+    applied.deletions.apply(applied.make_update("a", 6))
+    applied.deletions.apply(applied.make_update("a", 3, "x"))
+    await asyncio.sleep(0.3)
+    assert applied.values == {"b": "x"}
