Leave out of the names what the present era has not seen

Cause: a host that gives the names of its objects included those that it keeps after the store has come back older, until their writers had time to write them again. A host that had such an object from the present era took that for a statement that it was still there, and the revision with it: the deletion was lost.

The test of peer_sync_test failed before.

Change: names are those of objects of the era that is stated. Objects of an earlier era are not inferred to be deleted by the receiver, as before.

Result: peer_sync_test passes.

--- a/eelgrasshall/gateway/peer_sync.py
+++ b/eelgrasshall/gateway/peer_sync.py
@@ -126,7 +126,12 @@
     if cache.list_deferred(collection):
         part.update(_encode_deferred(cache, collection, era))
     if 0 < revision < cache.get_complete_since(collection):
-        part["present"] = cache.list_names(collection)
+        part["present"] = [
+            update.name
+            for update in cache.list_updates(collection)
+            if update.document is not None
+            and object_cache.get_era(update.revision) == era
+        ]
     if _is_configuration(collection) and cache.kept_version:
         part["kept"] = True
     return part
--- a/eelgrasshall/gateway/peer_sync_test.py
+++ b/eelgrasshall/gateway/peer_sync_test.py
@@ -876,3 +876,22 @@
         assert await sync.fetch("h2", model.Address("127.0.0.1", 19109))
     assert using.get_applied_revision(_SERVERS) == 9
     assert not sync.lacks_deletions
+
+
+def test_names_do_not_include_what_the_present_era_has_not_seen():
+    # A host that started had a server from a host that did not know yet that
+    # the store had come back older, and then listed the store, which no longer
+    # had it.  It kept the server for a while, and its name told others, who had
+    # seen it in the present era, that it was still there (found by
+    # platform/fleet_walks).
+    remote, local = _make_cache(), _make_cache()
+    remote.apply(_make_update("a", 28, "x"))
+    remote.advance(_SERVERS, 34)
+    listed = object_cache.make_revision(1, 41)
+    remote.raise_complete_since(_SERVERS, listed)
+    remote.advance(_SERVERS, listed)
+    local.apply(_make_update("a", object_cache.make_revision(1, 28), "x"))
+    local.advance(_SERVERS, object_cache.make_revision(1, 37))
+    _exchange(remote, local)
+    assert local.get_applied_revision(_SERVERS) == listed
+    assert not _is_live(local, "a")
