--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: env format check demo measure soak
+.PHONY: env format check demo measure soak explore
 
 env: $(VENV)/.installed
 
@@ -31,3 +31,7 @@
 
 soak: env
 	$(BIN)/python -m eelgrasshall.platform.soak --seeds 5
+
+explore: env
+	$(BIN)/python -m eelgrasshall.platform.exploration --depth 6 --seconds 900
+	$(BIN)/python -m eelgrasshall.platform.fleet_walks --examples 2000
--- a/eelgrasshall/platform/exploration.py
+++ b/eelgrasshall/platform/exploration.py
@@ -52,7 +52,8 @@
       hosts: The number of hosts; the first one is the seed of all.
       watchers: The number of hosts that watch the store.
       changes: The most changes of the store.
-      restarts: The most restarts of hosts.
+      restarts: How often a host starts again or the store drops its history
+        at most.
       passes: How often time passes at most.
       depth: The most events.
       seconds: When the search ends, processor seconds.
@@ -322,6 +323,7 @@
                 events[f"restart {name}"] = lambda name=name: self._restart(
                     name
                 )
+            events["the store drops its history"] = self._drop_history
         if self._passes < bound.passes:
             events["time passes"] = self._pass
         return events
@@ -344,6 +346,10 @@
         self._restarts += 1
         self.fleet.start(name)
 
+    def _drop_history(self) -> None:
+        self._restarts += 1
+        self.fleet.store.drop_history()
+
     def _pass(self) -> None:
         self._passes += 1
         self._advance(PASS_S)
--- a/eelgrasshall/platform/fleet_walks.py
+++ b/eelgrasshall/platform/fleet_walks.py
@@ -7,7 +7,9 @@
 """
 
 import argparse
+from collections.abc import Iterator
 from collections.abc import Sequence
+import contextlib
 import random as random_module
 import sys
 import time
@@ -371,6 +373,17 @@
             self._patch.__exit__(None, None, None)
 
 
+@contextlib.contextmanager
+def open_walk(*, count: int, seed: int) -> Iterator[FleetWalk]:
+    """Begins a walk whose events the caller plays, and ends it with quiet."""
+    machine = FleetWalk()
+    try:
+        machine.begin(count=count, seed=seed)
+        yield machine
+    finally:
+        machine.teardown()
+
+
 def _is_in_force(
     host: simulated_fleet.Host, change: simulated_fleet.Change
 ) -> bool:
