State no deletion as one to name that is unknown here

Cause: a listing of several pages has the revision of the first one and may lack an object that was deleted after that. If another host then told that it puts the deletion off, this host took its revision over, with nothing to put off, and kept stating that it can name all deletions since its listing. A host that had the object and asked this one took the revision over and kept the object.

The test of deletions_test failed before.

Change: the host states that it names deletions only after that revision, so that it gives its names instead.

--- a/eelgrasshall/gateway/deletions.py
+++ b/eelgrasshall/gateway/deletions.py
@@ -183,6 +183,11 @@
             # need the later one.
             update = max(known, update, key=lambda each: each.revision)
         if not self._cache.is_live(update):
+            if not self._cache.is_known(update):
+                # A listing may lack what was deleted between its pages.
+                self._cache.raise_complete_since(
+                    self._collection, update.revision
+                )
             return
         self._defer(update, after, until_s)
 
--- a/eelgrasshall/gateway/deletions_test.py
+++ b/eelgrasshall/gateway/deletions_test.py
@@ -259,3 +259,16 @@
     applied.deletions.apply(applied.make_update("a", 3, "x"))
     await asyncio.sleep(0.3)
     assert applied.values == {"b": "x"}
+
+
+async def test_deletion_of_what_is_unknown_is_not_stated_as_one_to_name():
+    # A listing of several pages may lack an object that was deleted after its
+    # first page, whose revision it has.  Another host then puts that deletion
+    # off; this one has nothing to put off, and could not name the deletion to a
+    # host that has the object (found by platform/exploration).
+    applied = _Applied()
+    applied.cache.raise_complete_since(_SERVERS, 5)
+    applied.deletions.adopt(
+        applied.make_update("unknown", 6), after=5, until_s=math.inf
+    )
+    assert applied.cache.get_complete_since(_SERVERS) == 6
--- a/eelgrasshall/gateway/object_cache.py
+++ b/eelgrasshall/gateway/object_cache.py
@@ -400,6 +400,11 @@
             and old.revision <= deletion.revision
         )
 
+    def is_known(self, update: Update) -> bool:
+        """Returns whether the update of an object or a later one is known."""
+        old = self._latest[update.collection].get(update.name)
+        return old is not None and old.revision >= update.revision
+
     def list_names(self, collection: Collection) -> list[str]:
         """Returns the names of all objects that are not deleted."""
         return [
