Search more kinds of walks: outages of several lengths, sixteen servers

Change: an outage may end before hosts that do not watch have called the store in vain; sixteen servers, of which less than half leave at a time; entries that drained are not taken for ones that lapsed. Walks with faults of the long doubt put back are kept as tests, as is the sequence on the pages of a listing.

--- a/eelgrasshall/platform/exploration_test.py
+++ b/eelgrasshall/platform/exploration_test.py
@@ -43,6 +43,18 @@
         assert exploration.replay(_BOUND, _SEQUENCES[name])
 
 
+def test_listing_that_lacks_what_was_deleted_between_its_pages():
+    # Another host put the deletion off; the one that listed the store stated
+    # that it could name it.
+    sequence = (
+        "restart h2",
+        "serve h2 -> store servers list",
+        "delete b",
+        "time passes",
+    )
+    assert not exploration.replay(_BOUND, sequence)
+
+
 def test_every_mutation_fits_the_code():
     for name in mutations.MUTATIONS:
         with mutations.apply(name):
@@ -67,7 +79,10 @@
     _walk(
         [
             ("time_passes", {"duration_s": 0.3}),
-            ("silence", {"lapsing": True, "watchers_lost": True}),
+            (
+                "silence",
+                {"lapsing": True, "watchers_lost": True, "duration_s": 4.0},
+            ),
             ("restart", {"number": 8}),
             ("remove", {"names": ["i"]}),
             ("time_passes", {"duration_s": 0.3}),
@@ -91,3 +106,44 @@
         count=5,
         seed=4,
     )
+
+
+@pytest.mark.parametrize(
+    ("name", "events"),
+    [
+        (
+            "lapsed",
+            [
+                ("time_passes", {"duration_s": 1.0}),
+                (
+                    "silence",
+                    {"lapsing": True, "watchers_lost": True, "duration_s": 3.0},
+                ),
+            ],
+        ),
+        (
+            "long-doubt",
+            [
+                (
+                    "kill_watchers",
+                    {"back_s": None, "lead_s": 0.1, "names": ["a"]},
+                ),
+                ("time_passes", {"duration_s": 3.0}),
+            ],
+        ),
+        (
+            "lost-doubt",
+            [
+                (
+                    "kill_watchers",
+                    {"back_s": None, "lead_s": -2.0, "names": ["a", "b", "c"]},
+                ),
+                ("time_passes", {"duration_s": 3.0}),
+            ],
+        ),
+    ],
+)
+def test_walk_fails_with_a_fault_that_is_put_back(name, events):
+    _walk(events, count=7, seed=0)
+    with mutations.apply(name), pytest.raises(AssertionError):
+        _walk(events, count=7, seed=0)
--- a/eelgrasshall/platform/fleet_walks.py
+++ b/eelgrasshall/platform/fleet_walks.py
@@ -33,7 +33,7 @@
     Collection.HOSTS: 6.0,
 }
 CONTACT_S = 4.0
-_SERVERS = tuple("abcdefghij")
+_SERVERS = tuple("abcdefghijklmnop")
 _SETTLING_S = 5.0
 # Doubt, a watch that times out, the longest back-off and the retention of what
 # a copy of the store lacks.
@@ -43,8 +43,8 @@
 # Less than half of the servers leave within this time: more look like entries
 # that lapsed (incidents/2026-12-05-long-doubt.md, "What remains").
 _PLANNED_S = 6.0
-# Longer than three intervals of the servers' heartbeats: all entries lapse.
-_OUTAGE_S = 4.0
+# Some end before hosts that do not watch have called the store in vain.
+_OUTAGES_S = (4.0, 3.0, 2.2, 3.7)
 # Time within which servers whose entries lapsed are back.
 _BACK_S = 1.9
 _HOSTS = strategies.integers(0, 8)
@@ -90,7 +90,7 @@
             bounds_s=BOUNDS_S,
             choose_delay_s=lambda call: random.uniform(*_LATENCY_S),
             has_heartbeats=True,
-            page_size=4,
+            page_size=6,
         )
         for name in _SERVERS:
             self._register(name)
@@ -296,21 +296,24 @@
             links.clear()
 
     @stateful.rule(
-        lapsing=strategies.booleans(), watchers_lost=strategies.booleans()
+        lapsing=strategies.booleans(),
+        watchers_lost=strategies.booleans(),
+        duration_s=strategies.sampled_from(_OUTAGES_S),
     )
-    def silence(self, lapsing, watchers_lost):
+    def silence(self, lapsing, watchers_lost, duration_s):
         """The store answers no call for some seconds; entries may lapse."""
         hosts = self._list_in_touch()
         began_s = self.loop.time()
         self._silent_since_s.append(began_s)
         self.fleet.swallowing = True
         self.fleet.disturb()
-        self._pass(_OUTAGE_S)
+        self._pass(duration_s)
         lapsed = self.fleet.store.list_names("servers") if lapsing else []
         used = [
             name
             for name in lapsed
-            if all(name in host.list_used() for host in hosts)
+            if self.fleet.store.get_spec("servers", name)["state"] == "ready"
+            and all(name in host.list_used() for host in hosts)
         ]
         for name in lapsed:
             self._write(Collection.SERVERS, name, None)
--- a/eelgrasshall/platform/mutations.py
+++ b/eelgrasshall/platform/mutations.py
@@ -82,10 +82,31 @@
         "return False and count >=",
     ),
     "age-of-applied": Mutation(
-        peer_sync.PeerSync,
-        "_apply",
-        'era, part.get("received", part["revision"])',
-        'era, part["revision"]',
+        deletions.Deletions,
+        "get_age_s",
+        "self._cache.get_current_s(self._collection)",
+        "self._cache.get_current_s(self._collection) - DELETION_GRACE_S"
+        " * bool(self._cache.list_deferred(self._collection))",
+    ),
+    # Found by this search.
+    "stale-names": Mutation(
+        peer_sync,
+        "_encode_collection",
+        "if update.document is not None\n"
+        "            and object_cache.get_era(update.revision) == era",
+        "if update.document is not None",
+    ),
+    "kept-revision": Mutation(
+        deletions.Deletions,
+        "adopt",
+        "and known.revision >= update.revision",
+        "",
+    ),
+    "older-entry": Mutation(
+        deletions.Deletions,
+        "apply",
+        "if update.revision < deferred.update.revision:",
+        "if False:",
     ),
     # Earlier ones.
     "listing-deferral": Mutation(
