--- a/eelgrasshall/platform/lost_watchers_test.py
+++ b/eelgrasshall/platform/lost_watchers_test.py
@@ -11,6 +11,8 @@
 import signal
 import time
 
+import pytest
+
 from eelgrasshall.platform import fleet as fleet_module
 
 # Time within which a host no longer sends to a server whose entry is gone.
@@ -161,6 +163,7 @@
         fleet.register_server(name)
 
 
+@pytest.mark.alone
 async def test_lapsed_entries_do_not_end_servers_when_the_watchers_are_lost(
     tmp_path,
 ):
