--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -230,6 +230,7 @@
     *,
     hosts: int,
     replicas: int,
+    name: str = "record.txt",
 ) -> None:
     """Runs a case and ends the process with its result.
 
@@ -238,8 +239,9 @@
       check: Plays the case; returns HELD, BROKEN or NOT_RUN.
       hosts: Number of entry hosts.
       replicas: Number of backend servers of each service.
+      name: Name of the record.
     """
-    record = Record(path=pathlib.Path(case).resolve().parent / "record.txt")
+    record = Record(path=pathlib.Path(case).resolve().parent / name)
     folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
     try:
         result = asyncio.run(_run(record, folder, check, hosts, replicas))
