--- a/review/8/case.py
+++ b/review/8/case.py
@@ -14,11 +14,8 @@
 async def check(deployment: harness.Deployment) -> int:
     """Plays the case."""
     await deployment.wait_until_settled()
-    watchers = await deployment.find_watchers()
+    watchers = await deployment.find_watchers(3)
     calm = [each for each in deployment.host_names if each not in watchers]
-    deployment.record.write(f"hosts that call the store: {watchers}")
-    if not calm or len(watchers) != 3:
-        return harness.NOT_RUN
     await deployment.call_often(calm, "/single/", "before", 0.2)
     if harness.has_trouble():
         deployment.cut_store(watchers)
--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -193,18 +193,29 @@
                     endpoint.transport.abort()
         self.record.write("keep-alive gives the silent connections up")
 
-    async def find_watchers(self) -> list[str]:
-        """Returns the hosts that call the store at present."""
-        before = {
-            name: proxy.sent_counts[""]
-            for name, proxy in self.store_proxies.items()
-        }
-        await asyncio.sleep(4.0)
-        return [
-            name
-            for name, proxy in self.store_proxies.items()
-            if proxy.sent_counts[""] > before[name]
-        ]
+    async def find_watchers(self, count: int) -> list[str]:
+        """Waits until so many hosts call the store, and returns them.
+
+        More do until all hosts know each other.
+
+        Raises:
+          TimeoutError: Another number of hosts calls it all the while.
+        """
+        for _ in range(8):
+            before = {
+                name: proxy.sent_counts[""]
+                for name, proxy in self.store_proxies.items()
+            }
+            await asyncio.sleep(4.0)
+            found = [
+                name
+                for name, proxy in self.store_proxies.items()
+                if proxy.sent_counts[""] > before[name]
+            ]
+            self.record.write(f"hosts that call the store: {found}")
+            if len(found) == count:
+                return found
+        raise TimeoutError(f"not {count} hosts call the store")
 
     def cut_store(self, hosts: list[str]) -> None:
         """Lets the store be silent to hosts; it serves the others."""
